Lay the workspace: shared types, peer protocol, platform trait

Cause: the project starts from an empty repository. Change: packages by concern, checked names, positions, session tokens, the table of refusals, group views, the inner protocol's messages and codec, the configuration and settings types, the platform trait with its HTTP client, and the control functions that backend servers are expected to offer. Conclusion: packages can now be filled side by side.

--- /dev/null
+++ b/crates/config/src/configuration.rs
@@ -0,0 +1,134 @@
+//! The declarative file set of the operators.
+
+use std::net::SocketAddr;
+
+use chicoryhollow_core::prelude::*;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    rate::{Burst, Rate},
+    verifier::Verifier,
+};
+
+/// Whether something takes new work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Service {
+    /// Takes new work.
+    #[default]
+    In,
+    /// Finishes what it has and takes no new work.
+    Out,
+}
+
+/// A whole set of operators' files at one version.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// Data centres in which VMs and backend servers run.
+    #[serde(default)]
+    pub data_centres: IndexMap<DataCentreId, DataCentre>,
+    /// Database groups.
+    #[serde(default)]
+    pub groups: IndexMap<GroupId, Group>,
+    /// Client accounts.
+    #[serde(default)]
+    pub accounts: IndexMap<AccountId, Account>,
+    /// Keys that callers may show.
+    #[serde(default)]
+    pub keys: IndexMap<KeyName, Key>,
+    /// Routes that callers may name as their database.
+    #[serde(default)]
+    pub routes: IndexMap<RouteName, Route>,
+}
+
+/// A data centre.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DataCentre {
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub service: Service,
+}
+
+/// A database group: one primary and its replicas.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// Backend servers of the group.
+    pub servers: IndexMap<ServerId, Server>,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Address by IP number.
+    pub address: SocketAddr,
+    /// Data centre in which it runs.
+    pub data_centre: DataCentreId,
+    /// Statements that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts for statements, over all VMs.
+    pub connections: u32,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub service: Service,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    /// Requests a second over all VMs together.
+    pub rate: Rate,
+    /// Requests at once over all VMs together.
+    pub burst: Burst,
+    /// Share of scarce slots against other accounts.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+/// A key of a client account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Account on whose behalf the key speaks.
+    pub account: AccountId,
+    /// What is needed to check the key, without the key itself.
+    pub verifier: Verifier,
+}
+
+/// A route that callers name as their database.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Group that serves the route.
+    pub group: GroupId,
+    /// Accounts that may use it.
+    #[serde(default)]
+    pub accounts: Vec<AccountId>,
+    /// Account charged for callers without a key; makes the route open to all.
+    #[serde(default)]
+    pub open_account: Option<AccountId>,
+    /// Age in milliseconds that reads accept; absent, reads are session-consistent.
+    #[serde(default)]
+    pub max_age_ms: Option<u64>,
+    /// Whether every write of the route may be repeated without harm.
+    #[serde(default)]
+    pub idempotent: bool,
+}
+
+/// A configuration with the version at which it was accepted.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Versioned {
+    /// Version of the row in the platform's table, counted from one.
+    pub version: u64,
+    /// The configuration accepted at that version.
+    pub configuration: Configuration,
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,25 @@
+/*!
+Files that operators write, and the settings of one daemon.
+
+# Guided tour
+
+* [`Configuration`] is a whole file set: data centres, database groups with
+  their backend servers, client accounts, keys and routes. It applies as a
+  whole or not at all.
+* [`Settings`] is what one daemon learns at start-up: its name, its data
+  centre, its addresses and its limits.
+* [`Verifier`](verifier::Verifier) is what the configuration holds of a key; the
+  key itself is never stored.
+*/
+
+pub mod configuration;
+pub mod rate;
+pub mod settings;
+pub mod verifier;
+
+pub use crate::{
+    configuration::{Account, Configuration, DataCentre, Group, Key, Route, Server},
+    rate::{Burst, Rate},
+    settings::Settings,
+    verifier::Verifier,
+};
--- /dev/null
+++ b/crates/config/src/rate.rs
@@ -0,0 +1,66 @@
+//! Rates and bursts of client accounts.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Requests a second.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// Makes a rate of `per_second` requests a second, or `None` when the
+    /// number is not finite and positive.
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second.is_finite() && per_second > 0.0).then_some(Rate(per_second))
+    }
+
+    /// Returns the rate in requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, RateError> {
+        let number = text.strip_suffix("/s").ok_or(RateError)?.parse().map_err(|_| RateError)?;
+        Rate::new(number).ok_or(RateError)
+    }
+}
+
+/// The text is no rate of the form `NUMBER/s`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a rate is a positive number of requests a second, written NUMBER/s")]
+pub struct RateError;
+
+/// Requests that an account may send at once.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Burst(f64);
+
+impl Burst {
+    /// Makes a burst of `requests`, or `None` when it is not finite or below one.
+    pub fn new(requests: f64) -> Option<Self> {
+        (requests.is_finite() && requests >= 1.0).then_some(Burst(requests))
+    }
+
+    /// Returns the burst in requests.
+    pub fn requests(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Burst {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,136 @@
+//! Settings of one daemon.
+
+use std::net::SocketAddr;
+
+use chicoryhollow_core::prelude::*;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// What one daemon learns at start-up, from a JSON file with comments.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre in which the VM runs.
+    pub data_centre: DataCentreId,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Address of the platform's service, as `http://IP:PORT`.
+    pub platform: String,
+    /// Role under which the proxy logs in to backend servers.
+    #[serde(default)]
+    pub backend: BackendRole,
+    /// Addresses to dial in place of others, for data centres behind address
+    /// translation.
+    #[serde(default)]
+    pub translate: IndexMap<SocketAddr, SocketAddr>,
+    /// Log format and level.
+    #[serde(default)]
+    pub log: Log,
+    /// Limits on time and memory.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+impl Settings {
+    /// Returns the address to dial for `address`.
+    pub fn dial(&self, address: SocketAddr) -> SocketAddr {
+        self.translate.get(&address).copied().unwrap_or(address)
+    }
+}
+
+/// Addresses on which a daemon listens.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers, PostgreSQL wire protocol.
+    pub callers: SocketAddr,
+    /// For other VMs, inner protocol.
+    pub peers: SocketAddr,
+    /// For operators, HTTP.
+    pub admin: SocketAddr,
+}
+
+/// Role of the proxy towards backend servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BackendRole {
+    /// User name.
+    pub user: String,
+    /// Password, when the servers ask for one.
+    pub password: Option<String>,
+    /// Database to open.
+    pub database: String,
+}
+
+impl Default for BackendRole {
+    fn default() -> Self {
+        BackendRole {
+            user: "chicoryhollow".to_owned(),
+            password: None,
+            database: "main".to_owned(),
+        }
+    }
+}
+
+/// Log settings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Least severe level to write: `error`, `warning`, `info` or `debug`.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log { format: LogFormat::Text, level: "info".to_owned() }
+    }
+}
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Limits on time and memory.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Threads for requests.
+    pub workers: usize,
+    /// Connections of callers.
+    pub callers: usize,
+    /// Deadline of one request in milliseconds.
+    pub request_ms: u64,
+    /// Longest drain after the first SIGTERM in milliseconds.
+    pub drain_ms: u64,
+    /// Largest message in bytes.
+    pub message_bytes: usize,
+    /// Bytes of an answer held for one caller.
+    pub buffer_bytes: usize,
+    /// Whether callers may send their key in clear text.
+    pub cleartext_keys: bool,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            workers: 2,
+            callers: 20_000,
+            request_ms: 10_000,
+            drain_ms: 30_000,
+            message_bytes: 16 << 20,
+            buffer_bytes: 64 << 10,
+            cleartext_keys: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,50 @@
+/*!
+Decisions of the chicoryhollow database proxy, free of input and output.
+
+Everything in this crate is a plain value or a state machine. Time arrives as
+a [`Time`] argument and randomness as a seeded generator, so that each decision
+can be replayed exactly. Sockets, tasks, actors and SQL text live in the
+packages around this one.
+
+# Guided tour
+
+* [`id`] names the things an operator configures: VMs, data centres, client
+  accounts, keys, routes, database groups and backend servers.
+* [`position`] orders the state of a database group: a [`Term`] counts
+  promotions, an [`Lsn`] counts log records, and a [`Position`] is the pair.
+* [`session`] holds what one session has seen and turns it into a token that
+  travels with the caller.
+* [`refusal`] is the one table of everything the proxy may answer in place of a
+  result, and says for each whether the request ran.
+* [`rank`] places roles on VMs by rendezvous hashing.
+* [`view`] is what a VM believes about one database group.
+* [`time`] has the clock values that decisions take as arguments.
+
+# Example
+
+```
+use chicoryhollow_core::{Lsn, Position, Term};
+
+let before = Position::new(Term::new(3), Lsn::new(900));
+let after = Position::new(Term::new(4), Lsn::new(120));
+assert!(before < after, "a later term outranks any log position");
+```
+*/
+
+pub mod id;
+pub mod position;
+pub mod prelude;
+pub mod rank;
+pub mod refusal;
+pub mod session;
+pub mod time;
+pub mod view;
+
+pub use crate::{
+    id::{AccountId, DataCentreId, GroupId, Incarnation, KeyName, RouteName, ServerId, VmId},
+    position::{Lsn, Position, Term},
+    refusal::{Outcome, Refusal},
+    session::SessionToken,
+    time::Time,
+    view::GroupView,
+};
--- /dev/null
+++ b/crates/core/src/position.rs
@@ -0,0 +1,131 @@
+//! Terms and log positions of a database group.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Counts the promotions of a database group; each promotion has a higher term.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Term(u64);
+
+impl Term {
+    /// Makes a term from its number.
+    pub fn new(number: u64) -> Self {
+        Term(number)
+    }
+
+    /// Returns the number.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the term after this one.
+    pub fn next(self) -> Self {
+        Term(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Term {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Counts the log records of a database group; grows with every committed write.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Lsn(u64);
+
+impl Lsn {
+    /// Makes a log position from its number.
+    pub fn new(number: u64) -> Self {
+        Lsn(number)
+    }
+
+    /// Returns the number.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Lsn {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A point in the history of a database group, ordered by term and then log
+/// position.
+///
+/// Its text form is `TERM/LSN`, both in decimal; backend servers report it in
+/// the parameter `chicoryhollow.position`.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Position {
+    term: Term,
+    lsn: Lsn,
+}
+
+impl Position {
+    /// Makes a position from its parts.
+    pub fn new(term: Term, lsn: Lsn) -> Self {
+        Position { term, lsn }
+    }
+
+    /// Returns the term.
+    pub fn term(self) -> Term {
+        self.term
+    }
+
+    /// Returns the log position.
+    pub fn lsn(self) -> Lsn {
+        self.lsn
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.term, self.lsn)
+    }
+}
+
+impl FromStr for Position {
+    type Err = PositionError;
+
+    fn from_str(text: &str) -> Result<Self, PositionError> {
+        let (term, lsn) = text.split_once('/').ok_or(PositionError)?;
+        let term = term.parse().map_err(|_| PositionError)?;
+        let lsn = lsn.parse().map_err(|_| PositionError)?;
+        Ok(Position::new(Term(term), Lsn(lsn)))
+    }
+}
+
+/// The text is no position of the form `TERM/LSN`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a position has the form TERM/LSN with two decimal numbers")]
+pub struct PositionError;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn position_round_trips_through_text() {
+        let position = Position::new(Term::new(7), Lsn::new(42));
+        assert_eq!(position.to_string(), "7/42");
+        assert_eq!("7/42".parse(), Ok(position));
+    }
+
+    #[test]
+    fn malformed_positions_are_rejected() {
+        for text in ["", "7", "7/", "/42", "7/x", "-1/2", "7/42/1"] {
+            assert_eq!(text.parse::<Position>(), Err(PositionError), "{text:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The types that nearly every module of the workspace uses.
+
+pub use crate::{
+    id::{AccountId, DataCentreId, GroupId, Incarnation, KeyName, RouteName, ServerId, VmId},
+    position::{Lsn, Position, Term},
+    refusal::{Outcome, Refusal},
+    session::SessionToken,
+    time::Time,
+    view::GroupView,
+};
--- /dev/null
+++ b/crates/peer/src/codec.rs
@@ -0,0 +1,91 @@
+//! Framing of envelopes on a TCP connection.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::envelope::Envelope;
+
+/// Largest envelope in bytes.
+pub const MAX_ENVELOPE_BYTES: usize = 32 << 20;
+
+/// Encodes and decodes length-prefixed [`Envelope`]s.
+#[derive(Debug)]
+pub struct EnvelopeCodec {
+    frames: LengthDelimitedCodec,
+    scratch: BytesMut,
+}
+
+impl EnvelopeCodec {
+    /// Makes a codec that refuses envelopes above [`MAX_ENVELOPE_BYTES`].
+    pub fn new() -> Self {
+        let frames =
+            LengthDelimitedCodec::builder().max_frame_length(MAX_ENVELOPE_BYTES).new_codec();
+        EnvelopeCodec { frames, scratch: BytesMut::new() }
+    }
+}
+
+impl Default for EnvelopeCodec {
+    fn default() -> Self {
+        EnvelopeCodec::new()
+    }
+}
+
+impl Decoder for EnvelopeCodec {
+    type Item = Envelope;
+    type Error = CodecError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Envelope>, CodecError> {
+        let frame = self.frames.decode(source)?;
+        Ok(frame.map(|frame| Envelope::decode(frame.freeze())).transpose()?)
+    }
+}
+
+impl Encoder<Envelope> for EnvelopeCodec {
+    type Error = CodecError;
+
+    fn encode(&mut self, envelope: Envelope, target: &mut BytesMut) -> Result<(), CodecError> {
+        envelope.encode(&mut self.scratch)?;
+        let frame: Bytes = self.scratch.split().freeze();
+        Ok(self.frames.encode(frame, target)?)
+    }
+}
+
+/// Why an envelope could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum CodecError {
+    /// The connection failed, or a frame was too large.
+    #[error("peer connection failed: {0}")]
+    Io(#[from] std::io::Error),
+    /// A frame held no envelope.
+    #[error("malformed peer message: {0}")]
+    Decode(#[from] prost::DecodeError),
+    /// An envelope did not fit.
+    #[error("peer message too large: {0}")]
+    Encode(#[from] prost::EncodeError),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{envelope::Body, member::Ping};
+
+    #[test]
+    fn envelopes_round_trip() {
+        let mut codec = EnvelopeCodec::new();
+        let mut buffer = BytesMut::new();
+        let ping = Ping { number: 7, leaving: true, version: 3 };
+        let envelope = Envelope::new(Body::Ping(ping));
+        codec.encode(envelope.clone(), &mut buffer).expect("a small envelope encodes");
+        assert_eq!(codec.decode(&mut buffer).expect("a whole frame decodes"), Some(envelope));
+    }
+
+    #[test]
+    fn any_bytes_decode_or_are_refused() {
+        bolero::check!().with_type::<Vec<u8>>().for_each(|bytes: &Vec<u8>| {
+            let mut buffer = BytesMut::from(bytes.as_slice());
+            let mut codec = EnvelopeCodec::new();
+            while let Ok(Some(_)) = codec.decode(&mut buffer) {}
+        });
+    }
+}
--- /dev/null
+++ b/crates/peer/src/envelope.rs
@@ -0,0 +1,83 @@
+//! The one message type on the wire.
+
+use crate::{configuration, group, member, share, stream};
+
+/// A message between two VMs.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Envelope {
+    /// What the message is about; none for a body of a later version.
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 30, 31, 32, 40, 41"
+    )]
+    pub body: Option<Body>,
+}
+
+impl Envelope {
+    /// Wraps `body`.
+    pub fn new(body: Body) -> Self {
+        Envelope { body: Some(body) }
+    }
+}
+
+/// What a message is about.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// First message of a connection, in both directions.
+    #[prost(message, tag = "1")]
+    Hello(member::Hello),
+    /// Asks for a sign of life.
+    #[prost(message, tag = "2")]
+    Ping(member::Ping),
+    /// Answers a ping.
+    #[prost(message, tag = "3")]
+    Pong(member::Pong),
+    /// Passes on a caller's request to cancel a statement.
+    #[prost(message, tag = "4")]
+    Cancel(member::Cancel),
+    /// Opens a stream to the home of a backend server.
+    #[prost(message, tag = "10")]
+    Open(stream::Open),
+    /// Statements of one batch, from entry to home.
+    #[prost(message, tag = "11")]
+    Batch(stream::Batch),
+    /// Part of an answer, from home to entry.
+    #[prost(message, tag = "12")]
+    Answer(stream::Answer),
+    /// End of the answer to one batch.
+    #[prost(message, tag = "13")]
+    Ready(stream::Ready),
+    /// Allows the home to send more of an answer.
+    #[prost(message, tag = "14")]
+    Credit(stream::Credit),
+    /// Ends a stream, from either side.
+    #[prost(message, tag = "15")]
+    Close(stream::Close),
+    /// Cancels the statement that runs on a stream.
+    #[prost(message, tag = "16")]
+    Interrupt(stream::Interrupt),
+    /// Asks for the view of a group, now and whenever it changes.
+    #[prost(message, tag = "20")]
+    Subscribe(group::Subscribe),
+    /// The view of a group.
+    #[prost(message, tag = "21")]
+    View(group::View),
+    /// What one watcher sees of a group's servers.
+    #[prost(message, tag = "22")]
+    Observation(group::Observation),
+    /// Asks the keeper of an account for a share.
+    #[prost(message, tag = "30")]
+    ShareAsk(share::ShareAsk),
+    /// Grants a share under a lease.
+    #[prost(message, tag = "31")]
+    ShareGrant(share::ShareGrant),
+    /// Gives a share back.
+    #[prost(message, tag = "32")]
+    ShareReturn(share::ShareReturn),
+    /// Asks for a configuration newer than the one held.
+    #[prost(message, tag = "40")]
+    ConfigurationAsk(configuration::ConfigurationAsk),
+    /// Answers with a configuration or with the difference to it.
+    #[prost(message, tag = "41")]
+    ConfigurationAnswer(configuration::ConfigurationAnswer),
+}
--- /dev/null
+++ b/crates/peer/src/member.rs
@@ -0,0 +1,60 @@
+//! Introductions and signs of life.
+
+/// First message of a connection, in both directions.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Name of the sending VM.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// Incarnation of the sending daemon.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Data centre of the sending VM.
+    #[prost(string, tag = "3")]
+    pub data_centre: String,
+    /// Whether the sender is leaving and takes no new work.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+    /// Version of the configuration that the sender has in force.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
+}
+
+/// Asks for a sign of life.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ping {
+    /// Number that the answer repeats.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Version of the configuration that the sender has in force.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+}
+
+/// Answers a [`Ping`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pong {
+    /// Number of the ping.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Version of the configuration that the sender has in force.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+}
+
+/// Passes on a caller's request to cancel a statement.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Cancel {
+    /// Process number that the caller was given.
+    #[prost(int32, tag = "1")]
+    pub process: i32,
+    /// Secret that the caller was given.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub secret: bytes::Bytes,
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,100 @@
+//! The platform over HTTP and JSON.
+
+use std::time::Duration;
+
+use awc::{Client, http::StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use crate::{Platform, PlatformError, Row, Swap, Vm};
+
+/// Longest answer in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// The platform reached over HTTP; it stays on the thread that made it.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: Client,
+    base: String,
+}
+
+impl HttpPlatform {
+    /// Makes a client of the platform at `base`, such as `http://10.0.0.1:80`,
+    /// that waits at most `timeout` for an answer.
+    pub fn new(base: impl Into<String>, timeout: Duration) -> Self {
+        let client = Client::builder().timeout(timeout).finish();
+        HttpPlatform { client, base: base.into() }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base)
+    }
+
+    async fn read(&self, path: &str) -> Result<(StatusCode, Vec<u8>), PlatformError> {
+        let mut answer =
+            self.client.get(self.url(path)).send().await.map_err(unavailable)?;
+        let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+        Ok((answer.status(), body.to_vec()))
+    }
+}
+
+impl Platform for HttpPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        match self.read(&format!("/table/{key}")).await? {
+            (StatusCode::OK, body) => decode(&body).map(Some),
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            (status, _) => Err(refused(status)),
+        }
+    }
+
+    async fn swap(&self, key: &str, expect: u64, value: Value) -> Result<Swap, PlatformError> {
+        let url = self.url(&format!("/table/{key}"));
+        let request = json!({ "expect": expect, "value": value });
+        let mut answer = self.client.put(url).send_json(&request).await.map_err(unavailable)?;
+        let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+        match answer.status() {
+            StatusCode::OK => decode(&body).map(Swap::Done),
+            StatusCode::CONFLICT => decode(&body).map(Swap::Conflict),
+            status => Err(refused(status)),
+        }
+    }
+
+    async fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        match self.read(&format!("/objects/{name}")).await? {
+            (StatusCode::OK, body) => Ok(Some(body)),
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            (status, _) => Err(refused(status)),
+        }
+    }
+
+    async fn store(&self, name: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
+        let url = self.url(&format!("/objects/{name}"));
+        let answer = self.client.put(url).send_body(bytes).await.map_err(unavailable)?;
+        match answer.status() {
+            StatusCode::OK => Ok(()),
+            status => Err(refused(status)),
+        }
+    }
+
+    async fn vms(&self) -> Result<Vec<Vm>, PlatformError> {
+        match self.read("/vms").await? {
+            (StatusCode::OK, body) => decode(&body),
+            (status, _) => Err(refused(status)),
+        }
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|e| PlatformError::Protocol(e.to_string()))
+}
+
+fn refused(status: StatusCode) -> PlatformError {
+    if status.is_server_error() {
+        return PlatformError::Unavailable(status.to_string());
+    }
+    PlatformError::Protocol(status.to_string())
+}
+
+fn unavailable(error: impl std::fmt::Display) -> PlatformError {
+    PlatformError::Unavailable(error.to_string())
+}
