--- a/crates/config/src/verifier.rs
+++ b/crates/config/src/verifier.rs
@@ -114,7 +114,9 @@
 
 /// The text is no verifier.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("a verifier has the form SCRAM-SHA-256$ITERATIONS:SALT$KEY:KEY; `chicoryctl key new` prints one")]
+#[error(
+    "a verifier has the form SCRAM-SHA-256$ITERATIONS:SALT$KEY:KEY; `chicoryctl key new` prints one"
+)]
 pub struct VerifierError;
 
 #[cfg(test)]
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,1 +1,3 @@
+//! The operators' command line of chicoryhollow.
+
 fn main() {}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -31,8 +31,7 @@
     }
 
     async fn read(&self, path: &str) -> Result<(StatusCode, Vec<u8>), PlatformError> {
-        let mut answer =
-            self.client.get(self.url(path)).send().await.map_err(unavailable)?;
+        let mut answer = self.client.get(self.url(path)).send().await.map_err(unavailable)?;
         let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
         Ok((answer.status(), body.to_vec()))
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,1 @@
-
+//! The daemon as a library.
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,1 +1,3 @@
+//! The chicoryhollow daemon.
+
 fn main() {}
