Read and check operators' files and settings

A directory of JSON files with comments is checked against one schema, and all problems come in one run, each with file, line, column, field and remedy. Rates, bursts and verifiers that arrive as JSON are checked as well, so that no unchecked number enters through the platform.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -43,6 +43,19 @@
     pub routes: IndexMap<RouteName, Route>,
 }
 
+impl Configuration {
+    /// Orders all names, so that equal configurations have equal JSON.
+    pub fn sort(&mut self) {
+        self.data_centres.sort_unstable_keys();
+        self.groups.sort_unstable_keys();
+        self.groups.values_mut().for_each(|group| group.servers.sort_unstable_keys());
+        self.accounts.sort_unstable_keys();
+        self.keys.sort_unstable_keys();
+        self.routes.sort_unstable_keys();
+        self.routes.values_mut().for_each(|route| route.accounts.sort_unstable());
+    }
+}
+
 /// A data centre.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,13 +13,23 @@
 */
 
 pub mod configuration;
+pub mod files;
+mod names;
+pub mod problem;
 pub mod rate;
+pub mod schema;
 pub mod settings;
+mod text;
+mod value;
 pub mod verifier;
+mod walk;
 
 pub use crate::{
     configuration::{Account, Configuration, DataCentre, Group, Key, Route, Server},
+    files::FilesError,
+    problem::{Place, Problem, Problems},
     rate::{Burst, Rate},
     settings::Settings,
+    text::Text,
     verifier::Verifier,
 };
--- /dev/null
+++ b/crates/config/src/problem.rs
@@ -0,0 +1,87 @@
+//! Errors in operators' files, each with its place and its remedy.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// Where a problem lies.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Place {
+    /// File, as it was named when it was read.
+    pub file: String,
+    /// Line, counted from one.
+    pub line: usize,
+    /// Column in characters, counted from one.
+    pub column: usize,
+}
+
+impl Place {
+    /// Finds the place of byte `offset` in `text`, the content of `file`.
+    pub(crate) fn new(file: &str, text: &str, offset: usize) -> Self {
+        let end = (0..=offset.min(text.len())).rev().find(|i| text.is_char_boundary(*i));
+        let before = &text[..end.unwrap_or(0)];
+        let start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        Place {
+            file: file.to_owned(),
+            line: before.matches('\n').count() + 1,
+            column: before[start..].chars().count() + 1,
+        }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.file, self.line, self.column)
+    }
+}
+
+/// One error in a file.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Problem {
+    /// Where the error lies.
+    pub place: Place,
+    /// Path of the field, such as `accounts.press-line.rate`; empty for the
+    /// whole file.
+    pub field: String,
+    /// What is wrong.
+    pub message: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.place)?;
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        write!(f, "{}; {}", self.message, self.remedy)
+    }
+}
+
+/// All errors of one run over the files, ordered by place.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub struct Problems(Vec<Problem>);
+
+impl Problems {
+    /// Orders `problems` by place.
+    pub(crate) fn new(mut problems: Vec<Problem>) -> Self {
+        problems.sort();
+        Problems(problems)
+    }
+
+    /// Returns the errors, ordered by place.
+    pub fn iter(&self) -> impl Iterator<Item = &Problem> {
+        self.0.iter()
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            write!(f, "{separator}{problem}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/config/src/rate.rs
+++ b/crates/config/src/rate.rs
@@ -6,7 +6,7 @@
 
 /// Requests a second.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(into = "f64", try_from = "f64")]
 pub struct Rate(f64);
 
 impl Rate {
@@ -37,6 +37,20 @@
     }
 }
 
+impl TryFrom<f64> for Rate {
+    type Error = RateError;
+
+    fn try_from(per_second: f64) -> Result<Self, RateError> {
+        Rate::new(per_second).ok_or(RateError)
+    }
+}
+
+impl From<Rate> for f64 {
+    fn from(rate: Rate) -> f64 {
+        rate.0
+    }
+}
+
 /// The text is no rate of the form `NUMBER/s`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("a rate is a positive number of requests a second, written NUMBER/s")]
@@ -44,7 +58,7 @@
 
 /// Requests that an account may send at once.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(into = "f64", try_from = "f64")]
 pub struct Burst(f64);
 
 impl Burst {
@@ -64,3 +78,30 @@
         self.0.fmt(f)
     }
 }
+
+impl FromStr for Burst {
+    type Err = BurstError;
+
+    fn from_str(text: &str) -> Result<Self, BurstError> {
+        text.parse::<f64>().ok().and_then(Burst::new).ok_or(BurstError)
+    }
+}
+
+impl TryFrom<f64> for Burst {
+    type Error = BurstError;
+
+    fn try_from(requests: f64) -> Result<Self, BurstError> {
+        Burst::new(requests).ok_or(BurstError)
+    }
+}
+
+impl From<Burst> for f64 {
+    fn from(burst: Burst) -> f64 {
+        burst.0
+    }
+}
+
+/// The number is no burst.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a burst is a number of requests of at least 1")]
+pub struct BurstError;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -119,6 +119,9 @@
     pub buffer_bytes: usize,
     /// Whether callers may send their key in clear text.
     pub cleartext_keys: bool,
+    /// Longest time in milliseconds to serve callers without a fresh sign that
+    /// the configuration is the newest; 0 for no limit.
+    pub stale_configuration_ms: u64,
 }
 
 impl Default for Limits {
@@ -131,6 +134,7 @@
             message_bytes: 16 << 20,
             buffer_bytes: 64 << 10,
             cleartext_keys: false,
+            stale_configuration_ms: 0,
         }
     }
 }
--- /dev/null
+++ b/crates/config/src/text.rs
@@ -0,0 +1,65 @@
+//! Files as text and as syntax trees.
+
+use jsonc_parser::{
+    CollectOptions, ParseOptions,
+    ast::{Object, Value},
+    common::Ranged,
+};
+
+use crate::problem::{Place, Problem};
+
+/// JSON with comments and trailing commas, and nothing looser.
+const OPTIONS: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// The content of one file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Text {
+    name: String,
+    content: String,
+}
+
+impl Text {
+    /// Makes the content of the file called `name`.
+    pub fn new(name: impl Into<String>, content: impl Into<String>) -> Self {
+        Text { name: name.into(), content: content.into() }
+    }
+
+    /// Returns the name of the file.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the place of a byte offset.
+    pub(crate) fn place(&self, offset: usize) -> Place {
+        Place::new(&self.name, &self.content, offset)
+    }
+
+    /// Parses the file, which must hold one object.
+    pub(crate) fn object(&self) -> Result<Object<'_>, Problem> {
+        let parsed =
+            jsonc_parser::parse_to_ast(&self.content, &CollectOptions::default(), &OPTIONS);
+        let (offset, message) = match parsed.map(|result| result.value) {
+            Ok(Some(Value::Object(object))) => return Ok(object),
+            Ok(Some(other)) => (other.range().start, "the file holds no object".to_owned()),
+            Ok(None) => (0, "the file is empty".to_owned()),
+            Err(error) => (error.range().start, format!("syntax error: {}", error.kind())),
+        };
+        Err(Problem {
+            place: self.place(offset),
+            field: String::new(),
+            message,
+            remedy: "write one JSON object; comments and trailing commas are allowed".to_owned(),
+        })
+    }
+}
--- a/crates/config/src/verifier.rs
+++ b/crates/config/src/verifier.rs
@@ -90,9 +90,14 @@
         let (stored, server) = keys.split_once(':').ok_or(VerifierError)?;
         let decode = |text: &str| STANDARD.decode(text).map_err(|_| VerifierError);
         let fixed = |bytes: Vec<u8>| <[u8; 32]>::try_from(bytes).map_err(|_| VerifierError);
+        let iterations = iterations.parse().map_err(|_| VerifierError)?;
+        let salt = decode(salt)?;
+        if iterations == 0 || salt.is_empty() {
+            return Err(VerifierError);
+        }
         Ok(Verifier {
-            iterations: iterations.parse().map_err(|_| VerifierError)?,
-            salt: decode(salt)?,
+            iterations,
+            salt,
             stored_key: fixed(decode(stored)?)?,
             server_key: fixed(decode(server)?)?,
         })
