Decide how a configuration is published

The row's version is the configuration's version.

Groups change by one server at a time, since majorities of memberships that differ by more need not overlap.

--- /dev/null
+++ b/crates/config/src/change.rs
@@ -0,0 +1,89 @@
+//! Which changes may follow a configuration that is in force.
+
+use std::fmt;
+
+use chicoryhollow_core::prelude::*;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::configuration::{Configuration, Group, Server};
+
+/// Servers by which a group may change at a time.
+///
+/// VMs may hold neighbouring versions, and majorities of two memberships that
+/// differ by one server always overlap.
+const MAX_SERVERS_CHANGED: usize = 1;
+
+/// A change that is refused although the files are valid.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ChangeProblem {
+    /// Path of what changes.
+    pub field: String,
+    /// What is wrong.
+    pub message: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for ChangeProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; {}", self.field, self.message, self.remedy)
+    }
+}
+
+/// Lists what forbids the step from `old` to `new`.
+pub fn forbidden_changes(old: &Configuration, new: &Configuration) -> Vec<ChangeProblem> {
+    let mut problems = Vec::new();
+    for (name, group) in &new.groups {
+        if let Some(before) = old.groups.get(name) {
+            problems.extend(membership_change(name, before, group));
+        }
+    }
+    let before = servers(old);
+    for (name, (group, server)) in servers(new) {
+        if let Some((old_group, old_server)) = before.get(&name) {
+            let field = format!("groups.{group}.servers.{name}");
+            problems.extend(moved(&field, (old_group, old_server), (group, server)));
+        }
+    }
+    problems
+}
+
+fn membership_change(name: &GroupId, before: &Group, after: &Group) -> Option<ChangeProblem> {
+    let missing = |from: &Group, other: &Group| {
+        from.servers.keys().filter(|server| !other.servers.contains_key(*server)).count()
+    };
+    let (added, removed) = (missing(after, before), missing(before, after));
+    (added + removed > MAX_SERVERS_CHANGED).then(|| ChangeProblem {
+        field: format!("groups.{name}.servers"),
+        message: format!("{added} servers join and {removed} leave at once"),
+        remedy: "add or remove one server, wait until that is in force, then go on".to_owned(),
+    })
+}
+
+fn servers(configuration: &Configuration) -> IndexMap<ServerId, (&GroupId, &Server)> {
+    let groups = configuration.groups.iter();
+    let members = groups.flat_map(|(name, group)| {
+        group.servers.iter().map(move |(server, value)| (server.clone(), (name, value)))
+    });
+    members.collect()
+}
+
+/// Says what of a server's place may not change while it keeps its name.
+fn moved(
+    field: &str,
+    (old_group, old): (&GroupId, &Server),
+    (group, new): (&GroupId, &Server),
+) -> Option<ChangeProblem> {
+    let message = if old_group != group {
+        format!("the server moves from group {old_group} to {group}")
+    } else if old.data_centre != new.data_centre {
+        format!("the server moves from data centre {} to {}", old.data_centre, new.data_centre)
+    } else if old.address != new.address {
+        format!("the server's address changes from {} to {}", old.address, new.address)
+    } else {
+        return None;
+    };
+    let remedy = "remove the server, wait until that is in force, then add it under a new name";
+    Some(ChangeProblem { field: field.to_owned(), message, remedy: remedy.to_owned() })
+}
--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -27,19 +27,19 @@
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
     /// Data centres in which VMs and backend servers run.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub data_centres: IndexMap<DataCentreId, DataCentre>,
     /// Database groups.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub groups: IndexMap<GroupId, Group>,
     /// Client accounts.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub accounts: IndexMap<AccountId, Account>,
     /// Keys that callers may show.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub keys: IndexMap<KeyName, Key>,
     /// Routes that callers may name as their database.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub routes: IndexMap<RouteName, Route>,
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,10 +12,15 @@
   key itself is never stored.
 */
 
+pub mod change;
 pub mod configuration;
+pub mod delta;
+pub mod difference;
 pub mod files;
+pub mod hash;
 mod names;
 pub mod problem;
+pub mod publish;
 pub mod rate;
 pub mod schema;
 pub mod settings;
@@ -26,7 +31,10 @@
 
 pub use crate::{
     configuration::{Account, Configuration, DataCentre, Group, Key, Route, Server},
+    delta::Delta,
+    difference::Difference,
     files::FilesError,
+    hash::{ContentHash, Digests},
     problem::{Place, Problem, Problems},
     rate::{Burst, Rate},
     settings::Settings,
--- /dev/null
+++ b/crates/config/src/publish.rs
@@ -0,0 +1,250 @@
+//! The step by which a new version of the configuration comes into force.
+//!
+//! The row [`ROW`] of the platform's table holds a [`Published`]; the row's
+//! version is the version of the configuration. [`Publish`] decides what to
+//! send to the platform and when the outcome is known.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use chicoryhollow_core::Time;
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+
+use crate::hash::ContentHash;
+
+/// Key of the row that names the configuration in force.
+pub const ROW: &str = "configuration";
+
+/// Earlier versions that the row names beside its own.
+pub const RECENT_VERSIONS: usize = 8;
+
+/// Pause before the first repetition of a request to the platform.
+const FIRST_PAUSE_MS: u64 = 100;
+/// Longest pause between two requests to the platform.
+const MAX_PAUSE_MS: u64 = 2_000;
+
+/// Identifies one attempt to publish, so that its author knows it again.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct ApplyId(u64);
+
+impl ApplyId {
+    /// Makes an identifier from a number drawn at random.
+    pub fn new(number: u64) -> Self {
+        ApplyId(number)
+    }
+}
+
+impl fmt::Display for ApplyId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ApplyId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(ApplyId)
+    }
+}
+
+impl From<ApplyId> for String {
+    fn from(id: ApplyId) -> String {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for ApplyId {
+    type Error = std::num::ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+/// A version that came before the one in the row.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    /// The version.
+    pub version: u64,
+    /// Hash of its content.
+    pub hash: ContentHash,
+    /// Attempt that published it.
+    pub apply: ApplyId,
+}
+
+/// Value of the row [`ROW`].
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Published {
+    /// Hash of the content, which names the object that holds it.
+    pub hash: ContentHash,
+    /// Attempt that published it.
+    pub apply: ApplyId,
+    /// Version that it was based on, or 0 for none.
+    pub base: u64,
+    /// Name of the object with the difference from the base.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delta: Option<String>,
+    /// Versions before this one, newest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub recent: Vec<Past>,
+}
+
+impl Published {
+    /// Makes the first value of the row.
+    pub fn new(hash: ContentHash, apply: ApplyId) -> Self {
+        Published { hash, apply, base: 0, delta: None, recent: Vec::new() }
+    }
+
+    /// Makes the value that follows `present`.
+    pub fn with_base(self, present: &Versioned) -> Self {
+        let Versioned { version, value } = present;
+        let newest = Past { version: *version, hash: value.hash, apply: value.apply };
+        let earlier = value.recent.iter().copied();
+        let recent = std::iter::once(newest).chain(earlier).take(RECENT_VERSIONS).collect();
+        let delta = Some(value.hash.delta_object(&self.hash));
+        Published { base: *version, delta, recent, ..self }
+    }
+}
+
+/// The row [`ROW`] as it was read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Versioned {
+    /// Version of the row.
+    pub version: u64,
+    /// Value of the row.
+    pub value: Published,
+}
+
+impl Versioned {
+    /// Returns the version and the hash of each version that the row names,
+    /// newest first.
+    pub fn versions(&self) -> impl Iterator<Item = Past> {
+        let Published { hash, apply, .. } = self.value;
+        let newest = Past { version: self.version, hash, apply };
+        std::iter::once(newest).chain(self.value.recent.iter().copied())
+    }
+
+    /// Finds what the row says about one version.
+    pub fn at(&self, version: u64) -> Option<Past> {
+        self.versions().find(|past| past.version == version)
+    }
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Store the objects, then tell [`Event::Stored`].
+    Store,
+    /// Write the row if it is still at the base version.
+    Swap,
+    /// Read the row.
+    Read,
+    /// Do nothing for a while, then tell [`Event::Waited`].
+    Wait(Duration),
+    /// The configuration is published as this version.
+    Done(u64),
+    /// Another configuration was published first; the row is at this version.
+    Lost(u64),
+    /// The platform did not answer in time, and nothing was published.
+    Unavailable,
+    /// The platform did not answer in time, and it is not known whether the
+    /// configuration was published.
+    Unknown,
+}
+
+/// What happened.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// The objects are stored.
+    Stored,
+    /// The row was written and is at this version.
+    Swapped(u64),
+    /// The row was not at the base version, or it was read.
+    Row(Option<Versioned>),
+    /// The platform did not answer; a write may have taken effect.
+    Unavailable,
+    /// The pause is over.
+    Waited,
+}
+
+/// Decides how one configuration is published.
+///
+/// A write whose answer was lost is settled by reading the row back: its
+/// attempt is found there when the write took effect. When it did not, the
+/// write is sent again, which is safe because at most one write succeeds from
+/// one base version.
+#[derive(Debug)]
+pub struct Publish {
+    base: u64,
+    apply: ApplyId,
+    deadline: Time,
+    next: Step,
+    pause: Duration,
+    sent: bool,
+}
+
+impl Publish {
+    /// Makes the decision for an attempt that is based on version `base`.
+    pub fn new(base: u64, apply: ApplyId, deadline: Time) -> Self {
+        let pause = Duration::from_millis(FIRST_PAUSE_MS);
+        Publish { base, apply, deadline, next: Step::Store, pause, sent: false }
+    }
+
+    /// Returns the first step.
+    pub fn start(&self) -> Step {
+        Step::Store
+    }
+
+    /// Takes in what happened and returns the next step.
+    pub fn on(&mut self, event: Event, now: Time, rng: &mut impl Rng) -> Step {
+        match event {
+            Event::Stored => self.go(Step::Swap),
+            Event::Swapped(version) => Step::Done(version),
+            Event::Row(row) => self.settle(row, now),
+            Event::Unavailable => self.retry(now, rng),
+            Event::Waited => self.go(self.next),
+        }
+    }
+
+    fn go(&mut self, step: Step) -> Step {
+        self.sent |= step == Step::Swap;
+        self.next = step;
+        step
+    }
+
+    /// Judges a row that was read or that made a write fail.
+    fn settle(&mut self, row: Option<Versioned>, now: Time) -> Step {
+        let version = row.as_ref().map_or(0, |row| row.version);
+        if version == self.base {
+            return if now < self.deadline { self.go(Step::Swap) } else { self.give_up() };
+        }
+        let successor = row.and_then(|row| row.at(self.base + 1));
+        match successor {
+            Some(past) if past.apply == self.apply => Step::Done(past.version),
+            Some(_) => Step::Lost(version),
+            // The row has moved on so far that it no longer names the successor,
+            // or it was set back; a write that was never sent has surely lost.
+            None if self.sent => Step::Unknown,
+            None => Step::Lost(version),
+        }
+    }
+
+    fn give_up(&self) -> Step {
+        if self.sent { Step::Unknown } else { Step::Unavailable }
+    }
+
+    fn retry(&mut self, now: Time, rng: &mut impl Rng) -> Step {
+        if now >= self.deadline {
+            return self.give_up();
+        }
+        if self.next == Step::Swap {
+            self.next = Step::Read;
+        }
+        let jitter = rng.random_range(0.5..=1.0);
+        let pause = self.pause.mul_f64(jitter);
+        self.pause = (self.pause * 2).min(Duration::from_millis(MAX_PAUSE_MS));
+        Step::Wait(pause)
+    }
+}
