Add chicoryctl: check, diff, apply, status and key new

apply publishes a directory as a whole, notes the version in the directory and refuses files that were edited from a version no longer in force, showing what changed meanwhile. Lost requests and answers are settled by the attempt in the row. Exit code 5 tells a published version that was not seen in force on every live VM from one that was refused.

--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,183 @@
+//! The command line.
+
+use std::{ffi::OsString, path::PathBuf, time::Duration};
+
+use chicoryhollow_core::{AccountId, KeyName};
+use pico_args::Arguments as Raw;
+
+/// Text of `--help`.
+pub const HELP: &str = "\
+chicoryctl: check and apply the configuration of chicoryhollow
+
+Usage:
+  chicoryctl check DIR             check the files of a directory
+  chicoryctl diff DIR              compare a directory with what is in force
+  chicoryctl apply DIR             publish a directory as a whole
+  chicoryctl status                show where which version is in force
+  chicoryctl key new NAME ACCOUNT  make a key; it is printed once
+
+Options:
+  --platform URL     address of the platform, as http://IP:PORT
+                     [needed by diff, apply and status]
+  --base N           apply only if version N is in force
+  --wait SECONDS     after apply, wait until every live VM has the version
+  --timeout SECONDS  longest time to try while the platform does not answer
+                     [default: 30]
+  --json             print JSON
+  --help             print this text
+  --version          print the version
+
+Exit codes:
+  0  done
+  1  refused: the files are wrong, or the change is not allowed
+  2  wrong command line
+  3  the platform is not available, or gave no answer in time
+  4  another configuration was published first
+  5  published, but not seen in force everywhere in time";
+
+/// Time to try while the platform does not answer, unless told otherwise.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a command line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Invocation {
+    /// Print a text.
+    Print(String),
+    /// Run a command.
+    Run(Arguments),
+}
+
+/// A command and its options.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arguments {
+    /// The command.
+    pub command: Command,
+    /// Address of the platform; empty when the command does not need it.
+    pub platform: String,
+    /// Longest time to try while the platform does not answer.
+    pub timeout: Duration,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// A command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Check the files of a directory.
+    Check(PathBuf),
+    /// Compare a directory with what is in force.
+    Diff(PathBuf),
+    /// Publish a directory.
+    Apply(Apply),
+    /// Show where which version is in force.
+    Status,
+    /// Make a key.
+    NewKey(KeyName, AccountId),
+}
+
+/// What to publish and how.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Apply {
+    /// Directory of the files.
+    pub directory: PathBuf,
+    /// Version that must be in force.
+    pub base: Option<u64>,
+    /// How long to wait until the version is in force everywhere.
+    pub wait: Option<Duration>,
+}
+
+impl Arguments {
+    /// Reads the arguments after the program's name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the command is unknown, an argument is missing or
+    /// one is too many.
+    pub fn parse(arguments: Vec<OsString>) -> Result<Invocation, UsageError> {
+        let mut raw = Raw::from_vec(arguments);
+        if raw.contains("--help") {
+            return Ok(Invocation::Print(HELP.to_owned()));
+        }
+        if raw.contains("--version") {
+            let version = env!("CARGO_PKG_VERSION");
+            return Ok(Invocation::Print(format!("chicoryctl {version}")));
+        }
+        let json = raw.contains("--json");
+        let platform: Option<String> = raw.opt_value_from_str("--platform")?;
+        let timeout = seconds(&mut raw, "--timeout")?.unwrap_or(DEFAULT_TIMEOUT);
+        let command = command(&mut raw)?;
+        let rest = raw.finish();
+        if let Some(extra) = rest.first() {
+            return Err(UsageError::Extra(extra.to_string_lossy().into_owned()));
+        }
+        let remote = !matches!(command, Command::Check(_) | Command::NewKey(..));
+        if remote && platform.is_none() {
+            return Err(UsageError::NoPlatform);
+        }
+        let platform = platform.unwrap_or_default().trim_end_matches('/').to_owned();
+        Ok(Invocation::Run(Arguments { command, platform, timeout, json }))
+    }
+}
+
+fn command(raw: &mut Raw) -> Result<Command, UsageError> {
+    let name = raw.subcommand()?.ok_or(UsageError::NoCommand)?;
+    match name.as_str() {
+        "check" => Ok(Command::Check(directory(raw)?)),
+        "diff" => Ok(Command::Diff(directory(raw)?)),
+        "apply" => {
+            let base = raw.opt_value_from_str("--base")?;
+            let wait = seconds(raw, "--wait")?;
+            Ok(Command::Apply(Apply { directory: directory(raw)?, base, wait }))
+        }
+        "status" => Ok(Command::Status),
+        "key" => match raw.subcommand()?.as_deref() {
+            Some("new") => Ok(Command::NewKey(raw.free_from_str()?, raw.free_from_str()?)),
+            _ => Err(UsageError::Unknown("key".to_owned())),
+        },
+        other => Err(UsageError::Unknown(other.to_owned())),
+    }
+}
+
+fn directory(raw: &mut Raw) -> Result<PathBuf, UsageError> {
+    let text: OsString = raw.free_from_os_str(|text| Ok::<_, UsageError>(text.to_owned()))?;
+    if text.to_string_lossy().starts_with('-') {
+        return Err(UsageError::Extra(text.to_string_lossy().into_owned()));
+    }
+    Ok(PathBuf::from(text))
+}
+
+fn seconds(raw: &mut Raw, option: &'static str) -> Result<Option<Duration>, UsageError> {
+    let Some(number) = raw.opt_value_from_str::<_, f64>(option)? else {
+        return Ok(None);
+    };
+    Duration::try_from_secs_f64(number).map(Some).map_err(|_| UsageError::Seconds(option))
+}
+
+/// Why a command line makes no sense.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum UsageError {
+    /// No command is given.
+    #[error("no command is given; see chicoryctl --help")]
+    NoCommand,
+    /// There is no such command.
+    #[error("there is no command {0:?}; see chicoryctl --help")]
+    Unknown(String),
+    /// An argument is too many or not known.
+    #[error("unexpected argument {0:?}; see chicoryctl --help")]
+    Extra(String),
+    /// The command needs the platform's address.
+    #[error("this command needs --platform URL")]
+    NoPlatform,
+    /// An option takes a time in seconds.
+    #[error("{0} takes a number of seconds")]
+    Seconds(&'static str),
+    /// An argument is missing or has the wrong form.
+    #[error("{0}; see chicoryctl --help")]
+    Argument(String),
+}
+
+impl From<pico_args::Error> for UsageError {
+    fn from(error: pico_args::Error) -> Self {
+        UsageError::Argument(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,29 @@
+//! The commands.
+
+pub mod apply;
+pub mod check;
+pub mod diff;
+pub mod key;
+pub mod status;
+
+use chicoryhollow_platform::Platform;
+
+use crate::{
+    args::{Arguments, Command},
+    output::{Answer, Failure},
+};
+
+/// Runs one command.
+///
+/// # Errors
+///
+/// Returns the failure that the command line prints, with its exit code.
+pub async fn run(platform: &impl Platform, arguments: &Arguments) -> Result<Answer, Failure> {
+    match &arguments.command {
+        Command::Check(directory) => check::run(directory),
+        Command::Diff(directory) => diff::run(platform, directory, arguments.timeout).await,
+        Command::Apply(apply) => apply::run(platform, apply, arguments.timeout).await,
+        Command::Status => status::run(platform, arguments.timeout).await,
+        Command::NewKey(name, account) => Ok(key::run(name, account)),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/apply.rs
@@ -0,0 +1,152 @@
+//! `chicoryctl apply`.
+
+use std::time::Duration;
+
+use chicoryhollow_config::{
+    Configuration, ContentHash, Difference, change::forbidden_changes, publish::ApplyId,
+};
+use chicoryhollow_platform::Platform;
+use rand::RngExt;
+use serde_json::json;
+
+use crate::{
+    args::Apply,
+    base::Note,
+    commands::{check::load, status},
+    output::{Answer, Code, Failure},
+    publish::{Base, PublishError, publish},
+    request,
+};
+
+/// Publishes the files of a directory as a whole.
+///
+/// # Errors
+///
+/// Returns a failure when the files are wrong, the change is not allowed,
+/// another configuration came first or the platform does not answer.
+pub async fn run(
+    platform: &impl Platform,
+    apply: &Apply,
+    timeout: Duration,
+) -> Result<Answer, Failure> {
+    let next = load(&apply.directory)?;
+    let base = base(platform, timeout).await?;
+    check_base(platform, apply, base.as_ref(), timeout).await?;
+    let present = base.as_ref().map(|base| base.configuration.clone()).unwrap_or_default();
+    let difference = Difference::new(&present, &next);
+    let version = match &base {
+        Some(base) if difference.is_empty() => base.row.version,
+        _ => {
+            check_change(&present, &next)?;
+            attempt(platform, base.as_ref(), &next, timeout).await?
+        }
+    };
+    let mut answer = accepted(version, &difference);
+    let note = Note { version, hash: ContentHash::new(&next) };
+    if let Err(error) = note.write(&apply.directory) {
+        answer.text.push_str(&format!("\nwarning: cannot note the version: {error}"));
+    }
+    match apply.wait {
+        Some(wait) => status::wait(platform, version, answer, wait).await,
+        None => Ok(answer),
+    }
+}
+
+/// Reads the version in force with its configuration; `None` before the first.
+///
+/// # Errors
+///
+/// Returns a failure when the platform does not answer in time.
+pub async fn base(platform: &impl Platform, timeout: Duration) -> Result<Option<Base>, Failure> {
+    let Some(row) = request::present(platform, timeout).await? else {
+        return Ok(None);
+    };
+    let configuration = request::configuration(platform, row.value.hash, timeout).await?;
+    Ok(Some(Base { row, configuration }))
+}
+
+/// Checks that the version in force is the one that the files were edited from.
+async fn check_base(
+    platform: &impl Platform,
+    apply: &Apply,
+    base: Option<&Base>,
+    timeout: Duration,
+) -> Result<(), Failure> {
+    let version = base.map_or(0, |base| base.row.version);
+    let hash = base.map(|base| base.row.value.hash);
+    let (edited, edited_hash) = match (apply.base, Note::read(&apply.directory)) {
+        (Some(number), _) if number == version => return Ok(()),
+        (Some(number), _) => {
+            (number, base.and_then(|base| base.row.at(number)).map(|past| past.hash))
+        }
+        (None, Some(note)) if Some(note.hash) != hash => (note.version, Some(note.hash)),
+        (None, _) => return Ok(()),
+    };
+    let before = match edited_hash {
+        Some(hash) => request::configuration(platform, hash, timeout).await.ok(),
+        None => None,
+    };
+    Err(lost(edited, before.as_ref(), base))
+}
+
+/// Tells an operator whose files are not based on what is in force what changed.
+fn lost(edited: u64, before: Option<&Configuration>, base: Option<&Base>) -> Failure {
+    let version = base.map_or(0, |base| base.row.version);
+    let empty = Configuration::default();
+    let present = base.map_or(&empty, |base| &base.configuration);
+    let difference = before.map(|before| Difference::new(before, present));
+    let changes = match &difference {
+        Some(difference) => format!("changed since version {edited}:\n{difference}"),
+        None => format!("what changed since version {edited} is not known"),
+    };
+    let message = format!(
+        "not published: version {version} is in force, and the files are based on version {edited}\n\
+         {changes}\n\
+         take these changes into the files, then apply them with --base {version}"
+    );
+    let details = json!({ "version": version, "base": edited, "difference": difference });
+    Failure::new(Code::Lost, message).with_details(details)
+}
+
+fn check_change(present: &Configuration, next: &Configuration) -> Result<(), Failure> {
+    let problems = forbidden_changes(present, next);
+    if problems.is_empty() {
+        return Ok(());
+    }
+    let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    let details = json!(problems);
+    Err(Failure::new(Code::Refused, lines.join("\n")).with_details(details))
+}
+
+async fn attempt(
+    platform: &impl Platform,
+    base: Option<&Base>,
+    next: &Configuration,
+    timeout: Duration,
+) -> Result<u64, Failure> {
+    let apply = ApplyId::new(rand::rng().random());
+    let error = match publish(platform, base, next, apply, timeout).await {
+        Ok(version) => return Ok(version),
+        Err(error) => error,
+    };
+    if matches!(error, PublishError::Lost(_)) {
+        let winner = self::base(platform, timeout).await?;
+        let version = base.map_or(0, |base| base.row.version);
+        let empty = Configuration::default();
+        let before = base.map_or(&empty, |base| &base.configuration);
+        return Err(lost(version, Some(before), winner.as_ref()));
+    }
+    let details = json!({ "apply": apply, "unknown": error == PublishError::Unknown });
+    Err(Failure::new(Code::Unavailable, format!("{error} (attempt {apply})")).with_details(details))
+}
+
+fn accepted(version: u64, difference: &Difference) -> Answer {
+    let text = if difference.is_empty() {
+        format!("no difference: version {version} already has this content")
+    } else {
+        format!("{difference}\npublished as version {version}")
+    };
+    let json =
+        json!({ "version": version, "changed": !difference.is_empty(), "difference": difference });
+    Answer::new(text, json)
+}
--- /dev/null
+++ b/crates/ctl/src/commands/check.rs
@@ -0,0 +1,45 @@
+//! `chicoryctl check`.
+
+use std::path::Path;
+
+use chicoryhollow_config::{Configuration, FilesError};
+use indexmap::IndexMap;
+use serde_json::json;
+
+use crate::output::{Answer, Code, Failure};
+
+/// Checks the files of `directory`.
+///
+/// # Errors
+///
+/// Returns all problems of all files as one failure.
+pub fn run(directory: &Path) -> Result<Answer, Failure> {
+    let configuration = load(directory)?;
+    let servers: usize = configuration.groups.values().map(|group| group.servers.len()).sum();
+    let counts = [
+        ("data centres", configuration.data_centres.len()),
+        ("database groups", configuration.groups.len()),
+        ("backend servers", servers),
+        ("client accounts", configuration.accounts.len()),
+        ("keys", configuration.keys.len()),
+        ("routes", configuration.routes.len()),
+    ];
+    let words: Vec<_> = counts.iter().map(|(what, count)| format!("{count} {what}")).collect();
+    let json = json!({ "valid": true, "counts": IndexMap::from(counts) });
+    Ok(Answer::new(format!("valid: {}", words.join(", ")), json))
+}
+
+/// Reads the files of `directory`.
+///
+/// # Errors
+///
+/// Returns all problems of all files as one failure.
+pub fn load(directory: &Path) -> Result<Configuration, Failure> {
+    Configuration::load(directory).map_err(|error| {
+        let details = match &error {
+            FilesError::Invalid(problems) => json!(problems.iter().collect::<Vec<_>>()),
+            _ => json!([]),
+        };
+        Failure::new(Code::Refused, error).with_details(details)
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,144 @@
+//! `chicoryctl status`.
+
+use std::time::Duration;
+
+use actix_web::rt::time::{Instant, sleep};
+use awc::Client;
+use chicoryhollow_core::{DataCentreId, VmId};
+use chicoryhollow_platform::{Platform, Vm, VmState};
+use futures_util::{StreamExt, stream};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::{
+    output::{Answer, Code, Failure},
+    request,
+};
+
+/// Longest wait for the status of one VM.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+/// VMs that are asked at the same time.
+const CONCURRENT: usize = 64;
+/// Pause between two rounds over all VMs while waiting.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
+
+/// What a VM says about itself.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+struct Status {
+    version: u64,
+}
+
+/// What is known of one VM.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct VmReport {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre in which it runs.
+    pub data_centre: DataCentreId,
+    /// State in the platform's list.
+    pub state: VmState,
+    /// Version in force there, or `None` when it did not answer.
+    pub version: Option<u64>,
+}
+
+/// Shows where which version is in force.
+///
+/// # Errors
+///
+/// Returns a failure when the platform does not answer in time.
+pub async fn run(platform: &impl Platform, timeout: Duration) -> Result<Answer, Failure> {
+    let row = request::present(platform, timeout).await?;
+    let vms = survey(platform, timeout).await?;
+    let Some(row) = row else {
+        let text = format!("no version is published\n{}", table(&vms));
+        return Ok(Answer::new(text, json!({ "version": 0, "vms": vms })));
+    };
+    let value = &row.value;
+    let (reached, live) = reach(&vms, row.version);
+    let text = format!(
+        "version {}, based on {}, attempt {}, in force on {reached} of {live} live VMs\n{}",
+        row.version,
+        value.base,
+        value.apply,
+        table(&vms)
+    );
+    let json = json!({
+        "version": row.version,
+        "hash": value.hash,
+        "apply": value.apply,
+        "base": value.base,
+        "reached": reached,
+        "live": live,
+        "vms": vms,
+    });
+    Ok(Answer::new(text, json))
+}
+
+/// Waits until each live VM has `version` in force and adds to `answer` where
+/// it is.
+///
+/// # Errors
+///
+/// Returns a failure when the platform's list of VMs cannot be read.
+pub async fn wait(
+    platform: &impl Platform,
+    version: u64,
+    answer: Answer,
+    longest: Duration,
+) -> Result<Answer, Failure> {
+    let started = Instant::now();
+    loop {
+        let vms = survey(platform, longest).await?;
+        let (reached, live) = reach(&vms, version);
+        let elapsed = started.elapsed();
+        if reached == live || elapsed >= longest {
+            let code = if reached == live { Code::Done } else { Code::Pending };
+            let mut answer = answer.with_code(code);
+            let seconds = elapsed.as_secs_f64();
+            let line = format!("\nin force on {reached} of {live} live VMs after {seconds:.1} s\n");
+            answer.text.push_str(&line);
+            answer.text.push_str(&table(&vms));
+            answer.json["reached"] = json!(reached);
+            answer.json["live"] = json!(live);
+            answer.json["vms"] = json!(vms);
+            return Ok(answer);
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+}
+
+/// Asks all VMs of the platform's list.
+async fn survey(platform: &impl Platform, timeout: Duration) -> Result<Vec<VmReport>, Failure> {
+    let vms = request::repeat(timeout, || platform.vms()).await?;
+    let client = Client::builder().timeout(STATUS_TIMEOUT).finish();
+    let asked = stream::iter(vms.into_iter().map(|vm| ask(&client, vm)));
+    let mut reports: Vec<_> = asked.buffer_unordered(CONCURRENT).collect().await;
+    reports.sort_by(|a, b| (&a.data_centre, &a.vm).cmp(&(&b.data_centre, &b.vm)));
+    Ok(reports)
+}
+
+async fn ask(client: &Client, vm: Vm) -> VmReport {
+    let url = format!("http://{}/status", vm.admin);
+    let status = match client.get(url).send().await {
+        Ok(mut answer) => answer.json::<Status>().await.ok(),
+        Err(_) => None,
+    };
+    let Vm { vm, data_centre, state, .. } = vm;
+    VmReport { vm, data_centre, state, version: status.map(|status| status.version) }
+}
+
+/// Counts the live VMs that have at least `version`, and all live ones.
+fn reach(vms: &[VmReport], version: u64) -> (usize, usize) {
+    let live = vms.iter().filter(|vm| vm.state == VmState::Live);
+    let reached = live.clone().filter(|vm| vm.version.is_some_and(|held| held >= version));
+    (reached.count(), live.count())
+}
+
+fn table(vms: &[VmReport]) -> String {
+    let line = |vm: &VmReport| {
+        let version = vm.version.map_or("no answer".to_owned(), |v| format!("version {v}"));
+        let state = if vm.state == VmState::Live { "live" } else { "leaving" };
+        format!("  {:<12} {:<20} {state:<8} {version}", vm.data_centre.as_str(), vm.vm.as_str())
+    };
+    vms.iter().map(line).collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/crates/ctl/src/publish.rs
@@ -0,0 +1,124 @@
+//! Carries out the steps of [`Publish`] on the platform.
+
+use std::time::Duration;
+
+use actix_web::rt::time::{Instant, sleep};
+use chicoryhollow_config::{
+    Configuration, ContentHash, Delta,
+    publish::{ApplyId, Event, Publish, Published, ROW, Step, Versioned},
+};
+use chicoryhollow_core::Time;
+use chicoryhollow_platform::{Platform, PlatformError, Swap};
+
+use crate::request::decode;
+
+/// The version that a new configuration is based on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Base {
+    /// The row as it was read.
+    pub row: Versioned,
+    /// The configuration that it names.
+    pub configuration: Configuration,
+}
+
+/// Why a configuration was not published.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum PublishError {
+    /// Another configuration was published first.
+    #[error("another configuration was published first, as version {0}")]
+    Lost(u64),
+    /// The platform did not answer in time, and nothing was published.
+    #[error("the platform did not answer in time; nothing was published")]
+    Unavailable,
+    /// The platform did not answer in time, and the outcome is not known.
+    #[error("the platform did not answer in time; outcome unknown")]
+    Unknown,
+    /// The platform gave an answer that breaks the protocol.
+    #[error("{0}")]
+    Protocol(PlatformError),
+}
+
+/// What one attempt stores.
+struct Attempt<'a, P> {
+    platform: &'a P,
+    objects: Vec<(String, Vec<u8>)>,
+    value: Published,
+}
+
+/// Publishes `next` as the successor of `base` and returns its version.
+///
+/// # Errors
+///
+/// Returns an error when another configuration came first, or when the
+/// platform did not answer within `timeout`.
+pub async fn publish(
+    platform: &impl Platform,
+    base: Option<&Base>,
+    next: &Configuration,
+    apply: ApplyId,
+    timeout: Duration,
+) -> Result<u64, PublishError> {
+    let attempt = Attempt::new(platform, base, next, apply);
+    let started = Instant::now();
+    let now = || Time::default() + started.elapsed();
+    let mut rng = rand::rng();
+    let mut decision = Publish::new(attempt.value.base, apply, now() + timeout);
+    let mut step = decision.start();
+    loop {
+        let event = match step {
+            Step::Done(version) => return Ok(version),
+            Step::Lost(version) => return Err(PublishError::Lost(version)),
+            Step::Unavailable => return Err(PublishError::Unavailable),
+            Step::Unknown => return Err(PublishError::Unknown),
+            Step::Wait(pause) => {
+                sleep(pause).await;
+                Ok(Event::Waited)
+            }
+            Step::Store => attempt.store().await,
+            Step::Swap => attempt.swap().await,
+            Step::Read => attempt.read().await,
+        };
+        let event = match event {
+            Ok(event) => event,
+            Err(PlatformError::Unavailable(_)) => Event::Unavailable,
+            Err(error) => return Err(PublishError::Protocol(error)),
+        };
+        step = decision.on(event, now(), &mut rng);
+    }
+}
+
+impl<'a, P: Platform> Attempt<'a, P> {
+    fn new(platform: &'a P, base: Option<&Base>, next: &Configuration, apply: ApplyId) -> Self {
+        let json = |value: Result<Vec<u8>, _>| value.expect("a configuration is always JSON");
+        let hash = ContentHash::new(next);
+        let mut value = Published::new(hash, apply);
+        let mut objects = vec![(hash.object(), json(serde_json::to_vec(next)))];
+        if let Some(base) = base {
+            value = value.with_base(&base.row);
+            let delta = Delta::new(&base.configuration, next);
+            let name = base.row.value.hash.delta_object(&hash);
+            objects.push((name, json(serde_json::to_vec(&delta))));
+        }
+        Attempt { platform, objects, value }
+    }
+
+    async fn store(&self) -> Result<Event, PlatformError> {
+        for (name, bytes) in &self.objects {
+            self.platform.store(name, bytes.clone()).await?;
+        }
+        Ok(Event::Stored)
+    }
+
+    async fn swap(&self) -> Result<Event, PlatformError> {
+        let value = serde_json::to_value(&self.value).expect("a row is always JSON");
+        match self.platform.swap(ROW, self.value.base, value).await? {
+            Swap::Done(row) => Ok(Event::Swapped(row.version)),
+            Swap::Conflict(row) => Ok(Event::Row(row.map(decode).transpose()?)),
+        }
+    }
+
+    async fn read(&self) -> Result<Event, PlatformError> {
+        let row = self.platform.get(ROW).await?;
+        Ok(Event::Row(row.map(decode).transpose()?))
+    }
+}
