--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod problem;
 pub mod publish;
 pub mod rate;
+pub mod reader;
 pub mod schema;
 pub mod settings;
 mod text;
@@ -37,6 +38,7 @@
     hash::{ContentHash, Digests},
     problem::{Place, Problem, Problems},
     rate::{Burst, Rate},
+    reader::ConfigurationState,
     settings::Settings,
     text::Text,
     verifier::Verifier,
