--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -151,6 +151,12 @@
         self.wake
     }
 
+    /// Tells whether the VM learns of new versions from another VM of its data
+    /// centre rather than from the platform.
+    pub fn has_parent(&self) -> bool {
+        !self.place.is_reader()
+    }
+
     /// Takes in the live VMs, this one among them.
     pub fn set_members(&mut self, members: impl IntoIterator<Item = Member>) {
         self.place.set_members(members);
--- a/crates/config/tests/reader.rs
+++ b/crates/config/tests/reader.rs
@@ -266,6 +266,24 @@
     }
 }
 
+#[test]
+fn vms_below_a_silent_parent_learn_from_others() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(seed, 2, 60);
+        fleet.publish();
+        fleet.run(TARGET);
+        let cut: DataCentreId = "d1".parse().expect("a valid name");
+        let inside = |vm: &Vm| vm.member.data_centre == cut;
+        let reads = |vm: &Vm| !vm.state.has_parent();
+        let parent = fleet.vms.iter().position(|vm| inside(vm) && reads(vm)).expect("a reader");
+        fleet.cut = vec![cut.clone()];
+        fleet.vms[parent].up = false;
+        fleet.publish();
+        fleet.run(3 * TARGET);
+        assert_eq!(fleet.behind(), [0; 0], "seed {seed}");
+    }
+}
+
 #[test]
 fn a_vm_that_starts_while_the_platform_is_down_takes_the_newest_of_its_peers() {
     for seed in 0..50 {
