Add the stand-in backend server

PostgreSQL wire protocol over in-memory SQLite, log shipping with terms, fencing, promotion, member changes, slots, connection limit and delays, as docs/design/backend-control.md asks.

--- /dev/null
+++ b/crates/testkit/src/backend/core.rs
@@ -0,0 +1,347 @@
+//! Role, log and database of one server: everything under its lock.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use chicoryhollow_core::{prelude::*, view::TermStart};
+use indexmap::IndexMap;
+
+use crate::backend::{
+    BackendOptions,
+    engine::Engine,
+    error::SqlError,
+    log::{Log, Record},
+};
+
+/// What the server may do with the group's log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Role {
+    /// Takes writes and ships them.
+    Primary,
+    /// Follows the primary of its term.
+    Replica,
+    /// Was fenced, and follows nobody of its term or below.
+    Fenced,
+}
+
+impl Role {
+    /// Returns the role as the status function reports it.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Role::Primary => "primary",
+            Role::Replica => "replica",
+            Role::Fenced => "fenced",
+        }
+    }
+}
+
+/// What a member last told the primary of this term.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Ack {
+    /// LSN that it holds.
+    pub(crate) lsn: u64,
+    /// Newest round of heartbeats that it answered.
+    pub(crate) round: u64,
+    /// Version of the member list that it holds.
+    pub(crate) version: u64,
+    /// When the answered heartbeat was sent.
+    pub(crate) sent: Option<Instant>,
+}
+
+/// Servers of the group and the version of the list.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Members {
+    pub(crate) list: Vec<String>,
+    pub(crate) version: u64,
+}
+
+/// Parses a comma list of `server` or `server=address`.
+fn parse_members(text: &str, addresses: &mut IndexMap<String, SocketAddr>) -> Vec<String> {
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    parts.map(|part| parse_member(part, addresses)).collect()
+}
+
+fn parse_member(part: &str, addresses: &mut IndexMap<String, SocketAddr>) -> String {
+    let Some((server, address)) = part.split_once('=') else { return part.to_owned() };
+    if let Ok(address) = address.parse() {
+        addresses.insert(server.to_owned(), address);
+    }
+    server.to_owned()
+}
+
+/// State of one server.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) server: String,
+    pub(crate) role: Role,
+    pub(crate) term: u64,
+    pub(crate) fence_term: u64,
+    pub(crate) fence_owner: String,
+    pub(crate) log: Log,
+    pub(crate) engine: Engine,
+    pub(crate) applied: u64,
+    pub(crate) members: Members,
+    pub(crate) addresses: IndexMap<String, SocketAddr>,
+    pub(crate) ship_delay: Duration,
+    pub(crate) apply_lag: Duration,
+    /// Grows whenever the server begins or stops being the primary.
+    pub(crate) epoch: u64,
+    owner: String,
+    pending: VecDeque<(u64, Instant)>,
+    acks: IndexMap<String, Ack>,
+    confirmed: u64,
+}
+
+impl Core {
+    /// Makes the state of a new server.
+    pub(crate) fn new(options: &BackendOptions) -> Result<Self, SqlError> {
+        let list = options.members.keys().cloned().collect();
+        let mut core = Core {
+            server: options.server.clone(),
+            role: Role::Replica,
+            term: 0,
+            fence_term: 0,
+            fence_owner: String::new(),
+            log: Log::default(),
+            engine: Engine::new()?,
+            applied: 0,
+            members: Members { list, version: 1 },
+            addresses: options.members.clone(),
+            ship_delay: options.ship_delay,
+            apply_lag: options.apply_lag,
+            epoch: 0,
+            owner: String::new(),
+            pending: VecDeque::new(),
+            acks: IndexMap::new(),
+            confirmed: 0,
+        };
+        if options.initial_primary {
+            core.lead(1);
+        }
+        Ok(core)
+    }
+
+    /// Returns the position to report with answers.
+    pub(crate) fn position(&self) -> Position {
+        Position::new(Term::new(self.term), Lsn::new(self.applied))
+    }
+
+    /// Returns the LSN held by a majority under this term, 0 off the primary.
+    pub(crate) fn confirmed(&self) -> u64 {
+        if self.role == Role::Primary { self.confirmed } else { 0 }
+    }
+
+    /// Logs the committed write transaction.
+    pub(crate) fn commit(&mut self, xid: u64) -> Result<u64, SqlError> {
+        let changes = match self.engine.commit() {
+            Ok(changes) => changes,
+            Err(error) => {
+                self.engine.rollback();
+                self.engine.xacts(|xacts| xacts.end(xid, false));
+                return Err(error);
+            }
+        };
+        self.engine.xacts(|xacts| xacts.end(xid, true));
+        let lsn = self.log.end() + 1;
+        self.log.append(Record { lsn, xid, changes });
+        self.applied = lsn;
+        self.count_confirmed();
+        Ok(lsn)
+    }
+
+    /// Fences the server at a term for an owner.
+    pub(crate) fn fence(&mut self, term: u64, owner: &str) -> bool {
+        let repeated = term == self.fence_term && owner == self.fence_owner && term > self.term;
+        let newest = term > self.term.max(self.fence_term);
+        if !repeated && !newest {
+            // A fence that was granted and then promoted is still its owner's.
+            return term == self.fence_term && owner == self.fence_owner;
+        }
+        self.fence_term = term;
+        owner.clone_into(&mut self.fence_owner);
+        self.stop_leading(Role::Fenced);
+        true
+    }
+
+    /// Makes the fenced server the primary of a term.
+    pub(crate) fn promote(&mut self, term: u64, owner: &str, members: &str, version: u64) -> bool {
+        if self.role == Role::Primary && self.term == term && self.owner == owner {
+            return true;
+        }
+        let fenced = self.fence_term == term && self.fence_owner == owner;
+        if !fenced || self.term >= term {
+            return false;
+        }
+        self.apply_until(self.log.end());
+        self.members = Members { list: parse_members(members, &mut self.addresses), version };
+        owner.clone_into(&mut self.owner);
+        self.lead(term);
+        true
+    }
+
+    /// Replaces the member list by one that differs in at most one server.
+    pub(crate) fn set_members(&mut self, term: u64, version: u64, members: &str) -> bool {
+        let primary = self.role == Role::Primary && self.term == term;
+        if !primary || version != self.members.version + 1 || !self.members_confirmed() {
+            return false;
+        }
+        let list = parse_members(members, &mut self.addresses);
+        let added = list.iter().filter(|server| !self.members.list.contains(server)).count();
+        let removed = self.members.list.iter().filter(|server| !list.contains(server)).count();
+        if added + removed > 1 {
+            return false;
+        }
+        self.members = Members { list, version };
+        self.count_confirmed();
+        true
+    }
+
+    /// Changes the delays of this server, also for what it already holds.
+    pub(crate) fn set_lag(&mut self, ship_delay: Duration, apply_lag: Duration) {
+        self.ship_delay = ship_delay;
+        self.apply_lag = apply_lag;
+        let latest = Instant::now() + apply_lag;
+        self.pending.iter_mut().for_each(|(_, due)| *due = latest.min(*due));
+    }
+
+    /// Begins to follow the primary of `term`; returns the LSN held in common,
+    /// or `None` when the term is too old.
+    pub(crate) fn follow(
+        &mut self,
+        term: u64,
+        history: Vec<TermStart>,
+        end: u64,
+        members: Members,
+    ) -> Option<u64> {
+        let leads = self.role == Role::Primary && self.term == term;
+        if term < self.term.max(self.fence_term) || leads {
+            return None;
+        }
+        self.stop_leading(Role::Replica);
+        self.term = term;
+        self.members = members;
+        let common = self.log.adopt(history, end);
+        self.pending.retain(|(lsn, _)| *lsn <= common);
+        if self.applied > common {
+            self.rebuild(common);
+        }
+        Some(common)
+    }
+
+    /// Tells whether the server still follows the primary of `term`.
+    pub(crate) fn follows(&self, term: u64) -> bool {
+        self.role == Role::Replica && self.term == term
+    }
+
+    /// Takes records from the primary.
+    pub(crate) fn receive(&mut self, records: Vec<Record>) {
+        let due = Instant::now() + self.apply_lag;
+        for record in records {
+            let lsn = record.lsn;
+            if self.log.append(record) {
+                self.pending.push_back((lsn, due));
+            }
+        }
+        self.apply_due(Instant::now());
+    }
+
+    /// Applies what is due and returns when the next record will be.
+    pub(crate) fn apply_due(&mut self, now: Instant) -> Option<Instant> {
+        while let Some((lsn, due)) = self.pending.front().copied() {
+            if due > now {
+                return Some(due);
+            }
+            self.pending.pop_front();
+            self.apply_until(lsn);
+        }
+        None
+    }
+
+    /// Records what a member answered.
+    pub(crate) fn acknowledge(&mut self, server: &str, term: u64, ack: Ack) {
+        if self.role != Role::Primary || self.term != term {
+            return;
+        }
+        let known = self.acks.entry(server.to_owned()).or_default();
+        known.lsn = known.lsn.max(ack.lsn);
+        known.round = known.round.max(ack.round);
+        known.version = known.version.max(ack.version);
+        known.sent = known.sent.max(ack.sent);
+        self.count_confirmed();
+    }
+
+    /// Tells whether a majority answered a round of heartbeats.
+    pub(crate) fn round_confirmed(&self, round: u64) -> bool {
+        self.role == Role::Primary && self.majority(u64::MAX, |ack| ack.round) >= round
+    }
+
+    /// Returns the time since a majority was last heard from.
+    pub(crate) fn majority_age(&self) -> Option<Duration> {
+        if self.role != Role::Primary {
+            return None;
+        }
+        let now = Instant::now();
+        let sent = self.majority(Some(now), |ack| ack.sent)?;
+        Some(now.saturating_duration_since(sent))
+    }
+
+    fn members_confirmed(&self) -> bool {
+        self.majority(u64::MAX, |ack| ack.version) >= self.members.version
+    }
+
+    fn count_confirmed(&mut self) {
+        let held = self.majority(self.log.end(), |ack| ack.lsn);
+        self.confirmed = self.confirmed.max(held);
+    }
+
+    /// Returns the greatest value that a majority of the members has reached.
+    fn majority<T: Copy + Default + Ord>(&self, own: T, of: impl Fn(&Ack) -> T) -> T {
+        let reached = |server: &String| match *server == self.server {
+            true => own,
+            false => self.acks.get(server).map(&of).unwrap_or_default(),
+        };
+        let mut values: Vec<T> = self.members.list.iter().map(reached).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.members.list.len() / 2).copied().unwrap_or_default()
+    }
+
+    fn lead(&mut self, term: u64) {
+        let xid = self.engine.xacts(|xacts| xacts.next()).max(self.log.largest_xid() + 1);
+        self.log.open_term(TermStart { term: Term::new(term), lsn: Lsn::new(self.log.end()), xid });
+        self.role = Role::Primary;
+        self.term = term;
+        self.acks.clear();
+        self.confirmed = 0;
+        self.epoch += 1;
+    }
+
+    fn stop_leading(&mut self, role: Role) {
+        if self.role == Role::Primary {
+            self.engine.rollback();
+            self.epoch += 1;
+        }
+        self.role = role;
+    }
+
+    fn apply_until(&mut self, lsn: u64) {
+        while self.applied < lsn {
+            let Some(record) = self.log.get(self.applied + 1) else { return };
+            if let Err(error) = self.engine.apply(record) {
+                eprintln!("{}: LSN {} failed to apply: {error}", self.server, record.lsn);
+            }
+            self.applied += 1;
+        }
+    }
+
+    fn rebuild(&mut self, lsn: u64) {
+        match Engine::new() {
+            Ok(engine) => self.engine = engine,
+            Err(error) => return eprintln!("{}: no new database: {error}", self.server),
+        }
+        self.applied = 0;
+        self.apply_until(lsn);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/backend/mod.rs
@@ -0,0 +1,140 @@
+/*!
+A stand-in backend server.
+
+It speaks the PostgreSQL wire protocol over an in-memory SQLite database, ships
+its committed transactions to the other members of its group, and offers the
+control functions of `docs/design/backend-control.md`.
+
+A database group has one write lock: a transaction takes it at its first
+statement that writes. Other sessions go on reading committed data.
+*/
+
+mod codec;
+mod control;
+mod core;
+mod datum;
+mod engine;
+mod error;
+mod extended;
+mod log;
+mod node;
+mod replica;
+mod session;
+mod shipping;
+mod statement;
+mod transaction;
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio::{net::TcpListener, task::JoinSet};
+
+use crate::backend::{node::Node, session::Session};
+
+/// Role that neither limits nor fences hold back.
+pub const CONTROL_ROLE: &str = "chicoryhollow_control";
+
+/// Role under which servers ship their logs to each other.
+const REPLICATION_ROLE: &str = "chicoryhollow_replication";
+
+/// How a stand-in backend server behaves.
+#[derive(Clone, Debug)]
+pub struct BackendOptions {
+    /// Name of the server.
+    pub server: String,
+    /// Addresses under which this server reaches the members of its group,
+    /// itself included.
+    pub members: IndexMap<String, SocketAddr>,
+    /// Statements that run at once; more wait.
+    pub slots: usize,
+    /// Connections accepted outside the control role.
+    pub connections: usize,
+    /// Time that a new connection takes.
+    pub connect_delay: Duration,
+    /// Time that a statement holds its slot besides its execution.
+    pub statement_time: Duration,
+    /// Delay with which records reach this server.
+    pub ship_delay: Duration,
+    /// Delay with which this server applies records that it holds.
+    pub apply_lag: Duration,
+    /// Whether the server begins as the primary of term 1.
+    pub initial_primary: bool,
+}
+
+impl BackendOptions {
+    /// Makes the options of a server without delays.
+    pub fn new(server: impl Into<String>, members: IndexMap<String, SocketAddr>) -> Self {
+        BackendOptions {
+            server: server.into(),
+            members,
+            slots: 8,
+            connections: 100,
+            connect_delay: Duration::ZERO,
+            statement_time: Duration::ZERO,
+            ship_delay: Duration::ZERO,
+            apply_lag: Duration::ZERO,
+            initial_primary: false,
+        }
+    }
+}
+
+/// Why a stand-in could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum BackendError {
+    /// The database could not be opened.
+    #[error("cannot open the in-memory database: {0}")]
+    Database(String),
+    /// The listener failed.
+    #[error("cannot accept connections: {0}")]
+    Listen(#[from] io::Error),
+}
+
+/// A running stand-in backend server; it stops when dropped.
+#[derive(Debug)]
+pub struct Backend {
+    address: SocketAddr,
+    tasks: JoinSet<()>,
+}
+
+impl Backend {
+    /// Starts a server on a listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the database or the listener cannot be used.
+    pub fn new(options: BackendOptions, listener: TcpListener) -> Result<Self, BackendError> {
+        let address = listener.local_addr()?;
+        let node = Node::new(options).map_err(|e| BackendError::Database(e.to_string()))?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(shipping::run(Arc::clone(&node)));
+        tasks.spawn(replica::apply(Arc::clone(&node)));
+        tasks.spawn(accept(node, listener));
+        Ok(Backend { address, tasks })
+    }
+
+    /// Returns the address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs until the server fails.
+    pub async fn join(mut self) {
+        self.tasks.join_next().await;
+    }
+}
+
+/// Accepts connections; they end together with this task.
+async fn accept(node: Arc<Node>, listener: TcpListener) {
+    let mut sessions = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                // Without this, small answers wait for the peer's delayed acknowledgement.
+                let _ = stream.set_nodelay(true);
+                sessions.spawn(Session::serve(Arc::clone(&node), stream));
+            }
+            Some(_) = sessions.join_next() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/backend/session.rs
@@ -0,0 +1,258 @@
+//! One client connection.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, atomic::Ordering},
+};
+
+use bytes::Bytes;
+use chicoryhollow_core::prelude::*;
+use futures_util::{SinkExt, StreamExt};
+use pgwire::{
+    error::PgWireError,
+    messages::{
+        PgWireBackendMessage as Out, PgWireFrontendMessage as In, SslNegotiationMetaMessage,
+        data::{FieldDescription, RowDescription},
+        response::{CommandComplete, EmptyQueryResponse, ReadyForQuery, SslResponse},
+        startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey},
+    },
+};
+use tokio::{net::TcpStream, sync::Notify};
+use tokio_util::codec::{Framed, FramedParts};
+
+use crate::backend::{
+    CONTROL_ROLE, REPLICATION_ROLE,
+    codec::ServerCodec,
+    control,
+    core::Role,
+    engine::{Column, format_of},
+    error::SqlError,
+    extended::{Portal, Prepared},
+    node::Node,
+    replica, shipping,
+    statement::{Kind, split},
+    transaction::{Executor, Outcome},
+};
+
+/// Parameter that carries the server's position.
+const POSITION_PARAMETER: &str = "chicoryhollow.position";
+
+/// Parameters that PostgreSQL clients expect at start-up.
+const PARAMETERS: [(&str, &str); 7] = [
+    ("server_version", "15.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// A client connection after its start-up.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) node: Arc<Node>,
+    pub(crate) framed: Framed<TcpStream, ServerCodec>,
+    pub(crate) executor: Executor,
+    pub(crate) statements: HashMap<String, Arc<Prepared>>,
+    pub(crate) portals: HashMap<String, Portal>,
+    /// Whether messages are skipped up to the next Sync.
+    pub(crate) skipping: bool,
+    reported: Option<Position>,
+    begun: Option<Begun>,
+}
+
+/// Where the server stood when the first statement of a request began.
+#[derive(Clone, Copy, Debug)]
+struct Begun {
+    position: Position,
+    epoch: u64,
+    replica: bool,
+}
+
+impl Session {
+    /// Serves one connection to its end.
+    pub(crate) async fn serve(node: Arc<Node>, stream: TcpStream) {
+        let mut framed = Framed::new(stream, ServerCodec::new());
+        let Some(parameters) = start(&node, &mut framed).await else { return };
+        match parameters.get("user").map(String::as_str) {
+            Some(REPLICATION_ROLE) => serve_replication(&node, framed).await,
+            Some(CONTROL_ROLE) => serve_statements(&node, framed, false).await,
+            _ => serve_limited(&node, framed).await,
+        }
+    }
+
+    /// Answers messages until the client leaves.
+    async fn run(&mut self) -> Result<(), PgWireError> {
+        while let Some(message) = self.framed.next().await {
+            match message? {
+                In::Query(query) => self.simple_query(&query.query).await?,
+                In::Terminate(_) => return Ok(()),
+                other => self.extended_message(other).await?,
+            }
+        }
+        Ok(())
+    }
+
+    async fn simple_query(&mut self, text: &str) -> Result<(), PgWireError> {
+        let statements = split(text);
+        if statements.is_empty() {
+            self.framed.feed(Out::EmptyQueryResponse(EmptyQueryResponse::new())).await?;
+        }
+        for statement in statements {
+            self.note_begin();
+            let result = match &statement.kind {
+                Kind::Control(call) => control::call(&self.node, call).await,
+                _ => self.executor.execute(&statement, &[], &[]).await,
+            };
+            match result {
+                Ok(outcome) => self.send_outcome(outcome).await?,
+                Err(error) => {
+                    self.send_error(&error).await?;
+                    break;
+                }
+            }
+        }
+        self.send_ready().await
+    }
+
+    async fn send_outcome(&mut self, outcome: Outcome) -> Result<(), PgWireError> {
+        if !outcome.answer.columns.is_empty() {
+            let description = describe(&outcome.answer.columns, &[]);
+            self.framed.feed(Out::RowDescription(description)).await?;
+        }
+        for row in outcome.answer.rows {
+            self.framed.feed(Out::DataRow(row)).await?;
+        }
+        self.framed.feed(Out::CommandComplete(CommandComplete::new(outcome.tag))).await
+    }
+
+    /// Sends an error and ends what it has broken.
+    pub(crate) async fn send_error(&mut self, error: &SqlError) -> Result<(), PgWireError> {
+        self.executor.fail();
+        self.framed.feed(Out::ErrorResponse(error.response())).await
+    }
+
+    /// Ends the request: commits its implicit transaction and reports position
+    /// and status.
+    pub(crate) async fn send_ready(&mut self) -> Result<(), PgWireError> {
+        if let Err(error) = self.executor.finish_implicit() {
+            self.send_error(&error).await?;
+        }
+        self.report_position().await?;
+        let ready = ReadyForQuery::new(self.executor.status());
+        self.framed.send(Out::ReadyForQuery(ready)).await
+    }
+
+    /// Notes where the server stands before the first statement of a request.
+    pub(crate) fn note_begin(&mut self) {
+        if self.begun.is_none() {
+            self.begun = Some(self.node.with(|core| Begun {
+                position: core.position(),
+                epoch: core.epoch,
+                replica: core.role == Role::Replica,
+            }));
+        }
+    }
+
+    async fn report_position(&mut self) -> Result<(), PgWireError> {
+        let begun = self.begun.take();
+        let (now, epoch) = self.node.with(|core| (core.position(), core.epoch));
+        let position = match begun {
+            Some(begun) if begun.replica || begun.epoch != epoch => begun.position,
+            _ => now,
+        };
+        if self.reported == Some(position) {
+            return Ok(());
+        }
+        self.reported = Some(position);
+        self.framed.feed(parameter(POSITION_PARAMETER, &position.to_string())).await
+    }
+}
+
+/// Reads the start-up message; answers everything that may come before it.
+async fn start(
+    node: &Node,
+    framed: &mut Framed<TcpStream, ServerCodec>,
+) -> Option<BTreeMap<String, String>> {
+    loop {
+        match framed.next().await?.ok()? {
+            In::SslNegotiation(SslNegotiationMetaMessage::None) => {}
+            In::SslNegotiation(_) => {
+                framed.send(Out::SslResponse(SslResponse::Refuse)).await.ok()?;
+            }
+            In::CancelRequest(request) => {
+                node.cancel(request.pid, request.secret_key.as_i32()?);
+                return None;
+            }
+            In::Startup(startup) => return Some(startup.parameters),
+            _ => return None,
+        }
+    }
+}
+
+async fn serve_replication(node: &Node, framed: Framed<TcpStream, ServerCodec>) {
+    let parts = framed.into_parts();
+    let mut link = FramedParts::new::<Bytes>(parts.io, shipping::link_codec());
+    link.read_buf = parts.read_buf;
+    let mut link = Framed::from_parts(link);
+    // The primary opens a new link after any failure.
+    let _ = replica::follow(node, &mut link).await;
+}
+
+async fn serve_limited(node: &Arc<Node>, mut framed: Framed<TcpStream, ServerCodec>) {
+    let taken = node.connections.fetch_add(1, Ordering::SeqCst);
+    if taken < node.options.connections {
+        tokio::time::sleep(node.options.connect_delay).await;
+        serve_statements(node, framed, true).await;
+    } else {
+        let error = SqlError::new("53300", "sorry, too many clients already");
+        // The connection ends either way.
+        let _ = framed.send(Out::ErrorResponse(error.response())).await;
+    }
+    node.connections.fetch_sub(1, Ordering::SeqCst);
+}
+
+async fn serve_statements(node: &Arc<Node>, framed: Framed<TcpStream, ServerCodec>, limited: bool) {
+    let cancel = Arc::new(Notify::new());
+    let secret: i32 = rand::random();
+    let process = node.register(secret, Arc::clone(&cancel));
+    let mut session = Session {
+        node: Arc::clone(node),
+        framed,
+        executor: Executor::new(Arc::clone(node), limited, cancel),
+        statements: HashMap::new(),
+        portals: HashMap::new(),
+        skipping: false,
+        reported: None,
+        begun: None,
+    };
+    if greet(&mut session, process, secret).await.is_ok() {
+        // A client that breaks the protocol loses its connection.
+        let _ = session.run().await;
+    }
+    node.unregister(process);
+}
+
+async fn greet(session: &mut Session, process: i32, secret: i32) -> Result<(), PgWireError> {
+    session.framed.feed(Out::Authentication(Authentication::Ok)).await?;
+    for (name, value) in PARAMETERS {
+        session.framed.feed(parameter(name, value)).await?;
+    }
+    let key = BackendKeyData::new(process, SecretKey::I32(secret));
+    session.framed.feed(Out::BackendKeyData(key)).await?;
+    session.send_ready().await
+}
+
+fn parameter(name: &str, value: &str) -> Out {
+    Out::ParameterStatus(ParameterStatus::new(name.to_owned(), value.to_owned()))
+}
+
+/// Describes result columns in `formats`.
+pub(crate) fn describe(columns: &[Column], formats: &[i16]) -> RowDescription {
+    let field = |(i, column): (usize, &Column)| {
+        let format = format_of(formats, i);
+        FieldDescription::new(column.name.clone(), 0, 0, column.type_id, -1, -1, format)
+    };
+    RowDescription::new(columns.iter().enumerate().map(field).collect())
+}
--- /dev/null
+++ b/crates/testkit/tests/backend_sql.rs
@@ -0,0 +1,127 @@
+//! SQL, transactions and limits of a stand-in backend server.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Group, code};
+use tokio_postgres::{SimpleQueryMessage, types::Type};
+
+#[tokio::test]
+async fn simple_queries_run_in_order() {
+    let group = Group::start(1, |_, _| {}).await;
+    let client = group.client(0).await;
+    let text = "CREATE TABLE t (a INT8 PRIMARY KEY, b TEXT); \
+                INSERT INTO t VALUES (1, 'x'), (2, 'y'); SELECT b FROM t WHERE a = 2";
+    let messages = client.simple_query(text).await.expect("answers");
+    let found = messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    });
+    assert_eq!(found.as_deref(), Some("y"));
+}
+
+#[tokio::test]
+async fn prepared_statements_carry_typed_values() {
+    let group = Group::start(1, |_, _| {}).await;
+    let client = group.client(0).await;
+    client.batch_execute("CREATE TABLE t (a INT8 PRIMARY KEY, b TEXT, c INT4)").await.expect("DDL");
+    let insert = "INSERT INTO t (a, b, c) VALUES ($1, $2, $3)";
+    let changed = client.execute(insert, &[&7_i64, &"seven", &70_i32]).await.expect("a write");
+    assert_eq!(changed, 1);
+    let row = client.query_one("SELECT a, b, c FROM t WHERE a = $1", &[&7_i64]).await;
+    let row = row.expect("a row");
+    assert_eq!((row.get(0), row.get(1), row.get(2)), (7_i64, "seven", 70_i32));
+    let count = client.query_typed("SELECT count(*) FROM t WHERE b = $1", &[(&"x", Type::TEXT)]);
+    assert_eq!(count.await.expect("a count")[0].get::<_, i64>(0), 0);
+}
+
+#[tokio::test]
+async fn transactions_isolate_until_they_commit() {
+    let group = Group::start(1, |_, _| {}).await;
+    let (mut writer, reader) = (group.client(0).await, group.client(0).await);
+    writer.batch_execute("CREATE TABLE t (a INT8)").await.expect("DDL");
+    let count = "SELECT count(*) FROM t";
+    let transaction = writer.transaction().await.expect("BEGIN");
+    transaction.execute("INSERT INTO t VALUES (1)", &[]).await.expect("a write");
+    let own: i64 = transaction.query_one(count, &[]).await.expect("own rows").get(0);
+    let other: i64 = reader.query_one(count, &[]).await.expect("other rows").get(0);
+    assert_eq!((own, other), (1, 0));
+    transaction.execute("INSERT INTO t VALUES (2)", &[]).await.expect("a second write");
+    transaction.commit().await.expect("COMMIT");
+    let other: i64 = reader.query_one(count, &[]).await.expect("other rows").get(0);
+    assert_eq!(other, 2);
+}
+
+#[tokio::test]
+async fn a_failed_transaction_keeps_nothing() {
+    let group = Group::start(1, |_, _| {}).await;
+    let client = group.client(0).await;
+    client.batch_execute("CREATE TABLE t (a INT8 PRIMARY KEY)").await.expect("DDL");
+    client.batch_execute("BEGIN; INSERT INTO t VALUES (1)").await.expect("a write");
+    let error = client.batch_execute("INSERT INTO t VALUES (1)").await.expect_err("a duplicate");
+    assert_eq!(code(&error), "23505");
+    let error = client.batch_execute("SELECT 1").await.expect_err("an aborted transaction");
+    assert_eq!(code(&error), "25P02");
+    client.batch_execute("COMMIT").await.expect("the end");
+    let count: i64 = client.query_one("SELECT count(*) FROM t", &[]).await.expect("rows").get(0);
+    assert_eq!(count, 0);
+}
+
+#[tokio::test]
+async fn a_lost_client_releases_the_write_lock() {
+    let group = Group::start(1, |_, _| {}).await;
+    let (first, second) = (group.client(0).await, group.client(0).await);
+    first.batch_execute("CREATE TABLE t (a INT8)").await.expect("DDL");
+    first.batch_execute("BEGIN; INSERT INTO t VALUES (1)").await.expect("a write");
+    drop(first);
+    let write = second.batch_execute("INSERT INTO t VALUES (2)");
+    tokio::time::timeout(common::PATIENCE, write).await.expect("in time").expect("a write");
+    let count: i64 = second.query_one("SELECT count(*) FROM t", &[]).await.expect("rows").get(0);
+    assert_eq!(count, 1);
+}
+
+#[tokio::test]
+async fn transaction_ids_tell_what_became_of_a_write() {
+    let group = Group::start(1, |_, _| {}).await;
+    let client = group.client(0).await;
+    client.batch_execute("CREATE TABLE t (a INT8)").await.expect("DDL");
+    for (end, expected) in [("COMMIT", "committed"), ("ROLLBACK", "aborted")] {
+        client.batch_execute("BEGIN").await.expect("BEGIN");
+        let row = client.query_one("SELECT pg_current_xact_id()::text", &[]).await;
+        let xid: String = row.expect("an id").get(0);
+        client.batch_execute("INSERT INTO t VALUES (1)").await.expect("a write");
+        client.batch_execute(end).await.expect("the end");
+        let status = format!("SELECT pg_xact_status({xid})");
+        let status: String = client.query_one(&status, &[]).await.expect("a status").get(0);
+        assert_eq!(status, expected);
+    }
+}
+
+#[tokio::test]
+async fn connections_beyond_the_limit_are_refused() {
+    let group = Group::start(1, |_, options| options.connections = 1).await;
+    let _held = group.client(0).await;
+    let error = group.connect(0, "chicoryhollow").await.err().expect("a refusal");
+    assert_eq!(code(&error), "53300");
+    group.control(0).await;
+}
+
+#[tokio::test]
+async fn a_cancelled_statement_ends_early() {
+    let group = Group::start(1, |_, _| {}).await;
+    let client = group.client(0).await;
+    let token = client.cancel_token();
+    let cancel = async {
+        // Asked again, since the first request may come before the statement.
+        loop {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let _ = token.cancel_query(tokio_postgres::NoTls).await;
+        }
+    };
+    let error = tokio::select! {
+        result = client.simple_query("SELECT pg_sleep(60)") => result.expect_err("a cancel"),
+        () = cancel => unreachable!("the requests never stop"),
+    };
+    assert_eq!(code(&error), "57014");
+}
