Add the stand-in platform and the fault proxy

The platform serves the table service, the object store and the list of VMs, for all data centres together and for each alone, with outages, delays, a lagging list and answers lost after their effect.

--- a/crates/testkit/src/backend/control.rs
+++ b/crates/testkit/src/backend/control.rs
@@ -21,7 +21,7 @@
     let (arguments, _) = rest.rsplit_once(')').ok_or_else(bad)?;
     let arguments = Arguments::new(arguments);
     let fields = match name.trim().to_ascii_lowercase().as_str() {
-        "status" => node.with(|core| status(core)),
+        "status" => node.with(status),
         "barrier" => barrier(node, &arguments).await?,
         "await_confirmed" => await_confirmed(node, &arguments).await?,
         "fence" => fence(node, &arguments)?,
--- a/crates/testkit/src/backend/engine.rs
+++ b/crates/testkit/src/backend/engine.rs
@@ -319,7 +319,7 @@
         let type_id = declared.unwrap_or_else(|| expression_type(column.name()));
         Column { name: output_name(column.name()), type_id }
     };
-    statement.columns().into_iter().map(describe).collect()
+    statement.columns().map(describe).collect()
 }
 
 /// Guesses the type of an expression from its text, since SQLite has none.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,10 @@
 
 * [`backend`] is a backend server: PostgreSQL wire protocol over in-memory
   SQLite, with log shipping, fencing and promotion.
+* [`platform`] is the platform: table service, object store and list of VMs.
+* [`fault`] is a TCP proxy whose links can be delayed and cut.
 */
 
 pub mod backend;
+pub mod fault;
+pub mod platform;
--- a/crates/testkit/tests/backend_sql.rs
+++ b/crates/testkit/tests/backend_sql.rs
@@ -102,7 +102,7 @@
 async fn connections_beyond_the_limit_are_refused() {
     let group = Group::start(1, |_, options| options.connections = 1).await;
     let _held = group.client(0).await;
-    let error = group.connect(0, "chicoryhollow").await.err().expect("a refusal");
+    let error = group.connect(0, "chicoryhollow").await.expect_err("a refusal");
     assert_eq!(code(&error), "53300");
     group.control(0).await;
 }
--- /dev/null
+++ b/crates/testkit/tests/platform.rs
@@ -0,0 +1,95 @@
+//! The stand-in platform, seen through the product's own client.
+
+use std::{net::TcpListener, time::Duration};
+
+use chicoryhollow_platform::{HttpPlatform, Platform, PlatformError, Swap, Vm, VmState};
+use chicoryhollow_testkit::platform::{Fault, ListedVm, serve};
+use serde::Serialize;
+use serde_json::json;
+
+struct Stand {
+    base: String,
+}
+
+impl Stand {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let base = format!("http://{}", listener.local_addr().expect("a bound listener"));
+        actix_web::rt::spawn(serve(listener).expect("a server"));
+        Stand { base }
+    }
+
+    fn client(&self, path: &str) -> HttpPlatform {
+        HttpPlatform::new(format!("{}{path}", self.base), Duration::from_secs(20))
+    }
+
+    async fn put(&self, path: &str, body: &impl Serialize) {
+        let url = format!("{}/control/{path}", self.base);
+        let answer = awc::Client::default().put(url).send_json(body).await.expect("an answer");
+        assert!(answer.status().is_success());
+    }
+}
+
+fn listed(vm: &str) -> ListedVm {
+    let address = |port| ([10, 0, 0, 1], port).into();
+    let vm = Vm {
+        vm: vm.parse().expect("a name"),
+        data_centre: "dc-1".parse().expect("a name"),
+        peers: address(1),
+        admin: address(2),
+        state: VmState::Live,
+    };
+    let links = [("dc-2".parse().expect("a name"), address(3))].into();
+    ListedVm { vm, links }
+}
+
+#[actix_web::test]
+async fn rows_change_only_from_the_expected_version() {
+    let client = Stand::start().client("");
+    assert_eq!(client.get("k").await, Ok(None));
+    let first = client.swap("k", 0, json!("a")).await.expect("a swap");
+    let Swap::Done(row) = first else { panic!("{first:?}") };
+    assert_eq!(client.get("k").await, Ok(Some(row.clone())));
+    assert_eq!(client.swap("k", 0, json!("b")).await, Ok(Swap::Conflict(Some(row))));
+    assert_eq!(client.swap("other", 1, json!("b")).await, Ok(Swap::Conflict(None)));
+    assert!(matches!(client.swap("k", 1, json!("b")).await, Ok(Swap::Done(_))));
+}
+
+#[actix_web::test]
+async fn objects_keep_their_bytes() {
+    let client = Stand::start().client("/dc/dc-1");
+    assert_eq!(client.object("o").await, Ok(None));
+    client.store("o", vec![0, 1, 255]).await.expect("a store");
+    assert_eq!(client.object("o").await, Ok(Some(vec![0, 1, 255])));
+}
+
+#[actix_web::test]
+async fn a_lost_answer_leaves_its_effect() {
+    let stand = Stand::start();
+    let client = stand.client("");
+    stand.put("fault", &Fault { lose_answers: 1.0, ..Fault::default() }).await;
+    let lost = client.swap("k", 0, json!("a")).await;
+    assert!(matches!(lost, Err(PlatformError::Unavailable(_))), "{lost:?}");
+    stand.put("fault", &Fault::default()).await;
+    assert_eq!(client.get("k").await.expect("a row").map(|row| row.value), Some(json!("a")));
+}
+
+#[actix_web::test]
+async fn an_outage_can_hit_one_data_centre() {
+    let stand = Stand::start();
+    let data_centre = Some("dc-1".parse().expect("a name"));
+    stand.put("fault", &Fault { data_centre, outage: true, ..Fault::default() }).await;
+    assert!(stand.client("/dc/dc-1").vms().await.is_err());
+    assert_eq!(stand.client("/dc/dc-2").vms().await, Ok(vec![]));
+}
+
+#[actix_web::test]
+async fn the_list_of_vms_lags_and_shows_links() {
+    let stand = Stand::start();
+    stand.put("vms/vm-1", &listed("vm-1")).await;
+    let seen = stand.client("/dc/dc-2").vms().await.expect("a list");
+    assert_eq!(seen[0].peers.port(), 3);
+    stand.put("fault", &Fault { list_lag_ms: 3_600_000, ..Fault::default() }).await;
+    stand.put("vms/vm-2", &listed("vm-2")).await;
+    assert_eq!(stand.client("").vms().await, Ok(vec![]));
+}
