Add a thin daemon: callers, streams to homes, pools, views, administration

Cause: nothing ran end to end. Views of the groups come from asking every server, the configuration and the VM list from polling the platform. Conclusion: each part has its place and can be deepened on its own.

--- /dev/null
+++ b/crates/proxy/src/admin.rs
@@ -0,0 +1,57 @@
+//! Administration over HTTP.
+
+use std::sync::Arc;
+
+use actix_web::{
+    App, HttpResponse, HttpServer,
+    dev::Server,
+    web::{self, Data},
+};
+use serde_json::json;
+
+use crate::node::Node;
+
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/status`.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub fn serve(node: &Arc<Node>) -> std::io::Result<Server> {
+    let shared = Data::from(Arc::clone(node));
+    let app = move || {
+        App::new()
+            .app_data(shared.clone())
+            .route("/healthz", web::get().to(healthz))
+            .route("/readyz", web::get().to(readyz))
+            .route("/metrics", web::get().to(metrics))
+            .route("/status", web::get().to(status))
+    };
+    let server = HttpServer::new(app).workers(1).disable_signals();
+    Ok(server.bind(node.settings.listen.admin)?.run())
+}
+
+async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn readyz(node: Data<Node>) -> HttpResponse {
+    if node.configuration().version == 0 || node.is_draining() {
+        return HttpResponse::ServiceUnavailable().body("not ready\n");
+    }
+    HttpResponse::Ok().body("ready\n")
+}
+
+async fn metrics(node: Data<Node>) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(node.metrics.text())
+}
+
+async fn status(node: Data<Node>) -> HttpResponse {
+    let state = if node.is_draining() { "draining" } else { "serving" };
+    HttpResponse::Ok().json(json!({
+        "vm": node.settings.vm,
+        "incarnation": node.incarnation.to_string(),
+        "data_centre": node.settings.data_centre,
+        "version": node.configuration().version,
+        "state": state,
+    }))
+}
--- /dev/null
+++ b/crates/proxy/src/daemon.rs
@@ -0,0 +1,100 @@
+//! Start and end of a daemon.
+
+use std::{sync::Arc, time::Duration};
+
+use chicoryhollow_config::Settings;
+use chicoryhollow_core::Incarnation;
+use chicoryhollow_platform::HttpPlatform;
+use slog::{Logger, o};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    signal::unix::{SignalKind, signal},
+    time::{sleep, timeout},
+};
+
+use crate::{admin, configuration, entry, events::Event, node::Node, peers, watch};
+
+/// Longest wait for the platform, in milliseconds.
+const PLATFORM_MS: u64 = 1_000;
+
+/// Runs a daemon until it is told to end.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+///
+/// # Panics
+///
+/// Panics when the operating system gives no threads.
+pub fn run(settings: Settings, log: Logger) -> Result<(), DaemonError> {
+    let workers = settings.limits.workers.max(1);
+    let system = actix::System::with_tokio_rt(|| runtime(workers));
+    let incarnation = Incarnation::new(rand::random());
+    system.block_on(serve(Node::new(settings, incarnation, log)))
+}
+
+fn runtime(workers: usize) -> Runtime {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(workers).enable_all();
+    builder.build().expect("the operating system gives threads")
+}
+
+async fn serve(node: Arc<Node>) -> Result<(), DaemonError> {
+    let listen = &node.settings.listen;
+    let callers = bind(listen.callers).await?;
+    let peers = bind(listen.peers).await?;
+    let admin = admin::serve(&node)
+        .map_err(|source| DaemonError::Bind { address: listen.admin, source })?;
+    actix::spawn(admin);
+    let patience = Duration::from_millis(PLATFORM_MS);
+    let platform = HttpPlatform::new(node.settings.platform.clone(), patience);
+    actix::spawn(configuration::follow(Arc::clone(&node), platform));
+    tokio::spawn(watch::follow(Arc::clone(&node)));
+    tokio::spawn(peers::listen(Arc::clone(&node), peers));
+    tokio::spawn(entry::listen(Arc::clone(&node), callers));
+    Event::Started.record(&node.log, o!("vm" => node.settings.vm.to_string()));
+    wait_for_end(&node).await?;
+    Event::Stopped.record(&node.log, o!("vm" => node.settings.vm.to_string()));
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address).await.map_err(|source| DaemonError::Bind { address, source })
+}
+
+/// Waits for SIGTERM, then for the callers to leave, a second signal or the
+/// drain deadline.
+async fn wait_for_end(node: &Arc<Node>) -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signal)?;
+    terminate.recv().await;
+    Event::Draining.record(&node.log, o!("callers" => node.metrics.callers.get()));
+    node.start_drain();
+    let limit = Duration::from_millis(node.settings.limits.drain_ms);
+    let finished = async {
+        while node.metrics.callers.get() > 0 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::select! {
+        _ = timeout(limit, finished) => {}
+        _ = terminate.recv() => {}
+    }
+    Ok(())
+}
+
+/// Why a daemon ended early.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// An address could not be bound.
+    #[error("cannot listen on {address}: {source}; change `listen` in the settings")]
+    Bind {
+        /// The address of the settings.
+        address: std::net::SocketAddr,
+        /// Why it could not be bound.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[error("cannot receive signals: {0}")]
+    Signal(std::io::Error),
+}
--- /dev/null
+++ b/crates/proxy/src/events.rs
@@ -0,0 +1,92 @@
+//! Numbered log events; `docs/EVENTS.md` is checked against this table.
+
+use chicoryhollow_config::settings::{Log, LogFormat};
+use slog::{Drain, Level, Logger, OwnedKV, SendSyncRefUnwindSafeKV, o};
+
+/// Something worth a log line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// The daemon listens on all its addresses.
+    Started,
+    /// The daemon drains after SIGTERM.
+    Draining,
+    /// The daemon ends.
+    Stopped,
+    /// A newer configuration is in force.
+    ConfigurationInForce,
+    /// The platform did not answer.
+    PlatformUnavailable,
+    /// A group has a new primary.
+    PrimaryChanged,
+    /// A connection was closed because of a malformed message.
+    MalformedMessage,
+    /// A request was refused.
+    Refused,
+    /// A peer connection failed.
+    PeerLost,
+}
+
+impl Event {
+    /// All events, in the order of their numbers.
+    pub const ALL: [Event; 9] = [
+        Event::Started,
+        Event::Draining,
+        Event::Stopped,
+        Event::ConfigurationInForce,
+        Event::PlatformUnavailable,
+        Event::PrimaryChanged,
+        Event::MalformedMessage,
+        Event::Refused,
+        Event::PeerLost,
+    ];
+
+    /// Returns number, level and text of the event.
+    pub fn row(self) -> (u16, Level, &'static str) {
+        match self {
+            Event::Started => (100, Level::Info, "daemon started"),
+            Event::Draining => (101, Level::Info, "daemon drains"),
+            Event::Stopped => (102, Level::Info, "daemon stopped"),
+            Event::ConfigurationInForce => (200, Level::Info, "configuration in force"),
+            Event::PlatformUnavailable => (201, Level::Warning, "platform unavailable"),
+            Event::PrimaryChanged => (300, Level::Info, "primary changed"),
+            Event::MalformedMessage => (400, Level::Warning, "malformed message"),
+            Event::Refused => (401, Level::Debug, "request refused"),
+            Event::PeerLost => (500, Level::Warning, "peer connection lost"),
+        }
+    }
+
+    /// Writes the event with `fields` to `log`.
+    pub fn record<T>(self, log: &Logger, fields: OwnedKV<T>)
+    where
+        T: SendSyncRefUnwindSafeKV + 'static,
+    {
+        let (number, level, text) = self.row();
+        let log = log.new(fields);
+        match level {
+            Level::Warning => slog::warn!(log, "{}", text; "event" => number),
+            Level::Info => slog::info!(log, "{}", text; "event" => number),
+            _ => slog::debug!(log, "{}", text; "event" => number),
+        }
+    }
+}
+
+/// Makes the logger that the settings ask for, writing to standard error.
+pub fn logger(settings: &Log) -> Logger {
+    let level = settings.level.parse().unwrap_or(Level::Info);
+    match settings.format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            filtered(drain, level)
+        }
+        LogFormat::Json => filtered(slog_json::Json::default(std::io::stderr()).fuse(), level),
+    }
+}
+
+fn filtered(
+    drain: impl Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    level: Level,
+) -> Logger {
+    let drain = drain.filter_level(level).fuse();
+    Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
+}
--- /dev/null
+++ b/crates/proxy/src/home/control.rs
@@ -0,0 +1,74 @@
+//! Control functions of a backend server.
+
+use std::net::SocketAddr;
+
+use chicoryhollow_config::settings::BackendRole;
+use indexmap::IndexMap;
+use pgwire::messages::{PgWireBackendMessage, data::DataRow, simplequery::Query};
+
+pub use super::backend::BackendError;
+use super::backend::{Backend, error_code};
+use crate::wire;
+
+/// Role reserved for control connections.
+pub const CONTROL_USER: &str = "chicoryhollow_control";
+
+/// A control connection to a backend server.
+pub struct Control {
+    backend: Backend,
+}
+
+/// The one row that a control function answers, by column name.
+pub type ControlRow = IndexMap<String, String>;
+
+impl Control {
+    /// Connects as the control role.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the server cannot be reached or refuses.
+    pub async fn connect(address: SocketAddr, role: &BackendRole) -> Result<Self, BackendError> {
+        Ok(Control { backend: Backend::connect(address, CONTROL_USER, role).await? })
+    }
+
+    /// Calls `chicoryhollow.FUNCTION`, given with its arguments.
+    ///
+    /// # Errors
+    ///
+    /// Returns the SQLSTATE when the function fails, and an error of the
+    /// connection otherwise; the connection is of no more use in either case.
+    pub async fn call(&mut self, function: &str) -> Result<ControlRow, BackendError> {
+        let query = Query::new(format!("SELECT * FROM chicoryhollow.{function}"));
+        self.backend.send(wire::encode(&query)).await?;
+        let mut names = Vec::new();
+        let mut row = ControlRow::new();
+        loop {
+            match self.backend.receive().await?.backend()? {
+                PgWireBackendMessage::RowDescription(description) => {
+                    names = description.fields.into_iter().map(|field| field.name).collect();
+                }
+                PgWireBackendMessage::DataRow(data) => {
+                    row = names.iter().cloned().zip(values(&data)).collect();
+                }
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    return Err(BackendError::Refused(error_code(&error.fields)));
+                }
+                PgWireBackendMessage::ReadyForQuery(_) => return Ok(row),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Returns the text of each column; a null becomes the empty text.
+fn values(row: &DataRow) -> Vec<String> {
+    let mut rest = &row.data[..];
+    let mut values = Vec::new();
+    while let Some((length, tail)) = rest.split_first_chunk::<4>() {
+        let length = usize::try_from(i32::from_be_bytes(*length)).unwrap_or(0);
+        let (value, tail) = tail.split_at(length.min(tail.len()));
+        values.push(String::from_utf8_lossy(value).into_owned());
+        rest = tail;
+    }
+    values
+}
--- /dev/null
+++ b/crates/proxy/src/members.rs
@@ -0,0 +1,58 @@
+//! Live VMs and the roles that follow from them.
+
+use std::sync::{Arc, RwLock};
+
+use chicoryhollow_config::configuration::Versioned;
+use chicoryhollow_core::{prelude::*, rank::rank};
+use chicoryhollow_platform::{Vm, VmState};
+
+/// What this VM knows of the VMs.
+#[derive(Debug)]
+pub struct Members {
+    data_centre: DataCentreId,
+    listed: RwLock<Arc<Vec<Vm>>>,
+}
+
+impl Members {
+    /// Makes an empty list as seen from `data_centre`.
+    pub fn new(data_centre: DataCentreId) -> Self {
+        Members { data_centre, listed: RwLock::default() }
+    }
+
+    /// Replaces the list.
+    pub fn replace(&self, vms: Vec<Vm>) {
+        *self.listed.write().expect("no thread panics with this lock") = Arc::new(vms);
+    }
+
+    /// Returns the list.
+    pub fn listed(&self) -> Arc<Vec<Vm>> {
+        Arc::clone(&self.listed.read().expect("no thread panics with this lock"))
+    }
+
+    /// Returns the VM of that name, if it is listed.
+    pub fn get(&self, vm: &VmId) -> Option<Vm> {
+        self.listed().iter().find(|listed| listed.vm == *vm).cloned()
+    }
+
+    /// Returns the data centre from which the list is seen.
+    pub fn data_centre(&self) -> &DataCentreId {
+        &self.data_centre
+    }
+
+    /// Returns the VM in charge of `server`: the first by rank among the live
+    /// VMs of the server's data centre, or among all live VMs when it has none.
+    pub fn home(&self, configuration: &Versioned, server: &ServerId) -> Option<VmId> {
+        let groups = configuration.configuration.groups.values();
+        let found = groups.into_iter().find_map(|group| group.servers.get(server))?;
+        let listed = self.listed();
+        let live = || listed.iter().filter(|vm| vm.state == VmState::Live);
+        let near: Vec<&str> = live()
+            .filter(|vm| vm.data_centre == found.data_centre)
+            .map(|vm| vm.vm.as_str())
+            .collect();
+        let all: Vec<&str> = live().map(|vm| vm.vm.as_str()).collect();
+        let candidates = if near.is_empty() { all } else { near };
+        let first = rank(&format!("home/{server}"), candidates, 1);
+        first.first().and_then(|name| VmId::new(name).ok())
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/metrics.rs
@@ -0,0 +1,89 @@
+//! Counters and gauges in Prometheus form.
+
+use chicoryhollow_core::Refusal;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Everything that the daemon counts.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests refused, by reason.
+    pub refusals: IntCounterVec,
+    /// Requests tried again, by reason.
+    pub retries: IntCounterVec,
+    /// Statement batches answered, by kind of server: `primary` or `replica`.
+    pub batches: IntCounterVec,
+    /// Statement batches that only read, by kind of server.
+    pub reads: IntCounterVec,
+    /// Streams opened to homes, by place: `local` or `remote`.
+    pub streams: IntCounterVec,
+    /// Connected callers.
+    pub callers: IntGauge,
+    /// Configuration version in force.
+    pub version: IntGauge,
+    /// Malformed messages that closed a connection.
+    pub malformed: IntCounter,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two metrics share a name, which is a programming error.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let metrics = Metrics {
+            refusals: family(&registry, "refusals_total", "Requests refused.", "reason"),
+            retries: family(&registry, "retries_total", "Requests tried again.", "reason"),
+            batches: family(&registry, "batches_total", "Statement batches answered.", "server"),
+            reads: family(&registry, "reads_total", "Read-only batches answered.", "server"),
+            streams: family(&registry, "streams_total", "Streams opened to homes.", "place"),
+            callers: gauge(&registry, "callers", "Connected callers."),
+            version: gauge(&registry, "configuration_version", "Configuration in force."),
+            malformed: counter(&registry, "malformed_total", "Malformed messages."),
+            registry,
+        };
+        for refusal in Refusal::ALL {
+            metrics.refusals.with_label_values(&[refusal.row().label]);
+        }
+        metrics
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, refusal: Refusal) {
+        self.refusals.with_label_values(&[refusal.row().label]).inc();
+    }
+
+    /// Returns all metrics in the text form that Prometheus reads.
+    pub fn text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
+
+fn family(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let opts = Opts::new(format!("chicoryhollow_{name}"), help);
+    let family = IntCounterVec::new(opts, &[label]).expect("metric names are valid");
+    registry.register(Box::new(family.clone())).expect("metric names are unique");
+    family
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge =
+        IntGauge::new(format!("chicoryhollow_{name}"), help).expect("metric names are valid");
+    registry.register(Box::new(gauge.clone())).expect("metric names are unique");
+    gauge
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter =
+        IntCounter::new(format!("chicoryhollow_{name}"), help).expect("metric names are valid");
+    registry.register(Box::new(counter.clone())).expect("metric names are unique");
+    counter
+}
--- /dev/null
+++ b/crates/proxy/src/stream.rs
@@ -0,0 +1,143 @@
+//! One caller's statements on their way to a backend server and back.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chicoryhollow_core::prelude::*;
+pub use chicoryhollow_peer::stream::{Access, Prepare};
+
+use crate::{home::LocalStream, node::Node, peers::RemoteStream};
+
+/// What the entry asks of the home of a backend server.
+#[derive(Clone, Debug)]
+pub struct OpenRequest {
+    /// Group to which the server belongs.
+    pub group: GroupId,
+    /// Server to run on.
+    pub server: ServerId,
+    /// Account that is served.
+    pub account: AccountId,
+    /// What the stream may be used for.
+    pub access: Access,
+    /// Time at which the request must be over.
+    pub deadline: Time,
+    /// Position that the server must have applied.
+    pub needed: Option<Position>,
+    /// Age in milliseconds that the read accepts.
+    pub max_age_ms: Option<u64>,
+    /// How long in milliseconds the home may wait for `needed` to be applied.
+    pub patience_ms: u32,
+}
+
+/// Statements of one batch.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// Statements that must be prepared on the connection first.
+    pub prepares: Vec<Prepare>,
+    /// Encoded frontend messages up to a `Sync` or `Query`.
+    pub messages: Bytes,
+    /// Whether the batch may write.
+    pub writes: bool,
+    /// Time at which the batch must be over.
+    pub deadline: Time,
+}
+
+/// What comes back on a stream.
+#[derive(Clone, Debug)]
+pub enum StreamEvent {
+    /// Whole encoded backend messages.
+    Answer(Bytes),
+    /// The batch is answered in full.
+    Ready(Ready),
+}
+
+/// End of the answer to one batch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ready {
+    /// Transaction status byte: `I`, `T` or `E`.
+    pub status: u8,
+    /// Newest position that the answer shows; confirmed when idle.
+    pub position: Option<Position>,
+}
+
+impl Ready {
+    /// Tells whether no transaction is open.
+    pub fn is_idle(&self) -> bool {
+        self.status == b'I'
+    }
+}
+
+/// A refusal of the home, with the applied position of a server that was behind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// Why the home refused.
+    pub refusal: Refusal,
+    /// Position that the server has applied.
+    pub applied: Option<Position>,
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Refused { refusal, applied: None }
+    }
+}
+
+/// A stream to the home of a backend server, on this VM or another one.
+pub enum Stream {
+    /// The home is on this VM.
+    Local(Box<LocalStream>),
+    /// The home is on another VM.
+    Remote(RemoteStream),
+}
+
+impl Stream {
+    /// Opens a stream to the home of the requested server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the home cannot be reached or does not take
+    /// the stream; nothing has run then.
+    pub async fn open(node: &Arc<Node>, request: OpenRequest) -> Result<Stream, Refused> {
+        let home = node.members.home(&node.configuration(), &request.server);
+        let home = home.ok_or(Refusal::HomeUnreachable)?;
+        if home == node.settings.vm {
+            node.metrics.streams.with_label_values(&["local"]).inc();
+            return LocalStream::open(node, request).await.map(Box::new).map(Stream::Local);
+        }
+        node.metrics.streams.with_label_values(&["remote"]).inc();
+        RemoteStream::open(node, &home, request).await.map(Stream::Remote)
+    }
+
+    /// Sends one batch; its answer must be read to the end before the next.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the batch cannot be sent.
+    pub async fn send(&mut self, batch: Batch) -> Result<(), Refused> {
+        match self {
+            Stream::Local(stream) => stream.send(batch).await,
+            Stream::Remote(stream) => stream.send(batch).await,
+        }
+    }
+
+    /// Waits for the next part of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the answer breaks off; its outcome says what
+    /// became of the batch. The stream is of no more use then.
+    pub async fn next(&mut self) -> Result<StreamEvent, Refused> {
+        match self {
+            Stream::Local(stream) => stream.next().await,
+            Stream::Remote(stream) => stream.next().await,
+        }
+    }
+
+    /// Asks the backend server to cancel the statement that runs.
+    pub async fn interrupt(&mut self) {
+        match self {
+            Stream::Local(stream) => stream.interrupt().await,
+            Stream::Remote(stream) => stream.interrupt().await,
+        }
+    }
+}
