--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -27,22 +27,35 @@
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
     /// Data centres in which VMs and backend servers run.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub data_centres: IndexMap<DataCentreId, DataCentre>,
     /// Database groups.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub groups: IndexMap<GroupId, Group>,
     /// Client accounts.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub accounts: IndexMap<AccountId, Account>,
     /// Keys that callers may show.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub keys: IndexMap<KeyName, Key>,
     /// Routes that callers may name as their database.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub routes: IndexMap<RouteName, Route>,
 }
 
+impl Configuration {
+    /// Orders all names, so that equal configurations have equal JSON.
+    pub fn sort(&mut self) {
+        self.data_centres.sort_unstable_keys();
+        self.groups.sort_unstable_keys();
+        self.groups.values_mut().for_each(|group| group.servers.sort_unstable_keys());
+        self.accounts.sort_unstable_keys();
+        self.keys.sort_unstable_keys();
+        self.routes.sort_unstable_keys();
+        self.routes.values_mut().for_each(|route| route.accounts.sort_unstable());
+    }
+}
+
 /// A data centre.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
