Judge failure of a primary and promote another server

Cause: nobody else orders a promotion, and acknowledged writes may not be lost. Change: core gains watch, the state machine of one watcher of a database group: agreement on a failure, promotion behind a fenced majority, planned moves and member lists that change one server at a time.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -127,6 +127,12 @@
     }
 }
 
+impl<K> AsRef<str> for Name<K> {
+    fn as_ref(&self) -> &str {
+        &self.text
+    }
+}
+
 impl<K> std::borrow::Borrow<str> for Name<K> {
     fn borrow(&self) -> &str {
         &self.text
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
   result, and says for each whether the request ran.
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
+* [`watch`] detects the failure of a primary and promotes another server.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -39,6 +40,7 @@
 pub mod session;
 pub mod time;
 pub mod view;
+pub mod watch;
 
 pub use crate::{
     id::{AccountId, DataCentreId, GroupId, Incarnation, KeyName, RouteName, ServerId, VmId},
--- /dev/null
+++ b/crates/core/src/watch/attempt.rs
@@ -0,0 +1,216 @@
+//! One promotion, from the first fence to the new primary.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    id::ServerId,
+    position::{Position, Term},
+    time::Time,
+    watch::{
+        election::{Ballot, Election},
+        members::MemberList,
+        status::ServerStatus,
+    },
+};
+
+/// Longest time for which a planned move lets its target catch up.
+pub const DRAIN: Duration = Duration::from_millis(400);
+/// Time for which an election waits for further grants once a majority is in.
+pub const GRACE: Duration = Duration::from_millis(50);
+/// Time after which an unanswered order is sent again.
+const RESEND: Duration = Duration::from_millis(250);
+/// Longest time from the first fence to a decided election.
+const FENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time for a promotion to show in the target's status.
+const PROMOTE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// What an attempt asks of the servers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Order {
+    /// Fence a server at the attempt's term.
+    Fence(ServerId),
+    /// Ask a server for its status, soon.
+    Poll(ServerId),
+    /// Promote a server at the attempt's term.
+    Promote(ServerId, MemberList),
+}
+
+/// What comes next in an attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Step {
+    /// Send these orders, if any, and wait.
+    Continue(Vec<Order>),
+    /// The attempt cannot succeed any more.
+    Abandon,
+}
+
+/// Servers of a planned move.
+#[derive(Clone, Debug)]
+struct Drain {
+    primary: ServerId,
+    target: ServerId,
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    /// The old primary of a planned move is fenced and its target catches up.
+    Draining(Drain),
+    /// Servers are being fenced; holds since when a majority is.
+    Fencing(Option<Time>),
+    /// The chosen server was told, and no other ever will be at this term.
+    Promoting(ServerId, MemberList),
+}
+
+/// A promotion at one term.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    term: Term,
+    failed: Option<ServerId>,
+    since: Time,
+    stage: Stage,
+    granted: IndexMap<ServerId, ServerStatus>,
+    refused: IndexSet<ServerId>,
+    sent: IndexMap<ServerId, Time>,
+}
+
+impl Attempt {
+    /// Starts a promotion after the failure of a primary, if there was one.
+    pub(crate) fn new(term: Term, failed: Option<ServerId>, now: Time) -> Self {
+        Attempt { failed, ..Attempt::with_stage(term, now, Stage::Fencing(None)) }
+    }
+
+    /// Starts a planned move from `primary` to `target`.
+    pub(crate) fn with_drain(term: Term, primary: ServerId, target: ServerId, now: Time) -> Self {
+        Attempt::with_stage(term, now, Stage::Draining(Drain { primary, target }))
+    }
+
+    fn with_stage(term: Term, now: Time, stage: Stage) -> Self {
+        Attempt {
+            term,
+            failed: None,
+            since: now,
+            stage,
+            granted: IndexMap::new(),
+            refused: IndexSet::new(),
+            sent: IndexMap::new(),
+        }
+    }
+
+    /// Returns the term of the promotion.
+    pub(crate) fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Returns the primary whose failure is the cause.
+    pub(crate) fn failed(&self) -> Option<&ServerId> {
+        self.failed.as_ref()
+    }
+
+    /// Returns what was granted so far.
+    pub(crate) fn granted(&self) -> &IndexMap<ServerId, ServerStatus> {
+        &self.granted
+    }
+
+    /// Records the answer to a fence of this attempt.
+    pub(crate) fn fenced(&mut self, server: ServerId, granted: bool, status: ServerStatus) {
+        if granted {
+            self.granted.insert(server, status);
+        } else {
+            self.refused.insert(server);
+        }
+    }
+
+    /// Records that the target refused the promotion.
+    pub(crate) fn promotion_refused(&mut self, server: &ServerId) {
+        self.refused.insert(server.clone());
+    }
+
+    /// Returns what comes next. `ballot` holds this attempt's grants.
+    pub(crate) fn step(&mut self, ballot: &Ballot<'_>, now: Time) -> Step {
+        match self.stage.clone() {
+            Stage::Draining(drain) => self.step_drain(&drain, ballot, now),
+            Stage::Fencing(majority) => self.step_fence(majority, ballot, now),
+            Stage::Promoting(target, members) => self.step_promote(target, members, now),
+        }
+    }
+
+    fn step_drain(&mut self, drain: &Drain, ballot: &Ballot<'_>, now: Time) -> Step {
+        if self.refused.contains(&drain.primary) {
+            return Step::Abandon;
+        }
+        let goal = self.granted.get(&drain.primary).map(ServerStatus::position);
+        let held = ballot.known.get(&drain.target).map(ServerStatus::position);
+        if now.since(self.since) >= DRAIN || caught_up(held, goal) {
+            self.enter(Stage::Fencing(None), now);
+            return self.step_fence(None, ballot, now);
+        }
+        let mut orders = Vec::new();
+        if goal.is_none() && self.is_due(&drain.primary, now) {
+            orders.push(Order::Fence(drain.primary.clone()));
+        } else if goal.is_some() {
+            orders.push(Order::Poll(drain.target.clone()));
+        }
+        Step::Continue(orders)
+    }
+
+    fn step_fence(&mut self, majority: Option<Time>, ballot: &Ballot<'_>, now: Time) -> Step {
+        if let Election::Decided { target, members } = ballot.decide() {
+            let since = majority.unwrap_or(now);
+            let answered = self.granted.len() + self.refused.len() >= ballot.known.len();
+            if answered || now.since(since) >= GRACE {
+                self.enter(Stage::Promoting(target.clone(), members.clone()), now);
+                self.sent.clear();
+                return self.step_promote(target, members, now);
+            }
+            self.stage = Stage::Fencing(Some(since));
+        }
+        let hopeless = ballot.is_hopeless(|server| self.refused.contains(server));
+        if hopeless || now.since(self.since) >= FENCE_TIMEOUT {
+            return Step::Abandon;
+        }
+        Step::Continue(self.due_fences(ballot, now))
+    }
+
+    fn due_fences(&mut self, ballot: &Ballot<'_>, now: Time) -> Vec<Order> {
+        let servers: IndexSet<&ServerId> =
+            ballot.plan.servers.keys().chain(ballot.known.keys()).collect();
+        let mut orders = Vec::new();
+        for server in servers {
+            let open = !self.granted.contains_key(server) && !self.refused.contains(server);
+            if open && self.is_due(server, now) {
+                orders.push(Order::Fence(server.clone()));
+            }
+        }
+        orders
+    }
+
+    fn step_promote(&mut self, target: ServerId, members: MemberList, now: Time) -> Step {
+        if self.refused.contains(&target) || now.since(self.since) >= PROMOTE_TIMEOUT {
+            return Step::Abandon;
+        }
+        let mut orders = vec![Order::Poll(target.clone())];
+        if self.is_due(&target, now) {
+            orders.push(Order::Promote(target, members));
+        }
+        Step::Continue(orders)
+    }
+
+    fn enter(&mut self, stage: Stage, now: Time) {
+        self.stage = stage;
+        self.since = now;
+    }
+
+    fn is_due(&mut self, server: &ServerId, now: Time) -> bool {
+        let due = self.sent.get(server).is_none_or(|at| now.since(*at) >= RESEND);
+        if due {
+            self.sent.insert(server.clone(), now);
+        }
+        due
+    }
+}
+
+fn caught_up(held: Option<Position>, goal: Option<Position>) -> bool {
+    matches!((held, goal), (Some(held), Some(goal)) if held >= goal)
+}
--- /dev/null
+++ b/crates/core/src/watch/message.rs
@@ -0,0 +1,69 @@
+//! What reaches a watcher and what it wants done.
+
+use crate::{
+    id::{ServerId, VmId},
+    position::Term,
+    view::GroupView,
+    watch::{
+        members::MemberList,
+        status::{Owner, ServerStatus},
+        suspicion::Observation,
+    },
+};
+
+/// What reaches a watcher.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; expected every few milliseconds.
+    Tick,
+    /// A server answered a status request.
+    Status(ServerId, ServerStatus),
+    /// A status request failed.
+    Failed(ServerId),
+    /// A server answered a fence at this term, granting it or not.
+    Fenced(ServerId, Term, bool, ServerStatus),
+    /// A server answered an order to become primary at this term.
+    Promoted(ServerId, Term, bool),
+    /// Another watcher told what it sees.
+    Heard(VmId, Observation),
+}
+
+/// What a watcher wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Ask a server for its status.
+    Poll(ServerId),
+    /// Fence a server.
+    Fence {
+        /// Server to fence.
+        server: ServerId,
+        /// Term to fence it at.
+        term: Term,
+        /// Owner of the fence.
+        owner: Owner,
+    },
+    /// Promote a fenced server.
+    Promote {
+        /// Server to promote.
+        server: ServerId,
+        /// Term that it opens.
+        term: Term,
+        /// Owner of its fence.
+        owner: Owner,
+        /// Member list that it starts with.
+        members: MemberList,
+    },
+    /// Replace the member list on the primary.
+    SetMembers {
+        /// The primary.
+        server: ServerId,
+        /// Its term.
+        term: Term,
+        /// The new list.
+        members: MemberList,
+    },
+    /// Give this view to all subscribers.
+    Publish(GroupView),
+    /// Send this observation to the other watchers.
+    Tell(Observation),
+}
--- /dev/null
+++ b/crates/core/src/watch/watcher/duties.rs
@@ -0,0 +1,115 @@
+//! What a watcher does all the time: polling, the member list, and telling
+//! subscribers and other watchers.
+
+use std::time::Duration;
+
+use crate::{
+    id::ServerId,
+    position::Position,
+    time::Time,
+    view::ServerView,
+    watch::{
+        members::{MemberList, next_list},
+        message::Action,
+        status::ServerRole,
+        suspicion::{Observation, SUSPECT},
+        watcher::{Judgement, Watcher},
+    },
+};
+
+/// Time between two status requests to one server.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which an unanswered status request is given up.
+const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between two observations to the other watchers.
+const TELL_INTERVAL: Duration = Duration::from_millis(250);
+/// Least time between two views that differ only in details.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
+/// Least time between two changes of the member list.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(1_000);
+
+impl Watcher {
+    pub(super) fn poll(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let servers: Vec<ServerId> = self.links.keys().cloned().collect();
+        for server in servers {
+            self.poll_one(server, POLL_INTERVAL, now, actions);
+        }
+    }
+
+    pub(super) fn poll_one(
+        &mut self,
+        server: ServerId,
+        every: Duration,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let link = self.link(server.clone());
+        let waiting = link.asked.is_some_and(|at| now.since(at) < POLL_TIMEOUT);
+        let recent = link.polled.is_some_and(|at| now.since(at) < every);
+        if waiting || recent {
+            return;
+        }
+        link.asked = Some(now);
+        link.polled = Some(now);
+        out.push(Action::Poll(server));
+    }
+
+    pub(super) fn change_members(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let idle = self.attempt.is_none() && self.judge(now) == Judgement::Healthy;
+        if !idle || now < self.members_due || self.plan.servers.is_empty() {
+            return;
+        }
+        let (Some(primary), Some(status)) = (self.view.primary.clone(), self.primary_status())
+        else {
+            return;
+        };
+        if status.role != ServerRole::Primary || status.term != self.view.term {
+            return;
+        }
+        let current =
+            MemberList { version: status.members_version, servers: status.members.clone() };
+        let reachable = |server: &ServerId| self.is_reachable(server, now);
+        if let Some(members) = next_list(&current, &self.plan, &primary, reachable) {
+            let term = self.view.term;
+            actions.push(Action::SetMembers { server: primary, term, members });
+            self.members_due = now + MEMBERS_INTERVAL * (self.rank() + 1);
+        }
+    }
+
+    pub(super) fn publish(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let moved = self.published.as_ref().is_none_or(|(view, _)| {
+            (view.term, &view.primary) != (self.view.term, &self.view.primary)
+        });
+        let recent =
+            self.published.as_ref().is_some_and(|(_, at)| now.since(*at) < PUBLISH_INTERVAL);
+        if self.view.primary.is_none() || (recent && !moved) {
+            return;
+        }
+        self.view.servers =
+            self.links.keys().map(|s| (s.clone(), self.server_view(s, now))).collect();
+        if self.published.as_ref().is_none_or(|(view, _)| *view != self.view) {
+            self.published = Some((self.view.clone(), now));
+            actions.push(Action::Publish(self.view.clone()));
+        }
+    }
+
+    pub(super) fn server_view(&self, server: &ServerId, now: Time) -> ServerView {
+        let applied = self.known.get(server).map(|s| Position::new(s.term, s.applied));
+        let reachable = self.is_reachable(server, now);
+        ServerView { reachable, applied: applied.unwrap_or_default() }
+    }
+
+    pub(super) fn tell(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let judgement = self.judge(now);
+        let quiet =
+            self.told.is_some_and(|(last, at)| last == judgement && now.since(at) < TELL_INTERVAL);
+        if quiet {
+            return;
+        }
+        self.told = Some((judgement, now));
+        let lost = self.primary_status().and_then(|s| s.majority_age).is_some_and(|a| a >= SUSPECT);
+        let observation =
+            Observation { view: self.view.clone(), silence: self.silence(now), majority: !lost };
+        actions.push(Action::Tell(observation));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/watch.rs
@@ -0,0 +1,277 @@
+//! Watchers against servers that are killed, paused, cut off and moved.
+
+mod model;
+
+use std::time::Duration;
+
+use chicoryhollow_core::{prelude::*, watch::watchers};
+use indexmap::IndexMap;
+use model::{Model, centre, name, vm};
+use rand::RngExt;
+
+const SETTLE: Duration = Duration::from_secs(3);
+const KILL_TARGET: Duration = Duration::from_secs(3);
+const PARTITION_TARGET: Duration = Duration::from_secs(9);
+const MOVE_TARGET: Duration = Duration::from_millis(500);
+
+struct Case {
+    name: &'static str,
+    servers: &'static [usize],
+    watchers: &'static [usize],
+    target: Duration,
+    fault: fn(&mut Model),
+}
+
+fn kill(model: &mut Model) {
+    model.down.push(model.primary());
+}
+
+fn cut_from_servers(model: &mut Model) {
+    let primary = model.primary();
+    for other in (0..model.servers.len()).filter(|s| *s != primary) {
+        model.cut_both(primary, other);
+    }
+}
+
+fn mute(model: &mut Model) {
+    let primary = model.primary();
+    let nodes = model.servers.len() + model.watchers.len();
+    model.cut.extend((0..nodes).map(|to| (primary, to)));
+}
+
+/// Cuts off the primary together with every watcher of its data centre.
+fn darken(model: &mut Model, watcher_dc: &[usize]) {
+    let primary = model.primary();
+    let dc = model.plan.data_centre(&model.servers[primary].name).cloned();
+    let servers = model.servers.len();
+    let inside = |model: &Model, node: usize| match node.checked_sub(servers) {
+        Some(watcher) => Some(centre(watcher_dc[watcher])) == dc,
+        None => model.plan.data_centre(&model.servers[node].name) == dc.as_ref(),
+    };
+    for a in 0..servers + watcher_dc.len() {
+        for b in 0..servers + watcher_dc.len() {
+            if inside(model, a) && !inside(model, b) {
+                model.cut_both(a, b);
+            }
+        }
+    }
+}
+
+fn kill_next_too(model: &mut Model) {
+    kill(model);
+    let before = model.promotions.len();
+    while model.promotions.len() == before {
+        model.run(Duration::from_millis(5));
+    }
+    let target = model.promotions[before].clone();
+    model.down.extend(model.servers.iter().position(|s| s.name == target));
+}
+
+fn take_out(model: &mut Model) {
+    let server = model.servers[model.primary()].name.clone();
+    model.longest_gap = Duration::ZERO;
+    model.configure(|plan| plan.servers[&server].serving = false, &[0, 1, 2]);
+}
+
+fn lose_watcher_too(model: &mut Model) {
+    let primary = model.primary();
+    model.down.extend([primary, model.servers.len() + primary]);
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "killed",
+        servers: &[0, 1, 2],
+        watchers: &[0, 1, 2],
+        target: KILL_TARGET,
+        fault: kill,
+    },
+    Case {
+        name: "killed with its watcher",
+        servers: &[0, 1, 2],
+        watchers: &[0, 1, 2],
+        target: KILL_TARGET,
+        fault: lose_watcher_too,
+    },
+    Case {
+        name: "second failure in a promotion",
+        servers: &[0, 1, 2, 0, 1],
+        watchers: &[0, 1, 2],
+        target: Duration::from_secs(6),
+        fault: kill_next_too,
+    },
+    Case {
+        name: "cut from the other servers",
+        servers: &[0, 1, 2],
+        watchers: &[0, 1, 2],
+        target: PARTITION_TARGET,
+        fault: cut_from_servers,
+    },
+    Case {
+        name: "cut one way",
+        servers: &[0, 1, 2],
+        watchers: &[0, 1, 2],
+        target: PARTITION_TARGET,
+        fault: mute,
+    },
+    Case {
+        name: "data centre dark",
+        servers: &[0, 1, 2],
+        watchers: &[0, 1, 2],
+        target: PARTITION_TARGET,
+        fault: |model| darken(model, &[0, 1, 2]),
+    },
+    Case {
+        name: "data centre with two of three watchers dark",
+        servers: &[0, 0, 1, 1, 1],
+        watchers: &[0, 0, 1],
+        target: PARTITION_TARGET,
+        fault: |model| darken(model, &[0, 0, 1]),
+    },
+    Case {
+        name: "data centre taken out",
+        servers: &[0, 1, 2],
+        watchers: &[0, 1, 2],
+        target: MOVE_TARGET,
+        fault: take_out,
+    },
+];
+
+#[test]
+fn writes_resume_within_the_target_after_each_fault() {
+    for case in CASES {
+        let mut worst = Duration::ZERO;
+        for seed in 0..8 {
+            let mut model = Model::new(seed, case.servers, case.watchers);
+            model.run(SETTLE);
+            assert!(!model.acknowledged.is_empty(), "{}: the group starts", case.name);
+            model.longest_gap = Duration::ZERO;
+            (case.fault)(&mut model);
+            model.run(PARTITION_TARGET + SETTLE);
+            let gap = model.longest_gap;
+            assert!(gap <= case.target, "{} seed {seed}: no write for {gap:?}", case.name);
+            let rest = model.now.since(model.last_acknowledged);
+            assert!(rest < Duration::from_millis(100), "{} seed {seed}: stopped", case.name);
+            worst = worst.max(gap);
+        }
+        println!("{}: longest gap {worst:?}", case.name);
+    }
+}
+
+#[test]
+fn a_primary_seen_by_one_watcher_keeps_its_place() {
+    let mut model = Model::new(1, &[0, 1, 2], &[0, 1, 2]);
+    model.run(SETTLE);
+    let (primary, before) = (model.primary(), model.promotions.len());
+    let other = model.servers.len() + (primary + 1) % 3;
+    model.cut_both(primary, other);
+    model.run(Duration::from_secs(8));
+    assert_eq!(model.promotions.len(), before);
+}
+
+#[test]
+fn members_follow_the_configuration_one_at_a_time() {
+    let mut model = Model::new(1, &[0, 1, 2, 0], &[0, 1, 2]);
+    let spare: ServerId = name("s3");
+    let spare_plan = model.plan.servers[&spare].clone();
+    model.configure(|plan| drop(plan.servers.shift_remove(&spare)), &[0, 1, 2]);
+    model.run(SETTLE);
+    let primary = model.primary();
+    let leaving = model.servers[(primary + 1) % 3].name.clone();
+    model.longest_gap = Duration::ZERO;
+    model.configure(
+        |plan| {
+            plan.servers.insert(spare.clone(), spare_plan.clone());
+            plan.servers[&leaving].leaving = true;
+        },
+        &[0, 1, 2],
+    );
+    model.run(Duration::from_secs(6));
+    let members = &model.servers[model.primary()].members.servers;
+    assert!(members.contains(&spare) && !members.contains(&leaving), "{members:?}");
+    assert!(model.longest_gap < MOVE_TARGET, "{:?}", model.longest_gap);
+}
+
+/// Draws faults for a while, then heals everything.
+fn storm(seed: u64, servers: &[usize], racing: bool) {
+    let watchers = [0, 1, 2];
+    let mut model = Model::new(seed, servers, &watchers);
+    if racing {
+        // Every watcher believes that it is the only one and waits for nobody.
+        for i in 0..watchers.len() {
+            let places = watchers_alone(i);
+            let plan = model.plan.clone();
+            model.watchers[i].configure(plan, places);
+        }
+    }
+    model.run(SETTLE);
+    model.loss = 0.05;
+    model.delay_ms = 40;
+    let nodes = servers.len() + watchers.len();
+    for _ in 0..20 {
+        let (a, b) = (model.rng.random_range(0..nodes), model.rng.random_range(0..nodes));
+        match model.rng.random_range(0..6) {
+            0 => model.down.push(a),
+            1 => model.down.clear(),
+            2 => model.cut_both(a, b),
+            3 => model.cut.push((a, b)),
+            4 => model.cut.clear(),
+            _ if racing => {}
+            _ => {
+                let server = model.servers[a % servers.len()].name.clone();
+                let flip = |plan: &mut chicoryhollow_core::watch::GroupPlan| {
+                    let plan = &mut plan.servers[&server];
+                    plan.serving = !plan.serving;
+                };
+                model.configure(flip, &watchers);
+            }
+        }
+        let span = model.rng.random_range(200..1_500);
+        model.run(Duration::from_millis(span));
+    }
+    model.down.clear();
+    model.cut.clear();
+    model.loss = 0.0;
+    model.delay_ms = 3;
+    model.run(Duration::from_secs(12));
+    let rest = model.now.since(model.last_acknowledged);
+    assert!(rest < Duration::from_millis(600), "seed {seed}: no write for {rest:?}");
+}
+
+fn watchers_alone(i: usize) -> Vec<chicoryhollow_core::watch::WatcherPlace> {
+    vec![chicoryhollow_core::watch::WatcherPlace { vm: vm(i), data_centre: centre(i) }]
+}
+
+#[test]
+fn no_acknowledged_write_is_lost_under_random_faults() {
+    for seed in 0..12 {
+        storm(seed, &[0, 1, 2], false);
+        storm(seed, &[0, 1, 2, 0, 1], false);
+    }
+}
+
+#[test]
+fn no_acknowledged_write_is_lost_when_watchers_race() {
+    for seed in 100..112 {
+        storm(seed, &[0, 1, 2], true);
+        storm(seed, &[0, 1, 2, 0, 1], true);
+    }
+}
+
+#[test]
+fn watchers_span_data_centres() {
+    let group: GroupId = name("orders");
+    let centres = |sizes: &[usize]| -> IndexMap<DataCentreId, Vec<VmId>> {
+        let vms = |dc: usize, n: usize| (0..n).map(move |i| vm(dc * 10 + i)).collect();
+        sizes.iter().enumerate().map(|(dc, n)| (centre(dc), vms(dc, *n))).collect()
+    };
+    let cases: &[(&[usize], usize, usize)] =
+        &[(&[2, 2, 2], 3, 3), (&[1, 3], 3, 2), (&[5], 3, 1), (&[1, 1], 2, 2), (&[], 0, 0)];
+    for (sizes, count, spread) in cases {
+        let chosen = watchers(&group, &centres(sizes));
+        let mut seen: Vec<_> = chosen.iter().map(|place| &place.data_centre).collect();
+        seen.sort();
+        seen.dedup();
+        assert_eq!((chosen.len(), seen.len()), (*count, *spread), "{sizes:?}");
+    }
+}
