--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stand-ins of the systems that the proxy meets, for tests, demonstrations and measurements.
+/*!
+Stand-ins of the systems that the proxy meets, for tests, demonstrations and
+measurements.
+
+# Guided tour
+
+* [`backend`] is a backend server: PostgreSQL wire protocol over in-memory
+  SQLite, with log shipping, fencing and promotion.
+* [`platform`] is the platform: table service, object store and list of VMs.
+* [`fault`] is a TCP proxy whose links can be delayed and cut.
+*/
+
+pub mod backend;
+pub mod fault;
+pub mod platform;
