Hand control messages of other VMs to their modules

Messages that belong to no stream go through peers::dispatch to watch, shares, configuration, members and entry, with a Reply that writes to the same connection. The receivers outside peers are empty so far (small edits in watch, shares, configuration, members and entry/mod.rs).

--- a/crates/proxy/src/configuration.rs
+++ b/crates/proxy/src/configuration.rs
@@ -3,10 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use chicoryhollow_config::{Configuration, configuration::Versioned};
+use chicoryhollow_core::prelude::*;
+use chicoryhollow_peer::Body;
 use chicoryhollow_platform::{HttpPlatform, Platform, PlatformError};
 use slog::o;
 
-use crate::{events::Event, node::Node};
+use crate::{events::Event, node::Node, peers::Reply};
 
 /// Row of the table service that names the accepted configuration.
 pub const CONFIGURATION_ROW: &str = "configuration";
@@ -42,3 +44,6 @@
     Event::ConfigurationInForce.record(&node.log, o!("version" => version));
     Ok(())
 }
+
+/// Receives a control message of another VM.
+pub(crate) fn receive(_node: &Arc<Node>, _from: &VmId, _body: Body, _reply: &Reply) {}
--- a/crates/proxy/src/entry/mod.rs
+++ b/crates/proxy/src/entry/mod.rs
@@ -9,6 +9,7 @@
 
 use std::sync::Arc;
 
+use chicoryhollow_peer::member::Cancel;
 use slog::o;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -46,3 +47,6 @@
         None => Ok(()),
     }
 }
+
+/// Cancels the statement of a caller of this VM, if the secret is right.
+pub(crate) fn cancel(_node: &Arc<Node>, _cancel: &Cancel) {}
--- a/crates/proxy/src/members.rs
+++ b/crates/proxy/src/members.rs
@@ -6,6 +6,8 @@
 use chicoryhollow_core::{prelude::*, rank::rank};
 use chicoryhollow_platform::{Vm, VmState};
 
+use crate::{node::Node, peers::Sign};
+
 /// What this VM knows of the VMs.
 #[derive(Debug)]
 pub struct Members {
@@ -56,3 +58,6 @@
         first.first().and_then(|name| VmId::new(name).ok())
     }
 }
+
+/// Receives a sign of life of another VM.
+pub(crate) fn heard(_node: &Arc<Node>, _from: &VmId, _sign: &Sign) {}
--- a/crates/proxy/src/peers/accept.rs
+++ b/crates/proxy/src/peers/accept.rs
@@ -11,7 +11,11 @@
 };
 use tokio_util::codec::Framed;
 
-use super::{link::hello, serve::serve};
+use super::{
+    dispatch::{Peer, Reply, dispatch},
+    link::{hello, introduced},
+    serve::serve,
+};
 use crate::{events::Event, node::Node};
 
 /// Messages that wait to be written to one connection.
@@ -48,9 +52,10 @@
         Ok::<(), CodecError>(())
     });
     let mut streams = HashMap::new();
+    let peer = introduced(node, source.next().await.transpose()?)?;
     while let Some(message) = source.next().await {
         if let Some(body) = message?.body {
-            handle(node, &outgoing, &mut streams, body).await;
+            handle(node, &peer, &outgoing, &mut streams, body).await;
         }
     }
     writer.abort();
@@ -59,12 +64,14 @@
 
 async fn handle(
     node: &Arc<Node>,
+    peer: &Peer,
     outgoing: &mpsc::Sender<Envelope>,
     streams: &mut HashMap<u64, mpsc::UnboundedSender<Body>>,
     body: Body,
 ) {
     match body {
         Body::Ping(ping) => {
+            peer.heard(node, ping.leaving, ping.version);
             let version = node.configuration().version;
             let pong = Pong { number: ping.number, leaving: node.is_draining(), version };
             // A full queue already shows the peer that this VM lives.
@@ -84,7 +91,7 @@
         Body::Close(close) => {
             streams.remove(&close.stream);
         }
-        _ => {}
+        body => dispatch(node, peer, body, &Reply::new(outgoing.clone())),
     }
 }
 
--- /dev/null
+++ b/crates/proxy/src/peers/dispatch.rs
@@ -0,0 +1,88 @@
+//! Control messages of other VMs, handed to the modules that decide on them.
+//!
+//! The receivers run on the task that reads the connection, so they must not
+//! wait; whoever has more to do spawns a task and keeps a clone of [`Reply`].
+
+use std::sync::Arc;
+
+use chicoryhollow_core::prelude::*;
+use chicoryhollow_peer::{Body, Envelope, member::Hello};
+use tokio::sync::mpsc;
+
+use crate::{configuration, entry, members, node::Node, shares, watch};
+
+/// A sign of life of another VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Sign {
+    /// The run of the daemon that gave it.
+    pub incarnation: Incarnation,
+    /// Whether that daemon takes no new work.
+    pub leaving: bool,
+    /// Version of the configuration that it has in force.
+    pub version: u64,
+}
+
+/// Sends messages back on the connection on which one was received.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    outgoing: mpsc::Sender<Envelope>,
+}
+
+impl Reply {
+    /// Makes a reply that writes to the queue of a connection.
+    pub(crate) fn new(outgoing: mpsc::Sender<Envelope>) -> Self {
+        Reply { outgoing }
+    }
+
+    /// Queues a message unless the connection is closed or its queue is full;
+    /// returns whether it was queued.
+    pub fn send(&self, body: Body) -> bool {
+        self.outgoing.try_send(Envelope::new(body)).is_ok()
+    }
+
+    /// Tells whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.outgoing.is_closed()
+    }
+}
+
+/// The VM at the other end of a connection, as its [`Hello`] tells.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Peer {
+    /// Name of the VM.
+    pub(crate) vm: VmId,
+    /// The run of its daemon.
+    pub(crate) incarnation: Incarnation,
+}
+
+impl Peer {
+    /// Checks an introduction.
+    pub(crate) fn new(hello: &Hello) -> Option<Self> {
+        let vm = VmId::new(&hello.vm).ok()?;
+        Some(Peer { vm, incarnation: Incarnation::new(hello.incarnation) })
+    }
+
+    /// Passes on a sign of life.
+    pub(crate) fn heard(&self, node: &Arc<Node>, leaving: bool, version: u64) {
+        let sign = Sign { incarnation: self.incarnation, leaving, version };
+        members::heard(node, &self.vm, &sign);
+    }
+}
+
+/// Hands a message that belongs to no stream to its module.
+pub(crate) fn dispatch(node: &Arc<Node>, from: &Peer, body: Body, reply: &Reply) {
+    match body {
+        Body::Subscribe(_) | Body::View(_) | Body::Observation(_) => {
+            watch::receive(node, &from.vm, body, reply);
+        }
+        Body::ShareAsk(_) | Body::ShareGrant(_) | Body::ShareReturn(_) => {
+            shares::receive(node, &from.vm, body, reply);
+        }
+        Body::ConfigurationAsk(_) | Body::ConfigurationAnswer(_) => {
+            configuration::receive(node, &from.vm, body, reply);
+        }
+        Body::Cancel(cancel) => entry::cancel(node, &cancel),
+        // A body of a later version of the protocol has no receiver here.
+        _ => {}
+    }
+}
--- a/crates/proxy/src/peers/link.rs
+++ b/crates/proxy/src/peers/link.rs
@@ -13,6 +13,7 @@
 use tokio::{net::TcpStream, sync::mpsc, time::timeout};
 use tokio_util::codec::Framed;
 
+use super::dispatch::{Peer, Reply, dispatch};
 use crate::{events::Event, node::Node};
 
 /// Messages that wait to be written to one link.
@@ -67,12 +68,13 @@
         self.streams.lock().expect("no thread panics with this lock")
     }
 
-    fn dispatch(&self, body: Body) {
+    fn receive(&self, node: &Arc<Node>, peer: &Peer, body: Body) {
         let stream = match &body {
             Body::Answer(answer) => answer.stream,
             Body::Ready(ready) => ready.stream,
             Body::Close(close) => close.stream,
-            _ => return,
+            Body::Pong(pong) => return peer.heard(node, pong.leaving, pong.version),
+            _ => return dispatch(node, peer, body, &Reply::new(self.outgoing.clone())),
         };
         if let Some(sender) = self.lock().get(&stream) {
             // A receiver that is gone has lost interest in its stream.
@@ -103,6 +105,7 @@
     socket.set_nodelay(true)?;
     let (mut sink, mut source) = Framed::new(socket, EnvelopeCodec::new()).split();
     sink.send(Envelope::new(Body::Hello(hello(node)))).await?;
+    let peer = introduced(node, source.next().await.transpose()?)?;
     loop {
         tokio::select! {
             message = queue.recv() => {
@@ -116,7 +119,7 @@
             message = source.next() => match message {
                 Some(message) => {
                     if let Some(body) = message?.body {
-                        link.dispatch(body);
+                        link.receive(node, &peer, body);
                     }
                 }
                 None => return Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset).into()),
@@ -125,6 +128,17 @@
     }
 }
 
+/// Checks the first message of a connection.
+pub(crate) fn introduced(node: &Arc<Node>, first: Option<Envelope>) -> Result<Peer, CodecError> {
+    let Some(Body::Hello(hello)) = first.and_then(|envelope| envelope.body) else {
+        return Err(std::io::Error::from(std::io::ErrorKind::InvalidData).into());
+    };
+    let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidData);
+    let peer = Peer::new(&hello).ok_or_else(invalid)?;
+    peer.heard(node, hello.leaving, hello.version);
+    Ok(peer)
+}
+
 /// Introduces this daemon to another VM.
 pub(crate) fn hello(node: &Node) -> Hello {
     Hello {
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to other VMs.
 
 mod accept;
+mod dispatch;
 mod link;
 mod remote;
 mod serve;
@@ -14,8 +15,14 @@
 };
 
 use chicoryhollow_core::prelude::*;
+use chicoryhollow_peer::Body;
 
-pub use self::{accept::listen, link::Link, remote::RemoteStream};
+pub use self::{
+    accept::listen,
+    dispatch::{Reply, Sign},
+    link::Link,
+    remote::RemoteStream,
+};
 use crate::node::Node;
 
 /// Links to the VMs that this one talks to, dialled on first use.
@@ -47,6 +54,14 @@
         Ok(link)
     }
 
+    /// Sends a message that belongs to no stream to `vm`, dialling it when
+    /// needed; returns whether the message was queued.
+    ///
+    /// What the VM answers arrives at the receiver of the module concerned.
+    pub fn send(&self, node: &Arc<Node>, vm: &VmId, body: Body) -> bool {
+        self.link(node, vm).is_ok_and(|link| link.try_send(body))
+    }
+
     /// Returns a number for a new stream.
     fn next_stream(&self) -> u64 {
         self.streams.fetch_add(1, Ordering::Relaxed)
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use chicoryhollow_core::prelude::*;
+use chicoryhollow_peer::Body;
 
-use crate::node::Node;
+use crate::{node::Node, peers::Reply};
 
 /// Admits requests by account.
 #[derive(Debug, Default)]
@@ -30,3 +31,6 @@
         Ok(())
     }
 }
+
+/// Receives a control message of another VM.
+pub(crate) fn receive(_node: &Arc<Node>, _from: &VmId, _body: Body, _reply: &Reply) {}
--- a/crates/proxy/src/watch/mod.rs
+++ b/crates/proxy/src/watch/mod.rs
@@ -6,6 +6,7 @@
 
 use chicoryhollow_config::configuration::Server;
 use chicoryhollow_core::{prelude::*, view::TermStart};
+use chicoryhollow_peer::Body;
 use slog::o;
 use tokio::time::timeout;
 
@@ -13,6 +14,7 @@
     events::Event,
     home::control::{Control, ControlRow},
     node::Node,
+    peers::Reply,
 };
 
 /// Time between two questions to one server, in milliseconds.
@@ -75,3 +77,6 @@
         Event::PrimaryChanged.record(&node.log, fields);
     }
 }
+
+/// Receives a control message of another VM.
+pub(crate) fn receive(_node: &Arc<Node>, _from: &VmId, _body: Body, _reply: &Reply) {}
