--- a/crates/peer/src/configuration.rs
+++ b/crates/peer/src/configuration.rs
@@ -26,4 +26,8 @@
     /// The configuration or the difference, as JSON.
     #[prost(bytes = "bytes", tag = "4")]
     pub json: bytes::Bytes,
+    /// Milliseconds since the sender knew that the version was the newest; none
+    /// when it never did.
+    #[prost(uint64, optional, tag = "5")]
+    pub age_ms: Option<u64>,
 }
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -49,7 +49,7 @@
     actix::spawn(admin);
     let patience = Duration::from_millis(PLATFORM_MS);
     let platform = HttpPlatform::new(node.settings.platform.clone(), patience);
-    actix::spawn(configuration::follow(Arc::clone(&node), platform));
+    configuration::follow(&node, platform);
     tokio::spawn(watch::follow(Arc::clone(&node)));
     tokio::spawn(peers::listen(Arc::clone(&node), peers));
     tokio::spawn(entry::listen(Arc::clone(&node), callers));
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -14,8 +14,12 @@
     Stopped,
     /// A newer configuration is in force.
     ConfigurationInForce,
-    /// The platform did not answer.
+    /// The platform stopped answering.
     PlatformUnavailable,
+    /// The platform answers again.
+    PlatformAvailable,
+    /// Another VM offered a configuration that cannot be used.
+    ConfigurationRefused,
     /// A group has a new primary.
     PrimaryChanged,
     /// A connection was closed because of a malformed message.
@@ -28,12 +32,14 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 9] = [
+    pub const ALL: [Event; 11] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
         Event::ConfigurationInForce,
         Event::PlatformUnavailable,
+        Event::PlatformAvailable,
+        Event::ConfigurationRefused,
         Event::PrimaryChanged,
         Event::MalformedMessage,
         Event::Refused,
@@ -48,6 +54,8 @@
             Event::Stopped => (102, Level::Info, "daemon stopped"),
             Event::ConfigurationInForce => (200, Level::Info, "configuration in force"),
             Event::PlatformUnavailable => (201, Level::Warning, "platform unavailable"),
+            Event::PlatformAvailable => (202, Level::Info, "platform available"),
+            Event::ConfigurationRefused => (203, Level::Warning, "configuration offer refused"),
             Event::PrimaryChanged => (300, Level::Info, "primary changed"),
             Event::MalformedMessage => (400, Level::Warning, "malformed message"),
             Event::Refused => (401, Level::Debug, "request refused"),
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -21,6 +21,8 @@
     pub callers: IntGauge,
     /// Configuration version in force.
     pub version: IntGauge,
+    /// Seconds since the configuration in force was known to be the newest.
+    pub age: IntGauge,
     /// Malformed messages that closed a connection.
     pub malformed: IntCounter,
 }
@@ -41,6 +43,11 @@
             streams: family(&registry, "streams_total", "Streams opened to homes.", "place"),
             callers: gauge(&registry, "callers", "Connected callers."),
             version: gauge(&registry, "configuration_version", "Configuration in force."),
+            age: gauge(
+                &registry,
+                "configuration_age_seconds",
+                "Time since the configuration was known to be the newest.",
+            ),
             malformed: counter(&registry, "malformed_total", "Malformed messages."),
             registry,
         };
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, groups::Groups, home::Homes, members::Members, metrics::Metrics, peers::Peers,
-    shares::Shares,
+    clock::Clock, configuration::Following, groups::Groups, home::Homes, members::Members,
+    metrics::Metrics, peers::Peers, shares::Shares,
 };
 
 /// The shared state of one daemon.
@@ -29,6 +29,8 @@
     pub metrics: Metrics,
     /// Accepted configuration; version 0 means that none was received yet.
     pub configuration: watch::Sender<Arc<Versioned>>,
+    /// Follower of the configuration.
+    pub following: Following,
     /// Live VMs.
     pub members: Members,
     /// Views of the database groups.
@@ -55,6 +57,7 @@
             log,
             metrics: Metrics::new(),
             configuration: watch::Sender::new(Arc::default()),
+            following: Following::new(),
             groups: Groups::new(),
             homes: Homes::new(),
             peers: Peers::new(),
