Serve a caller end to end through two daemons

Cause: frames of the PostgreSQL protocol were cut five bytes short, so no caller got past its start-up.

--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -49,8 +49,7 @@
     if let Some(extra) = arguments.finish().first() {
         return Err(format!("unexpected argument {extra:?}; see --help"));
     }
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
-    serde_json::from_str(&text).map_err(|error| format!("{path}: {error}"))
+    Settings::load(&path).map_err(|error| error.to_string())
 }
 
 fn run(settings: Settings) -> ExitCode {
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -74,7 +74,7 @@
         let frames = LengthDelimitedCodec::builder()
             .length_field_offset(1)
             .length_field_length(4)
-            .length_adjustment(-4)
+            .length_adjustment(1)
             .num_skip(0)
             .max_frame_length(limit)
             .new_codec();
--- /dev/null
+++ b/crates/proxy/tests/common/mod.rs
@@ -0,0 +1,240 @@
+//! A small deployment: stand-ins inside the test process, daemons as processes.
+
+// Each suite uses a part of these helpers.
+#![allow(dead_code, unreachable_pub)]
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command},
+    time::Duration,
+};
+
+use chicoryhollow_config::{
+    Configuration, Verifier,
+    configuration::{Account, DataCentre, Group, Key, Route, Server},
+    hash::ContentHash,
+    rate::{Burst, Rate},
+};
+use chicoryhollow_platform::{HttpPlatform, Platform, Vm, VmState};
+use chicoryhollow_testkit::backend::{Backend, BackendOptions};
+use indexmap::IndexMap;
+use serde_json::json;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+/// Bound on everything that should happen soon.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Key of the account `press`.
+pub const PRESS_KEY: &str = "press-secret";
+
+/// Key of the account `clinic`.
+pub const CLINIC_KEY: &str = "clinic-secret";
+
+/// Three servers of the group `orders`, the platform and some daemons.
+pub struct Deployment {
+    pub servers: Vec<Option<Backend>>,
+    pub daemons: Vec<Daemon>,
+    pub platform: HttpPlatform,
+    pub configuration: Configuration,
+    base: String,
+    version: u64,
+}
+
+/// One daemon as a process, killed when dropped.
+pub struct Daemon {
+    pub child: Child,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // A daemon that has ended by itself cannot be killed.
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(std::fs::remove_file(&self.settings));
+    }
+}
+
+impl Deployment {
+    /// Starts everything, with one daemon in each of `data_centres`.
+    pub async fn start(data_centres: &[&str]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let base = format!("http://{}", listener.local_addr().expect("a bound listener"));
+        let server = chicoryhollow_testkit::platform::serve(listener).expect("a platform");
+        actix::spawn(server);
+        let (servers, addresses) = start_servers().await;
+        let mut deployment = Deployment {
+            servers,
+            daemons: Vec::new(),
+            platform: HttpPlatform::new(base.clone(), PATIENCE),
+            configuration: configuration(&addresses),
+            base,
+            version: 0,
+        };
+        deployment.apply().await;
+        for (i, data_centre) in data_centres.iter().enumerate() {
+            deployment.start_daemon(&format!("vm-{i}"), data_centre).await;
+        }
+        for i in 0..deployment.daemons.len() {
+            deployment.wait_ready(i).await;
+        }
+        deployment
+    }
+
+    /// Publishes the present configuration.
+    pub async fn apply(&mut self) {
+        let hash = ContentHash::new(&self.configuration);
+        let bytes = serde_json::to_vec(&self.configuration).expect("a configuration is JSON");
+        self.platform.store(&hash.object(), bytes).await.expect("the object store answers");
+        let value = json!({ "hash": hash.to_string(), "apply": "0", "base": self.version });
+        let swapped = self.platform.swap("configuration", self.version, value).await;
+        swapped.expect("the table answers");
+        self.version += 1;
+    }
+
+    async fn start_daemon(&mut self, name: &str, data_centre: &str) {
+        let [callers, peers, admin] = [free_port(), free_port(), free_port()];
+        let settings = json!({
+            "vm": name,
+            "data_centre": data_centre,
+            "listen": { "callers": callers, "peers": peers, "admin": admin },
+            "platform": self.base,
+            "limits": { "request_ms": 10_000, "drain_ms": 5_000 },
+        });
+        let file = format!("chicoryhollow-{}-{}.json", std::process::id(), callers.port());
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, settings.to_string()).expect("the settings can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_chicoryhollow"))
+            .arg("--settings")
+            .arg(&path)
+            .spawn()
+            .expect("the daemon starts");
+        self.daemons.push(Daemon { child, callers, admin, settings: path });
+        let vm = Vm {
+            vm: name.parse().expect("a valid name"),
+            data_centre: data_centre.parse().expect("a valid name"),
+            peers,
+            admin,
+            state: VmState::Live,
+        };
+        let url = format!("{}/control/vms/{name}", self.base);
+        let listed = awc::Client::default().put(url).send_json(&vm).await;
+        assert!(listed.expect("the platform answers").status().is_success());
+    }
+
+    /// Waits until a daemon says that it is ready and knows a primary.
+    pub async fn wait_ready(&self, daemon: usize) {
+        let url = format!("http://{}/readyz", self.daemons[daemon].admin);
+        let ready = async {
+            loop {
+                if let Ok(answer) = awc::Client::default().get(&url).send().await
+                    && answer.status().is_success()
+                {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, ready).await.expect("the daemon becomes ready");
+    }
+
+    /// Connects to a daemon as the account `press`.
+    pub async fn client(&self, daemon: usize, token: Option<&str>) -> Client {
+        self.connect(daemon, "press-key", PRESS_KEY, "orders", token).await.expect("a session")
+    }
+
+    /// Connects to a daemon.
+    pub async fn connect(
+        &self,
+        daemon: usize,
+        user: &str,
+        key: &str,
+        route: &str,
+        token: Option<&str>,
+    ) -> Result<Client, tokio_postgres::Error> {
+        let address = self.daemons[daemon].callers;
+        let mut config = tokio_postgres::Config::new();
+        config.host("127.0.0.1").port(address.port()).user(user).password(key).dbname(route);
+        if let Some(token) = token {
+            config.options(format!("-c chicoryhollow.session={token}"));
+        }
+        let (client, connection) = config.connect(NoTls).await?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+}
+
+async fn start_servers() -> (Vec<Option<Backend>>, Vec<SocketAddr>) {
+    let mut listeners = Vec::new();
+    for _ in 0..3 {
+        listeners.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
+    }
+    let addresses: Vec<_> =
+        listeners.iter().map(|l| l.local_addr().expect("a bound listener")).collect();
+    let members: IndexMap<_, _> =
+        addresses.iter().enumerate().map(|(i, a)| (format!("orders-{i}"), *a)).collect();
+    let start = |(i, listener)| {
+        let mut options = BackendOptions::new(format!("orders-{i}"), members.clone());
+        options.initial_primary = i == 0;
+        Some(Backend::new(options, listener).expect("a new server"))
+    };
+    (listeners.into_iter().enumerate().map(start).collect(), addresses)
+}
+
+fn configuration(addresses: &[SocketAddr]) -> Configuration {
+    let mut configuration = Configuration::default();
+    let mut group = Group::default();
+    for (i, address) in addresses.iter().enumerate() {
+        let data_centre = ["a", "b", "c"][i];
+        configuration
+            .data_centres
+            .insert(data_centre.parse().expect("a valid name"), DataCentre::default());
+        let server = Server {
+            address: *address,
+            data_centre: data_centre.parse().expect("a valid name"),
+            slots: 3,
+            connections: 20,
+            service: Default::default(),
+        };
+        group.servers.insert(format!("orders-{i}").parse().expect("a valid name"), server);
+    }
+    configuration.groups.insert("orders".parse().expect("a valid name"), group);
+    for (account, key) in [("press", PRESS_KEY), ("clinic", CLINIC_KEY)] {
+        let name = account.parse().expect("a valid name");
+        let rate = Rate::new(10_000.0).expect("a valid rate");
+        let burst = Burst::new(10_000.0).expect("a valid burst");
+        configuration.accounts.insert(name, Account { rate, burst, weight: 1 });
+        let verifier = Verifier::new(key, [7; 16], 4_096);
+        let account = account.parse().expect("a valid name");
+        let name = format!("{account}-key").parse().expect("a valid name");
+        configuration.keys.insert(name, Key { account, verifier });
+    }
+    let route = Route {
+        group: "orders".parse().expect("a valid name"),
+        accounts: vec!["press".parse().expect("a valid name")],
+        open_account: None,
+        max_age_ms: None,
+        idempotent: false,
+    };
+    configuration.routes.insert("orders".parse().expect("a valid name"), route);
+    configuration.sort();
+    configuration
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound listener")
+}
+
+/// Runs one statement in the simple protocol and returns the first column.
+pub async fn values(client: &Client, sql: &str) -> Vec<String> {
+    let messages = client.simple_query(sql).await.expect("the statement runs");
+    let rows = messages.into_iter().filter_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    });
+    rows.collect()
+}
