--- a/crates/proxy/src/configuration/mod.rs
+++ b/crates/proxy/src/configuration/mod.rs
@@ -5,6 +5,7 @@
 
 mod convert;
 mod follower;
+mod lists;
 
 use std::{
     sync::{
