--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,6 @@
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
 * [`watch`] detects the failure of a primary and promotes another server.
-* [`listing`] decides when to read the platform's lists of VMs.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -34,7 +33,6 @@
 */
 
 pub mod id;
-pub mod listing;
 pub mod position;
 pub mod prelude;
 pub mod rank;
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -10,8 +10,7 @@
     sync::atomic::{AtomicU32, Ordering},
 };
 
-use chicoryhollow_core::DataCentreId;
-use chicoryhollow_platform::{Listing, Platform, PlatformError, Row, Swap, Vm};
+use chicoryhollow_platform::{Platform, PlatformError, Row, Swap, Vm};
 use serde_json::Value;
 
 /// What becomes of one write to the row.
@@ -110,11 +109,6 @@
     async fn vms(&self) -> Result<Vec<Vm>, PlatformError> {
         self.answer(self.vms.borrow().clone())
     }
-
-    async fn vms_in(&self, name: &DataCentreId, _: &str) -> Result<Listing, PlatformError> {
-        let vms = self.vms.borrow().iter().filter(|vm| vm.data_centre == *name).cloned().collect();
-        self.answer(Listing::Changed { tag: String::new(), vms })
-    }
 }
 
 /// A directory that is removed at the end of a test.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,15 +2,11 @@
 
 use std::time::Duration;
 
-use awc::{
-    Client,
-    http::{StatusCode, header},
-};
-use chicoryhollow_core::DataCentreId;
+use awc::{Client, http::StatusCode};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
-use crate::{Listing, Platform, PlatformError, Row, Swap, Vm};
+use crate::{Platform, PlatformError, Row, Swap, Vm};
 
 /// Longest answer in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -85,26 +81,6 @@
             (status, _) => Err(refused(status)),
         }
     }
-
-    async fn vms_in(
-        &self,
-        data_centre: &DataCentreId,
-        tag: &str,
-    ) -> Result<Listing, PlatformError> {
-        let url = self.url(&format!("/vms?data_centre={data_centre}"));
-        let request = self.client.get(url).insert_header((header::IF_NONE_MATCH, tag));
-        let mut answer = request.send().await.map_err(unavailable)?;
-        match answer.status() {
-            StatusCode::NOT_MODIFIED => Ok(Listing::Unchanged),
-            StatusCode::OK => {
-                let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
-                let tag = answer.headers().get(header::ETAG);
-                let tag = tag.and_then(|tag| tag.to_str().ok()).unwrap_or_default().to_owned();
-                Ok(Listing::Changed { tag, vms: decode(&body)? })
-            }
-            status => Err(refused(status)),
-        }
-    }
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,9 +11,7 @@
     that the row must not exist; it answers 200 with the new row, or 409 with
     the present one,
   * `GET /objects/NAME` and `PUT /objects/NAME` move bytes,
-  * `GET /vms` answers a list of [`Vm`]; with `?data_centre=NAME` only those of
-    one data centre. The answer carries an `ETag`, and a request that repeats it
-    in `If-None-Match` is answered 304 while the list is the same.
+  * `GET /vms` answers a list of [`Vm`].
 
 A request that ends in [`PlatformError::Unavailable`] may have taken effect:
 answers can be lost after the change. Callers settle this by reading back.
@@ -71,20 +69,6 @@
     pub state: VmState,
 }
 
-/// A list of VMs, unless it is the one already known.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Listing {
-    /// The list is the one that the caller knows.
-    Unchanged,
-    /// The list is another one.
-    Changed {
-        /// Names this state of the list.
-        tag: String,
-        /// The VMs.
-        vms: Vec<Vm>,
-    },
-}
-
 /// What the product needs of the platform.
 pub trait Platform {
     /// Reads a row; `None` when it does not exist.
@@ -127,18 +111,6 @@
     ///
     /// Returns an error when the platform cannot be reached in time.
     fn vms(&self) -> impl Future<Output = Result<Vec<Vm>, PlatformError>>;
-
-    /// Lists the VMs of one data centre, unless the list is still the one that
-    /// `tag` names; the list may lag.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the platform cannot be reached in time.
-    fn vms_in(
-        &self,
-        data_centre: &DataCentreId,
-        tag: &str,
-    ) -> impl Future<Output = Result<Listing, PlatformError>>;
 }
 
 /// Why the platform gave no usable answer.
--- a/crates/proxy/src/configuration/follower.rs
+++ b/crates/proxy/src/configuration/follower.rs
@@ -16,12 +16,15 @@
 use chicoryhollow_platform::{HttpPlatform, Platform, PlatformError, Row, Vm, VmState};
 use slog::o;
 
-use super::{convert, lists::Lists};
+use super::convert;
 use crate::{events::Event, node::Node, peers::Reply};
 
 /// Time between two looks at whether something is due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two reads of the list of VMs.
+const LIST_POLL: Duration = Duration::from_millis(1_000);
+
 /// A control message of another VM.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -39,7 +42,6 @@
     node: Arc<Node>,
     platform: HttpPlatform,
     state: ConfigurationState,
-    lists: Lists,
     replies: HashMap<VmId, Reply>,
     silent: bool,
 }
@@ -54,6 +56,8 @@
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Context<Self>) {
+        self.read_list(context);
+        context.run_interval(LIST_POLL, |follower, context| follower.read_list(context));
         context.run_interval(TICK, |follower, context| follower.tick(context));
     }
 }
@@ -84,13 +88,11 @@
     /// Makes the follower of a daemon that holds no configuration yet.
     pub(crate) fn new(node: Arc<Node>, platform: HttpPlatform) -> Self {
         let (vm, data_centre) = (node.settings.vm.clone(), node.settings.data_centre.clone());
-        let lists = Lists::new(data_centre.clone());
         let state = ConfigurationState::new(vm, data_centre, node.clock.now());
-        Follower { node, platform, state, lists, replies: HashMap::new(), silent: false }
+        Follower { node, platform, state, replies: HashMap::new(), silent: false }
     }
 
     fn tick(&mut self, context: &mut Context<Self>) {
-        self.read_lists(context);
         let now = self.node.clock.now();
         let actions = self.state.tick(now, &mut rand::rng());
         self.act(actions, context);
@@ -128,9 +130,8 @@
         }
     }
 
-    fn enforce(&mut self, versioned: Arc<Versioned>) {
+    fn enforce(&self, versioned: Arc<Versioned>) {
         let version = versioned.version;
-        self.lists.follow(&versioned);
         self.node.configuration.send_replace(versioned);
         self.node.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
         Event::ConfigurationInForce.record(&self.node.log, o!("version" => version));
@@ -174,23 +175,16 @@
         context.spawn(answered);
     }
 
-    fn read_lists(&mut self, context: &mut Context<Self>) {
-        for (name, tag) in self.lists.due(self.node.clock.now(), &mut rand::rng()) {
-            let platform = self.platform.clone();
-            let request = async move {
-                let answer = platform.vms_in(&name, &tag).await;
-                (name, answer)
-            };
-            let answered = request.into_actor(self).map(|(name, answer), follower, _| {
-                follower.heard(&answer);
-                if let Ok(listing) = answer
-                    && let Some(vms) = follower.lists.answered(name, listing)
-                {
-                    follower.listed(vms);
-                }
-            });
-            context.spawn(answered);
-        }
+    fn read_list(&self, context: &mut Context<Self>) {
+        let platform = self.platform.clone();
+        let request = async move { platform.vms().await };
+        let answered = request.into_actor(self).map(|answer, follower, _| {
+            follower.heard(&answer);
+            if let Ok(vms) = answer {
+                follower.listed(vms);
+            }
+        });
+        context.spawn(answered);
     }
 
     fn listed(&mut self, vms: Vec<Vm>) {
--- a/crates/proxy/src/configuration/mod.rs
+++ b/crates/proxy/src/configuration/mod.rs
@@ -5,7 +5,6 @@
 
 mod convert;
 mod follower;
-mod lists;
 
 use std::{
     sync::{
