End callers that the configuration no longer admits

A caller is judged against the key's verifier that it was let in with, so that a key made anew under its name ends callers with the old one, and again right after its start-up, which a withdrawal could slip through before. A data centre taken out ends its callers between transactions and refuses new ones; a VM whose configuration is older than limits.stale_configuration_ms does likewise.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod reader;
 pub mod schema;
 pub mod settings;
+pub mod standing;
 mod text;
 mod value;
 pub mod verifier;
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -49,8 +49,8 @@
 }
 
 fn url(text: &str) -> Result<SocketAddr, String> {
-    let address = text.strip_prefix("http://").ok_or(format!("{text:?} is no HTTP address"))?;
-    self::address(address.strip_suffix('/').unwrap_or(address))
+    let rest = text.strip_prefix("http://").ok_or(format!("{text:?} is no HTTP address"))?;
+    address(rest.split('/').next().unwrap_or(rest))
 }
 
 /// Says what values fit `kind`, as a remedy.
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -35,7 +35,7 @@
 }
 
 async fn readyz(node: Data<Node>) -> HttpResponse {
-    if node.configuration().version == 0 || node.is_draining() {
+    if !node.takes_work() {
         return HttpResponse::ServiceUnavailable().body("not ready\n");
     }
     HttpResponse::Ok().body("ready\n")
--- a/crates/proxy/src/entry/handshake.rs
+++ b/crates/proxy/src/entry/handshake.rs
@@ -4,7 +4,7 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::{Bytes, BytesMut};
-use chicoryhollow_config::{Verifier, configuration::Route};
+use chicoryhollow_config::{Verifier, standing::Credentials};
 use chicoryhollow_core::prelude::*;
 use futures_util::{SinkExt, StreamExt};
 use pgwire::messages::{
@@ -20,6 +20,7 @@
 use tokio_util::codec::Framed;
 
 use crate::{
+    configuration::is_stale,
     node::Node,
     wire::{self, FrameCodec, WireError},
 };
@@ -37,12 +38,8 @@
 pub(crate) struct Caller {
     /// The connection.
     pub(crate) framed: Framed<TcpStream, FrameCodec>,
-    /// Key that the caller showed; none on a route open to all.
-    pub(crate) key: Option<KeyName>,
-    /// Account that is served.
-    pub(crate) account: AccountId,
-    /// Route that the caller named.
-    pub(crate) route: RouteName,
+    /// What the caller was let in with.
+    pub(crate) credentials: Credentials,
     /// What the session has seen; none when its past is unknown.
     pub(crate) token: Option<SessionToken>,
 }
@@ -63,9 +60,9 @@
     let mut framed = Framed::new(socket, FrameCodec::new(node.settings.limits.message_bytes));
     framed.read_buffer_mut().extend_from_slice(&rest);
     match admit(node, &mut framed, &startup).await? {
-        Ok((key, account, route, token)) => {
+        Ok((credentials, token)) => {
             welcome(&mut framed).await?;
-            Ok(Some(Caller { framed, key, account, route, token }))
+            Ok(Some(Caller { framed, credentials, token }))
         }
         Err(refusal) => {
             node.metrics.refused(refusal);
@@ -97,7 +94,7 @@
     }
 }
 
-type Admitted = (Option<KeyName>, AccountId, RouteName, Option<SessionToken>);
+type Admitted = (Credentials, Option<SessionToken>);
 
 async fn admit(
     node: &Arc<Node>,
@@ -105,35 +102,35 @@
     startup: &Startup,
 ) -> Result<Result<Admitted, Refusal>, WireError> {
     let versioned = node.configuration();
-    if versioned.version == 0 {
+    let configuration = &versioned.configuration;
+    if versioned.version == 0 || is_stale(node) {
         return Ok(Err(Refusal::NotReady));
     }
+    if !configuration.is_in_service(&node.settings.data_centre) {
+        return Ok(Err(Refusal::Draining));
+    }
     let user = startup.parameters.get("user").map_or("", String::as_str);
     let database = startup.parameters.get("database").map_or(user, String::as_str);
     let token = match startup_token(startup) {
         Ok(token) => token,
         Err(refusal) => return Ok(Err(refusal)),
     };
-    let configuration = &versioned.configuration;
     let Some((route, found)) = configuration.routes.get_key_value(database) else {
         return Ok(Err(Refusal::RouteUnknown));
     };
-    let Some((key, held)) = configuration.keys.get_key_value(user) else {
-        let open = found.open_account.clone().map(|account| (None, account, route.clone(), token));
-        return Ok(open.ok_or(Refusal::BadKey));
+    let (key, account) = match (configuration.keys.get_key_value(user), &found.open_account) {
+        (Some((name, held)), _) => {
+            if !check_key(framed, &held.verifier).await? {
+                return Ok(Err(Refusal::BadKey));
+            }
+            (Some((name.clone(), held.verifier.clone())), held.account.clone())
+        }
+        (None, Some(account)) => (None, account.clone()),
+        (None, None) => return Ok(Err(Refusal::BadKey)),
     };
-    if !check_key(framed, &held.verifier).await? {
-        return Ok(Err(Refusal::BadKey));
-    }
-    if !may_use(found, &held.account) {
-        return Ok(Err(Refusal::RouteDenied));
-    }
-    Ok(Ok((Some(key.clone()), held.account.clone(), route.clone(), token)))
-}
-
-/// Tells whether `account` may use `route`.
-pub(crate) fn may_use(route: &Route, account: &AccountId) -> bool {
-    route.open_account.is_some() || route.accounts.contains(account)
+    let credentials = Credentials { key, account, route: route.clone() };
+    let checked = configuration.check_standing(&credentials);
+    Ok(checked.map(|()| (credentials, token)))
 }
 
 /// Takes the token from `options=-c chicoryhollow.session=TOKEN`.
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -15,11 +15,12 @@
 use super::{
     batch::{Gathered, Next},
     classify::Class,
-    handshake::{Caller, SESSION_PARAMETER, may_use},
+    handshake::{Caller, SESSION_PARAMETER},
     route::{Target, primary, read_targets},
     statements::Statements,
 };
 use crate::{
+    configuration,
     node::Node,
     stream::{Access, Batch, OpenRequest, Ready, Refused, Stream, StreamEvent},
     wire::{self, WireError},
@@ -33,6 +34,7 @@
     stream: Option<Stream>,
     gathered: Gathered,
     configurations: watch::Receiver<Arc<Versioned>>,
+    ending: Option<Refusal>,
     reported: String,
     begun: bool,
 }
@@ -40,13 +42,16 @@
 impl Session {
     /// Makes the session of an accepted caller.
     pub(crate) fn new(node: &Arc<Node>, caller: Caller) -> Self {
+        let mut configurations = node.configuration.subscribe();
+        configurations.mark_changed();
         Session {
             node: Arc::clone(node),
             caller,
             statements: Statements::new(),
             stream: None,
             gathered: Gathered::default(),
-            configurations: node.configuration.subscribe(),
+            configurations,
+            ending: None,
             reported: String::new(),
             begun: false,
         }
@@ -55,17 +60,24 @@
     /// Serves the caller until either side ends the connection.
     pub(crate) async fn run(mut self) -> Result<(), WireError> {
         loop {
+            // The configuration may also have changed during the start-up.
+            if self.configurations.has_changed().unwrap_or(false) {
+                self.ending = self.withdrawn();
+            }
+            if let Some(refusal) = self.due_ending() {
+                self.node.metrics.refused(refusal);
+                return self.send(&wire::refusal("FATAL", refusal, None)).await;
+            }
             let node = Arc::clone(&self.node);
             let frame = tokio::select! {
                 frame = self.caller.framed.next() => frame,
-                _ = self.configurations.changed() => {
-                    if let Some(refusal) = self.withdrawn() {
-                        return self.send(&wire::refusal("FATAL", refusal, None)).await;
-                    }
+                changed = self.configurations.changed() => {
+                    self.ending = changed.ok().and_then(|()| self.withdrawn());
                     continue;
                 }
                 () = node.drained(), if self.stream.is_none() => {
-                    return self.send(&wire::refusal("FATAL", Refusal::Draining, None)).await;
+                    self.ending = Some(Refusal::Draining);
+                    continue;
                 }
             };
             let Some(frame) = frame else { return Ok(()) };
@@ -109,7 +121,10 @@
             self.keep(stream, ready);
             return Ok(ready);
         }
-        self.node.shares.admit(&self.node, &self.caller.account, deadline).await?;
+        if configuration::is_stale(&self.node) {
+            return Err(Refusal::NotReady.into());
+        }
+        self.node.shares.admit(&self.node, &self.caller.credentials.account, deadline).await?;
         let route = self.route().ok_or(Refusal::RouteUnknown)?;
         let mut last = Refused::from(Refusal::NoPrimary);
         for target in self.targets(&route, class) {
@@ -141,7 +156,7 @@
         let request = OpenRequest {
             group: route.group.clone(),
             server: target.server,
-            account: self.caller.account.clone(),
+            account: self.caller.credentials.account.clone(),
             access: target.access,
             deadline: batch.deadline,
             needed: target.needed,
@@ -242,19 +257,21 @@
     fn withdrawn(&mut self) -> Option<Refusal> {
         let versioned = Arc::clone(&self.configurations.borrow_and_update());
         let configuration = &versioned.configuration;
-        if let Some(key) = &self.caller.key
-            && configuration.keys.get(key).is_none_or(|held| held.account != self.caller.account)
-        {
-            return Some(Refusal::BadKey);
+        if let Err(refusal) = configuration.check_standing(&self.caller.credentials) {
+            return Some(refusal);
         }
-        let Some(route) = configuration.routes.get(&self.caller.route) else {
-            return Some(Refusal::RouteUnknown);
-        };
-        (!may_use(route, &self.caller.account)).then_some(Refusal::RouteDenied)
+        let in_service = configuration.is_in_service(&self.node.settings.data_centre);
+        (!in_service).then_some(Refusal::Draining)
+    }
+
+    /// Returns the refusal to end with now; a drain lets an open transaction
+    /// finish first.
+    fn due_ending(&self) -> Option<Refusal> {
+        self.ending.filter(|refusal| *refusal != Refusal::Draining || self.stream.is_none())
     }
 
     fn route(&self) -> Option<Route> {
-        self.node.configuration().configuration.routes.get(&self.caller.route).cloned()
+        self.node.configuration().configuration.routes.get(&self.caller.credentials.route).cloned()
     }
 
     async fn send(&mut self, message: &impl pgwire::messages::Message) -> Result<(), WireError> {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,8 +11,14 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, configuration::Following, groups::Groups, home::Homes, members::Members,
-    metrics::Metrics, peers::Peers, shares::Shares,
+    clock::Clock,
+    configuration::{Following, is_stale},
+    groups::Groups,
+    home::Homes,
+    members::Members,
+    metrics::Metrics,
+    peers::Peers,
+    shares::Shares,
 };
 
 /// The shared state of one daemon.
@@ -83,6 +89,15 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Tells whether the daemon takes new work: it has a configuration that is
+    /// fresh enough and has its data centre in service, and does not drain.
+    pub fn takes_work(&self) -> bool {
+        let versioned = self.configuration();
+        versioned.configuration.is_in_service(&self.settings.data_centre)
+            && !is_stale(self)
+            && !self.is_draining()
+    }
+
     /// Waits until the daemon drains.
     pub async fn drained(&self) {
         let notified = self.drain.notified();
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -17,7 +17,10 @@
     rate::{Burst, Rate},
 };
 use chicoryhollow_platform::{HttpPlatform, Platform, Vm, VmState};
-use chicoryhollow_testkit::backend::{Backend, BackendOptions};
+use chicoryhollow_testkit::{
+    backend::{Backend, BackendOptions},
+    platform::Fault,
+};
 use indexmap::IndexMap;
 use serde_json::json;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
@@ -95,13 +98,38 @@
         self.version += 1;
     }
 
+    /// Makes the platform misbehave.
+    pub async fn fault(&self, fault: &Fault) {
+        let url = format!("{}/control/fault", self.base);
+        let answer = awc::Client::default().put(url).send_json(fault).await;
+        assert!(answer.expect("the platform answers").status().is_success());
+    }
+
+    /// Returns the version that a daemon has in force.
+    pub async fn version(&self, daemon: usize) -> u64 {
+        let url = format!("http://{}/status", self.daemons[daemon].admin);
+        let mut answer = awc::Client::default().get(url).send().await.expect("an answer");
+        let status: serde_json::Value = answer.json().await.expect("a status");
+        status["version"].as_u64().expect("a version")
+    }
+
+    /// Waits until a daemon has the newest version in force.
+    pub async fn wait_version(&self, daemon: usize, limit: Duration) {
+        let newest = async {
+            while self.version(daemon).await < self.version {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(limit, newest).await.expect("the newest version is in force in time");
+    }
+
     async fn start_daemon(&mut self, name: &str, data_centre: &str) {
         let [callers, peers, admin] = [free_port(), free_port(), free_port()];
         let settings = json!({
             "vm": name,
             "data_centre": data_centre,
             "listen": { "callers": callers, "peers": peers, "admin": admin },
-            "platform": self.base,
+            "platform": format!("{}/dc/{data_centre}", self.base),
             "limits": { "request_ms": 10_000, "drain_ms": 5_000 },
         });
         let file = format!("chicoryhollow-{}-{}.json", std::process::id(), callers.port());
--- /dev/null
+++ b/crates/proxy/tests/configuration.rs
@@ -0,0 +1,133 @@
+//! Changes of the configuration while callers are connected.
+
+mod common;
+
+use std::time::Duration;
+
+use chicoryhollow_config::{Verifier, configuration::Service};
+use chicoryhollow_testkit::platform::Fault;
+use common::{Deployment, PATIENCE, PRESS_KEY, values};
+use tokio_postgres::Client;
+
+/// Time within which a change must be in force.
+const TARGET: Duration = Duration::from_secs(5);
+
+fn run(test: impl Future<Output = ()>) {
+    actix::System::new().block_on(async {
+        tokio::time::timeout(PATIENCE * 2, test).await.expect("the test ends in time");
+    });
+}
+
+/// Waits until the daemon has ended a caller's connection.
+async fn wait_closed(client: &Client) {
+    let closed = async {
+        while !client.is_closed() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(TARGET, closed).await.expect("the caller is ended in time");
+}
+
+async fn refusal(deployment: &Deployment, daemon: usize) -> Option<String> {
+    let refused = deployment.connect(daemon, "press-key", PRESS_KEY, "orders", None).await;
+    refused.err().and_then(|error| error.code().map(|code| code.code().to_owned()))
+}
+
+#[test]
+fn a_withdrawn_key_ends_its_callers_and_rolls_their_transactions_back() {
+    run(async {
+        let mut deployment = Deployment::start(&["a", "b", "c"]).await;
+        let idle = deployment.client(0, None).await;
+        idle.simple_query("CREATE TABLE t (id int)").await.expect("the table is made");
+        let open = deployment.client(1, None).await;
+        open.simple_query("BEGIN").await.expect("a transaction");
+        open.simple_query("INSERT INTO t (id) VALUES (1)").await.expect("a row");
+        let key = deployment.configuration.keys.swap_remove("press-key").expect("a key");
+        deployment.apply().await;
+        wait_closed(&idle).await;
+        wait_closed(&open).await;
+        assert_eq!(refusal(&deployment, 2).await.as_deref(), Some("28P01"));
+        deployment.configuration.keys.insert("press-key".parse().expect("a name"), key);
+        deployment.apply().await;
+        deployment.wait_version(2, TARGET).await;
+        let again = deployment.client(2, None).await;
+        assert_eq!(values(&again, "SELECT count(*) FROM t").await, ["0"]);
+    });
+}
+
+#[test]
+fn a_key_made_anew_under_its_name_ends_callers_with_the_old_one() {
+    run(async {
+        let mut deployment = Deployment::start(&["a"]).await;
+        let caller = deployment.client(0, None).await;
+        let key = deployment.configuration.keys.get_mut("press-key").expect("a key");
+        key.verifier = Verifier::new("another", [8; 16], 4_096);
+        deployment.apply().await;
+        wait_closed(&caller).await;
+        assert_eq!(refusal(&deployment, 0).await.as_deref(), Some("28P01"));
+    });
+}
+
+#[test]
+fn a_data_centre_taken_out_finishes_transactions_and_takes_no_new_work() {
+    run(async {
+        let mut deployment = Deployment::start(&["a", "b"]).await;
+        let idle = deployment.client(0, None).await;
+        idle.simple_query("CREATE TABLE t (id int)").await.expect("the table is made");
+        let open = deployment.client(0, None).await;
+        open.simple_query("BEGIN").await.expect("a transaction");
+        open.simple_query("INSERT INTO t (id) VALUES (1)").await.expect("a row");
+        let set = |deployment: &mut Deployment, service| {
+            deployment.configuration.data_centres["a"].service = service;
+        };
+        set(&mut deployment, Service::Out);
+        deployment.apply().await;
+        wait_closed(&idle).await;
+        assert_eq!(refusal(&deployment, 0).await.as_deref(), Some("57P01"));
+        open.simple_query("INSERT INTO t (id) VALUES (2)").await.expect("the transaction goes on");
+        open.simple_query("COMMIT").await.expect("the transaction is finished");
+        wait_closed(&open).await;
+        let other = deployment.client(1, None).await;
+        assert_eq!(values(&other, "SELECT count(*) FROM t").await, ["2"]);
+        set(&mut deployment, Service::In);
+        deployment.apply().await;
+        deployment.wait_ready(0).await;
+        let back = deployment.client(0, None).await;
+        assert_eq!(values(&back, "SELECT count(*) FROM t").await, ["2"]);
+    });
+}
+
+#[test]
+fn a_data_centre_cut_off_from_the_platform_learns_from_its_peers() {
+    run(async {
+        let mut deployment = Deployment::start(&["a", "b", "c"]).await;
+        let outage = Fault {
+            data_centre: Some("b".parse().expect("a name")),
+            outage: true,
+            ..Fault::default()
+        };
+        deployment.fault(&outage).await;
+        // The daemon turns to its peers once the platform has been silent.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let caller = deployment.client(1, None).await;
+        deployment.configuration.keys.clear();
+        deployment.apply().await;
+        deployment.wait_version(1, TARGET).await;
+        wait_closed(&caller).await;
+    });
+}
+
+#[test]
+fn an_outage_of_the_platform_stops_nobody() {
+    run(async {
+        let mut deployment = Deployment::start(&["a", "b"]).await;
+        deployment.fault(&Fault { outage: true, ..Fault::default() }).await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let caller = deployment.client(0, None).await;
+        caller.simple_query("CREATE TABLE t (id int)").await.expect("the table is made");
+        deployment.fault(&Fault::default()).await;
+        deployment.configuration.routes.clear();
+        deployment.apply().await;
+        wait_closed(&caller).await;
+    });
+}
