Decide how often control messages are repeated

Cause: a fixed heartbeat interval costs more control traffic with every group, and at the planned size a watcher of 17.6 groups would send 14 KB a second at 250 ms against a budget of 2 KB. Change: a pace spaces one kind of message by its count, size and budget, with a longest interval that bounds detection. Conclusion: ready for the watchers' heartbeats.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
 * [`watch`] detects the failure of a primary and promotes another server.
+* [`pace`] spaces periodic control messages within a budget.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -33,6 +34,7 @@
 */
 
 pub mod id;
+pub mod pace;
 pub mod position;
 pub mod prelude;
 pub mod rank;
