Pass the list of VMs on between VMs

Every daemon read the whole list from the platform, which at 2,900 daemons breaks the platform's budget of reads and each daemon's of bytes. Now the VMs that read the configuration's row read the list with it, and the others ask their parent, who answers with what changed. A daemon that starts while the platform is down asks the seeds of its settings.

--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -95,6 +95,8 @@
     Address,
     /// An IP address with a port that no other field of this kind holds.
     UniqueAddress,
+    /// A list of IP addresses with ports.
+    Addresses,
     /// Addresses by address.
     AddressMap,
     /// An address of the form `http://IP:PORT`.
--- a/crates/config/src/schema/settings.rs
+++ b/crates/config/src/schema/settings.rs
@@ -17,6 +17,7 @@
     Field::required("data_centre", Kind::Name),
     Field::required("listen", Kind::Object(LISTEN)),
     Field::required("platform", Kind::Url),
+    Field::optional("seeds", Kind::Addresses),
     Field::optional("backend", Kind::Object(BACKEND)),
     Field::optional("translate", Kind::AddressMap),
     Field::optional("log", Kind::Object(LOG)),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -18,6 +18,10 @@
     pub listen: Listen,
     /// Address of the platform's service, as `http://IP:PORT`.
     pub platform: String,
+    /// Peer addresses of other VMs to ask for the list of VMs when the platform
+    /// does not answer at start-up.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Role under which the proxy logs in to backend servers.
     #[serde(default)]
     pub backend: BackendRole,
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -68,6 +68,7 @@
         Kind::Address | Kind::UniqueAddress => {
             "write an address by IP number, such as \"10.0.0.1:5432\"".to_owned()
         }
+        Kind::Addresses => "write a list of addresses by IP number".to_owned(),
         Kind::AddressMap => "write an object of addresses by address".to_owned(),
         Kind::Url => "write an address by IP number, such as \"http://10.0.0.1:80\"".to_owned(),
         Kind::Verifier => "run `chicoryctl key new` and copy what it prints".to_owned(),
--- a/crates/config/src/walk.rs
+++ b/crates/config/src/walk.rs
@@ -76,7 +76,12 @@
             }
             (Kind::Map(map), Value::Object(object)) => self.map(object, map, path, offset),
             (Kind::AddressMap, Value::Object(object)) => self.addresses(object, path),
-            (Kind::References(_), Value::Array(array)) => self.list(&array.elements, kind, path),
+            (Kind::References(thing), Value::Array(array)) => {
+                self.list(&array.elements, Kind::Reference(thing), path);
+            }
+            (Kind::Addresses, Value::Array(array)) => {
+                self.list(&array.elements, Kind::Address, path);
+            }
             _ => self.scalar(value, kind, path),
         }
     }
@@ -100,13 +105,10 @@
         }
     }
 
-    /// Checks a list of references.
+    /// Checks a list of values of one kind without repetitions.
     fn list<'e>(&mut self, elements: &'e [Value<'e>], kind: Kind, path: &str) {
-        let Kind::References(thing) = kind else {
-            return;
-        };
         for (index, element) in elements.iter().enumerate() {
-            self.scalar(element, Kind::Reference(thing), &format!("{path}[{index}]"));
+            self.scalar(element, kind, &format!("{path}[{index}]"));
         }
         let text = |element: &'e Value<'_>| match element {
             Value::StringLit(literal) => Some(literal.value.as_ref()),
--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -8,7 +8,7 @@
     /// What the message is about; none for a body of a later version.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 30, 31, 32, 40, 41"
+        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 30, 31, 32, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -35,6 +35,12 @@
     /// Passes on a caller's request to cancel a statement.
     #[prost(message, tag = "4")]
     Cancel(member::Cancel),
+    /// Asks for the list of VMs.
+    #[prost(message, tag = "5")]
+    MembersAsk(member::MembersAsk),
+    /// Answers with the list of VMs.
+    #[prost(message, tag = "6")]
+    MembersAnswer(member::MembersAnswer),
     /// Opens a stream to the home of a backend server.
     #[prost(message, tag = "10")]
     Open(stream::Open),
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -48,6 +48,31 @@
     pub version: u64,
 }
 
+/// Asks for the list of VMs.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MembersAsk {
+    /// Hash of the list held, or 0 for none.
+    #[prost(fixed64, tag = "1")]
+    pub hash: u64,
+}
+
+/// Answers with the list of VMs or with what changed in it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MembersAnswer {
+    /// Hash of the resulting list.
+    #[prost(fixed64, tag = "1")]
+    pub hash: u64,
+    /// Hash of the list that the change starts from, or 0 for a whole list.
+    #[prost(fixed64, tag = "2")]
+    pub base: u64,
+    /// The list or what changed, as JSON.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub json: bytes::Bytes,
+    /// Milliseconds since the list was read from the platform.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
 /// Passes on a caller's request to cancel a statement.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Cancel {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,18 +13,24 @@
   * `GET /objects/NAME` and `PUT /objects/NAME` move bytes,
   * `GET /vms` answers a list of [`Vm`].
 
+* [`Roster`] is the list of VMs as one VM passes it on to others.
+
 A request that ends in [`PlatformError::Unavailable`] may have taken effect:
 answers can be lost after the change. Callers settle this by reading back.
 */
 
 mod http;
+mod roster;
 
 use std::{future::Future, net::SocketAddr};
 
 use chicoryhollow_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-pub use crate::http::HttpPlatform;
+pub use crate::{
+    http::HttpPlatform,
+    roster::{Roster, RosterError, Update},
+};
 
 /// A row of the table service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/proxy/src/configuration/follower.rs
+++ b/crates/proxy/src/configuration/follower.rs
@@ -9,22 +9,22 @@
     ConfigurationState,
     configuration::Versioned,
     publish::{self, Published, ROW},
-    reader::{Action, Member, Offer},
+    reader::{Action, Offer},
 };
 use chicoryhollow_core::prelude::*;
 use chicoryhollow_peer::Body;
-use chicoryhollow_platform::{HttpPlatform, Platform, PlatformError, Row, Vm, VmState};
+use chicoryhollow_platform::{HttpPlatform, Platform, PlatformError, Row};
 use slog::o;
 
-use super::convert;
+use super::{
+    convert,
+    list::{List, SEED_INTERVAL},
+};
 use crate::{events::Event, node::Node, peers::Reply};
 
 /// Time between two looks at whether something is due.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Time between two reads of the list of VMs.
-const LIST_POLL: Duration = Duration::from_millis(1_000);
-
 /// A control message of another VM.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -39,11 +39,12 @@
 
 /// Carries messages between the decision, the platform and other VMs.
 pub(crate) struct Follower {
-    node: Arc<Node>,
-    platform: HttpPlatform,
-    state: ConfigurationState,
+    pub(super) node: Arc<Node>,
+    pub(super) platform: HttpPlatform,
+    pub(super) state: ConfigurationState,
+    pub(super) list: List,
+    pub(super) silent: bool,
     replies: HashMap<VmId, Reply>,
-    silent: bool,
 }
 
 impl fmt::Debug for Follower {
@@ -56,8 +57,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Context<Self>) {
-        self.read_list(context);
-        context.run_interval(LIST_POLL, |follower, context| follower.read_list(context));
+        context.run_interval(SEED_INTERVAL, |follower, context| follower.ask_seed(context));
         context.run_interval(TICK, |follower, context| follower.tick(context));
     }
 }
@@ -79,6 +79,8 @@
                     self.offered(&from, &offer, context);
                 }
             }
+            Body::MembersAsk(ask) => self.list.answer(&ask, &reply, now),
+            Body::MembersAnswer(answer) => self.list_answered(&from, answer),
             _ => {}
         }
     }
@@ -89,7 +91,14 @@
     pub(crate) fn new(node: Arc<Node>, platform: HttpPlatform) -> Self {
         let (vm, data_centre) = (node.settings.vm.clone(), node.settings.data_centre.clone());
         let state = ConfigurationState::new(vm, data_centre, node.clock.now());
-        Follower { node, platform, state, replies: HashMap::new(), silent: false }
+        Follower {
+            node,
+            platform,
+            state,
+            list: List::default(),
+            silent: false,
+            replies: HashMap::new(),
+        }
     }
 
     fn tick(&mut self, context: &mut Context<Self>) {
@@ -108,19 +117,30 @@
     fn act(&mut self, actions: impl IntoIterator<Item = Action>, context: &mut Context<Self>) {
         for action in actions {
             match action {
-                Action::ReadRow => self.read_row(context),
-                Action::ReadObject(name) => self.read_object(name, context),
-                Action::Ask(vm, version) => {
-                    let body = Body::ConfigurationAsk(convert::ask(version));
-                    // An ask that gets lost is repeated by the decision.
-                    self.node.peers.send(&self.node, &vm, body);
+                Action::ReadRow => {
+                    self.read_row(context);
+                    self.read_list(context);
                 }
+                Action::ReadObject(name) => self.read_object(name, context),
+                Action::Ask(vm, version) => self.ask(&vm, version),
                 Action::Send(vm, offer) => self.send(&vm, &offer),
                 Action::Enforce(versioned) => self.enforce(versioned),
             }
         }
     }
 
+    /// Asks a VM; an ask that gets lost is repeated by the decision.
+    fn ask(&mut self, vm: &VmId, version: u64) {
+        let body = Body::ConfigurationAsk(convert::ask(version));
+        self.node.peers.send(&self.node, vm, body);
+        // Another data centre may reach the VMs at other addresses.
+        let here = &self.node.settings.data_centre;
+        if self.node.members.get(vm).is_some_and(|listed| listed.data_centre == *here) {
+            let body = self.list.ask(vm, self.node.clock.now());
+            self.node.peers.send(&self.node, vm, body);
+        }
+    }
+
     /// Sends an offer on the connection on which the VM last asked.
     fn send(&self, vm: &VmId, offer: &Offer) {
         let body = Body::ConfigurationAnswer(convert::answer(offer));
@@ -175,33 +195,8 @@
         context.spawn(answered);
     }
 
-    fn read_list(&self, context: &mut Context<Self>) {
-        let platform = self.platform.clone();
-        let request = async move { platform.vms().await };
-        let answered = request.into_actor(self).map(|answer, follower, _| {
-            follower.heard(&answer);
-            if let Ok(vms) = answer {
-                follower.listed(vms);
-            }
-        });
-        context.spawn(answered);
-    }
-
-    fn listed(&mut self, vms: Vec<Vm>) {
-        if *self.node.members.listed() == vms {
-            return;
-        }
-        let live = vms.iter().filter(|vm| vm.state == VmState::Live);
-        let members = live.map(|listed| Member {
-            vm: listed.vm.clone(),
-            data_centre: listed.data_centre.clone(),
-        });
-        self.state.set_members(members);
-        self.node.members.replace(vms);
-    }
-
     /// Logs when the platform falls silent and when it answers again.
-    fn heard<T>(&mut self, answer: &Result<T, PlatformError>) {
+    pub(super) fn heard<T>(&mut self, answer: &Result<T, PlatformError>) {
         match answer {
             Err(error) if !self.silent => {
                 let fields = o!("error" => error.to_string());
--- a/crates/proxy/src/configuration/mod.rs
+++ b/crates/proxy/src/configuration/mod.rs
@@ -1,10 +1,12 @@
-//! Following the accepted configuration.
+//! Following the accepted configuration and the list of VMs.
 //!
 //! The decision is [`ConfigurationState`](chicoryhollow_config::ConfigurationState);
 //! an actor carries messages between it, the platform and other VMs.
 
 mod convert;
 mod follower;
+mod list;
+mod seed;
 
 use std::{
     sync::{
--- a/crates/proxy/src/peers/dispatch.rs
+++ b/crates/proxy/src/peers/dispatch.rs
@@ -78,7 +78,10 @@
         Body::ShareAsk(_) | Body::ShareGrant(_) | Body::ShareReturn(_) => {
             shares::receive(node, &from.vm, body, reply);
         }
-        Body::ConfigurationAsk(_) | Body::ConfigurationAnswer(_) => {
+        Body::ConfigurationAsk(_)
+        | Body::ConfigurationAnswer(_)
+        | Body::MembersAsk(_)
+        | Body::MembersAnswer(_) => {
             configuration::receive(node, &from.vm, body, reply);
         }
         Body::Cancel(cancel) => entry::cancel(node, &cancel),
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -17,6 +17,7 @@
 use chicoryhollow_core::prelude::*;
 use chicoryhollow_peer::Body;
 
+pub(crate) use self::link::hello;
 pub use self::{
     accept::listen,
     dispatch::{Reply, Sign},
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -48,6 +48,7 @@
 pub struct Daemon {
     pub child: Child,
     pub callers: SocketAddr,
+    pub peers: SocketAddr,
     pub admin: SocketAddr,
     settings: PathBuf,
 }
@@ -123,13 +124,15 @@
         tokio::time::timeout(limit, newest).await.expect("the newest version is in force in time");
     }
 
-    async fn start_daemon(&mut self, name: &str, data_centre: &str) {
+    /// Starts a daemon that knows those started before it as seeds.
+    pub async fn start_daemon(&mut self, name: &str, data_centre: &str) {
         let [callers, peers, admin] = [free_port(), free_port(), free_port()];
         let settings = json!({
             "vm": name,
             "data_centre": data_centre,
             "listen": { "callers": callers, "peers": peers, "admin": admin },
             "platform": format!("{}/dc/{data_centre}", self.base),
+            "seeds": self.daemons.iter().map(|daemon| daemon.peers).collect::<Vec<_>>(),
             "limits": { "request_ms": 10_000, "drain_ms": 5_000 },
         });
         let file = format!("chicoryhollow-{}-{}.json", std::process::id(), callers.port());
@@ -140,7 +143,7 @@
             .arg(&path)
             .spawn()
             .expect("the daemon starts");
-        self.daemons.push(Daemon { child, callers, admin, settings: path });
+        self.daemons.push(Daemon { child, callers, peers, admin, settings: path });
         let vm = Vm {
             vm: name.parse().expect("a valid name"),
             data_centre: data_centre.parse().expect("a valid name"),
--- a/crates/proxy/tests/configuration.rs
+++ b/crates/proxy/tests/configuration.rs
@@ -46,6 +46,7 @@
         deployment.apply().await;
         wait_closed(&idle).await;
         wait_closed(&open).await;
+        deployment.wait_version(2, TARGET).await;
         assert_eq!(refusal(&deployment, 2).await.as_deref(), Some("28P01"));
         deployment.configuration.keys.insert("press-key".parse().expect("a name"), key);
         deployment.apply().await;
@@ -117,6 +118,19 @@
     });
 }
 
+#[test]
+fn a_daemon_that_starts_during_an_outage_learns_everything_from_a_seed() {
+    run(async {
+        let mut deployment = Deployment::start(&["a", "b"]).await;
+        deployment.fault(&Fault { outage: true, ..Fault::default() }).await;
+        deployment.start_daemon("vm-2", "c").await;
+        deployment.wait_ready(2).await;
+        deployment.wait_version(2, TARGET).await;
+        let caller = deployment.client(2, None).await;
+        caller.simple_query("CREATE TABLE t (id int)").await.expect("the table is made");
+    });
+}
+
 #[test]
 fn an_outage_of_the_platform_stops_nobody() {
     run(async {
