--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -19,7 +19,7 @@
 use chicoryhollow_platform::{HttpPlatform, Platform, Vm, VmState};
 use chicoryhollow_testkit::{
     backend::{Backend, BackendOptions},
-    platform::Fault,
+    platform::{Counts, Fault},
 };
 use indexmap::IndexMap;
 use serde_json::json;
@@ -106,6 +106,13 @@
         assert!(answer.expect("the platform answers").status().is_success());
     }
 
+    /// Returns how many requests the platform has received.
+    pub async fn counts(&self) -> Counts {
+        let url = format!("{}/control/counts", self.base);
+        let mut answer = awc::Client::default().get(url).send().await.expect("an answer");
+        answer.json().await.expect("the counts")
+    }
+
     /// Returns the version that a daemon has in force.
     pub async fn version(&self, daemon: usize) -> u64 {
         let url = format!("http://{}/status", self.daemons[daemon].admin);
--- a/crates/proxy/tests/configuration.rs
+++ b/crates/proxy/tests/configuration.rs
@@ -118,6 +118,30 @@
     });
 }
 
+#[test]
+fn most_daemons_of_a_data_centre_learn_from_others() {
+    run(async {
+        let mut deployment = Deployment::start(&["a"; 6]).await;
+        // The list is complete everywhere once it has passed through the tree.
+        tokio::time::sleep(TARGET).await;
+        let before = deployment.counts().await.reads;
+        let span = Duration::from_secs(4);
+        tokio::time::sleep(span).await;
+        let reads = deployment.counts().await.reads - before;
+        // Two readers read the row and the list about once a second.
+        assert!(reads <= 4 * (span.as_secs() + 2), "{reads} reads in {span:?}");
+        let mut callers = Vec::new();
+        for daemon in 0..6 {
+            callers.push(deployment.client(daemon, None).await);
+        }
+        deployment.configuration.keys.clear();
+        deployment.apply().await;
+        for caller in &callers {
+            wait_closed(caller).await;
+        }
+    });
+}
+
 #[test]
 fn a_daemon_that_starts_during_an_outage_learns_everything_from_a_seed() {
     run(async {
