--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,11 @@
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
 * [`watch`] detects the failure of a primary and promotes another server.
+* [`queue`] divides the slots of a backend server fairly between accounts.
+* [`pool`] sizes the set of connections to a backend server, and [`prepared`]
+  bounds the statements prepared on each.
+* [`confirm`] tells when a majority holds a position.
+* [`outcome`] finds out what became of a write whose answer was lost.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -32,9 +37,14 @@
 ```
 */
 
+pub mod confirm;
 pub mod id;
+pub mod outcome;
+pub mod pool;
 pub mod position;
 pub mod prelude;
+pub mod prepared;
+pub mod queue;
 pub mod rank;
 pub mod refusal;
 pub mod session;
--- /dev/null
+++ b/crates/core/src/prepared.rs
@@ -0,0 +1,71 @@
+//! Statements that are prepared on one backend connection.
+
+use std::collections::{BTreeMap, HashMap};
+
+/// The prepared statements of one connection, bounded by forgetting the least
+/// recently used.
+#[derive(Clone, Debug)]
+pub struct Prepared {
+    limit: usize,
+    uses: HashMap<String, u64>,
+    order: BTreeMap<u64, String>,
+    next: u64,
+}
+
+impl Prepared {
+    /// Makes an empty set of at most `limit` statements.
+    pub fn new(limit: usize) -> Self {
+        Prepared { limit, uses: HashMap::new(), order: BTreeMap::new(), next: 0 }
+    }
+
+    /// Notes a use of `name`; returns whether it must be prepared first.
+    pub fn note(&mut self, name: &str) -> bool {
+        let number = self.next;
+        self.next += 1;
+        let Some(last) = self.uses.get_mut(name) else {
+            self.uses.insert(name.to_owned(), number);
+            self.order.insert(number, name.to_owned());
+            return true;
+        };
+        let used = std::mem::replace(last, number);
+        if let Some(name) = self.order.remove(&used) {
+            self.order.insert(number, name);
+        }
+        false
+    }
+
+    /// Forgets `name`, which could not be prepared.
+    pub fn forget(&mut self, name: &str) {
+        if let Some(used) = self.uses.remove(name) {
+            self.order.remove(&used);
+        }
+    }
+
+    /// Takes out the statements beyond the limit, which must then be closed.
+    pub fn evict(&mut self) -> Vec<String> {
+        let surplus = self.uses.len().saturating_sub(self.limit);
+        let evicted: Vec<String> =
+            (0..surplus).filter_map(|_| Some(self.order.pop_first()?.1)).collect();
+        for name in &evicted {
+            self.uses.remove(name);
+        }
+        evicted
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_least_recently_used_statement_is_evicted() {
+        let mut prepared = Prepared::new(2);
+        assert!(prepared.note("a") && prepared.note("b"));
+        assert!(!prepared.note("a"));
+        assert!(prepared.note("c"));
+        assert_eq!(prepared.evict(), ["b"]);
+        assert!(!prepared.note("a"));
+        prepared.forget("a");
+        assert!(prepared.note("a"));
+    }
+}
