--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -62,6 +62,10 @@
     pub password: Option<String>,
     /// Database to open.
     pub database: String,
+    /// Whether the id of each writing transaction is noted before it can
+    /// commit, so that the fate of an interrupted write can be looked up. It
+    /// costs each such transaction one round trip to the server.
+    pub note_transactions: bool,
 }
 
 impl Default for BackendRole {
@@ -70,6 +74,7 @@
             user: "chicoryhollow".to_owned(),
             password: None,
             database: "main".to_owned(),
+            note_transactions: true,
         }
     }
 }
--- a/crates/core/src/confirm.rs
+++ b/crates/core/src/confirm.rs
@@ -91,8 +91,9 @@
         Some(self.wanted)
     }
 
-    /// Records the answer to a question; returns whether it confirmed more.
-    pub fn answered(&mut self, confirmed: Position, now: Time) -> bool {
+    /// Records the answer to the question for `asked`; returns whether it
+    /// confirmed more.
+    pub fn answered(&mut self, asked: Position, confirmed: Position, now: Time) -> bool {
         let newer = confirmed > self.confirmed;
         if newer {
             self.confirmed = confirmed;
@@ -100,8 +101,8 @@
         }
         if covers(self.confirmed, self.wanted) || self.confirmed.term() > self.wanted.term() {
             self.waiting_since = None;
-        } else {
-            // The answer left something open, so it has to be asked for again.
+        } else if !covers(self.confirmed, asked) {
+            // The server gave up waiting, so it has to be asked again.
             self.asked = self.confirmed.min(self.asked);
         }
         newer
@@ -196,9 +197,11 @@
         assert!(rounds.want(at(1, 9), now));
         assert_eq!(rounds.next_question(), Some(at(1, 9)));
         assert_eq!(rounds.next_question(), None);
-        assert!(rounds.answered(at(1, 8), now));
+        assert!(rounds.answered(at(1, 5), at(1, 6), now));
+        assert_eq!(rounds.next_question(), None, "the second question is under way");
+        assert!(rounds.answered(at(1, 9), at(1, 8), now));
         assert_eq!(rounds.next_question(), Some(at(1, 9)), "the answer left it open");
-        assert!(rounds.answered(at(1, 9), now));
+        assert!(rounds.answered(at(1, 9), at(1, 9), now));
         assert!(!rounds.is_silent(Time::from_millis(9_999)));
     }
 
@@ -214,7 +217,7 @@
         rounds.want(at(1, 5), Time::from_millis(0));
         assert!(!rounds.is_silent(Time::from_millis(299)));
         assert!(rounds.is_silent(Time::from_millis(300)));
-        rounds.answered(at(1, 5), Time::from_millis(301));
+        rounds.answered(at(1, 5), at(1, 5), Time::from_millis(301));
         assert!(!rounds.is_silent(Time::from_millis(900)));
     }
 
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -328,6 +328,11 @@
 }
 
 impl Ticket {
+    /// Tells whether the statement holds its connection already.
+    pub fn lane(&self) -> Lane {
+        if self.resumes { Lane::Resume } else { Lane::Begin }
+    }
+
     /// Returns the account of the statement.
     pub fn account(&self) -> &AccountId {
         &self.account
--- /dev/null
+++ b/crates/proxy/src/home/answer.rs
@@ -0,0 +1,145 @@
+//! The part of an answer that is not passed on yet.
+
+use bytes::{Bytes, BytesMut};
+
+use crate::wire::{Frame, HEADER_BYTES};
+
+/// Bytes of an answer gathered before they are passed on.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// Bytes that may be held after a completed statement, until the end of the
+/// batch.
+const HELD_BYTES: usize = 256 << 10;
+
+/// What to do after a message was added.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Next {
+    /// Wait for more messages.
+    More,
+    /// Pass this part on.
+    Pass(Bytes),
+    /// Too much is held: confirm what was committed, then call
+    /// [`Answer::take`].
+    Confirm,
+}
+
+/// Messages gathered from the server.
+///
+/// On a primary, everything from the first completed statement on is held back
+/// until the batch is over and confirmed, since a caller may take the
+/// completion for an acknowledgement.
+#[derive(Debug, Default)]
+pub(crate) struct Answer {
+    pending: BytesMut,
+    holds: bool,
+    /// Where the first completed statement begins.
+    held_from: Option<usize>,
+    commits: bool,
+    begun: bool,
+    failed: bool,
+}
+
+impl Answer {
+    /// Makes an empty answer; `holds` tells whether completions are held back.
+    pub(crate) fn new(holds: bool) -> Self {
+        Answer { holds, ..Answer::default() }
+    }
+
+    /// Tells whether any part was passed on.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Tells whether the answer holds nothing but an error so far.
+    pub(crate) fn is_untouched(&self) -> bool {
+        !self.begun && self.held_from.is_none()
+    }
+
+    /// Tells whether an error was received.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Adds a message.
+    pub(crate) fn add(&mut self, frame: &Frame) -> Next {
+        if self.holds && self.held_from.is_none() && frame.tag() == b'C' {
+            self.held_from = Some(self.pending.len());
+        }
+        self.commits |= frame.tag() == b'C' && is_commit(frame);
+        self.failed |= frame.tag() == b'E';
+        self.pending.extend_from_slice(frame.bytes());
+        let passable = self.held_from.unwrap_or(self.pending.len());
+        if passable >= CHUNK_BYTES {
+            return Next::Pass(self.split(passable));
+        }
+        if self.pending.len() < HELD_BYTES {
+            return Next::More;
+        }
+        // A completion inside an open transaction acknowledges nothing durable.
+        if self.commits { Next::Confirm } else { Next::Pass(self.take().unwrap_or_default()) }
+    }
+
+    /// Takes everything, or `None` when there is nothing.
+    pub(crate) fn take(&mut self) -> Option<Bytes> {
+        self.commits = false;
+        let length = self.pending.len();
+        (length > 0).then(|| self.split(length))
+    }
+
+    fn split(&mut self, length: usize) -> Bytes {
+        self.begun = true;
+        self.held_from = self.held_from.and_then(|at| at.checked_sub(length));
+        self.pending.split_to(length).freeze()
+    }
+}
+
+/// Tells whether a completion is that of a `COMMIT`.
+fn is_commit(frame: &Frame) -> bool {
+    frame.bytes()[HEADER_BYTES..].starts_with(b"COMMIT\0")
+}
+
+#[cfg(test)]
+mod tests {
+    use bytes::BytesMut;
+    use pgwire::messages::response::CommandComplete;
+    use tokio_util::codec::Decoder;
+
+    use super::*;
+    use crate::wire::{FrameCodec, encode};
+
+    fn frame(bytes: &[u8]) -> Frame {
+        let decoded = FrameCodec::new(1 << 20).decode(&mut BytesMut::from(bytes));
+        decoded.expect("a valid frame").expect("a whole frame")
+    }
+
+    fn complete(tag: &str) -> Frame {
+        frame(&encode(&CommandComplete::new(tag.to_owned())))
+    }
+
+    fn row(bytes: usize) -> Frame {
+        let mut row = vec![b'D'];
+        row.extend_from_slice(&u32::try_from(bytes + 4).expect("small").to_be_bytes());
+        row.resize(bytes + 5, 0);
+        frame(&row)
+    }
+
+    #[test]
+    fn rows_pass_before_the_completion_and_the_completion_does_not() {
+        let mut answer = Answer::new(true);
+        assert_eq!(answer.add(&row(1_000)), Next::More);
+        assert!(matches!(answer.add(&row(CHUNK_BYTES)), Next::Pass(part) if part.len() > 17_000));
+        assert_eq!(answer.add(&complete("INSERT 0 1")), Next::More);
+        assert_eq!(answer.add(&row(CHUNK_BYTES)), Next::More);
+        assert!(answer.take().is_some_and(|part| part[0] == b'C'));
+    }
+
+    #[test]
+    fn much_behind_a_commit_asks_for_confirmation() {
+        let mut answer = Answer::new(true);
+        answer.add(&complete("COMMIT"));
+        assert_eq!(answer.add(&row(HELD_BYTES)), Next::Confirm);
+        let mut answer = Answer::new(true);
+        answer.add(&complete("INSERT 0 1"));
+        assert!(matches!(answer.add(&row(HELD_BYTES)), Next::Pass(_)));
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/home/applied.rs
@@ -0,0 +1,102 @@
+//! What a server is known to have applied, from all connections to it.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use chicoryhollow_core::prelude::*;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use super::tracker::{Tracker, position_of};
+use crate::{node::Node, stream::Refused};
+
+/// Time between two questions to a server that others wait for.
+const PROBE_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Shortest wait, so that the server is asked at least once.
+const SHORTEST_WAIT: Duration = Duration::from_millis(20);
+
+/// The newest position that a server reported to have applied.
+pub(crate) struct Applied {
+    newest: watch::Sender<Position>,
+    waiters: AtomicUsize,
+}
+
+impl Applied {
+    /// Makes a state in which nothing is known.
+    pub(crate) fn new() -> Self {
+        Applied { newest: watch::Sender::default(), waiters: AtomicUsize::new(0) }
+    }
+
+    /// Returns the newest known position.
+    pub(crate) fn newest(&self) -> Position {
+        *self.newest.borrow()
+    }
+
+    /// Records a position that the server reported.
+    pub(crate) fn report(&self, position: Position) {
+        self.newest.send_if_modified(|newest| {
+            let newer = position > *newest;
+            *newest = position.max(*newest);
+            newer
+        });
+    }
+
+    /// Waits until the server has applied `needed`, for `patience` at most.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal::TooStale`] with what the server has applied.
+    pub(crate) async fn wait(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        group: &GroupId,
+        tracker: &Arc<Tracker>,
+        needed: Position,
+        patience: Duration,
+    ) -> Result<(), Refused> {
+        let reached = |newest: &Position| holds(&node.groups.view(group), *newest, needed);
+        if reached(&self.newest.borrow()) {
+            return Ok(());
+        }
+        let mut newest = self.newest.subscribe();
+        if self.waiters.fetch_add(1, Ordering::AcqRel) == 0 {
+            tokio::spawn(Arc::clone(self).probe(Arc::clone(tracker)));
+        }
+        let result = timeout(patience.max(SHORTEST_WAIT), newest.wait_for(reached)).await;
+        let result = result.is_ok_and(|reached| reached.is_ok());
+        self.waiters.fetch_sub(1, Ordering::AcqRel);
+        let behind = Refused { refusal: Refusal::TooStale, applied: Some(self.newest()) };
+        if result { Ok(()) } else { Err(behind) }
+    }
+
+    /// Asks the server again and again for as long as anybody waits.
+    async fn probe(self: Arc<Self>, tracker: Arc<Tracker>) {
+        while self.waiters.load(Ordering::Acquire) > 0 {
+            if let Ok(row) = tracker.status().await {
+                self.report(position_of(&row, "applied"));
+            }
+            sleep(PROBE_INTERVAL).await;
+        }
+    }
+}
+
+/// Tells whether a server that has applied `applied` shows all that `needed`
+/// stands for and that survived.
+///
+/// A server of an older term may hold a tail that was cut off, so its log
+/// position says nothing about a newer term.
+pub(crate) fn holds(view: &GroupView, applied: Position, needed: Position) -> bool {
+    applied.term() >= needed.term() && applied.lsn() >= required(view, applied, needed)
+}
+
+fn required(view: &GroupView, applied: Position, needed: Position) -> Lsn {
+    if applied.term() == needed.term() { needed.lsn() } else { view.required_lsn(needed) }
+}
--- a/crates/proxy/src/home/confirm.rs
+++ b/crates/proxy/src/home/confirm.rs
@@ -1,126 +1,117 @@
-//! Waiting until a majority of a group holds a position.
-//!
-//! One control connection asks for the newest position that anybody waits for,
-//! so that one answer confirms all writes up to it.
+//! Waiting until an answer of the primary may be passed on.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::sync::Arc;
 
-use chicoryhollow_core::prelude::*;
-use tokio::{sync::watch, time::timeout};
+use chicoryhollow_core::{
+    confirm::{Verdict, judge},
+    prelude::*,
+};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
-use super::control::{BackendError, Control, ControlRow};
+use super::{SILENCE_CHECK, tracker::Tracker};
 use crate::node::Node;
 
-/// Longest time for which the server holds one question, in milliseconds.
-const ROUND_MS: u64 = 500;
-
-/// Margin for a question to travel, in milliseconds.
-const TRAVEL_MS: u64 = 2_000;
-
-/// The newest confirmed position of one server.
-pub(crate) struct Confirmed {
-    address: SocketAddr,
-    newest: watch::Sender<Position>,
-    wanted: Mutex<Wanted>,
+/// Why a position was not confirmed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Unsettled {
+    /// A newer primary does not have it, and no majority ever will.
+    Lost,
+    /// It was not known by the deadline.
+    Timeout,
 }
 
-#[derive(Default)]
-struct Wanted {
+/// Waits until `position`, reported by the primary behind `tracker`, is held by
+/// a majority.
+///
+/// When the primary changes meanwhile, the new term's history decides; a
+/// position that survived is confirmed once the new primary's majority holds
+/// it.
+pub(crate) async fn settle(
+    node: &Arc<Node>,
+    group: &GroupId,
+    tracker: &Arc<Tracker>,
     position: Position,
-    asking: bool,
-}
-
-impl Confirmed {
-    /// Makes a tracker that knows of no confirmed position.
-    pub(crate) fn new(address: SocketAddr) -> Self {
-        Confirmed { address, newest: watch::Sender::default(), wanted: Mutex::default() }
+    deadline: Time,
+) -> Result<(), Unsettled> {
+    if tracker.is_confirmed(position) {
+        return Ok(());
     }
+    let left = deadline.since(node.clock.now());
+    let settled = timeout(left, settle_unbounded(node, group, tracker, position));
+    settled.await.unwrap_or(Err(Unsettled::Timeout))
+}
 
-    /// Waits until `position` is confirmed under its own term.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Refusal::Unconfirmed`] when it is not by `deadline`.
-    pub(crate) async fn wait(
-        self: &Arc<Self>,
-        node: &Arc<Node>,
-        position: Position,
-        deadline: Time,
-    ) -> Result<(), Refusal> {
-        let mut newest = self.newest.subscribe();
-        if confirms(*newest.borrow(), position) {
-            return Ok(());
-        }
-        self.want(node, position);
-        let left = deadline.since(node.clock.now());
-        let reached = newest.wait_for(|newest| confirms(*newest, position));
-        match timeout(left, reached).await {
-            Ok(Ok(_)) => Ok(()),
-            _ => Err(Refusal::Unconfirmed),
+async fn settle_unbounded(
+    node: &Arc<Node>,
+    group: &GroupId,
+    tracker: &Arc<Tracker>,
+    position: Position,
+) -> Result<(), Unsettled> {
+    let mut views = node.groups.follow(group);
+    loop {
+        let view = Arc::clone(&views.borrow_and_update());
+        match judge(&view, position) {
+            Verdict::Lost => return Err(Unsettled::Lost),
+            Verdict::Wait => tokio::select! {
+                () = tracker.confirmed(position) => return Ok(()),
+                () = changed(&mut views) => {}
+            },
+            Verdict::Survived(term, lsn) => {
+                let successor = view.primary.as_ref().and_then(|s| node.homes.tracker(node, s));
+                let successor = successor.unwrap_or_else(|| Arc::clone(tracker));
+                tokio::select! {
+                    () = successor.confirmed(Position::new(term, lsn)) => return Ok(()),
+                    () = changed(&mut views) => {}
+                }
+            }
         }
     }
+}
 
-    /// Makes sure that somebody asks for `position`.
-    fn want(self: &Arc<Self>, node: &Arc<Node>, position: Position) {
-        let mut wanted = self.wanted.lock().expect("no thread panics with this lock");
-        wanted.position = wanted.position.max(position);
-        if !wanted.asking {
-            wanted.asking = true;
-            tokio::spawn(Arc::clone(self).ask(Arc::clone(node)));
-        }
+/// Waits for the next view.
+pub(crate) async fn changed(views: &mut watch::Receiver<Arc<GroupView>>) {
+    if views.changed().await.is_err() {
+        // Views are kept for as long as the daemon runs.
+        std::future::pending::<()>().await;
     }
+}
 
-    /// Returns the newest position still wanted, or ends the asking.
-    fn next_wanted(&self) -> Option<Position> {
-        let mut wanted = self.wanted.lock().expect("no thread panics with this lock");
-        let open = !confirms(*self.newest.borrow(), wanted.position);
-        wanted.asking = open;
-        open.then_some(wanted.position)
+/// Holds a new write back while a majority is silent, since it could only be
+/// sent to end as unknown.
+///
+/// # Errors
+///
+/// Returns [`Refusal::NotPrimary`] when the primary changes meanwhile and
+/// [`Refusal::MajorityLagging`] when half of the time left has passed; nothing
+/// has run then.
+pub(crate) async fn wait_for_majority(
+    node: &Arc<Node>,
+    group: &GroupId,
+    server: &ServerId,
+    tracker: &Arc<Tracker>,
+    deadline: Time,
+) -> Result<(), Refusal> {
+    if !tracker.is_silent() {
+        return Ok(());
     }
-
-    async fn ask(self: Arc<Self>, node: Arc<Node>) {
-        let mut control = None;
-        while let Some(position) = self.next_wanted() {
-            if let Err(_failed) = self.round(&node, &mut control, position).await {
-                control = None;
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
+    let now = node.clock.now();
+    let until = now + deadline.since(now) / 2;
+    let mut views = node.groups.follow(group);
+    while tracker.is_silent() {
+        if views.borrow_and_update().primary.as_ref() != Some(server) {
+            return Err(Refusal::NotPrimary);
         }
-    }
-
-    async fn round(
-        &self,
-        node: &Node,
-        control: &mut Option<Control>,
-        position: Position,
-    ) -> Result<(), BackendError> {
-        if control.is_none() {
-            *control = Some(Control::connect(self.address, &node.settings.backend).await?);
+        if node.clock.now() >= until {
+            return Err(Refusal::MajorityLagging);
+        }
+        tokio::select! {
+            () = tracker.changed() => {}
+            () = changed(&mut views) => {}
+            () = sleep(SILENCE_CHECK) => {}
         }
-        let connection = control.as_mut().ok_or(BackendError::Closed)?;
-        let question = format!("await_confirmed({}, {ROUND_MS})", position.lsn());
-        let patience = Duration::from_millis(ROUND_MS + TRAVEL_MS);
-        let answer = timeout(patience, connection.call(&question)).await;
-        let confirmed = confirmed(&answer.map_err(|_| BackendError::Closed)??);
-        self.newest.send_if_modified(|newest| {
-            let newer = confirmed > *newest;
-            *newest = confirmed.max(*newest);
-            newer
-        });
-        Ok(())
     }
-}
-
-/// Tells whether a confirmed position covers `position`.
-fn confirms(confirmed: Position, position: Position) -> bool {
-    confirmed.term() == position.term() && confirmed.lsn() >= position.lsn()
-}
-
-fn confirmed(row: &ControlRow) -> Position {
-    let number = |name: &str| row.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
-    Position::new(Term::new(number("term")), Lsn::new(number("confirmed")))
+    Ok(())
 }
--- a/crates/proxy/src/home/control.rs
+++ b/crates/proxy/src/home/control.rs
@@ -31,6 +31,11 @@
         Ok(Control { backend: Backend::connect(address, CONTROL_USER, role).await? })
     }
 
+    /// Tells whether an idle connection can no longer be used.
+    pub(crate) fn is_stale(&self) -> bool {
+        self.backend.is_stale()
+    }
+
     /// Calls `chicoryhollow.FUNCTION`, given with its arguments.
     ///
     /// # Errors
@@ -38,8 +43,16 @@
     /// Returns the SQLSTATE when the function fails, and an error of the
     /// connection otherwise; the connection is of no more use in either case.
     pub async fn call(&mut self, function: &str) -> Result<ControlRow, BackendError> {
-        let query = Query::new(format!("SELECT * FROM chicoryhollow.{function}"));
-        self.backend.send(wire::encode(&query)).await?;
+        self.query(format!("SELECT * FROM chicoryhollow.{function}")).await
+    }
+
+    /// Runs a statement that answers at most one row.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Control::call`].
+    pub async fn query(&mut self, sql: String) -> Result<ControlRow, BackendError> {
+        self.backend.send(wire::encode(&Query::new(sql)))?;
         let mut names = Vec::new();
         let mut row = ControlRow::new();
         loop {
--- /dev/null
+++ b/crates/proxy/src/home/exchange.rs
@@ -0,0 +1,106 @@
+//! Short exchanges with a backend server on the proxy's own behalf.
+
+use std::time::Duration;
+
+use chicoryhollow_core::prelude::*;
+use pgwire::messages::PgWireBackendMessage;
+use tokio::time::timeout;
+
+use super::{
+    backend::{Backend, BackendError, error_code},
+    request,
+    schedule::Lease,
+};
+use crate::wire::Frame;
+
+/// SQLSTATE with which a server that is not the primary refuses a write.
+const READ_ONLY: &str = "25006";
+
+/// Longest time for a rollback; the connection is closed after it.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What became of the question for the transaction id.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Noted {
+    /// The transaction has this id.
+    Xid(u64),
+    /// The server has no transaction ids; the connection goes on.
+    Unavailable,
+    /// The server is not the primary.
+    NotPrimary,
+    /// The connection is of no more use.
+    Lost,
+}
+
+/// Asks for the id of the transaction that is open or begins.
+pub(crate) async fn note_xid(backend: &mut Backend, patience: Duration) -> Noted {
+    timeout(patience, ask_xid(backend)).await.unwrap_or(Ok(Noted::Lost)).unwrap_or(Noted::Lost)
+}
+
+async fn ask_xid(backend: &mut Backend) -> Result<Noted, BackendError> {
+    let question = request::ask_xid(&mut backend.prepared);
+    backend.send(question)?;
+    let mut xid = None;
+    loop {
+        let frame = backend.receive().await?;
+        match frame.tag() {
+            b'D' => xid = request::single_value(&frame),
+            b'C' => return Ok(xid.map_or(Noted::Lost, Noted::Xid)),
+            b'E' => {
+                request::forget_xid(&mut backend.prepared);
+                backend.send(request::sync())?;
+                skip_to_ready(backend).await?;
+                let not_primary = is_not_primary(&frame);
+                return Ok(if not_primary { Noted::NotPrimary } else { Noted::Unavailable });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Returns the term in which the server stands, if it can be `expected` at
+/// once, or else after an empty statement.
+pub(crate) async fn term(
+    backend: &mut Backend,
+    expected: Term,
+    patience: Duration,
+) -> Result<Term, BackendError> {
+    let reported = |backend: &Backend| backend.position().map_or(expected, Position::term);
+    if reported(backend) >= expected {
+        return Ok(reported(backend));
+    }
+    backend.send(request::query(""))?;
+    timeout(patience, skip_to_ready(backend)).await.unwrap_or(Err(BackendError::Closed))?;
+    Ok(reported(backend))
+}
+
+/// Rolls an open transaction back and gives its connection back; closes the
+/// connection when that takes too long.
+pub(crate) async fn roll_back(mut lease: Lease) {
+    let rolling = async {
+        let backend = lease.backend().map_err(|_| BackendError::Closed)?;
+        backend.send(request::query("ROLLBACK"))?;
+        skip_to_ready(backend).await
+    };
+    if let Ok(Ok(b'I')) = timeout(ROLLBACK_TIMEOUT, rolling).await {
+        lease.give_back();
+    }
+}
+
+/// Tells whether an error says that the server is not the primary.
+pub(crate) fn is_not_primary(frame: &Frame) -> bool {
+    match frame.backend() {
+        Ok(PgWireBackendMessage::ErrorResponse(error)) => error_code(&error.fields) == READ_ONLY,
+        _ => false,
+    }
+}
+
+/// Reads up to the end of an answer and returns the transaction status.
+async fn skip_to_ready(backend: &mut Backend) -> Result<u8, BackendError> {
+    loop {
+        let frame = backend.receive().await?;
+        if frame.tag() == b'Z' {
+            return Ok(frame.bytes().last().copied().unwrap_or(b'E'));
+        }
+    }
+}
--- a/crates/proxy/src/home/local.rs
+++ b/crates/proxy/src/home/local.rs
@@ -1,89 +1,231 @@
 //! The end of a stream at the home of a backend server.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use chicoryhollow_core::prelude::*;
-use tokio::time::timeout;
+use bytes::Bytes;
+use chicoryhollow_core::{outcome::Interrupted, prelude::*};
+use pgwire::messages::response::CommandComplete;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
-use super::{Home, control::Control, pool::Lease};
+use super::{
+    Home,
+    answer::{Answer, Next},
+    confirm::{Unsettled, changed, settle, wait_for_majority},
+    exchange::{self, Noted},
+    outcome::{Resolved, resolve},
+    request::{self, Preamble},
+    schedule::Lease,
+};
 use crate::{
     node::Node,
     stream::{Access, Batch, OpenRequest, Ready, Refused, StreamEvent},
-    wire::Frame,
+    wire::{self, Frame},
 };
 
-/// Bytes of an answer gathered before they are passed on.
-const CHUNK_BYTES: usize = 16 << 10;
+/// Time beyond a deadline in which a cancelled statement may still answer, and
+/// in which the fate of a write is looked up.
+const GRACE: Duration = Duration::from_millis(200);
 
 /// A stream whose home is this VM.
 pub struct LocalStream {
     node: Arc<Node>,
     home: Arc<Home>,
+    account: AccountId,
+    weight: u32,
     access: Access,
+    needed: Option<Position>,
+    views: watch::Receiver<Arc<GroupView>>,
     lease: Option<Lease>,
-    deadline: Time,
-    idle: bool,
+    /// Transaction status after the last batch.
+    status: u8,
+    /// Whether the server owes an answer.
+    running: bool,
+    /// Whether a cancel was sent, which may still reach the server.
+    cancelled: bool,
+    batch: BatchState,
+    write: Interrupted,
     writes: bool,
-    swallow: usize,
-    pending: BytesMut,
-    ready: Option<u8>,
+    outbox: VecDeque<StreamEvent>,
+}
+
+/// What is known of the batch that runs.
+struct BatchState {
+    deadline: Time,
+    late: bool,
+    lost: bool,
+    /// Whether the whole batch is one statement, so that it has one outcome.
+    single: bool,
+    commits: bool,
+    /// Whether the server refused a write because it is not the primary.
+    not_primary: bool,
+    answer: Answer,
+    preamble: Preamble,
+}
+
+impl BatchState {
+    fn new(deadline: Time, holds: bool) -> Self {
+        BatchState {
+            deadline,
+            late: false,
+            lost: false,
+            single: true,
+            commits: false,
+            not_primary: false,
+            answer: Answer::new(holds),
+            preamble: Preamble::default(),
+        }
+    }
+}
+
+/// What came from the server.
+enum Received {
+    Frame(Frame),
+    /// The connection failed, or the server is no longer the primary.
+    Lost,
+    /// The deadline passed.
+    Late,
 }
 
 impl LocalStream {
-    /// Takes a connection to the requested server.
+    /// Opens a stream; a connection is taken with the first batch.
     ///
     /// # Errors
     ///
-    /// Returns the refusal when there is none in time or when the server does
-    /// not satisfy the request; nothing has run then.
+    /// Returns the refusal when the server does not satisfy the request;
+    /// nothing has run then.
     pub async fn open(node: &Arc<Node>, request: OpenRequest) -> Result<Self, Refused> {
         let home = node.homes.get(node, &request.server).ok_or(Refusal::HomeUnreachable)?;
+        if !home.takes_work(node) {
+            return Err(Refusal::ServerUnreachable.into());
+        }
         if request.access != Access::Read && !home.is_primary(node) {
             return Err(Refusal::NotPrimary.into());
         }
-        if request.access == Access::Barrier {
-            barrier(node, &home, request.deadline).await?;
-        }
-        let mut lease = Lease::new(node, &home, request.deadline).await?;
-        if let Some(needed) = request.needed {
-            wait_applied(node, &home, &mut lease, needed, request.patience_ms).await?;
+        match (request.access, request.needed) {
+            (Access::Barrier, _) => barrier(node, &home, request.deadline).await?,
+            (Access::Read, Some(needed)) => {
+                let patience = Duration::from_millis(request.patience_ms.into());
+                let applied = &home.applied;
+                applied.wait(node, &home.group, &home.tracker, needed, patience).await?;
+            }
+            _ => {}
         }
+        let configuration = node.configuration();
+        let account = configuration.configuration.accounts.get(&request.account);
         Ok(LocalStream {
+            views: node.groups.follow(&home.group),
             node: Arc::clone(node),
             home,
+            weight: account.map_or(1, |account| account.weight),
+            account: request.account,
             access: request.access,
-            lease: Some(lease),
-            deadline: request.deadline,
-            idle: true,
+            needed: request.needed,
+            lease: None,
+            status: b'I',
+            running: false,
+            cancelled: false,
+            batch: BatchState::new(request.deadline, false),
+            write: Interrupted { term: Term::default(), xid: None },
             writes: false,
-            swallow: 0,
-            pending: BytesMut::new(),
-            ready: None,
+            outbox: VecDeque::new(),
         })
     }
 
-    /// Sends one batch.
+    /// Returns what is noted of the write that runs.
+    pub(crate) fn noted(&self) -> Interrupted {
+        self.write
+    }
+
+    /// Waits for a slot and a connection and sends one batch.
     ///
     /// # Errors
     ///
-    /// Returns the refusal when the server breaks off.
+    /// Returns the refusal when the batch was not sent.
     pub async fn send(&mut self, batch: Batch) -> Result<(), Refused> {
-        self.deadline = batch.deadline;
-        self.writes |= batch.writes;
+        self.batch = BatchState::new(batch.deadline, self.access != Access::Read);
+        self.batch.single = request::is_single(&batch);
+        self.batch.commits = request::is_commit(&batch);
+        match self.lease {
+            None => self.begin(batch.writes).await?,
+            Some(_) => self.resume().await?,
+        }
+        if batch.writes && self.write.xid.is_none() && self.status != b'E' {
+            self.note_transaction().await?;
+        }
         let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
         let backend = lease.backend()?;
-        let mut bytes = BytesMut::new();
-        for prepare in &batch.prepares {
-            if backend.note_prepared(&prepare.name) {
-                bytes.extend_from_slice(&prepare.parse);
-                self.swallow += 1;
+        let bytes = self.batch.preamble.encode(&batch, &mut backend.prepared);
+        self.running = true;
+        self.writes |= batch.writes;
+        // Some of it may have been sent, so the failure is an interrupted batch.
+        self.batch.lost = backend.send(bytes).is_err();
+        Ok(())
+    }
+
+    /// Takes a connection for a new transaction.
+    async fn begin(&mut self, writes: bool) -> Result<(), Refused> {
+        let (node, home) = (&self.node, &self.home);
+        let deadline = self.batch.deadline;
+        if self.access != Access::Read && !home.is_primary(node) {
+            return Err(Refusal::NotPrimary.into());
+        }
+        if writes {
+            let (group, server) = (&home.group, &home.server);
+            wait_for_majority(node, group, server, &home.tracker, deadline).await?;
+        }
+        let mut lease = home.schedule.begin(&self.account, self.weight, deadline).await?;
+        if self.access != Access::Read {
+            let term = node.groups.view(&home.group).term;
+            let left = deadline.since(node.clock.now());
+            // A connection that is dropped in the middle of this is closed.
+            let found = exchange::term(lease.backend()?, term, left).await;
+            let found = found.map_err(|_| Refusal::ServerUnreachable)?;
+            if found < term {
+                return Err(Refusal::NotPrimary.into());
             }
+            self.write = Interrupted { term: found, xid: None };
+        }
+        self.lease = Some(lease);
+        Ok(())
+    }
+
+    /// Takes a slot for the next batch of an open transaction.
+    async fn resume(&mut self) -> Result<(), Refused> {
+        if self.is_deposed() {
+            self.lease = None;
+            return Err(Refusal::TransactionEnded.into());
         }
-        bytes.extend_from_slice(&batch.messages);
-        self.idle = false;
-        let sent = backend.send(bytes.freeze()).await;
-        sent.map_err(|_| self.broken())
+        let Some(lease) = &mut self.lease else { return Err(Refusal::TransactionEnded.into()) };
+        Ok(lease.resume(self.weight, self.batch.deadline).await?)
+    }
+
+    /// Notes the transaction id before anything can commit.
+    async fn note_transaction(&mut self) -> Result<(), Refused> {
+        if !self.node.settings.backend.note_transactions {
+            return Ok(());
+        }
+        let idle = self.status == b'I';
+        let left = self.batch.deadline.since(self.node.clock.now());
+        let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
+        self.running = true;
+        let noted = exchange::note_xid(lease.backend()?, left).await;
+        self.running = false;
+        let refusal = match noted {
+            Noted::Xid(xid) => {
+                self.write.xid = Some(xid);
+                return Ok(());
+            }
+            Noted::Unavailable if idle => return Ok(()),
+            Noted::NotPrimary if idle => Refusal::NotPrimary,
+            Noted::Lost if idle => Refusal::ServerUnreachable,
+            // An open transaction that was not committed is rolled back.
+            _ => Refusal::TransactionEnded,
+        };
+        self.lease = None;
+        Err(refusal.into())
     }
 
     /// Waits for the next part of the answer.
@@ -93,129 +235,254 @@
     /// Returns the refusal when the answer breaks off or is not confirmed.
     pub async fn next(&mut self) -> Result<StreamEvent, Refused> {
         loop {
-            if let Some(status) = self.ready {
-                return self.finish(status).await;
+            if let Some(event) = self.outbox.pop_front() {
+                return Ok(event);
+            }
+            match self.receive().await {
+                Received::Frame(frame) => self.take(&frame).await?,
+                Received::Late if !self.batch.late => self.extend(),
+                Received::Late | Received::Lost => self.resolve().await?,
             }
-            let left = self.deadline.since(self.node.clock.now());
-            let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
-            let received = timeout(left, lease.backend()?.receive()).await;
-            let frame = match received {
-                Ok(Ok(frame)) => frame,
-                _ => return Err(self.broken()),
-            };
-            if let Some(chunk) = self.take(&frame) {
-                return Ok(StreamEvent::Answer(chunk));
+        }
+    }
+
+    async fn receive(&mut self) -> Received {
+        if self.batch.lost {
+            return Received::Lost;
+        }
+        let left = self.batch.deadline.since(self.node.clock.now());
+        let watched = self.access != Access::Read;
+        let Some(Ok(backend)) = self.lease.as_mut().map(Lease::backend) else {
+            return Received::Lost;
+        };
+        loop {
+            tokio::select! {
+                biased;
+                received = timeout(left, backend.receive()) => return match received {
+                    Ok(Ok(frame)) => Received::Frame(frame),
+                    Ok(Err(_)) => Received::Lost,
+                    Err(_) => Received::Late,
+                },
+                () = changed(&mut self.views), if watched => {
+                    if self.views.borrow().term > self.write.term {
+                        return Received::Lost;
+                    }
+                }
             }
         }
     }
 
-    /// Adds a message to the answer; returns a part that is large enough to be
-    /// passed on.
-    fn take(&mut self, frame: &Frame) -> Option<Bytes> {
+    /// Cancels a statement whose deadline passed and gives it a last chance to
+    /// tell what became of it.
+    fn extend(&mut self) {
+        self.batch.late = true;
+        self.batch.deadline = self.batch.deadline + GRACE;
+        self.interrupt();
+    }
+
+    /// Takes one message of the answer.
+    async fn take(&mut self, frame: &Frame) -> Result<(), Refused> {
+        let Some(Ok(backend)) = self.lease.as_mut().map(Lease::backend) else { return Ok(()) };
+        if self.batch.preamble.takes(frame, &mut backend.prepared) {
+            return Ok(());
+        }
         match frame.tag() {
-            b'Z' => self.ready = frame.bytes().last().copied(),
-            b'1' if self.swallow > 0 => self.swallow -= 1,
-            // Parameters of pooled connections mean nothing to the caller.
-            b'S' => {}
-            _ => self.pending.extend_from_slice(frame.bytes()),
+            b'Z' => return self.finish(frame.bytes().last().copied().unwrap_or(b'E')).await,
+            // Parameters and notifications of pooled connections mean nothing
+            // to the caller.
+            b'S' | b'A' => return Ok(()),
+            // No batch that the entry lets through copies data.
+            b'G' | b'H' | b'W' => self.batch.lost = true,
+            b'E' if self.status == b'I' && self.batch.answer.is_untouched() => {
+                self.batch.not_primary |= exchange::is_not_primary(frame);
+            }
+            _ => {}
+        }
+        match self.batch.answer.add(frame) {
+            Next::More => {}
+            Next::Pass(part) => self.outbox.push_back(StreamEvent::Answer(part)),
+            Next::Confirm => {
+                self.confirm(None).await?;
+                self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
+            }
         }
-        let full = self.pending.len() >= CHUNK_BYTES && frame.tag() == b'D';
-        full.then(|| self.pending.split().freeze())
+        Ok(())
     }
 
-    /// Ends the answer: an idle connection first waits for confirmation.
-    async fn finish(&mut self, status: u8) -> Result<StreamEvent, Refused> {
+    /// Ends the answer: an answer of a primary waits until it is confirmed.
+    async fn finish(&mut self, status: u8) -> Result<(), Refused> {
+        let untouched = self.batch.answer.is_untouched() && self.status == b'I';
+        let position = self.end_exchange(status)?;
+        if status == b'I' {
+            if self.batch.not_primary {
+                return Err(Refusal::NotPrimary.into());
+            }
+            if self.batch.late && untouched && self.batch.answer.has_failed() {
+                return Err(Refusal::DeadlinePassed.into());
+            }
+            self.check(position).await?;
+            self.writes = false;
+        }
+        self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
+        self.outbox.push_back(StreamEvent::Ready(Ready { status, position }));
+        Ok(())
+    }
+
+    /// Gives back the slot and, when idle, the connection; returns the position
+    /// that the server reported.
+    fn end_exchange(&mut self, status: u8) -> Result<Option<Position>, Refused> {
+        self.status = status;
+        self.running = false;
         let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
         let position = lease.backend()?.position();
-        if status == b'I' {
-            self.confirm(position).await?;
+        position.into_iter().for_each(|position| self.home.applied.report(position));
+        if status != b'I' {
+            lease.pause();
+            return Ok(position);
         }
-        if !self.pending.is_empty() {
-            return Ok(StreamEvent::Answer(self.pending.split().freeze()));
+        let clean = !self.cancelled && !self.batch.lost && self.batch.preamble.is_done();
+        if let Some(lease) = self.lease.take()
+            && clean
+        {
+            lease.give_back();
         }
-        self.ready = None;
-        self.idle = status == b'I';
-        Ok(StreamEvent::Ready(Ready { status, position }))
+        self.cancelled = false;
+        self.write.xid = None;
+        Ok(position)
     }
 
-    async fn confirm(&mut self, position: Option<Position>) -> Result<(), Refused> {
-        let Some(position) = position.filter(|_| self.access != Access::Read || self.writes) else {
+    /// Makes sure that the answer may be passed on.
+    async fn check(&mut self, position: Option<Position>) -> Result<(), Refused> {
+        if self.access != Access::Read {
+            return self.confirm(position).await;
+        }
+        let (Some(needed), Some(position)) = (self.needed, position) else { return Ok(()) };
+        let view = self.node.groups.view(&self.home.group);
+        if super::applied::holds(&view, position, needed) || self.batch.answer.is_begun() {
             return Ok(());
+        }
+        Err(Refused { refusal: Refusal::TooStale, applied: Some(position) })
+    }
+
+    /// Waits until a majority holds `position`, or all that is committed now.
+    async fn confirm(&mut self, position: Option<Position>) -> Result<(), Refused> {
+        let deadline = self.batch.deadline;
+        let tracker = &self.home.tracker;
+        let left = deadline.since(self.node.clock.now());
+        let position = match position {
+            Some(position) => Some(position),
+            None => timeout(left, tracker.barrier()).await.ok().flatten(),
         };
-        self.home.confirmed.wait(&self.node, position, self.deadline).await?;
-        Ok(())
+        let settled = match position {
+            Some(position) => {
+                settle(&self.node, &self.home.group, tracker, position, deadline).await
+            }
+            None => Err(Unsettled::Timeout),
+        };
+        let wrote = self.writes && !self.batch.answer.has_failed();
+        let refusal = match (settled, wrote, self.batch.single) {
+            (Ok(()), ..) => return Ok(()),
+            (Err(_), false, _) => Refusal::ReadInterrupted,
+            (Err(Unsettled::Lost), true, true) => Refusal::WriteLost,
+            // Part of a batch of several transactions may have survived.
+            (Err(Unsettled::Lost), true, false) => Refusal::WriteInterrupted,
+            (Err(Unsettled::Timeout), true, _) => Refusal::Unconfirmed,
+        };
+        Err(refusal.into())
+    }
+
+    fn is_deposed(&self) -> bool {
+        let term = self.node.groups.view(&self.home.group).term;
+        self.access != Access::Read && term > self.write.term
     }
 
-    /// Drops the connection and says what that means for the batch.
-    fn broken(&mut self) -> Refused {
+    /// Drops a connection that broke off and finds out what became of the
+    /// batch.
+    async fn resolve(&mut self) -> Result<(), Refused> {
+        self.interrupt();
         self.lease = None;
-        let refusal =
-            if self.writes { Refusal::WriteInterrupted } else { Refusal::ReadInterrupted };
-        refusal.into()
+        self.running = false;
+        let idle = self.status == b'I';
+        if !self.writes {
+            let refusal = if idle { Refusal::ReadInterrupted } else { Refusal::TransactionEnded };
+            return Err(refusal.into());
+        }
+        let (node, home) = (&self.node, &self.home);
+        let deadline = self.batch.deadline + GRACE;
+        let resolved = resolve(node, &home.group, &home.server, self.write, deadline).await;
+        let refusal = match (resolved, self.batch.single) {
+            (Resolved::Committed(position), true) => {
+                if self.batch.commits && self.batch.answer.is_untouched() {
+                    self.answer_commit(position);
+                    return Ok(());
+                }
+                Refusal::WriteCommitted
+            }
+            (Resolved::Lost, true) => Refusal::WriteLost,
+            (Resolved::Unknown, _) | (_, false) => Refusal::WriteInterrupted,
+        };
+        Err(refusal.into())
+    }
+
+    /// Makes the answer to a `COMMIT` that was found to have taken effect.
+    fn answer_commit(&mut self, position: Position) {
+        self.status = b'I';
+        self.writes = false;
+        self.write.xid = None;
+        self.cancelled = false;
+        let done: Bytes = wire::encode(&CommandComplete::new("COMMIT".to_owned()));
+        self.outbox.push_back(StreamEvent::Answer(done));
+        let ready = Ready { status: b'I', position: Some(position) };
+        self.outbox.push_back(StreamEvent::Ready(ready));
     }
 
     /// Asks the server to cancel the statement that runs.
-    pub async fn interrupt(&mut self) {
+    ///
+    /// The request may reach the server late, so the connection serves no other
+    /// stream afterwards.
+    pub fn interrupt(&mut self) {
+        if !self.running {
+            return;
+        }
+        self.cancelled = true;
         let canceller = self.lease.as_mut().and_then(|lease| lease.backend().ok()?.canceller());
         if let Some(canceller) = canceller {
-            // A cancel that fails leaves the statement running, as it may.
-            drop(canceller.cancel().await);
+            tokio::spawn(async move {
+                // A cancel that fails leaves the statement running, as it may.
+                drop(canceller.cancel().await);
+            });
         }
     }
 }
 
 impl Drop for LocalStream {
+    /// Gives a clean connection back, rolls an open transaction back, and
+    /// closes a connection that still owes an answer.
     fn drop(&mut self) {
-        if let Some(lease) = self.lease.take()
-            && self.idle
-        {
+        self.interrupt();
+        let Some(lease) = self.lease.take() else { return };
+        if self.running || self.cancelled {
+            return;
+        }
+        if self.status == b'I' {
             lease.give_back();
+        } else if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(exchange::roll_back(lease));
         }
     }
 }
 
 /// Makes sure that the server was still the primary after this call began.
 async fn barrier(node: &Arc<Node>, home: &Home, deadline: Time) -> Result<(), Refused> {
-    let role = &node.settings.backend;
     let left = deadline.since(node.clock.now());
-    let round = async {
-        let mut control = Control::connect(home.address, role).await?;
-        control.call(&format!("barrier({})", left.as_millis())).await
-    };
-    match timeout(left, round).await {
-        Ok(Ok(_)) => Ok(()),
-        _ => Err(Refusal::NotPrimary.into()),
-    }
-}
-
-/// Waits until the server has applied `needed`.
-async fn wait_applied(
-    node: &Arc<Node>,
-    home: &Arc<Home>,
-    lease: &mut Lease,
-    needed: Position,
-    patience_ms: u32,
-) -> Result<(), Refused> {
-    let until = node.clock.now() + Duration::from_millis(patience_ms.into());
-    loop {
-        let applied = probe(lease).await?;
-        let view = node.groups.view(&home.group);
-        if applied.is_some_and(|applied| applied.lsn() >= view.required_lsn(needed)) {
-            return Ok(());
+    let deposed = async {
+        while home.is_primary(node) {
+            sleep(super::SILENCE_CHECK).await;
         }
-        if node.clock.now() >= until {
-            return Err(Refused { refusal: Refusal::TooStale, applied });
-        }
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
-/// Asks the server for its position with an empty statement.
-async fn probe(lease: &mut Lease) -> Result<Option<Position>, Refused> {
-    let backend = lease.backend()?;
-    let empty = pgwire::messages::simplequery::Query::new(String::new());
-    let unreachable = |_| Refused::from(Refusal::ServerUnreachable);
-    backend.send(crate::wire::encode(&empty)).await.map_err(unreachable)?;
-    while backend.receive().await.map_err(unreachable)?.tag() != b'Z' {}
-    Ok(backend.position())
+    };
+    let answered = tokio::select! {
+        answered = timeout(left, home.tracker.barrier()) => answered.ok().flatten(),
+        () = deposed => None,
+    };
+    answered.map(drop).ok_or_else(|| Refusal::NotPrimary.into())
 }
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -4,29 +4,49 @@
 //! believe to be in charge are safe: each keeps to its own connections, and the
 //! server's connection limit bounds their sum.
 
+mod answer;
+mod applied;
 mod backend;
 mod confirm;
 pub mod control;
+mod exchange;
 mod local;
-mod pool;
+mod outcome;
+mod request;
+mod schedule;
+mod tracker;
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, Weak},
+    time::Duration,
 };
 
-use chicoryhollow_config::configuration::{Server, Versioned};
+use chicoryhollow_config::configuration::{Server, Service, Versioned};
 use chicoryhollow_core::prelude::*;
+use tokio::time::sleep;
 
 pub use self::local::LocalStream;
-use self::{confirm::Confirmed, pool::Pool};
+pub(crate) use self::outcome::{Resolved, resolve};
+use self::{applied::Applied, schedule::Schedule, tracker::Tracker};
 use crate::node::Node;
 
+/// Time between two looks at the connections of a server.
+const TEND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two looks at a silent majority.
+const SILENCE_CHECK: Duration = Duration::from_millis(50);
+
+/// Time for which a primary that leaves service takes new work, until its role
+/// has moved.
+const LEAVING_PRIMARY: Duration = Duration::from_secs(4);
+
 /// The servers that this VM has been in charge of.
 #[derive(Default)]
 pub struct Homes {
     homes: Mutex<HashMap<ServerId, Arc<Home>>>,
+    trackers: Mutex<HashMap<ServerId, Arc<Tracker>>>,
 }
 
 impl Homes {
@@ -43,10 +63,30 @@
             return Some(Arc::clone(home));
         }
         let (group, found) = find_server(&node.configuration(), server)?;
-        let home = Arc::new(Home::new(node, group, server.clone(), &found));
+        let home = Arc::new(Home::new(node, group, server.clone(), &found)?);
         homes.insert(server.clone(), Arc::clone(&home));
+        tokio::spawn(tend(Arc::clone(node), Arc::downgrade(&home)));
         Some(home)
     }
+
+    /// Returns the tracker of `server`, made on first use, or `None` when the
+    /// configuration does not name the server.
+    pub(crate) fn tracker(&self, node: &Node, server: &ServerId) -> Option<Arc<Tracker>> {
+        let (_, found) = find_server(&node.configuration(), server)?;
+        let address = node.settings.dial(found.address);
+        let mut trackers = self.trackers.lock().expect("no thread panics with this lock");
+        if let Some(tracker) = trackers.get(server).filter(|t| t.address() == address) {
+            return Some(Arc::clone(tracker));
+        }
+        let role = node.settings.backend.clone();
+        let tracker = Arc::new(Tracker::new(address, role, node.clock));
+        trackers.insert(server.clone(), Arc::clone(&tracker));
+        Some(tracker)
+    }
+
+    fn forget(&self, server: &ServerId) {
+        self.homes.lock().expect("no thread panics with this lock").remove(server);
+    }
 }
 
 /// Returns the group and description of a configured server.
@@ -62,24 +102,72 @@
     group: GroupId,
     server: ServerId,
     address: SocketAddr,
-    pool: Pool,
-    confirmed: Arc<Confirmed>,
+    schedule: Arc<Schedule>,
+    tracker: Arc<Tracker>,
+    applied: Arc<Applied>,
+    /// Since when the server has been out of service.
+    out_since: Mutex<Option<Time>>,
 }
 
 impl Home {
-    fn new(node: &Arc<Node>, group: GroupId, server: ServerId, found: &Server) -> Self {
+    fn new(node: &Node, group: GroupId, server: ServerId, found: &Server) -> Option<Self> {
         let address = node.settings.dial(found.address);
-        Home {
-            group,
-            server,
-            address,
-            pool: Pool::new(found.connections),
-            confirmed: Arc::new(Confirmed::new(address)),
-        }
+        let role = node.settings.backend.clone();
+        let schedule = Schedule::new(address, role, node.clock, found.slots, found.connections);
+        let tracker = node.homes.tracker(node, &server)?;
+        let applied = Arc::new(Applied::new());
+        let out_since = Mutex::default();
+        Some(Home { group, server, address, schedule, tracker, applied, out_since })
     }
 
     /// Tells whether the server is the primary of the newest known term.
     fn is_primary(&self, node: &Node) -> bool {
         node.groups.view(&self.group).primary.as_ref() == Some(&self.server)
     }
+
+    /// Tells whether the server takes new work.
+    ///
+    /// A primary does so for a while after it was taken out of service, so that
+    /// its role can move without an error.
+    fn takes_work(&self, node: &Node) -> bool {
+        let since = *self.out_since.lock().expect("no thread panics with this lock");
+        let Some(since) = since else { return true };
+        self.is_primary(node) && node.clock.now().since(since) < LEAVING_PRIMARY
+    }
+
+    fn note_service(&self, now: Time, service: Service) {
+        let mut out_since = self.out_since.lock().expect("no thread panics with this lock");
+        *out_since = (service == Service::Out).then(|| out_since.unwrap_or(now));
+    }
+}
+
+/// Keeps a home in step with the configuration for as long as it is used.
+async fn tend(node: Arc<Node>, home: Weak<Home>) {
+    while let Some(home) = home.upgrade() {
+        let versioned = node.configuration();
+        let found = find_server(&versioned, &home.server).map(|(_, found)| found);
+        match found.filter(|found| node.settings.dial(found.address) == home.address) {
+            Some(found) => {
+                home.note_service(node.clock.now(), service(&versioned, &found));
+                home.schedule.set_limits(found.slots, found.connections);
+                let elsewhere = node.members.home(&versioned, &home.server);
+                home.schedule.tend(elsewhere.as_ref() != Some(&node.settings.vm));
+            }
+            None => {
+                node.homes.forget(&home.server);
+                home.schedule.tend(true);
+            }
+        }
+        drop(home);
+        sleep(TEND_INTERVAL).await;
+    }
+}
+
+/// Returns whether a server is in service, and its data centre too.
+fn service(versioned: &Versioned, server: &Server) -> Service {
+    let centre = versioned.configuration.data_centres.get(&server.data_centre);
+    match centre.map_or(Service::In, |centre| centre.service) {
+        Service::In => server.service,
+        Service::Out => Service::Out,
+    }
 }
--- /dev/null
+++ b/crates/proxy/src/home/request.rs
@@ -0,0 +1,166 @@
+//! What is sent to a backend server in front of a caller's batch, and the
+//! answers to it.
+
+use std::collections::VecDeque;
+
+use bytes::{Bytes, BytesMut};
+use chicoryhollow_core::prepared::Prepared;
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    extendedquery::{Bind, Close, Execute, Flush, Parse, Sync as SyncMessage},
+    simplequery::Query,
+};
+
+use crate::{
+    stream::Batch,
+    wire::{self, Frame},
+};
+
+/// Name of the statement and the portal that read the transaction id.
+const XID_NAME: &str = "chicoryhollow_xid";
+
+/// Statement that gives the transaction an id and returns it.
+const XID_SQL: &str = "SELECT pg_current_xact_id()::text";
+
+/// An answer to something that the proxy itself sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Expected {
+    Closed,
+    Parsed(String),
+}
+
+/// Answers that are due before those to the caller's messages.
+#[derive(Debug, Default)]
+pub(crate) struct Preamble {
+    expected: VecDeque<Expected>,
+}
+
+impl Preamble {
+    /// Encodes a batch with what it needs prepared and what must be closed to
+    /// keep the number of prepared statements bounded.
+    pub(crate) fn encode(&mut self, batch: &Batch, prepared: &mut Prepared) -> Bytes {
+        let mut parses = BytesMut::new();
+        let mut names = Vec::new();
+        for prepare in &batch.prepares {
+            if prepared.note(&prepare.name) {
+                parses.extend_from_slice(&prepare.parse);
+                names.push(prepare.name.clone());
+            }
+        }
+        if names.is_empty() {
+            return batch.messages.clone();
+        }
+        let mut bytes = BytesMut::new();
+        for name in prepared.evict() {
+            bytes.extend_from_slice(&wire::encode(&Close::new(b'S', Some(name))));
+            self.expected.push_back(Expected::Closed);
+        }
+        self.expected.extend(names.into_iter().map(Expected::Parsed));
+        bytes.extend_from_slice(&parses);
+        bytes.extend_from_slice(&batch.messages);
+        bytes.freeze()
+    }
+
+    /// Takes a message if it answers something that the proxy sent.
+    pub(crate) fn takes(&mut self, frame: &Frame, prepared: &mut Prepared) -> bool {
+        match (self.expected.front(), frame.tag()) {
+            (Some(Expected::Closed), b'3') | (Some(Expected::Parsed(_)), b'1') => {
+                self.expected.pop_front();
+                true
+            }
+            (Some(_), b'E') => {
+                // The server skips all that follows up to the end of the batch.
+                for expected in self.expected.drain(..) {
+                    if let Expected::Parsed(name) = expected {
+                        prepared.forget(&name);
+                    }
+                }
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Tells whether all answers were received.
+    pub(crate) fn is_done(&self) -> bool {
+        self.expected.is_empty()
+    }
+}
+
+/// Encodes the question for the transaction id, which also begins an implicit
+/// transaction if none is open.
+///
+/// The caller's batch follows only after the answer: sent together, the server
+/// could commit before the id is known.
+pub(crate) fn ask_xid(prepared: &mut Prepared) -> Bytes {
+    let mut bytes = BytesMut::new();
+    let name = || Some(XID_NAME.to_owned());
+    if prepared.note(XID_NAME) {
+        let parse = Parse::new(name(), XID_SQL.to_owned(), Vec::new());
+        bytes.extend_from_slice(&wire::encode(&parse));
+    }
+    let bind = Bind::new(name(), name(), Vec::new(), Vec::new(), Vec::new());
+    bytes.extend_from_slice(&wire::encode(&bind));
+    bytes.extend_from_slice(&wire::encode(&Execute::new(name(), 0)));
+    bytes.extend_from_slice(&wire::encode(&Flush::new()));
+    bytes.freeze()
+}
+
+/// Forgets the statement of [`ask_xid`], which failed.
+pub(crate) fn forget_xid(prepared: &mut Prepared) {
+    prepared.forget(XID_NAME);
+}
+
+/// Encodes the message that ends a failed batch.
+pub(crate) fn sync() -> Bytes {
+    wire::encode(&SyncMessage::new())
+}
+
+/// Encodes a statement in the simple query protocol.
+pub(crate) fn query(sql: &str) -> Bytes {
+    wire::encode(&Query::new(sql.to_owned()))
+}
+
+/// Tells whether a batch does nothing but commit.
+pub(crate) fn is_commit(batch: &Batch) -> bool {
+    let Ok(Some(frame)) = wire::first_frame(&batch.messages) else { return false };
+    if frame.bytes().len() != batch.messages.len() {
+        return false;
+    }
+    let Ok(PgWireFrontendMessage::Query(query)) = frame.frontend() else { return false };
+    let text = query.query.trim().trim_end_matches(';').trim_end();
+    ["commit", "end", "commit work", "commit transaction"]
+        .into_iter()
+        .any(|commit| text.eq_ignore_ascii_case(commit))
+}
+
+/// Tells whether a batch runs at most one statement and thus has one outcome.
+pub(crate) fn is_single(batch: &Batch) -> bool {
+    let mut rest = batch.messages.clone();
+    let mut statements = 0;
+    while let Ok(Some(frame)) = wire::first_frame(&rest) {
+        match frame.tag() {
+            b'E' => statements += 1,
+            b'Q' => statements += 1 + inner_semicolons(&frame),
+            _ => {}
+        }
+        rest = rest.slice(frame.bytes().len()..);
+    }
+    statements <= 1
+}
+
+/// Counts the semicolons of a simple query besides the closing one; those in
+/// texts and comments count too, which errs towards several statements.
+fn inner_semicolons(frame: &Frame) -> usize {
+    let text = frame.bytes()[wire::HEADER_BYTES..].trim_ascii_end();
+    let text = text.strip_suffix(b"\0").unwrap_or(text).trim_ascii_end();
+    let text = text.strip_suffix(b";").unwrap_or(text);
+    text.iter().filter(|byte| **byte == b';').count()
+}
+
+/// Reads the text of the only column of a row.
+pub(crate) fn single_value(frame: &Frame) -> Option<u64> {
+    // Tag, length and number of columns precede the length of the value.
+    let value = frame.bytes().get(wire::HEADER_BYTES + 6..)?;
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/proxy/src/home/schedule.rs
@@ -0,0 +1,344 @@
+//! Slots and connections of one backend server, given to statements.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use chicoryhollow_config::settings::BackendRole;
+use chicoryhollow_core::{
+    pool::{OpenError, Pool},
+    prelude::*,
+    queue::{FairQueue, Grant, Lane, Limits, Popped, Ticket},
+};
+use tokio::{sync::oneshot, time::timeout};
+
+use super::backend::{Backend, BackendError};
+use crate::clock::Clock;
+
+/// Statements of one account that may wait for one server.
+const ACCOUNT_QUEUE: usize = 512;
+
+/// Statements of all accounts that may wait for one server.
+const TOTAL_QUEUE: usize = 4_096;
+
+/// SQLSTATE of a server that takes no more connections.
+const TOO_MANY_CONNECTIONS: &str = "53300";
+
+/// Gives out the slots and connections of one server.
+pub(crate) struct Schedule {
+    address: SocketAddr,
+    role: BackendRole,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+struct State {
+    queue: FairQueue,
+    pool: Pool,
+    idle: Vec<Backend>,
+    waiting: HashMap<Ticket, oneshot::Sender<Given>>,
+}
+
+/// What a waiting statement was given.
+type Given = Result<(Grant, Option<Backend>), Refusal>;
+
+impl Schedule {
+    /// Makes the schedule of a server that runs `slots` statements on at most
+    /// `connections` connections.
+    pub(crate) fn new(
+        address: SocketAddr,
+        role: BackendRole,
+        clock: Clock,
+        slots: u32,
+        connections: u32,
+    ) -> Arc<Self> {
+        let state = State {
+            queue: FairQueue::new(limits(slots, connections)),
+            pool: Pool::new(connections),
+            idle: Vec::new(),
+            waiting: HashMap::new(),
+        };
+        Arc::new(Schedule { address, role, clock, state: Mutex::new(state) })
+    }
+
+    /// Waits for a slot and a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when there is none in time; nothing has run then.
+    pub(crate) async fn begin(
+        self: &Arc<Self>,
+        account: &AccountId,
+        weight: u32,
+        deadline: Time,
+    ) -> Result<Lease, Refusal> {
+        let (grant, backend) = self.wait(account, weight, Lane::Begin, deadline).await?;
+        let (schedule, account) = (Arc::clone(self), account.clone());
+        Ok(Lease { schedule, account, backend, grant: Some(grant) })
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        account: &AccountId,
+        weight: u32,
+        lane: Lane,
+        deadline: Time,
+    ) -> Result<(Grant, Option<Backend>), Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = self.change(|state, now| {
+            if lane == Lane::Begin && state.pool.is_unreachable() {
+                let plan = state.pool.plan(1, now);
+                if plan.open == 0 {
+                    return Err(Refusal::ServerUnreachable);
+                }
+                self.spawn_opening(plan.open);
+            }
+            let ticket = state.queue.push(account, weight, lane, now, deadline)?;
+            state.waiting.insert(ticket.clone(), sender);
+            Ok(ticket)
+        })?;
+        let mut waiter = Waiter { schedule: self, ticket, receiver };
+        if let Ok(given) = waiter.receiver.try_recv() {
+            return given;
+        }
+        let left = deadline.since(self.clock.now());
+        match timeout(left, &mut waiter.receiver).await {
+            Ok(Ok(given)) => given,
+            _ => Err(Refusal::DeadlinePassed),
+        }
+    }
+
+    /// Replaces the limits of the server.
+    pub(crate) fn set_limits(self: &Arc<Self>, slots: u32, connections: u32) {
+        self.change(|state, _| {
+            state.queue.set_limits(limits(slots, connections));
+            state.pool.set_limit(connections);
+        });
+    }
+
+    /// Closes what is dead or no longer needed and opens what is; `draining`
+    /// keeps no idle connections.
+    pub(crate) fn tend(self: &Arc<Self>, draining: bool) {
+        self.change(|state, _| {
+            let before = state.idle.len();
+            state.idle.retain(|backend| !backend.is_stale());
+            (state.idle.len()..before).for_each(|_| state.pool.idle_closed());
+            state.pool.set_draining(draining);
+        });
+    }
+
+    /// Returns how many statements wait and run, and how many connections are
+    /// open.
+    pub(crate) fn counts(&self) -> (usize, u32, u32) {
+        let state = self.lock();
+        (state.queue.waiting(), state.queue.running(), state.pool.total())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with this lock")
+    }
+
+    /// Changes the state, then gives out what became free.
+    fn change<T>(self: &Arc<Self>, change: impl FnOnce(&mut State, Time) -> T) -> T {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let result = change(&mut state, now);
+        state.give_out(now);
+        let waiting = u32::try_from(state.queue.begins()).unwrap_or(u32::MAX);
+        let plan = state.pool.plan(waiting, now);
+        for _ in 0..plan.close {
+            // The connection idle for longest is closed first.
+            drop(state.idle.remove(0));
+            state.pool.idle_closed();
+        }
+        drop(state);
+        self.spawn_opening(plan.open);
+        result
+    }
+
+    fn spawn_opening(self: &Arc<Self>, count: u32) {
+        for _ in 0..count {
+            tokio::spawn(Arc::clone(self).open());
+        }
+    }
+
+    async fn open(self: Arc<Self>) {
+        let opened = Backend::connect(self.address, &self.role.user, &self.role).await;
+        self.change(|state, now| match opened {
+            Ok(backend) => {
+                state.pool.opened();
+                state.idle.push(backend);
+            }
+            Err(error) => {
+                state.pool.open_failed(open_error(&error), now, &mut rand::rng());
+                if state.pool.is_unreachable() {
+                    state.refuse_begins(Refusal::ServerUnreachable);
+                }
+            }
+        });
+    }
+}
+
+impl State {
+    fn give_out(&mut self, now: Time) {
+        loop {
+            self.drop_stale();
+            match self.queue.pop(!self.idle.is_empty(), now) {
+                Some(Popped::Run(ticket, grant)) => self.give(&ticket, grant, now),
+                // Its waiter learns of it by the end of the channel.
+                Some(Popped::Expired(ticket)) => drop(self.waiting.remove(&ticket)),
+                None => return,
+            }
+        }
+    }
+
+    /// Drops closed connections from where the next one is taken.
+    fn drop_stale(&mut self) {
+        while self.queue.begins() > 0 && self.idle.last().is_some_and(Backend::is_stale) {
+            self.idle.pop();
+            self.pool.idle_closed();
+        }
+    }
+
+    fn give(&mut self, ticket: &Ticket, grant: Grant, now: Time) {
+        let begins = ticket.lane() == Lane::Begin;
+        let backend = if begins { self.idle.pop() } else { None };
+        if backend.is_some() {
+            self.pool.taken();
+        }
+        let refused = match self.waiting.remove(ticket) {
+            Some(sender) => sender.send(Ok((grant, backend))).err(),
+            None => Some(Ok((grant, backend))),
+        };
+        if let Some(Ok((grant, backend))) = refused {
+            self.take_back(&grant, backend, now);
+        }
+    }
+
+    /// Takes back what a waiter was given and did not use.
+    fn take_back(&mut self, grant: &Grant, backend: Option<Backend>, now: Time) {
+        self.queue.finish(grant, now);
+        if let Some(backend) = backend {
+            self.queue.release_connection(grant.account());
+            self.pool.returned();
+            self.idle.push(backend);
+        }
+    }
+
+    fn refuse_begins(&mut self, refusal: Refusal) {
+        for ticket in self.queue.take_begins() {
+            if let Some(sender) = self.waiting.remove(&ticket) {
+                // A waiter that is gone needs no refusal.
+                drop(sender.send(Err(refusal)));
+            }
+        }
+    }
+}
+
+fn limits(slots: u32, connections: u32) -> Limits {
+    Limits {
+        slots: slots.max(1),
+        // One account with many open transactions leaves a quarter to others.
+        held: (connections - connections / 4).max(1),
+        account: ACCOUNT_QUEUE,
+        total: TOTAL_QUEUE,
+    }
+}
+
+fn open_error(error: &BackendError) -> OpenError {
+    match error {
+        BackendError::Refused(code) if code == TOO_MANY_CONNECTIONS => OpenError::Full,
+        _ => OpenError::Unreachable,
+    }
+}
+
+/// A statement in the queue; it leaves the queue when dropped.
+struct Waiter<'a> {
+    schedule: &'a Arc<Schedule>,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Given>,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        if self.receiver.is_terminated() {
+            return;
+        }
+        self.schedule.change(|state, now| {
+            state.waiting.remove(&self.ticket);
+            if !state.queue.cancel(&self.ticket)
+                && let Ok(Ok((grant, backend))) = self.receiver.try_recv()
+            {
+                state.take_back(&grant, backend, now);
+            }
+        });
+    }
+}
+
+/// A connection that serves one stream, and the slot of the statement that runs.
+pub(crate) struct Lease {
+    schedule: Arc<Schedule>,
+    account: AccountId,
+    backend: Option<Backend>,
+    grant: Option<Grant>,
+}
+
+impl Lease {
+    /// Returns the connection.
+    pub(crate) fn backend(&mut self) -> Result<&mut Backend, Refusal> {
+        self.backend.as_mut().ok_or(Refusal::ServerUnreachable)
+    }
+
+    /// Waits for a slot for the next statement of the transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when there is none in time; nothing has run then.
+    pub(crate) async fn resume(&mut self, weight: u32, deadline: Time) -> Result<(), Refusal> {
+        if self.grant.is_none() {
+            let (grant, _) =
+                self.schedule.wait(&self.account, weight, Lane::Resume, deadline).await?;
+            self.grant = Some(grant);
+        }
+        Ok(())
+    }
+
+    /// Gives the slot back; the connection stays.
+    pub(crate) fn pause(&mut self) {
+        if let Some(grant) = self.grant.take() {
+            self.schedule.change(|state, now| state.queue.finish(&grant, now));
+        }
+    }
+
+    /// Gives slot and connection back; the connection must be idle and clean.
+    pub(crate) fn give_back(mut self) {
+        let Some(backend) = self.backend.take() else { return };
+        let grant = self.grant.take();
+        self.schedule.change(|state, now| {
+            if let Some(grant) = grant {
+                state.queue.finish(&grant, now);
+            }
+            state.queue.release_connection(&self.account);
+            state.pool.returned();
+            state.idle.push(backend);
+        });
+    }
+}
+
+impl Drop for Lease {
+    /// Closes a connection that was not given back.
+    fn drop(&mut self) {
+        let Some(backend) = self.backend.take() else { return };
+        drop(backend);
+        let grant = self.grant.take();
+        self.schedule.change(|state, now| {
+            if let Some(grant) = grant {
+                state.queue.finish(&grant, now);
+            }
+            state.queue.release_connection(&self.account);
+            state.pool.used_closed();
+        });
+    }
+}
--- a/crates/proxy/src/peers/serve.rs
+++ b/crates/proxy/src/peers/serve.rs
@@ -46,7 +46,7 @@
             let event = tokio::select! {
                 event = local.next() => event?,
                 body = incoming.recv() => match body {
-                    Some(Body::Interrupt(_)) => { local.interrupt().await; continue; }
+                    Some(Body::Interrupt(_)) => { local.interrupt(); continue; }
                     Some(_) => continue,
                     None => return Ok(()),
                 },
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -136,7 +136,7 @@
     /// Asks the backend server to cancel the statement that runs.
     pub async fn interrupt(&mut self) {
         match self {
-            Stream::Local(stream) => stream.interrupt().await,
+            Stream::Local(stream) => stream.interrupt(),
             Stream::Remote(stream) => stream.interrupt().await,
         }
     }
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -101,6 +101,15 @@
     }
 }
 
+/// Returns the first message of `bytes`, or `None` when they hold no whole one.
+///
+/// # Errors
+///
+/// Returns an error when the length of the message is invalid.
+pub fn first_frame(bytes: &Bytes) -> Result<Option<Frame>, WireError> {
+    FrameCodec::new(bytes.len().max(HEADER_BYTES)).decode(&mut BytesMut::from(&bytes[..]))
+}
+
 /// Encodes one message.
 ///
 /// # Panics
