--- a/crates/proxy/src/home/local.rs
+++ b/crates/proxy/src/home/local.rs
@@ -146,8 +146,10 @@
     /// Returns the refusal when the batch was not sent.
     pub async fn send(&mut self, batch: Batch) -> Result<(), Refused> {
         self.batch = BatchState::new(batch.deadline, self.access != Access::Read);
-        self.batch.single = request::is_single(&batch);
-        self.batch.commits = request::is_commit(&batch);
+        if batch.writes {
+            self.batch.single = request::is_single(&batch);
+            self.batch.commits = request::is_commit(&batch);
+        }
         match self.lease {
             None => self.begin(batch.writes).await?,
             Some(_) => self.resume().await?,
--- a/crates/proxy/src/home/request.rs
+++ b/crates/proxy/src/home/request.rs
@@ -123,7 +123,7 @@
 
 /// Tells whether a batch does nothing but commit.
 pub(crate) fn is_commit(batch: &Batch) -> bool {
-    let Ok(Some(frame)) = wire::first_frame(&batch.messages) else { return false };
+    let Some(frame) = wire::frames(&batch.messages).next() else { return false };
     if frame.bytes().len() != batch.messages.len() {
         return false;
     }
@@ -136,17 +136,12 @@
 
 /// Tells whether a batch runs at most one statement and thus has one outcome.
 pub(crate) fn is_single(batch: &Batch) -> bool {
-    let mut rest = batch.messages.clone();
-    let mut statements = 0;
-    while let Ok(Some(frame)) = wire::first_frame(&rest) {
-        match frame.tag() {
-            b'E' => statements += 1,
-            b'Q' => statements += 1 + inner_semicolons(&frame),
-            _ => {}
-        }
-        rest = rest.slice(frame.bytes().len()..);
-    }
-    statements <= 1
+    let count = |frame: Frame| match frame.tag() {
+        b'E' => 1,
+        b'Q' => 1 + inner_semicolons(&frame),
+        _ => 0,
+    };
+    wire::frames(&batch.messages).map(count).sum::<usize>() <= 1
 }
 
 /// Counts the semicolons of a simple query besides the closing one; those in
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -74,7 +74,7 @@
         let frames = LengthDelimitedCodec::builder()
             .length_field_offset(1)
             .length_field_length(4)
-            .length_adjustment(-4)
+            .length_adjustment(1)
             .num_skip(0)
             .max_frame_length(limit)
             .new_codec();
@@ -101,13 +101,11 @@
     }
 }
 
-/// Returns the first message of `bytes`, or `None` when they hold no whole one.
-///
-/// # Errors
-///
-/// Returns an error when the length of the message is invalid.
-pub fn first_frame(bytes: &Bytes) -> Result<Option<Frame>, WireError> {
-    FrameCodec::new(bytes.len().max(HEADER_BYTES)).decode(&mut BytesMut::from(&bytes[..]))
+/// Splits encoded messages up to the first that is not whole.
+pub fn frames(bytes: &[u8]) -> impl Iterator<Item = Frame> {
+    let mut codec = FrameCodec::new(bytes.len().max(HEADER_BYTES));
+    let mut rest = BytesMut::from(bytes);
+    std::iter::from_fn(move || codec.decode(&mut rest).ok().flatten())
 }
 
 /// Encodes one message.
