--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -101,6 +101,13 @@
     }
 }
 
+/// Splits encoded messages up to the first that is not whole.
+pub fn frames(bytes: &[u8]) -> impl Iterator<Item = Frame> {
+    let mut codec = FrameCodec::new(bytes.len().max(HEADER_BYTES));
+    let mut rest = BytesMut::from(bytes);
+    std::iter::from_fn(move || codec.decode(&mut rest).ok().flatten())
+}
+
 /// Encodes one message.
 ///
 /// # Panics
