--- a/crates/testkit/src/backend/mod.rs
+++ b/crates/testkit/src/backend/mod.rs
@@ -18,18 +18,19 @@
 mod extended;
 mod log;
 mod node;
+mod options;
 mod replica;
 mod session;
 mod shipping;
 mod statement;
 mod transaction;
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc};
 
-use indexmap::IndexMap;
 use tokio::{net::TcpListener, task::JoinSet};
 
 use crate::backend::{node::Node, session::Session};
+pub use crate::backend::options::{BackendOptions, USAGE, parse_arguments};
 
 /// Role that neither limits nor fences hold back.
 pub const CONTROL_ROLE: &str = "chicoryhollow_control";
@@ -37,47 +38,6 @@
 /// Role under which servers ship their logs to each other.
 const REPLICATION_ROLE: &str = "chicoryhollow_replication";
 
-/// How a stand-in backend server behaves.
-#[derive(Clone, Debug)]
-pub struct BackendOptions {
-    /// Name of the server.
-    pub server: String,
-    /// Addresses under which this server reaches the members of its group,
-    /// itself included.
-    pub members: IndexMap<String, SocketAddr>,
-    /// Statements that run at once; more wait.
-    pub slots: usize,
-    /// Connections accepted outside the control role.
-    pub connections: usize,
-    /// Time that a new connection takes.
-    pub connect_delay: Duration,
-    /// Time that a statement holds its slot besides its execution.
-    pub statement_time: Duration,
-    /// Delay with which records reach this server.
-    pub ship_delay: Duration,
-    /// Delay with which this server applies records that it holds.
-    pub apply_lag: Duration,
-    /// Whether the server begins as the primary of term 1.
-    pub initial_primary: bool,
-}
-
-impl BackendOptions {
-    /// Makes the options of a server without delays.
-    pub fn new(server: impl Into<String>, members: IndexMap<String, SocketAddr>) -> Self {
-        BackendOptions {
-            server: server.into(),
-            members,
-            slots: 8,
-            connections: 100,
-            connect_delay: Duration::ZERO,
-            statement_time: Duration::ZERO,
-            ship_delay: Duration::ZERO,
-            apply_lag: Duration::ZERO,
-            initial_primary: false,
-        }
-    }
-}
-
 /// Why a stand-in could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum BackendError {
--- /dev/null
+++ b/crates/testkit/src/cluster/binaries.rs
@@ -0,0 +1,67 @@
+//! The product's binaries, beside the running executable.
+
+use std::{
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use crate::cluster::ClusterError;
+
+/// Paths of the two binaries.
+#[derive(Clone, Debug)]
+pub(super) struct Binaries {
+    pub(super) daemon: PathBuf,
+    pub(super) control: PathBuf,
+}
+
+impl Binaries {
+    /// Finds the binaries of this executable's build profile. Under `cargo run`
+    /// they are brought up to date first.
+    pub(super) fn find() -> Result<Self, ClusterError> {
+        let executable = std::env::current_exe()?;
+        let directory = profile_directory(&executable)
+            .ok_or_else(|| ClusterError::Request("executable outside a target directory".into()))?;
+        let arguments = build_arguments(directory);
+        build(&arguments)?;
+        let found = Binaries {
+            daemon: directory.join("chicoryhollow"),
+            control: directory.join("chicoryctl"),
+        };
+        for path in [&found.daemon, &found.control] {
+            if !path.is_file() {
+                let command = format!("cargo {}", arguments.join(" "));
+                return Err(ClusterError::Binary { path: path.clone(), command });
+            }
+        }
+        Ok(found)
+    }
+}
+
+fn build_arguments(directory: &Path) -> Vec<&'static str> {
+    let mut arguments = vec!["build"];
+    if directory.ends_with("release") {
+        arguments.push("--release");
+    }
+    arguments.extend(["-p", "chicoryhollow-proxy", "-p", "chicoryhollow-ctl", "--bins"]);
+    arguments
+}
+
+fn build(arguments: &[&str]) -> Result<(), ClusterError> {
+    // Cargo names itself to the programs that it runs.
+    let Some(cargo) = std::env::var_os("CARGO") else { return Ok(()) };
+    let status = Command::new(cargo).args(arguments).arg("--quiet").status()?;
+    match status.success() {
+        true => Ok(()),
+        false => Err(ClusterError::Request("the daemon does not build".to_owned())),
+    }
+}
+
+/// Returns the directory of the build profile: examples and tests lie one
+/// level below the binaries.
+fn profile_directory(executable: &Path) -> Option<&Path> {
+    let directory = executable.parent()?;
+    match directory.file_name()?.to_str()? {
+        "examples" | "deps" => directory.parent(),
+        _ => Some(directory),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/cluster/links.rs
@@ -0,0 +1,110 @@
+//! Links between the parts of a cluster, each through the fault proxy.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::fault::{Flow, Link, LinkState};
+
+/// One end of a link.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum End {
+    /// All clients.
+    Clients,
+    /// The platform.
+    Platform,
+    /// All VMs of a data centre, as the dialling end.
+    Vms {
+        /// Index of the data centre.
+        data_centre: usize,
+    },
+    /// One VM, as the dialled end.
+    Vm {
+        /// Index of the VM.
+        index: usize,
+        /// Index of its data centre.
+        data_centre: usize,
+    },
+    /// A backend server.
+    Server {
+        /// Index of its group.
+        group: usize,
+        /// Index of its data centre.
+        data_centre: usize,
+    },
+}
+
+impl End {
+    /// Returns the index of the data centre in which this end is.
+    pub fn data_centre(self) -> Option<usize> {
+        match self {
+            End::Clients | End::Platform => None,
+            End::Vms { data_centre }
+            | End::Vm { data_centre, .. }
+            | End::Server { data_centre, .. } => Some(data_centre),
+        }
+    }
+
+    /// Tells whether this end is one or several VMs.
+    pub fn is_vm(self) -> bool {
+        matches!(self, End::Vms { .. } | End::Vm { .. })
+    }
+
+    /// Tells whether this end is a backend server.
+    pub fn is_server(self) -> bool {
+        matches!(self, End::Server { .. })
+    }
+}
+
+/// All links of a cluster, by dialling and dialled end.
+#[derive(Debug, Default)]
+pub struct Links {
+    links: IndexMap<(End, End), Link>,
+}
+
+impl Links {
+    /// Adds a link with a delay in each direction and returns its address.
+    pub(super) async fn add(
+        &mut self,
+        from: End,
+        to: End,
+        target: SocketAddr,
+        delay: Duration,
+    ) -> io::Result<SocketAddr> {
+        let link = Link::new(target).await?;
+        link.set(LinkState::with_delay(delay));
+        let address = link.address();
+        self.links.insert((from, to), link);
+        Ok(address)
+    }
+
+    /// Returns the address that `from` dials to reach `to`.
+    pub fn address(&self, from: End, to: End) -> Option<SocketAddr> {
+        self.links.get(&(from, to)).map(Link::address)
+    }
+
+    /// Cuts both directions of the links that `choose` accepts.
+    pub fn cut(&self, choose: impl Fn(End, End) -> bool) {
+        self.set_flows(choose, Flow::Hold, Flow::Hold);
+    }
+
+    /// Sets what becomes of the bytes on the links that `choose` accepts.
+    pub fn set_flows(&self, choose: impl Fn(End, End) -> bool, forward: Flow, backward: Flow) {
+        for ((from, to), link) in &self.links {
+            if choose(*from, *to) {
+                link.set(LinkState { forward, backward, ..link.state() });
+            }
+        }
+    }
+
+    /// Cuts a data centre off from everything outside it.
+    pub fn cut_data_centre(&self, data_centre: usize) {
+        let inside = |end: End| end.data_centre() == Some(data_centre);
+        self.cut(|from, to| inside(from) != inside(to));
+    }
+
+    /// Mends all links.
+    pub fn heal(&self) {
+        self.set_flows(|_, _| true, Flow::Pass, Flow::Pass);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/cluster/mod.rs
@@ -0,0 +1,434 @@
+/*!
+A whole deployment on this machine, as real processes.
+
+A [`Cluster`] starts the stand-in platform, nine stand-in backend servers and
+the daemons of a [`Deployment`], with every connection between data centres and
+from clients going through [`Links`]. Executables that start one call
+[`run_role`] first, since the stand-ins run in the same executable.
+*/
+
+mod binaries;
+mod child;
+mod deployment;
+mod files;
+mod http;
+mod links;
+mod start;
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use chicoryhollow_config::{Configuration, Settings};
+use chicoryhollow_platform::VmState;
+use nix::sys::signal::Signal;
+
+pub use crate::cluster::{
+    child::{Process, run_role},
+    deployment::{AccountSize, DATA_CENTRES, Deployment, DeploymentError},
+    files::identity,
+    links::{End, Links},
+};
+use crate::{
+    backend::CONTROL_ROLE,
+    cluster::{binaries::Binaries, child::Guard},
+    load::client::{Client, ClientError, Identity},
+    platform::{Fault, ListedVm},
+};
+
+/// Longest wait for a part of the cluster to come up.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause between two looks at something that is awaited.
+const POLL: Duration = Duration::from_millis(20);
+/// Longest wait for an answer of a backend server asked directly.
+const SERVER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a cluster could not be brought up or steered.
+#[derive(Debug, thiserror::Error)]
+pub enum ClusterError {
+    /// A binary of the product is missing.
+    #[error("{} is missing; build it with: {command}", path.display())]
+    Binary {
+        /// Where it should be.
+        path: PathBuf,
+        /// Command that builds it.
+        command: String,
+    },
+    /// A file, port or process could not be used.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// A request to a control interface failed.
+    #[error("{0}")]
+    Request(String),
+    /// A server refused what a cluster needs.
+    #[error("a backend server: {0}")]
+    Server(#[from] ClientError),
+    /// Something did not come up in time.
+    #[error("{0} was not ready in time; its log is in {dir}", dir = .1.display())]
+    Timeout(String, PathBuf),
+    /// The configuration was refused.
+    #[error("chicoryctl refused the configuration: {0}")]
+    Refused(String),
+}
+
+/// A daemon on a VM of the cluster.
+#[derive(Debug)]
+pub struct Daemon {
+    settings: Settings,
+    path: PathBuf,
+    process: Option<Process>,
+}
+
+/// A stand-in backend server of the cluster.
+#[derive(Debug)]
+pub struct Server {
+    name: String,
+    group: usize,
+    data_centre: usize,
+    address: SocketAddr,
+    process: Option<Process>,
+}
+
+impl Server {
+    /// Returns its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the index of its group.
+    pub fn group(&self) -> usize {
+        self.group
+    }
+
+    /// Returns the index of its data centre.
+    pub fn data_centre(&self) -> usize {
+        self.data_centre
+    }
+
+    /// Returns its process id while it runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.as_ref().map(Process::id)
+    }
+}
+
+/// A running deployment; all its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    deployment: Deployment,
+    directory: PathBuf,
+    binaries: Binaries,
+    platform: SocketAddr,
+    links: Links,
+    daemons: Vec<Daemon>,
+    servers: Vec<Server>,
+    configuration: Configuration,
+    // Processes above end before the guard does.
+    platform_process: Option<Process>,
+    guard: Guard,
+}
+
+impl Cluster {
+    /// Returns what was brought up.
+    pub fn deployment(&self) -> &Deployment {
+        &self.deployment
+    }
+
+    /// Returns the links between the parts.
+    pub fn links(&self) -> &Links {
+        &self.links
+    }
+
+    /// Returns the backend servers.
+    pub fn servers(&self) -> &[Server] {
+        &self.servers
+    }
+
+    /// Returns the address of the platform as `http://IP:PORT`.
+    pub fn platform_url(&self) -> String {
+        format!("http://{}", self.platform)
+    }
+
+    /// Returns the directory of the operators' files.
+    pub fn configuration_directory(&self) -> PathBuf {
+        self.directory.join("configuration")
+    }
+
+    /// Returns the directory of the logs.
+    pub fn log_directory(&self) -> PathBuf {
+        self.directory.join("logs")
+    }
+
+    /// Returns the address at which clients reach a VM.
+    pub fn caller_address(&self, vm: usize) -> Option<SocketAddr> {
+        let data_centre = vm % DATA_CENTRES;
+        self.links.address(End::Clients, End::Vm { index: vm, data_centre })
+    }
+
+    /// Returns the address at which a VM itself listens for callers.
+    pub fn direct_address(&self, vm: usize) -> SocketAddr {
+        self.daemons[vm].settings.listen.callers
+    }
+
+    /// Returns the administration address of a VM.
+    pub fn admin_url(&self, vm: usize) -> String {
+        format!("http://{}", self.daemons[vm].settings.listen.admin)
+    }
+
+    /// Returns the process id of a VM's daemon while it runs.
+    pub fn daemon_id(&self, vm: usize) -> Option<u32> {
+        self.daemons[vm].process.as_ref().map(Process::id)
+    }
+
+    /// Returns the operators' files as they stand.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Changes the operators' files and applies them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when `chicoryctl` fails.
+    pub async fn apply(
+        &mut self,
+        change: impl FnOnce(&mut Configuration),
+    ) -> Result<(), ClusterError> {
+        change(&mut self.configuration);
+        let directory = self.configuration_directory();
+        files::write_configuration(&directory, &self.configuration)?;
+        self.run_apply(&directory).await
+    }
+
+    async fn run_apply(&self, directory: &Path) -> Result<(), ClusterError> {
+        let mut command = Command::new(&self.binaries.control);
+        command.arg("apply").arg(directory).arg("--platform").arg(self.platform_url());
+        let output = tokio::task::spawn_blocking(move || command.output()).await;
+        let output = output.map_err(io::Error::other)??;
+        if output.status.success() {
+            return Ok(());
+        }
+        let errors = String::from_utf8_lossy(&output.stderr);
+        let text = String::from_utf8_lossy(&output.stdout);
+        Err(ClusterError::Refused(format!("{} {}", text.trim(), errors.trim())))
+    }
+
+    /// Starts the daemon of a VM and lists the VM as live.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started or listed.
+    pub async fn start_daemon(&mut self, vm: usize) -> Result<(), ClusterError> {
+        let log = self.log_directory().join(format!("{}.log", Deployment::vm(vm)));
+        let daemon = &mut self.daemons[vm];
+        let args = ["--settings".to_owned(), daemon.path.display().to_string()];
+        let process = Process::new(&mut self.guard, &self.binaries.daemon, &args, &log)?;
+        daemon.process = Some(process);
+        self.list_vm(vm, VmState::Live).await
+    }
+
+    /// Waits until a VM is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it is not ready in time.
+    pub async fn wait_ready(&self, vm: usize) -> Result<(), ClusterError> {
+        let url = format!("{}/readyz", self.admin_url(vm));
+        let deadline = Instant::now() + START_TIMEOUT;
+        while http::get(&url).await.is_err() {
+            if Instant::now() > deadline {
+                return Err(ClusterError::Timeout(Deployment::vm(vm), self.log_directory()));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Lists a VM in the state that the platform knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn list_vm(&self, vm: usize, state: VmState) -> Result<(), ClusterError> {
+        let settings = &self.daemons[vm].settings;
+        let listed = ListedVm {
+            vm: chicoryhollow_platform::Vm {
+                vm: settings.vm.clone(),
+                data_centre: settings.data_centre.clone(),
+                peers: settings.listen.peers,
+                admin: settings.listen.admin,
+                state,
+            },
+            links: indexmap::IndexMap::new(),
+        };
+        http::put(&self.vm_url(vm), &listed).await
+    }
+
+    fn vm_url(&self, vm: usize) -> String {
+        format!("{}/control/vms/{}", self.platform_url(), Deployment::vm(vm))
+    }
+
+    /// Kills the daemon of a VM and takes the VM off the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn crash_daemon(&mut self, vm: usize) -> Result<(), ClusterError> {
+        if let Some(process) = self.daemons[vm].process.take() {
+            process.end(&mut self.guard);
+        }
+        http::delete(&self.vm_url(vm)).await
+    }
+
+    /// Drains a VM: lists it as leaving, asks its daemon to end, and waits.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer or the daemon does
+    /// not end in time.
+    pub async fn drain_daemon(&mut self, vm: usize) -> Result<(), ClusterError> {
+        self.list_vm(vm, VmState::Leaving).await?;
+        let Some(mut process) = self.daemons[vm].process.take() else { return Ok(()) };
+        process.signal(Signal::SIGTERM);
+        let deadline = Instant::now() + START_TIMEOUT;
+        while !process.has_ended() && Instant::now() < deadline {
+            tokio::time::sleep(POLL).await;
+        }
+        let ended = process.has_ended();
+        process.end(&mut self.guard);
+        http::delete(&self.vm_url(vm)).await?;
+        match ended {
+            true => Ok(()),
+            false => Err(ClusterError::Timeout(Deployment::vm(vm), self.log_directory())),
+        }
+    }
+
+    /// Sends a signal to the daemon of a VM.
+    pub fn signal_daemon(&mut self, vm: usize, signal: Signal) {
+        if let Some(process) = &mut self.daemons[vm].process {
+            process.signal(signal);
+        }
+    }
+
+    /// Kills a backend server.
+    pub fn kill_server(&mut self, server: usize) {
+        if let Some(process) = self.servers[server].process.take() {
+            process.end(&mut self.guard);
+        }
+    }
+
+    /// Sends a signal to a backend server.
+    pub fn signal_server(&mut self, server: usize, signal: Signal) {
+        if let Some(process) = &mut self.servers[server].process {
+            process.signal(signal);
+        }
+    }
+
+    /// Sets how the platform misbehaves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn set_fault(&self, fault: &Fault) -> Result<(), ClusterError> {
+        http::put(&format!("{}/control/fault", self.platform_url()), fault).await
+    }
+
+    /// Reads the metrics of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the daemon does not answer.
+    pub async fn metrics(&self, vm: usize) -> Result<String, ClusterError> {
+        http::get(&format!("{}/metrics", self.admin_url(vm))).await
+    }
+
+    /// Connects to a backend server directly, beside the proxy.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the server does not answer in time.
+    pub async fn connect_server(&self, server: usize) -> Result<Client, ClusterError> {
+        let identity = Identity { user: CONTROL_ROLE.to_owned(), ..Identity::default() };
+        let connecting = Client::new(self.servers[server].address, &identity, None);
+        let timed_out = |_| ClusterError::Request("the server does not answer".to_owned());
+        Ok(tokio::time::timeout(SERVER_TIMEOUT, connecting).await.map_err(timed_out)??)
+    }
+
+    /// Returns the index of a group's primary of the highest term.
+    pub async fn primary(&self, group: usize) -> Option<usize> {
+        let mut best = None;
+        for (index, server) in self.servers.iter().enumerate() {
+            if server.group != group || server.process.is_none() {
+                continue;
+            }
+            if let Some(term) = self.leading_term(index).await {
+                best = best.max(Some((term, index)));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    async fn leading_term(&self, server: usize) -> Option<u64> {
+        let mut client = self.connect_server(server).await.ok()?;
+        let asking = client.simple("SELECT * FROM chicoryhollow.status()");
+        let rows = tokio::time::timeout(SERVER_TIMEOUT, asking).await.ok()?.ok()?;
+        let row = rows.first()?;
+        let text = |column: usize| row.get(column)?.as_deref();
+        (text(1)? == "primary").then(|| text(2)?.parse().ok()).flatten()
+    }
+
+    /// Changes the delays of all servers of the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a server does not answer.
+    pub async fn set_lag(&self, ship: Duration, apply: Duration) -> Result<(), ClusterError> {
+        for index in 0..self.servers.len() {
+            let (ship, apply) = (ship.as_millis(), apply.as_millis());
+            let call = format!("SELECT * FROM chicoryhollow.set_lag({ship}, {apply})");
+            self.connect_server(index).await?.simple(&call).await?;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.process.take().into_iter().for_each(|p| p.end(&mut self.guard));
+        }
+        for server in &mut self.servers {
+            server.process.take().into_iter().for_each(|p| p.end(&mut self.guard));
+        }
+        self.platform_process.take().into_iter().for_each(|p| p.end(&mut self.guard));
+        // Nothing else refers to the directory.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Waits until the process is asked to end: by a signal, or by the end of its
+/// standard input.
+///
+/// # Errors
+///
+/// Returns an error when signals cannot be received.
+pub async fn wait_for_end() -> io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (mut term, mut interrupt) =
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let (ended, mut input) = tokio::sync::mpsc::channel::<()>(1);
+    // A thread of its own, since the runtime would wait for a blocked read at its end.
+    std::thread::spawn(move || {
+        child::wait_for_input_end();
+        drop(ended);
+    });
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = input.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/cluster/start.rs
@@ -0,0 +1,246 @@
+//! Brings a cluster up.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use chicoryhollow_config::settings::Listen;
+use indexmap::IndexMap;
+
+use crate::cluster::{
+    Cluster, ClusterError, DATA_CENTRES, Daemon, Deployment, End, Links, POLL, START_TIMEOUT,
+    Server,
+    binaries::Binaries,
+    child::{Guard, Process},
+    files, http,
+};
+
+/// Statements that make the tables of each database group.
+const SCHEMA: &str = "\
+CREATE TABLE writes (id INT8, session INT8, seq INT8, account TEXT); \
+CREATE INDEX writes_by_id ON writes (id); \
+CREATE INDEX writes_by_session ON writes (session, seq)";
+
+/// Listeners of one VM.
+const VM_PORTS: usize = 3;
+
+impl Cluster {
+    /// Brings up a deployment with all its delays.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a binary is missing or a part does not come up.
+    pub async fn new(deployment: Deployment) -> Result<Self, ClusterError> {
+        let binaries = Binaries::find()?;
+        let directory = make_directory()?;
+        let groups = deployment.groups.len();
+        let ports = free_addresses(1 + groups * DATA_CENTRES + deployment.vms * VM_PORTS)?;
+        let (servers, vms) = ports[1..].split_at(groups * DATA_CENTRES);
+        let addresses = std::array::from_fn(|group| {
+            std::array::from_fn(|index| servers[group * DATA_CENTRES + index])
+        });
+        let mut cluster = Cluster {
+            configuration: files::configuration(&deployment, &addresses),
+            links: Links::default(),
+            daemons: Vec::new(),
+            servers: make_servers(&deployment, &addresses),
+            platform: ports[0],
+            platform_process: None,
+            guard: Guard::new()?,
+            deployment,
+            directory,
+            binaries,
+        };
+        cluster.start_platform().await?;
+        cluster.start_servers().await?;
+        cluster.make_daemons(vms).await?;
+        cluster.make_schema().await?;
+        for vm in 0..cluster.daemons.len() {
+            cluster.start_daemon(vm).await?;
+        }
+        cluster.apply(|_| {}).await?;
+        for vm in 0..cluster.daemons.len() {
+            cluster.wait_ready(vm).await?;
+        }
+        Ok(cluster)
+    }
+
+    async fn start_platform(&mut self) -> Result<(), ClusterError> {
+        let log = self.log_directory().join("platform.log");
+        self.platform_process = Some(Process::platform(&mut self.guard, self.platform, &log)?);
+        let url = format!("{}/vms", self.platform_url());
+        let deadline = Instant::now() + START_TIMEOUT;
+        while http::get(&url).await.is_err() {
+            self.check_deadline(deadline, "the platform")?;
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    fn check_deadline(&self, deadline: Instant, part: &str) -> Result<(), ClusterError> {
+        match Instant::now() > deadline {
+            true => Err(ClusterError::Timeout(part.to_owned(), self.log_directory())),
+            false => Ok(()),
+        }
+    }
+
+    fn trip_delay(&self, from: usize, to: usize) -> Duration {
+        match from == to {
+            true => Duration::ZERO,
+            false => self.deployment.data_centre_trip / 2,
+        }
+    }
+
+    async fn start_servers(&mut self) -> Result<(), ClusterError> {
+        for index in 0..self.servers.len() {
+            let args = self.server_arguments(index).await?;
+            let log = self.log_directory().join(format!("{}.log", self.servers[index].name));
+            let process = Process::backend(&mut self.guard, &args, &log)?;
+            self.servers[index].process = Some(process);
+        }
+        for index in 0..self.servers.len() {
+            let deadline = Instant::now() + START_TIMEOUT;
+            while self.connect_server(index).await.is_err() {
+                self.check_deadline(deadline, &self.servers[index].name)?;
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn server_arguments(&mut self, index: usize) -> Result<Vec<String>, ClusterError> {
+        let (group, own) = (self.servers[index].group, self.servers[index].data_centre);
+        let sizes = &self.deployment;
+        let mut args = vec![
+            "--server".to_owned(),
+            self.servers[index].name.clone(),
+            "--address".to_owned(),
+            self.servers[index].address.to_string(),
+        ];
+        let numbers = [
+            ("--slots", sizes.slots as u128),
+            ("--connections", sizes.connections as u128),
+            ("--connect-delay-ms", sizes.connect_delay.as_millis()),
+            ("--statement-us", sizes.statement_time.as_micros()),
+            ("--apply-lag-ms", sizes.apply_lag.as_millis()),
+        ];
+        for (name, number) in numbers {
+            args.extend([name.to_owned(), number.to_string()]);
+        }
+        if own == group % DATA_CENTRES {
+            args.push("--initial-primary".to_owned());
+        }
+        let members = self.servers.iter().filter(|server| server.group == group);
+        let members: Vec<_> =
+            members.map(|s| (s.name.clone(), s.data_centre, s.address)).collect();
+        for (name, data_centre, mut address) in members {
+            if data_centre != own {
+                let from = End::Server { group, data_centre: own };
+                let to = End::Server { group, data_centre };
+                let delay = self.trip_delay(own, data_centre);
+                address = self.links.add(from, to, address, delay).await?;
+            }
+            args.push(format!("{name}={address}"));
+        }
+        Ok(args)
+    }
+
+    async fn make_daemons(&mut self, ports: &[SocketAddr]) -> Result<(), ClusterError> {
+        let listens: Vec<Listen> = ports.chunks_exact(VM_PORTS).map(listen).collect();
+        for data_centre in 0..DATA_CENTRES {
+            let from = End::Vms { data_centre };
+            self.links.add(from, End::Platform, self.platform, Duration::ZERO).await?;
+            for (index, listen) in listens.iter().enumerate() {
+                let to = End::Vm { index, data_centre: index % DATA_CENTRES };
+                let delay = self.trip_delay(data_centre, index % DATA_CENTRES);
+                self.links.add(from, to, listen.peers, delay).await?;
+            }
+            for index in 0..self.servers.len() {
+                let server = &self.servers[index];
+                let to = End::Server { group: server.group, data_centre: server.data_centre };
+                let delay = self.trip_delay(data_centre, server.data_centre);
+                self.links.add(from, to, server.address, delay).await?;
+            }
+        }
+        for (index, listen) in listens.iter().enumerate() {
+            let to = End::Vm { index, data_centre: index % DATA_CENTRES };
+            let delay = self.deployment.client_trip / 2;
+            self.links.add(End::Clients, to, listen.callers, delay).await?;
+            let daemon = self.make_daemon(index, &listens)?;
+            self.daemons.push(daemon);
+        }
+        Ok(())
+    }
+
+    fn make_daemon(&self, index: usize, listens: &[Listen]) -> Result<Daemon, ClusterError> {
+        let from = End::Vms { data_centre: index % DATA_CENTRES };
+        let mut translate = IndexMap::new();
+        for (peer, listen) in listens.iter().enumerate() {
+            let to = End::Vm { index: peer, data_centre: peer % DATA_CENTRES };
+            translate.extend(self.links.address(from, to).map(|link| (listen.peers, link)));
+        }
+        for server in &self.servers {
+            let to = End::Server { group: server.group, data_centre: server.data_centre };
+            translate.extend(self.links.address(from, to).map(|link| (server.address, link)));
+        }
+        let link = self.links.address(from, End::Platform).unwrap_or(self.platform);
+        let platform = format!("http://{link}/dc/{}", Deployment::data_centre(index));
+        let settings = files::settings(index, listens[index].clone(), platform, translate);
+        let path = self.directory.join(format!("{}.jsonc", Deployment::vm(index)));
+        files::write_settings(&path, &settings)?;
+        Ok(Daemon { settings, path, process: None })
+    }
+
+    async fn make_schema(&self) -> Result<(), ClusterError> {
+        for group in 0..self.deployment.groups.len() {
+            let found = self.primary(group).await;
+            let name = || format!("the primary of {}", self.deployment.groups[group]);
+            let timed_out = || ClusterError::Timeout(name(), self.log_directory());
+            let primary = found.ok_or_else(timed_out)?;
+            self.connect_server(primary).await?.simple(SCHEMA).await?;
+        }
+        Ok(())
+    }
+}
+
+fn make_servers(
+    deployment: &Deployment,
+    addresses: &[[SocketAddr; DATA_CENTRES]; 3],
+) -> Vec<Server> {
+    let mut servers = Vec::new();
+    for (group, addresses) in addresses.iter().enumerate() {
+        for (data_centre, address) in addresses.iter().enumerate() {
+            servers.push(Server {
+                name: deployment.server(group, data_centre),
+                group,
+                data_centre,
+                address: *address,
+                process: None,
+            });
+        }
+    }
+    servers
+}
+
+fn listen(ports: &[SocketAddr]) -> Listen {
+    Listen { callers: ports[0], peers: ports[1], admin: ports[2] }
+}
+
+/// Makes an empty directory for files and logs.
+fn make_directory() -> Result<PathBuf, ClusterError> {
+    let name = format!("chicoryhollow-{}-{:08x}", std::process::id(), rand::random::<u32>());
+    let directory: PathBuf = std::env::temp_dir().join(name);
+    let logs: &Path = &directory.join("logs");
+    fs::create_dir_all(logs)?;
+    Ok(directory)
+}
+
+/// Finds addresses on which nobody listens.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, ClusterError> {
+    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0"));
+    let listeners: Vec<_> = listeners.collect::<Result<_, _>>()?;
+    Ok(listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?)
+}
--- a/crates/testkit/src/fault.rs
+++ b/crates/testkit/src/fault/mod.rs
@@ -17,7 +17,13 @@
 ```
 */
 
-use std::{io, net::SocketAddr, time::Duration};
+mod timer;
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -27,7 +33,6 @@
     },
     sync::{mpsc, watch},
     task::{AbortHandle, JoinSet},
-    time::{Instant, sleep_until},
 };
 
 /// Bytes read at once.
@@ -182,7 +187,7 @@
     flow: fn(&LinkState) -> Flow,
 ) {
     while let Some((due, bytes)) = chunks.recv().await {
-        sleep_until(due).await;
+        timer::sleep_until(due).await;
         let passes = state.wait_for(|state| flow(state) == Flow::Pass).await.is_ok();
         if !passes || to.write_all(&bytes).await.is_err() {
             return;
--- /dev/null
+++ b/crates/testkit/src/fault/timer.rs
@@ -0,0 +1,103 @@
+//! Sleep with a finer grain than the runtime's timer wheel of one millisecond.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    sync::{Condvar, Mutex, OnceLock},
+    time::{Duration, Instant},
+};
+
+use tokio::sync::oneshot;
+
+/// Waits that end sooner go through the thread; longer ones begin in the runtime.
+const FINE_GRAIN: Duration = Duration::from_millis(3);
+
+/// Sleeps until `due`.
+pub(super) async fn sleep_until(due: Instant) {
+    let left = due.saturating_duration_since(Instant::now());
+    if left > FINE_GRAIN {
+        tokio::time::sleep(left - FINE_GRAIN).await;
+    }
+    if due > Instant::now() {
+        // The timer thread never ends, so the answer always comes.
+        let _ = timer().wait(due).await;
+    }
+}
+
+#[derive(Default)]
+struct Timer {
+    queue: Mutex<Queue>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct Queue {
+    waiting: BinaryHeap<Reverse<Waiting>>,
+    number: u64,
+}
+
+struct Waiting {
+    due: Instant,
+    number: u64,
+    wake: oneshot::Sender<()>,
+}
+
+impl PartialEq for Waiting {
+    fn eq(&self, other: &Self) -> bool {
+        (self.due, self.number) == (other.due, other.number)
+    }
+}
+
+impl Eq for Waiting {}
+
+impl PartialOrd for Waiting {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Waiting {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.due, self.number).cmp(&(other.due, other.number))
+    }
+}
+
+fn timer() -> &'static Timer {
+    static TIMER: OnceLock<&'static Timer> = OnceLock::new();
+    TIMER.get_or_init(|| {
+        let timer: &'static Timer = Box::leak(Box::default());
+        std::thread::spawn(move || timer.run());
+        timer
+    })
+}
+
+impl Timer {
+    fn wait(&self, due: Instant) -> oneshot::Receiver<()> {
+        let (wake, woken) = oneshot::channel();
+        let mut queue = self.queue.lock().expect("no holder of the lock panics");
+        queue.number += 1;
+        let number = queue.number;
+        queue.waiting.push(Reverse(Waiting { due, number, wake }));
+        self.changed.notify_one();
+        woken
+    }
+
+    fn run(&self) {
+        let mut queue = self.queue.lock().expect("no holder of the lock panics");
+        loop {
+            let now = Instant::now();
+            while queue.waiting.peek().is_some_and(|Reverse(first)| first.due <= now) {
+                if let Some(Reverse(first)) = queue.waiting.pop() {
+                    // A waiter that was dropped needs no call.
+                    let _ = first.wake.send(());
+                }
+            }
+            let pause = match queue.waiting.peek() {
+                Some(Reverse(first)) => first.due.saturating_duration_since(now),
+                None => Duration::from_secs(3_600),
+            };
+            let waited = self.changed.wait_timeout(queue, pause);
+            queue = waited.expect("no holder of the lock panics").0;
+        }
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,8 +8,12 @@
   SQLite, with log shipping, fencing and promotion.
 * [`platform`] is the platform: table service, object store and list of VMs.
 * [`fault`] is a TCP proxy whose links can be delayed and cut.
+* [`cluster`] brings up a whole deployment as real processes.
+* [`load`] has the clients that put a deployment under load.
 */
 
 pub mod backend;
+pub mod cluster;
 pub mod fault;
+pub mod load;
 pub mod platform;
--- /dev/null
+++ b/crates/testkit/src/load/mod.rs
@@ -0,0 +1,5 @@
+/*!
+Clients that put a deployment under load.
+*/
+
+pub mod client;
