--- a/crates/testkit/src/backend/mod.rs
+++ b/crates/testkit/src/backend/mod.rs
@@ -29,8 +29,8 @@
 
 use tokio::{net::TcpListener, task::JoinSet};
 
-use crate::backend::{node::Node, session::Session};
 pub use crate::backend::options::{BackendOptions, USAGE, parse_arguments};
+use crate::backend::{node::Node, session::Session};
 
 /// Role that neither limits nor fences hold back.
 pub const CONTROL_ROLE: &str = "chicoryhollow_control";
--- a/crates/testkit/src/cluster/child.rs
+++ b/crates/testkit/src/cluster/child.rs
@@ -68,7 +68,7 @@
     let mut alive = std::collections::HashSet::new();
     for line in io::stdin().lock().lines() {
         let line = line?;
-        let Ok(process) = line[1..].parse::<i32>() else { continue };
+        let Ok(process) = line.get(1..).unwrap_or_default().parse::<i32>() else { continue };
         match line.starts_with('+') {
             true => alive.insert(process),
             false => alive.remove(&process),
--- a/crates/testkit/src/cluster/files.rs
+++ b/crates/testkit/src/cluster/files.rs
@@ -38,7 +38,7 @@
 
 /// Makes the configuration of a deployment; `addresses` gives each server's, by
 /// group and data centre.
-pub fn configuration(
+pub(super) fn configuration(
     deployment: &Deployment,
     addresses: &[[SocketAddr; DATA_CENTRES]; 3],
 ) -> Configuration {
--- a/crates/testkit/src/cluster/mod.rs
+++ b/crates/testkit/src/cluster/mod.rs
@@ -126,6 +126,7 @@
     daemons: Vec<Daemon>,
     servers: Vec<Server>,
     configuration: Configuration,
+    keeps_files: bool,
     // Processes above end before the guard does.
     platform_process: Option<Process>,
     guard: Guard,
@@ -162,6 +163,11 @@
         self.directory.join("logs")
     }
 
+    /// Leaves the logs and the configuration behind, for a look at a failure.
+    pub fn keep_files(&mut self) {
+        self.keeps_files = true;
+    }
+
     /// Returns the address at which clients reach a VM.
     pub fn caller_address(&self, vm: usize) -> Option<SocketAddr> {
         let data_centre = vm % DATA_CENTRES;
@@ -404,8 +410,10 @@
             server.process.take().into_iter().for_each(|p| p.end(&mut self.guard));
         }
         self.platform_process.take().into_iter().for_each(|p| p.end(&mut self.guard));
-        // Nothing else refers to the directory.
-        let _ = std::fs::remove_dir_all(&self.directory);
+        if !self.keeps_files {
+            // What cannot be removed is left to the system's own cleaning.
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
     }
 }
 
--- a/crates/testkit/src/cluster/start.rs
+++ b/crates/testkit/src/cluster/start.rs
@@ -53,19 +53,26 @@
             deployment,
             directory,
             binaries,
+            keeps_files: false,
         };
-        cluster.start_platform().await?;
-        cluster.start_servers().await?;
-        cluster.make_daemons(vms).await?;
-        cluster.make_schema().await?;
-        for vm in 0..cluster.daemons.len() {
-            cluster.start_daemon(vm).await?;
-        }
-        cluster.apply(|_| {}).await?;
-        for vm in 0..cluster.daemons.len() {
-            cluster.wait_ready(vm).await?;
-        }
-        Ok(cluster)
+        let started = cluster.start(vms).await;
+        cluster.keeps_files = matches!(started, Err(ClusterError::Timeout(..)));
+        started.map(|()| cluster)
+    }
+
+    async fn start(&mut self, vms: &[SocketAddr]) -> Result<(), ClusterError> {
+        self.start_platform().await?;
+        self.start_servers().await?;
+        self.make_daemons(vms).await?;
+        self.make_schema().await?;
+        for vm in 0..self.daemons.len() {
+            self.start_daemon(vm).await?;
+        }
+        self.apply(|_| {}).await?;
+        for vm in 0..self.daemons.len() {
+            self.wait_ready(vm).await?;
+        }
+        Ok(())
     }
 
     async fn start_platform(&mut self) -> Result<(), ClusterError> {
@@ -134,8 +141,7 @@
             args.push("--initial-primary".to_owned());
         }
         let members = self.servers.iter().filter(|server| server.group == group);
-        let members: Vec<_> =
-            members.map(|s| (s.name.clone(), s.data_centre, s.address)).collect();
+        let members: Vec<_> = members.map(|s| (s.name.clone(), s.data_centre, s.address)).collect();
         for (name, data_centre, mut address) in members {
             if data_centre != own {
                 let from = End::Server { group, data_centre: own };
@@ -187,7 +193,7 @@
             translate.extend(self.links.address(from, to).map(|link| (server.address, link)));
         }
         let link = self.links.address(from, End::Platform).unwrap_or(self.platform);
-        let platform = format!("http://{link}/dc/{}", Deployment::data_centre(index));
+        let platform = format!("http://{link}");
         let settings = files::settings(index, listens[index].clone(), platform, translate);
         let path = self.directory.join(format!("{}.jsonc", Deployment::vm(index)));
         files::write_settings(&path, &settings)?;
--- a/crates/testkit/src/load/client.rs
+++ b/crates/testkit/src/load/client.rs
@@ -193,7 +193,8 @@
             set("options", &format!("-c {SESSION_PARAMETER}={token}"));
         }
         self.framed.send(Out::Startup(startup)).await?;
-        let mut scram = ScramSha256::new(identity.password.as_bytes(), ChannelBinding::unsupported());
+        let mut scram =
+            ScramSha256::new(identity.password.as_bytes(), ChannelBinding::unsupported());
         loop {
             match self.receive().await? {
                 In::Authentication(step) => self.authenticate(step, &mut scram).await?,
