--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,6 @@
   bounds the statements prepared on each.
 * [`confirm`] tells when a majority holds a position.
 * [`outcome`] finds out what became of a write whose answer was lost.
-* [`listing`] decides when to read the platform's lists of VMs.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -41,9 +40,8 @@
 
 pub mod confirm;
 pub mod id;
-pub mod pace;
-pub mod listing;
 pub mod outcome;
+pub mod pace;
 pub mod pool;
 pub mod position;
 pub mod prelude;
