Transfer the list of VMs only when it has changed

Cause: a reader took the whole list once a second, 2,900 entries of about 150 bytes at the planned size. Change: the list's tag goes with the request, and 304 stands for an unchanged list. A platform without tags answers the whole list as before. Conclusion: a reader's bytes follow the changes of the list, not the time.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,8 +1,11 @@
 //! The platform over HTTP and JSON.
 
-use std::time::Duration;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use awc::{Client, http::StatusCode};
+use awc::{
+    Client,
+    http::{StatusCode, header},
+};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -16,6 +19,8 @@
 pub struct HttpPlatform {
     client: Client,
     base: String,
+    /// The last list of VMs with its tag.
+    listed: Rc<RefCell<(String, Vec<Vm>)>>,
 }
 
 impl HttpPlatform {
@@ -23,7 +28,7 @@
     /// that waits at most `timeout` for an answer.
     pub fn new(base: impl Into<String>, timeout: Duration) -> Self {
         let client = Client::builder().timeout(timeout).finish();
-        HttpPlatform { client, base: base.into() }
+        HttpPlatform { client, base: base.into(), listed: Rc::default() }
     }
 
     fn url(&self, path: &str) -> String {
@@ -76,9 +81,21 @@
     }
 
     async fn vms(&self) -> Result<Vec<Vm>, PlatformError> {
-        match self.read("/vms").await? {
-            (StatusCode::OK, body) => decode(&body),
-            (status, _) => Err(refused(status)),
+        let tag = self.listed.borrow().0.clone();
+        let request = self.client.get(self.url("/vms"));
+        let request = request.insert_header((header::IF_NONE_MATCH, tag));
+        let mut answer = request.send().await.map_err(unavailable)?;
+        match answer.status() {
+            StatusCode::NOT_MODIFIED => Ok(self.listed.borrow().1.clone()),
+            StatusCode::OK => {
+                let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+                let vms: Vec<Vm> = decode(&body)?;
+                let tag = answer.headers().get(header::ETAG);
+                let tag = tag.and_then(|tag| tag.to_str().ok()).unwrap_or_default().to_owned();
+                *self.listed.borrow_mut() = (tag, vms.clone());
+                Ok(vms)
+            }
+            status => Err(refused(status)),
         }
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,7 +11,9 @@
     that the row must not exist; it answers 200 with the new row, or 409 with
     the present one,
   * `GET /objects/NAME` and `PUT /objects/NAME` move bytes,
-  * `GET /vms` answers a list of [`Vm`].
+  * `GET /vms` answers a list of [`Vm`]; when the answer carries an `ETag`, the
+    next request repeats it in `If-None-Match`, and 304 means that the list is
+    the same.
 
 * [`Roster`] is the list of VMs as one VM passes it on to others.
 
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -21,6 +21,7 @@
 use actix_web::{
     App, HttpRequest, HttpResponse, HttpServer,
     dev::Server,
+    http::header,
     web::{self, Bytes, Data, Json, Path, ServiceConfig},
 };
 use chicoryhollow_core::prelude::*;
@@ -236,10 +237,24 @@
     state.answer(&request, write).await
 }
 
+/// Answers a list with its tag, or that the tag of the request still names it.
+fn answer_list(request: &HttpRequest, vms: &[Vm]) -> HttpResponse {
+    let json = serde_json::to_string(vms).expect("a list of VMs is always JSON");
+    let tag = format!("\"{:016x}\"", xxhash_rust::xxh3::xxh3_64(json.as_bytes()));
+    let known = request.headers().get(header::IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return HttpResponse::NotModified().finish();
+    }
+    HttpResponse::Ok()
+        .insert_header((header::ETAG, tag))
+        .content_type("application/json")
+        .body(json)
+}
+
 async fn get_vms(state: Data<State>, request: HttpRequest) -> HttpResponse {
     let read = |store: &mut Store, name: Option<&DataCentreId>, fault: &Fault| {
         store.counts.reads += 1;
-        HttpResponse::Ok().json(store.list(name, Duration::from_millis(fault.list_lag_ms)))
+        answer_list(&request, &store.list(name, Duration::from_millis(fault.list_lag_ms)))
     };
     state.answer(&request, read).await
 }
--- a/crates/testkit/tests/platform.rs
+++ b/crates/testkit/tests/platform.rs
@@ -55,6 +55,23 @@
     assert!(matches!(client.swap("k", 1, json!("b")).await, Ok(Swap::Done(_))));
 }
 
+#[actix_web::test]
+async fn an_unchanged_list_is_told_by_its_tag() {
+    let stand = Stand::start();
+    stand.put("vms/vm-1", &listed("vm-1")).await;
+    let first = awc::Client::default().get(format!("{}/vms", stand.base)).send().await;
+    let tag = first.expect("an answer").headers().get("etag").expect("a tag").clone();
+    let again = awc::Client::default().get(format!("{}/vms", stand.base));
+    let again = again.insert_header(("if-none-match", tag)).send().await.expect("an answer");
+    assert_eq!(again.status(), 304);
+    let client = stand.client("");
+    for _ in 0..2 {
+        assert_eq!(client.vms().await.map(|vms| vms.len()), Ok(1));
+    }
+    stand.put("vms/vm-2", &listed("vm-2")).await;
+    assert_eq!(client.vms().await.map(|vms| vms.len()), Ok(2));
+}
+
 #[actix_web::test]
 async fn objects_keep_their_bytes() {
     let client = Stand::start().client("/dc/dc-1");
