--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,128 @@
+//! What a home remembers of batches, for entries that lost their connection.
+//!
+//! A batch is named by the entry's incarnation, the stream and its number on
+//! the stream. Once an entry has asked for a batch that did not arrive, the
+//! batch is refused should it arrive later.
+
+use std::{collections::VecDeque, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::{id::Incarnation, time::Time};
+
+/// Time for which a finished batch is remembered.
+const RETENTION: Duration = Duration::from_secs(15);
+
+/// Most batches remembered.
+const MAX_BATCHES: usize = 65_536;
+
+/// Name of a batch that no other batch ever has.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct BatchId {
+    /// Run of the entry's daemon.
+    pub entry: Incarnation,
+    /// Number of the stream.
+    pub stream: u64,
+    /// Number of the batch on the stream.
+    pub number: u32,
+}
+
+/// What is known of a batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Known<T> {
+    /// The batch never arrived, and is refused from now on.
+    Barred,
+    /// The batch runs.
+    Running,
+    /// The batch is over.
+    Finished(T),
+}
+
+/// Remembers batches that run and that finished lately.
+#[derive(Clone, Debug)]
+pub struct Ledger<T> {
+    batches: IndexMap<BatchId, Known<T>>,
+    expiry: VecDeque<(Time, BatchId)>,
+}
+
+impl<T: Clone> Ledger<T> {
+    /// Makes a ledger that knows no batch.
+    pub fn new() -> Self {
+        Ledger { batches: IndexMap::new(), expiry: VecDeque::new() }
+    }
+
+    /// Records that a batch arrived; returns whether it may run.
+    pub fn start(&mut self, id: BatchId, now: Time) -> bool {
+        self.expire(now);
+        if self.batches.contains_key(&id) {
+            return false;
+        }
+        self.batches.insert(id, Known::Running);
+        true
+    }
+
+    /// Records how a batch ended.
+    pub fn finish(&mut self, id: BatchId, result: T, now: Time) {
+        self.batches.insert(id, Known::Finished(result));
+        self.expiry.push_back((now + RETENTION, id));
+        self.expire(now);
+    }
+
+    /// Returns what is known of a batch and bars it if that is nothing.
+    pub fn inquire(&mut self, id: BatchId, now: Time) -> Known<T> {
+        self.expire(now);
+        if !self.batches.contains_key(&id) {
+            self.expiry.push_back((now + RETENTION, id));
+        }
+        self.batches.entry(id).or_insert(Known::Barred).clone()
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some((until, id)) = self.expiry.front().copied() {
+            if until > now && self.expiry.len() <= MAX_BATCHES {
+                return;
+            }
+            self.expiry.pop_front();
+            self.batches.swap_remove(&id);
+        }
+    }
+}
+
+impl<T: Clone> Default for Ledger<T> {
+    fn default() -> Self {
+        Ledger::new()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(number: u32) -> BatchId {
+        BatchId { entry: Incarnation::new(7), stream: 1, number }
+    }
+
+    #[test]
+    fn a_batch_that_was_asked_for_first_never_runs() {
+        let now = Time::from_millis(0);
+        let mut ledger = Ledger::<u8>::new();
+        assert_eq!(ledger.inquire(id(1), now), Known::Barred);
+        assert!(!ledger.start(id(1), now));
+        assert!(ledger.start(id(2), now));
+        assert!(!ledger.start(id(2), now), "a batch runs once");
+        assert_eq!(ledger.inquire(id(2), now), Known::Running);
+        ledger.finish(id(2), 5, now);
+        assert_eq!(ledger.inquire(id(2), now), Known::Finished(5));
+    }
+
+    #[test]
+    fn finished_batches_are_forgotten_in_time() {
+        let mut ledger = Ledger::<u8>::new();
+        for number in 0..100 {
+            let now = Time::from_millis(u64::from(number) * 1_000);
+            assert!(ledger.start(id(number), now));
+            ledger.finish(id(number), 0, now);
+        }
+        assert!(ledger.batches.len() <= 16 && ledger.expiry.len() <= 16);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 * [`confirm`] tells when a majority holds a position.
 * [`outcome`] finds out what became of a write whose answer was lost.
 * [`listing`] decides when to read the platform's lists of VMs.
+* [`ledger`] remembers batches for entries that lost their connection.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -40,6 +41,7 @@
 
 pub mod confirm;
 pub mod id;
+pub mod ledger;
 pub mod listing;
 pub mod outcome;
 pub mod pool;
--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -8,7 +8,7 @@
     /// What the message is about; none for a body of a later version.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 30, 31, 32, 40, 41"
+        tags = "1, 2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 30, 31, 32, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -56,6 +56,15 @@
     /// Cancels the statement that runs on a stream.
     #[prost(message, tag = "16")]
     Interrupt(stream::Interrupt),
+    /// Tells the entry which transaction is about to run.
+    #[prost(message, tag = "17")]
+    Noted(stream::Noted),
+    /// Asks what became of a batch whose connection was lost.
+    #[prost(message, tag = "18")]
+    Inquiry(stream::Inquiry),
+    /// Answers an inquiry.
+    #[prost(message, tag = "19")]
+    Finding(stream::Finding),
     /// Asks for the view of a group, now and whenever it changes.
     #[prost(message, tag = "20")]
     Subscribe(group::Subscribe),
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -87,6 +87,9 @@
     /// Milliseconds left until the batch's deadline.
     #[prost(uint32, tag = "5")]
     pub deadline_ms: u32,
+    /// Number of the batch on its stream, counted from one.
+    #[prost(uint32, tag = "6")]
+    pub number: u32,
 }
 
 /// Part of an answer: whole encoded backend messages, without `ReadyForQuery`.
@@ -146,3 +149,68 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
 }
+
+/// Tells the entry which transaction is about to run, so that the entry can
+/// find out what became of it when the home is lost.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Noted {
+    /// Number of the stream.
+    #[prost(uint64, tag = "1")]
+    pub stream: u64,
+    /// Term in which the transaction runs.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Its transaction id.
+    #[prost(uint64, tag = "3")]
+    pub xid: u64,
+}
+
+/// Asks what became of a batch whose connection was lost.
+///
+/// A batch that the home does not know is never run afterwards.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Inquiry {
+    /// Number of the stream.
+    #[prost(uint64, tag = "1")]
+    pub stream: u64,
+    /// Number of the batch on its stream.
+    #[prost(uint32, tag = "2")]
+    pub number: u32,
+}
+
+/// State of a batch.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, prost::Enumeration)]
+#[repr(i32)]
+pub enum BatchState {
+    /// The batch never arrived, and will not run.
+    Unknown = 0,
+    /// The batch runs.
+    Running = 1,
+    /// The batch was refused.
+    Refused = 2,
+    /// The batch was answered in full.
+    Finished = 3,
+}
+
+/// Answers an [`Inquiry`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Finding {
+    /// Number of the stream.
+    #[prost(uint64, tag = "1")]
+    pub stream: u64,
+    /// Number of the batch on its stream.
+    #[prost(uint32, tag = "2")]
+    pub number: u32,
+    /// State of the batch.
+    #[prost(enumeration = "BatchState", tag = "3")]
+    pub state: i32,
+    /// Label of the refusal of a refused batch.
+    #[prost(string, tag = "4")]
+    pub refusal: String,
+    /// The whole answer to a finished batch, if it was kept.
+    #[prost(bytes = "bytes", optional, tag = "5")]
+    pub answer: Option<bytes::Bytes>,
+    /// The end of that answer.
+    #[prost(message, optional, tag = "6")]
+    pub ready: Option<Ready>,
+}
--- a/crates/proxy/src/home/local.rs
+++ b/crates/proxy/src/home/local.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use chicoryhollow_core::{outcome::Interrupted, prelude::*};
-use pgwire::messages::response::CommandComplete;
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -22,7 +21,7 @@
 use crate::{
     node::Node,
     stream::{Access, Batch, OpenRequest, Ready, Refused, StreamEvent},
-    wire::{self, Frame},
+    wire::Frame,
 };
 
 /// Time beyond a deadline in which a cancelled statement may still answer, and
@@ -48,17 +47,31 @@
     batch: BatchState,
     write: Interrupted,
     writes: bool,
+    phase: Phase,
     outbox: VecDeque<StreamEvent>,
 }
 
+/// What the answer waits for; kept here so that a call to [`LocalStream::next`]
+/// may be dropped and repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// Messages of the server.
+    Receiving,
+    /// Confirmation of a commit in the middle of the batch.
+    Confirming,
+    /// Confirmation of the whole batch, after which the stream has this status.
+    Finishing(u8, Option<Position>),
+    /// The fate of a batch whose connection is lost.
+    Resolving,
+}
+
 /// What is known of the batch that runs.
 struct BatchState {
     deadline: Time,
     late: bool,
     lost: bool,
-    /// Whether the whole batch is one statement, so that it has one outcome.
-    single: bool,
-    commits: bool,
+    /// Messages of the caller.
+    messages: Bytes,
     /// Whether the server refused a write because it is not the primary.
     not_primary: bool,
     answer: Answer,
@@ -71,8 +84,7 @@
             deadline,
             late: false,
             lost: false,
-            single: true,
-            commits: false,
+            messages: Bytes::new(),
             not_primary: false,
             answer: Answer::new(holds),
             preamble: Preamble::default(),
@@ -130,6 +142,7 @@
             batch: BatchState::new(request.deadline, false),
             write: Interrupted { term: Term::default(), xid: None },
             writes: false,
+            phase: Phase::Receiving,
             outbox: VecDeque::new(),
         })
     }
@@ -145,11 +158,9 @@
     ///
     /// Returns the refusal when the batch was not sent.
     pub async fn send(&mut self, batch: Batch) -> Result<(), Refused> {
+        self.phase = Phase::Receiving;
         self.batch = BatchState::new(batch.deadline, self.access != Access::Read);
-        if batch.writes {
-            self.batch.single = request::is_single(&batch);
-            self.batch.commits = request::is_commit(&batch);
-        }
+        self.batch.messages = batch.messages.clone();
         match self.lease {
             None => self.begin(batch.writes).await?,
             Some(_) => self.resume().await?,
@@ -230,7 +241,8 @@
         Err(refusal.into())
     }
 
-    /// Waits for the next part of the answer.
+    /// Waits for the next part of the answer. Nothing is lost when the returned
+    /// future is dropped.
     ///
     /// # Errors
     ///
@@ -240,10 +252,25 @@
             if let Some(event) = self.outbox.pop_front() {
                 return Ok(event);
             }
-            match self.receive().await {
-                Received::Frame(frame) => self.take(&frame).await?,
-                Received::Late if !self.batch.late => self.extend(),
-                Received::Late | Received::Lost => self.resolve().await?,
+            match self.phase {
+                Phase::Receiving => match self.receive().await {
+                    Received::Frame(frame) => self.take(&frame)?,
+                    Received::Late if !self.batch.late => self.extend(),
+                    Received::Late | Received::Lost => self.lose(),
+                },
+                Phase::Confirming => {
+                    self.confirm(None).await?;
+                    self.phase = Phase::Receiving;
+                    self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
+                }
+                Phase::Finishing(status, position) => {
+                    self.finish(status, position).await?;
+                    self.phase = Phase::Receiving;
+                }
+                Phase::Resolving => {
+                    self.resolve().await?;
+                    self.phase = Phase::Receiving;
+                }
             }
         }
     }
@@ -283,13 +310,13 @@
     }
 
     /// Takes one message of the answer.
-    async fn take(&mut self, frame: &Frame) -> Result<(), Refused> {
+    fn take(&mut self, frame: &Frame) -> Result<(), Refused> {
         let Some(Ok(backend)) = self.lease.as_mut().map(Lease::backend) else { return Ok(()) };
         if self.batch.preamble.takes(frame, &mut backend.prepared) {
             return Ok(());
         }
         match frame.tag() {
-            b'Z' => return self.finish(frame.bytes().last().copied().unwrap_or(b'E')).await,
+            b'Z' => return self.end_exchange(frame.bytes().last().copied().unwrap_or(b'E')),
             // Parameters and notifications of pooled connections mean nothing
             // to the caller.
             b'S' | b'A' => return Ok(()),
@@ -303,44 +330,24 @@
         match self.batch.answer.add(frame) {
             Next::More => {}
             Next::Pass(part) => self.outbox.push_back(StreamEvent::Answer(part)),
-            Next::Confirm => {
-                self.confirm(None).await?;
-                self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
-            }
+            Next::Confirm => self.phase = Phase::Confirming,
         }
         Ok(())
     }
 
-    /// Ends the answer: an answer of a primary waits until it is confirmed.
-    async fn finish(&mut self, status: u8) -> Result<(), Refused> {
+    /// Gives back the slot and, when idle, the connection, before the answer
+    /// waits for its confirmation.
+    fn end_exchange(&mut self, status: u8) -> Result<(), Refused> {
         let untouched = self.batch.answer.is_untouched() && self.status == b'I';
-        let position = self.end_exchange(status)?;
-        if status == b'I' {
-            if self.batch.not_primary {
-                return Err(Refusal::NotPrimary.into());
-            }
-            if self.batch.late && untouched && self.batch.answer.has_failed() {
-                return Err(Refusal::DeadlinePassed.into());
-            }
-            self.check(position).await?;
-            self.writes = false;
-        }
-        self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
-        self.outbox.push_back(StreamEvent::Ready(Ready { status, position }));
-        Ok(())
-    }
-
-    /// Gives back the slot and, when idle, the connection; returns the position
-    /// that the server reported.
-    fn end_exchange(&mut self, status: u8) -> Result<Option<Position>, Refused> {
         self.status = status;
         self.running = false;
         let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
         let position = lease.backend()?.position();
         position.into_iter().for_each(|position| self.home.applied.report(position));
+        self.phase = Phase::Finishing(status, position);
         if status != b'I' {
             lease.pause();
-            return Ok(position);
+            return Ok(());
         }
         let clean = !self.cancelled && !self.batch.lost && self.batch.preamble.is_done();
         if let Some(lease) = self.lease.take()
@@ -350,7 +357,24 @@
         }
         self.cancelled = false;
         self.write.xid = None;
-        Ok(position)
+        if self.batch.not_primary {
+            return Err(Refusal::NotPrimary.into());
+        }
+        if self.batch.late && untouched && self.batch.answer.has_failed() {
+            return Err(Refusal::DeadlinePassed.into());
+        }
+        Ok(())
+    }
+
+    /// Ends the answer: an answer of a primary waits until it is confirmed.
+    async fn finish(&mut self, status: u8, position: Option<Position>) -> Result<(), Refused> {
+        if status == b'I' {
+            self.check(position).await?;
+            self.writes = false;
+        }
+        self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
+        self.outbox.push_back(StreamEvent::Ready(Ready { status, position }));
+        Ok(())
     }
 
     /// Makes sure that the answer may be passed on.
@@ -382,13 +406,13 @@
             None => Err(Unsettled::Timeout),
         };
         let wrote = self.writes && !self.batch.answer.has_failed();
-        let refusal = match (settled, wrote, self.batch.single) {
-            (Ok(()), ..) => return Ok(()),
-            (Err(_), false, _) => Refusal::ReadInterrupted,
-            (Err(Unsettled::Lost), true, true) => Refusal::WriteLost,
+        let refusal = match settled {
+            Ok(()) => return Ok(()),
+            Err(_) if !wrote => Refusal::ReadInterrupted,
+            Err(Unsettled::Lost) if request::is_single(&self.batch.messages) => Refusal::WriteLost,
             // Part of a batch of several transactions may have survived.
-            (Err(Unsettled::Lost), true, false) => Refusal::WriteInterrupted,
-            (Err(Unsettled::Timeout), true, _) => Refusal::Unconfirmed,
+            Err(Unsettled::Lost) => Refusal::WriteInterrupted,
+            Err(Unsettled::Timeout) => Refusal::Unconfirmed,
         };
         Err(refusal.into())
     }
@@ -398,12 +422,16 @@
         self.access != Access::Read && term > self.write.term
     }
 
-    /// Drops a connection that broke off and finds out what became of the
-    /// batch.
-    async fn resolve(&mut self) -> Result<(), Refused> {
+    /// Drops a connection that broke off.
+    fn lose(&mut self) {
         self.interrupt();
         self.lease = None;
         self.running = false;
+        self.phase = Phase::Resolving;
+    }
+
+    /// Finds out what became of a batch whose connection broke off.
+    async fn resolve(&mut self) -> Result<(), Refused> {
         let idle = self.status == b'I';
         if !self.writes {
             let refusal = if idle { Refusal::ReadInterrupted } else { Refusal::TransactionEnded };
@@ -412,9 +440,10 @@
         let (node, home) = (&self.node, &self.home);
         let deadline = self.batch.deadline + GRACE;
         let resolved = resolve(node, &home.group, &home.server, self.write, deadline).await;
-        let refusal = match (resolved, self.batch.single) {
+        let messages = &self.batch.messages;
+        let refusal = match (resolved, request::is_single(messages)) {
             (Resolved::Committed(position), true) => {
-                if self.batch.commits && self.batch.answer.is_untouched() {
+                if request::is_commit(messages) && self.batch.answer.is_untouched() {
                     self.answer_commit(position);
                     return Ok(());
                 }
@@ -432,8 +461,7 @@
         self.writes = false;
         self.write.xid = None;
         self.cancelled = false;
-        let done: Bytes = wire::encode(&CommandComplete::new("COMMIT".to_owned()));
-        self.outbox.push_back(StreamEvent::Answer(done));
+        self.outbox.push_back(StreamEvent::Answer(request::commit_answer()));
         let ready = Ready { status: b'I', position: Some(position) };
         self.outbox.push_back(StreamEvent::Ready(ready));
     }
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -28,8 +28,11 @@
 use tokio::time::sleep;
 
 pub use self::local::LocalStream;
-pub(crate) use self::outcome::{Resolved, resolve};
 use self::{applied::Applied, schedule::Schedule, tracker::Tracker};
+pub(crate) use self::{
+    outcome::{Resolved, resolve},
+    request::{commit_answer, is_commit, is_single},
+};
 use crate::node::Node;
 
 /// Time between two looks at the connections of a server.
@@ -69,6 +72,11 @@
         Some(home)
     }
 
+    /// Returns the group of a configured server.
+    pub(crate) fn group(&self, node: &Arc<Node>, server: &ServerId) -> Option<GroupId> {
+        self.get(node, server).map(|home| home.group.clone())
+    }
+
     /// Returns the tracker of `server`, made on first use, or `None` when the
     /// configuration does not name the server.
     pub(crate) fn tracker(&self, node: &Node, server: &ServerId) -> Option<Arc<Tracker>> {
--- a/crates/proxy/src/home/request.rs
+++ b/crates/proxy/src/home/request.rs
@@ -8,6 +8,7 @@
 use pgwire::messages::{
     PgWireFrontendMessage,
     extendedquery::{Bind, Close, Execute, Flush, Parse, Sync as SyncMessage},
+    response::CommandComplete,
     simplequery::Query,
 };
 
@@ -122,9 +123,9 @@
 }
 
 /// Tells whether a batch does nothing but commit.
-pub(crate) fn is_commit(batch: &Batch) -> bool {
-    let Some(frame) = wire::frames(&batch.messages).next() else { return false };
-    if frame.bytes().len() != batch.messages.len() {
+pub(crate) fn is_commit(messages: &[u8]) -> bool {
+    let Some(frame) = wire::frames(messages).next() else { return false };
+    if frame.bytes().len() != messages.len() {
         return false;
     }
     let Ok(PgWireFrontendMessage::Query(query)) = frame.frontend() else { return false };
@@ -134,14 +135,19 @@
         .any(|commit| text.eq_ignore_ascii_case(commit))
 }
 
+/// Encodes the answer to a `COMMIT`.
+pub(crate) fn commit_answer() -> Bytes {
+    wire::encode(&CommandComplete::new("COMMIT".to_owned()))
+}
+
 /// Tells whether a batch runs at most one statement and thus has one outcome.
-pub(crate) fn is_single(batch: &Batch) -> bool {
+pub(crate) fn is_single(messages: &[u8]) -> bool {
     let count = |frame: Frame| match frame.tag() {
         b'E' => 1,
         b'Q' => 1 + inner_semicolons(&frame),
         _ => 0,
     };
-    wire::frames(&batch.messages).map(count).sum::<usize>() <= 1
+    wire::frames(messages).map(count).sum::<usize>() <= 1
 }
 
 /// Counts the semicolons of a simple query besides the closing one; those in
--- a/crates/proxy/src/peers/accept.rs
+++ b/crates/proxy/src/peers/accept.rs
@@ -1,31 +1,53 @@
 //! Connections that other VMs dial.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
-use chicoryhollow_peer::{Body, CodecError, Envelope, EnvelopeCodec, member::Pong};
-use futures_util::{SinkExt, StreamExt};
+use chicoryhollow_core::Refusal;
+use chicoryhollow_peer::{
+    Body, CodecError, Envelope, EnvelopeCodec,
+    member::{Ping, Pong},
+    stream,
+};
+use futures_util::{SinkExt, Stream, StreamExt};
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_util::codec::Framed;
 
 use super::{
+    QUEUE_MESSAGES,
     dispatch::{Peer, Reply, dispatch},
     link::{hello, introduced},
-    serve::serve,
+    serve::{Served, closed},
+    write_queue,
 };
 use crate::{events::Event, node::Node};
 
-/// Messages that wait to be written to one connection.
-const QUEUE_MESSAGES: usize = 1_024;
+/// Longest time until the other VM introduces itself.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Silence of an entry with open streams after which its streams are ended, so
+/// that what they hold is free again.
+const ENTRY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Streams of one connection.
+const MAX_STREAMS: usize = 16_384;
+
+/// Messages that may wait for one stream.
+const STREAM_MESSAGES: usize = 64;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections of other VMs for as long as the daemon runs.
 pub async fn listen(node: Arc<Node>, listener: TcpListener) {
     loop {
-        if let Ok((socket, _)) = listener.accept().await {
-            tokio::spawn(run(Arc::clone(&node), socket));
+        match listener.accept().await {
+            Ok((socket, _)) => drop(tokio::spawn(run(Arc::clone(&node), socket))),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
@@ -38,66 +60,113 @@
 
 async fn exchange(node: &Arc<Node>, socket: TcpStream) -> Result<(), CodecError> {
     socket.set_nodelay(true)?;
-    let (mut sink, mut source) = Framed::new(socket, EnvelopeCodec::new()).split();
-    sink.send(Envelope::new(Body::Hello(hello(node)))).await?;
-    let (outgoing, mut queue) = mpsc::channel::<Envelope>(QUEUE_MESSAGES);
-    let writer = tokio::spawn(async move {
-        while let Some(message) = queue.recv().await {
-            sink.feed(message).await?;
-            while let Ok(message) = queue.try_recv() {
-                sink.feed(message).await?;
+    let mut framed = Framed::new(socket, EnvelopeCodec::new());
+    framed.send(Envelope::new(Body::Hello(hello(node)))).await?;
+    let first = timeout(HELLO_TIMEOUT, framed.next()).await.map_err(io::Error::from)?;
+    let peer = introduced(node, first.transpose()?)?;
+    let (sink, source) = framed.split();
+    let (outgoing, mut queue) = mpsc::channel(QUEUE_MESSAGES);
+    let connection = Connection { node: Arc::clone(node), peer, outgoing, streams: HashMap::new() };
+    tokio::select! {
+        ended = connection.read(source) => ended,
+        ended = write_queue(sink, &mut queue) => ended,
+    }
+}
+
+/// One accepted connection.
+struct Connection {
+    node: Arc<Node>,
+    peer: Peer,
+    outgoing: mpsc::Sender<Envelope>,
+    streams: HashMap<u64, mpsc::Sender<Body>>,
+}
+
+impl Connection {
+    async fn read(
+        mut self,
+        mut source: impl Stream<Item = Result<Envelope, CodecError>> + Unpin,
+    ) -> Result<(), CodecError> {
+        let mut ticks = interval(ENTRY_TIMEOUT / 4);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut heard = Instant::now();
+        loop {
+            tokio::select! {
+                biased;
+                message = source.next() => {
+                    heard = Instant::now();
+                    match message.transpose()? {
+                        Some(message) => message.body.into_iter().for_each(|b| self.handle(b)),
+                        None => return Ok(()),
+                    }
+                }
+                now = ticks.tick() => {
+                    self.streams.retain(|_, sender| !sender.is_closed());
+                    let silent = now.saturating_duration_since(heard) >= ENTRY_TIMEOUT;
+                    if silent && !self.streams.is_empty() {
+                        return Err(io::Error::from(io::ErrorKind::TimedOut).into());
+                    }
+                }
             }
-            sink.flush().await?;
-        }
-        Ok::<(), CodecError>(())
-    });
-    let mut streams = HashMap::new();
-    let peer = introduced(node, source.next().await.transpose()?)?;
-    while let Some(message) = source.next().await {
-        if let Some(body) = message?.body {
-            handle(node, &peer, &outgoing, &mut streams, body).await;
         }
     }
-    writer.abort();
-    Ok(())
-}
 
-async fn handle(
-    node: &Arc<Node>,
-    peer: &Peer,
-    outgoing: &mpsc::Sender<Envelope>,
-    streams: &mut HashMap<u64, mpsc::UnboundedSender<Body>>,
-    body: Body,
-) {
-    match body {
-        Body::Ping(ping) => {
-            peer.heard(node, ping.leaving, ping.version);
-            let version = node.configuration().version;
-            let pong = Pong { number: ping.number, leaving: node.is_draining(), version };
-            // A full queue already shows the peer that this VM lives.
-            drop(outgoing.try_send(Envelope::new(Body::Pong(pong))));
+    fn handle(&mut self, body: Body) {
+        match body {
+            Body::Ping(ping) => self.answer_ping(&ping),
+            Body::Pong(pong) => self.peer.heard(&self.node, pong.leaving, pong.version),
+            Body::Open(open) => self.open(open),
+            Body::Batch(batch) => self.forward(batch.stream, Body::Batch(batch)),
+            Body::Interrupt(interrupt) => {
+                self.forward(interrupt.stream, Body::Interrupt(interrupt));
+            }
+            Body::Credit(credit) => self.forward(credit.stream, Body::Credit(credit)),
+            Body::Close(close) => {
+                self.forward(close.stream, Body::Close(close.clone()));
+                self.streams.remove(&close.stream);
+            }
+            Body::Inquiry(inquiry) => {
+                let now = self.node.clock.now();
+                let batches = &self.node.peers.batches;
+                let finding = batches.inquire(self.peer.incarnation, inquiry, now);
+                self.reply(Body::Finding(finding));
+            }
+            body => dispatch(&self.node, &self.peer, body, &Reply::new(self.outgoing.clone())),
         }
-        Body::Open(open) => {
-            streams.retain(|_, sender| !sender.is_closed());
-            let (sender, receiver) = mpsc::unbounded_channel();
-            streams.insert(open.stream, sender);
-            tokio::spawn(serve(Arc::clone(node), open, receiver, outgoing.clone()));
+    }
+
+    fn answer_ping(&self, ping: &Ping) {
+        self.peer.heard(&self.node, ping.leaving, ping.version);
+        let version = self.node.configuration().version;
+        let leaving = self.node.is_draining();
+        self.reply(Body::Pong(Pong { number: ping.number, leaving, version }));
+    }
+
+    fn open(&mut self, open: stream::Open) {
+        if self.streams.len() >= MAX_STREAMS {
+            self.streams.retain(|_, sender| !sender.is_closed());
         }
-        Body::Batch(batch) => forward(streams, batch.stream, Body::Batch(batch)),
-        Body::Interrupt(interrupt) => {
-            forward(streams, interrupt.stream, Body::Interrupt(interrupt));
+        if self.streams.len() >= MAX_STREAMS {
+            self.reply(closed(open.stream, Some(Refusal::QueueFull.into())));
+            return;
         }
-        Body::Credit(credit) => forward(streams, credit.stream, Body::Credit(credit)),
-        Body::Close(close) => {
-            streams.remove(&close.stream);
+        let (sender, receiver) = mpsc::channel(STREAM_MESSAGES);
+        self.streams.insert(open.stream, sender);
+        let entry = self.peer.incarnation;
+        let served = Served::new(&self.node, entry, open.stream, receiver, self.outgoing.clone());
+        tokio::spawn(served.run(open));
+    }
+
+    /// Hands a message to its stream. A stream that does not keep up with its
+    /// own entry has broken the protocol and is ended.
+    fn forward(&mut self, stream: u64, body: Body) {
+        let Some(sender) = self.streams.get(&stream) else { return };
+        if sender.try_send(body).is_err() {
+            self.streams.remove(&stream);
         }
-        body => dispatch(node, peer, body, &Reply::new(outgoing.clone())),
     }
-}
 
-fn forward(streams: &HashMap<u64, mpsc::UnboundedSender<Body>>, stream: u64, body: Body) {
-    if let Some(sender) = streams.get(&stream) {
-        // A stream that is gone has already told the entry why.
-        drop(sender.send(body));
+    fn reply(&self, body: Body) {
+        // A full queue shows the peer that this VM lives, and it asks again.
+        drop(self.outgoing.try_send(Envelope::new(body)));
     }
 }
--- /dev/null
+++ b/crates/proxy/src/peers/ledger.rs
@@ -0,0 +1,95 @@
+//! Batches of other VMs' entries, kept for those that lose their connection.
+
+use std::sync::{Mutex, MutexGuard};
+
+use bytes::{Bytes, BytesMut};
+use chicoryhollow_core::{
+    ledger::{BatchId, Known, Ledger},
+    prelude::*,
+};
+use chicoryhollow_peer::stream;
+
+use crate::stream::{Ready, Refused};
+
+/// Longest answer that is kept, in bytes; answers to writes are short.
+const KEPT_BYTES: usize = 512;
+
+/// How a batch ended.
+#[derive(Clone, Debug)]
+pub(crate) enum Ended {
+    /// It was refused.
+    Refused(Refused),
+    /// It was answered, here with the whole answer if that is short.
+    Ready(Option<Bytes>, Ready),
+}
+
+/// Gathers an answer for as long as it is short enough to be kept.
+#[derive(Debug, Default)]
+pub(crate) struct Kept {
+    bytes: BytesMut,
+    overflowed: bool,
+}
+
+impl Kept {
+    /// Adds a part of the answer.
+    pub(crate) fn add(&mut self, part: &[u8]) {
+        self.overflowed |= self.bytes.len() + part.len() > KEPT_BYTES;
+        if !self.overflowed {
+            self.bytes.extend_from_slice(part);
+        }
+    }
+
+    /// Returns the whole answer unless it was too long.
+    pub(crate) fn take(&mut self) -> Option<Bytes> {
+        let bytes = self.bytes.split().freeze();
+        (!std::mem::take(&mut self.overflowed)).then_some(bytes)
+    }
+}
+
+/// Remembers the writing batches of other VMs' entries.
+#[derive(Default)]
+pub(crate) struct Batches {
+    ledger: Mutex<Ledger<Ended>>,
+}
+
+impl Batches {
+    /// Records that a batch arrived; returns whether it may run.
+    pub(crate) fn start(&self, id: BatchId, now: Time) -> bool {
+        self.lock().start(id, now)
+    }
+
+    /// Records how a batch ended.
+    pub(crate) fn finish(&self, id: BatchId, ended: Ended, now: Time) {
+        self.lock().finish(id, ended, now);
+    }
+
+    /// Answers an entry that lost its connection.
+    pub(crate) fn inquire(
+        &self,
+        entry: Incarnation,
+        inquiry: stream::Inquiry,
+        now: Time,
+    ) -> stream::Finding {
+        let stream::Inquiry { stream, number } = inquiry;
+        let known = self.lock().inquire(BatchId { entry, stream, number }, now);
+        let mut finding = stream::Finding { stream, number, ..stream::Finding::default() };
+        match known {
+            Known::Barred => finding.set_state(stream::BatchState::Unknown),
+            Known::Running => finding.set_state(stream::BatchState::Running),
+            Known::Finished(Ended::Refused(refused)) => {
+                finding.set_state(stream::BatchState::Refused);
+                finding.refusal = refused.refusal.row().label.to_owned();
+            }
+            Known::Finished(Ended::Ready(answer, ready)) => {
+                finding.set_state(stream::BatchState::Finished);
+                finding.answer = answer;
+                finding.ready = Some(ready.to_message(stream));
+            }
+        }
+        finding
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Ledger<Ended>> {
+        self.ledger.lock().expect("no thread panics with this lock")
+    }
+}
--- a/crates/proxy/src/peers/link.rs
+++ b/crates/proxy/src/peers/link.rs
@@ -2,37 +2,70 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    io,
+    sync::{Arc, Mutex, MutexGuard, OnceLock},
     time::Duration,
 };
 
-use chicoryhollow_peer::{Body, CodecError, Envelope, EnvelopeCodec, member::Hello};
+use chicoryhollow_core::Incarnation;
+use chicoryhollow_peer::{
+    Body, CodecError, Envelope, EnvelopeCodec,
+    member::{Hello, Ping},
+};
 use chicoryhollow_platform::Vm;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{SinkExt, Stream, StreamExt};
 use slog::o;
-use tokio::{net::TcpStream, sync::mpsc, time::timeout};
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{Instant, MissedTickBehavior, interval, timeout},
+};
 use tokio_util::codec::Framed;
 
-use super::dispatch::{Peer, Reply, dispatch};
+use super::{
+    QUEUE_MESSAGES,
+    dispatch::{Peer, Reply, dispatch},
+    write_queue,
+};
 use crate::{events::Event, node::Node};
 
-/// Messages that wait to be written to one link.
-const QUEUE_MESSAGES: usize = 1_024;
+/// Longest time to connect and to be introduced.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two heartbeats on a link in use.
+const HEARTBEAT: Duration = Duration::from_millis(250);
 
-/// Longest time to connect, in milliseconds.
-const CONNECT_MS: u64 = 1_000;
+/// Silence after a heartbeat at which the link counts as dead.
+const LINK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What became of a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LinkState {
+    /// It stands or is being made.
+    Open,
+    /// It stood and was lost.
+    Lost,
+    /// It never stood.
+    Failed,
+}
 
 /// A dialled connection to another VM.
 pub struct Link {
     outgoing: mpsc::Sender<Envelope>,
-    streams: Mutex<HashMap<u64, mpsc::UnboundedSender<Body>>>,
+    streams: Mutex<Streams>,
+    /// The daemon at the other end, once it introduced itself.
+    incarnation: OnceLock<Incarnation>,
 }
 
+/// Receivers of the messages of streams; none once the link has ended.
+type Streams = Option<HashMap<u64, mpsc::UnboundedSender<Body>>>;
+
 impl Link {
     /// Starts to dial `vm`; messages wait until the connection stands.
     pub(crate) fn dial(node: &Arc<Node>, vm: Vm) -> Arc<Self> {
         let (outgoing, queue) = mpsc::channel(QUEUE_MESSAGES);
-        let link = Arc::new(Link { outgoing, streams: Mutex::default() });
+        let streams = Mutex::new(Some(HashMap::new()));
+        let link = Arc::new(Link { outgoing, streams, incarnation: OnceLock::new() });
         tokio::spawn(run(Arc::clone(node), Arc::clone(&link), vm, queue));
         link
     }
@@ -42,6 +75,20 @@
         !self.outgoing.is_closed()
     }
 
+    /// Returns what became of the link.
+    pub(crate) fn state(&self) -> LinkState {
+        match (self.is_open(), self.incarnation().is_some()) {
+            (true, _) => LinkState::Open,
+            (false, true) => LinkState::Lost,
+            (false, false) => LinkState::Failed,
+        }
+    }
+
+    /// Returns the daemon at the other end, once it introduced itself.
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation.get().copied()
+    }
+
     /// Sends a message; returns whether the link still takes any.
     pub async fn send(&self, body: Body) -> bool {
         self.outgoing.send(Envelope::new(body)).await.is_ok()
@@ -52,31 +99,42 @@
         self.outgoing.try_send(Envelope::new(body)).is_ok()
     }
 
-    /// Registers a stream and returns the receiver of its messages.
+    /// Registers a stream and returns the receiver of its messages, which ends
+    /// with the link.
     pub(crate) fn register(&self, stream: u64) -> mpsc::UnboundedReceiver<Body> {
         let (sender, receiver) = mpsc::unbounded_channel();
-        self.lock().insert(stream, sender);
+        if let Some(streams) = self.lock().as_mut() {
+            streams.insert(stream, sender);
+        }
         receiver
     }
 
     /// Forgets a stream; messages that still arrive for it are dropped.
     pub(crate) fn forget(&self, stream: u64) {
-        self.lock().remove(&stream);
+        if let Some(streams) = self.lock().as_mut() {
+            streams.remove(&stream);
+        }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, mpsc::UnboundedSender<Body>>> {
+    fn lock(&self) -> MutexGuard<'_, Streams> {
         self.streams.lock().expect("no thread panics with this lock")
     }
 
+    fn is_used(&self) -> bool {
+        self.lock().as_ref().is_some_and(|streams| !streams.is_empty())
+    }
+
     fn receive(&self, node: &Arc<Node>, peer: &Peer, body: Body) {
         let stream = match &body {
             Body::Answer(answer) => answer.stream,
             Body::Ready(ready) => ready.stream,
             Body::Close(close) => close.stream,
+            Body::Noted(noted) => noted.stream,
+            Body::Finding(finding) => finding.stream,
             Body::Pong(pong) => return peer.heard(node, pong.leaving, pong.version),
             _ => return dispatch(node, peer, body, &Reply::new(self.outgoing.clone())),
         };
-        if let Some(sender) = self.lock().get(&stream) {
+        if let Some(sender) = self.lock().as_ref().and_then(|streams| streams.get(&stream)) {
             // A receiver that is gone has lost interest in its stream.
             drop(sender.send(body));
         }
@@ -90,7 +148,7 @@
     }
     // Streams notice the end of the link by the end of their channel.
     queue.close();
-    link.lock().clear();
+    *link.lock() = None;
 }
 
 async fn exchange(
@@ -100,40 +158,70 @@
     queue: &mut mpsc::Receiver<Envelope>,
 ) -> Result<(), CodecError> {
     let address = node.settings.dial(vm.peers);
-    let connecting = timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(address));
-    let socket = connecting.await.map_err(std::io::Error::from)??;
-    socket.set_nodelay(true)?;
-    let (mut sink, mut source) = Framed::new(socket, EnvelopeCodec::new()).split();
-    sink.send(Envelope::new(Body::Hello(hello(node)))).await?;
-    let peer = introduced(node, source.next().await.transpose()?)?;
+    let introduction = async {
+        let socket = TcpStream::connect(address).await?;
+        socket.set_nodelay(true)?;
+        let mut framed = Framed::new(socket, EnvelopeCodec::new());
+        framed.send(Envelope::new(Body::Hello(hello(node)))).await?;
+        let peer = introduced(node, framed.next().await.transpose()?)?;
+        Ok::<_, CodecError>((framed, peer))
+    };
+    let (framed, peer) =
+        timeout(CONNECT_TIMEOUT, introduction).await.map_err(io::Error::from)??;
+    if peer.vm != vm.vm {
+        return Err(io::Error::from(io::ErrorKind::AddrNotAvailable).into());
+    }
+    link.incarnation.get_or_init(|| peer.incarnation);
+    let (sink, source) = framed.split();
+    tokio::select! {
+        ended = read(node, link, &peer, source) => ended,
+        ended = write_queue(sink, queue) => ended,
+    }
+}
+
+/// Reads messages and watches over the link with heartbeats while it is used.
+async fn read(
+    node: &Arc<Node>,
+    link: &Link,
+    peer: &Peer,
+    mut source: impl Stream<Item = Result<Envelope, CodecError>> + Unpin,
+) -> Result<(), CodecError> {
+    let mut heartbeats = interval(HEARTBEAT);
+    heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut unanswered: Option<Instant> = None;
+    let mut number = 0;
     loop {
         tokio::select! {
-            message = queue.recv() => {
-                let Some(message) = message else { return Ok(()) };
-                sink.feed(message).await?;
-                while let Ok(message) = queue.try_recv() {
-                    sink.feed(message).await?;
+            message = source.next() => {
+                unanswered = None;
+                let message = message.ok_or(io::Error::from(io::ErrorKind::ConnectionReset))??;
+                if let Some(body) = message.body {
+                    link.receive(node, peer, body);
                 }
-                sink.flush().await?;
             }
-            message = source.next() => match message {
-                Some(message) => {
-                    if let Some(body) = message?.body {
-                        link.receive(node, &peer, body);
-                    }
+            now = heartbeats.tick() => {
+                if unanswered.is_some_and(|since| now.duration_since(since) >= LINK_TIMEOUT) {
+                    return Err(io::Error::from(io::ErrorKind::TimedOut).into());
+                }
+                if link.is_used() {
+                    unanswered.get_or_insert(now);
+                    number += 1;
+                    let version = node.configuration().version;
+                    let ping = Ping { number, leaving: node.is_draining(), version };
+                    // A full queue is written to the peer as fast as it reads.
+                    link.try_send(Body::Ping(ping));
                 }
-                None => return Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset).into()),
-            },
+            }
         }
     }
 }
 
 /// Checks the first message of a connection.
 pub(crate) fn introduced(node: &Arc<Node>, first: Option<Envelope>) -> Result<Peer, CodecError> {
+    let invalid = || CodecError::from(io::Error::from(io::ErrorKind::InvalidData));
     let Some(Body::Hello(hello)) = first.and_then(|envelope| envelope.body) else {
-        return Err(std::io::Error::from(std::io::ErrorKind::InvalidData).into());
+        return Err(invalid());
     };
-    let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidData);
     let peer = Peer::new(&hello).ok_or_else(invalid)?;
     peer.heard(node, hello.leaving, hello.version);
     Ok(peer)
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -1,7 +1,12 @@
 //! Connections to other VMs.
+//!
+//! A VM dials another one when it first needs it; the dialled connection is a
+//! [`Link`]. Streams to homes and control messages share the link. Each stream
+//! has a window, so that a slow caller holds up nobody else.
 
 mod accept;
 mod dispatch;
+mod ledger;
 mod link;
 mod remote;
 mod serve;
@@ -9,13 +14,17 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use chicoryhollow_core::prelude::*;
-use chicoryhollow_peer::Body;
+use chicoryhollow_peer::{Body, Envelope};
+use futures_util::{Sink, SinkExt};
+use rand::RngExt;
+use tokio::sync::mpsc;
 
 pub use self::{
     accept::listen,
@@ -23,13 +32,36 @@
     link::Link,
     remote::RemoteStream,
 };
+use self::{ledger::Batches, link::LinkState};
 use crate::node::Node;
 
+/// Bytes of an answer that may be under way on one stream.
+const WINDOW_BYTES: usize = 64 << 10;
+
+/// Messages that wait to be written to one connection.
+const QUEUE_MESSAGES: usize = 4_096;
+
+/// First pause before a VM that could not be reached is dialled again.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause before a VM that could not be reached is dialled again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
 /// Links to the VMs that this one talks to, dialled on first use.
 #[derive(Default)]
 pub struct Peers {
-    links: Mutex<HashMap<VmId, Arc<Link>>>,
+    links: Mutex<HashMap<VmId, Dialled>>,
     streams: AtomicU64,
+    batches: Batches,
+}
+
+/// The newest link to one VM.
+struct Dialled {
+    link: Arc<Link>,
+    /// Links in a row that never stood.
+    failures: u32,
+    /// Until when the VM is not dialled again, once the link has ended.
+    retry_at: Option<Time>,
 }
 
 impl Peers {
@@ -42,15 +74,22 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Refusal::HomeUnreachable`] when the VM is not listed.
+    /// Returns [`Refusal::HomeUnreachable`] when the VM is not listed or could
+    /// not be reached a moment ago.
     pub fn link(&self, node: &Arc<Node>, vm: &VmId) -> Result<Arc<Link>, Refusal> {
-        let mut links = self.links.lock().expect("no thread panics with this lock");
-        if let Some(link) = links.get(vm).filter(|link| link.is_open()) {
-            return Ok(Arc::clone(link));
+        let mut links = self.lock();
+        let mut failures = 0;
+        if let Some(dialled) = links.get_mut(vm) {
+            if dialled.link.is_open() {
+                return Ok(Arc::clone(&dialled.link));
+            }
+            dialled.pause(node.clock.now())?;
+            failures = dialled.failures;
         }
         let listed = node.members.get(vm).ok_or(Refusal::HomeUnreachable)?;
         let link = Link::dial(node, listed);
-        links.insert(vm.clone(), Arc::clone(&link));
+        let dialled = Dialled { link: Arc::clone(&link), failures, retry_at: None };
+        links.insert(vm.clone(), dialled);
         Ok(link)
     }
 
@@ -66,4 +105,41 @@
     fn next_stream(&self) -> u64 {
         self.streams.fetch_add(1, Ordering::Relaxed)
     }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<VmId, Dialled>> {
+        self.links.lock().expect("no thread panics with this lock")
+    }
+}
+
+impl Dialled {
+    /// Decides whether the ended link may be replaced now.
+    fn pause(&mut self, now: Time) -> Result<(), Refusal> {
+        let retry_at = match self.retry_at {
+            Some(retry_at) => retry_at,
+            None => {
+                let stood = self.link.state() == LinkState::Lost;
+                self.failures = if stood { 0 } else { self.failures + 1 };
+                let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
+                let pause = if stood { Duration::ZERO } else { pause.min(LONGEST_PAUSE) };
+                now + pause.mul_f64(rand::rng().random_range(0.75..1.25))
+            }
+        };
+        self.retry_at = Some(retry_at);
+        if now < retry_at { Err(Refusal::HomeUnreachable) } else { Ok(()) }
+    }
+}
+
+/// Writes queued messages, as many at once as there are.
+async fn write_queue<S>(mut sink: S, queue: &mut mpsc::Receiver<Envelope>) -> Result<(), S::Error>
+where
+    S: Sink<Envelope> + Unpin,
+{
+    while let Some(message) = queue.recv().await {
+        sink.feed(message).await?;
+        while let Ok(message) = queue.try_recv() {
+            sink.feed(message).await?;
+        }
+        sink.flush().await?;
+    }
+    Ok(())
 }
--- a/crates/proxy/src/peers/remote.rs
+++ b/crates/proxy/src/peers/remote.rs
@@ -1,29 +1,59 @@
 //! The entry's end of a stream to another VM.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use chicoryhollow_core::prelude::*;
+use bytes::Bytes;
+use chicoryhollow_core::{outcome::Interrupted, prelude::*};
 use chicoryhollow_peer::{Body, stream};
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
 
-use super::link::Link;
+use super::{WINDOW_BYTES, link::Link};
 use crate::{
+    home::{Resolved, commit_answer, is_commit, is_single, resolve},
     node::Node,
-    stream::{Batch, OpenRequest, Ready, Refused, StreamEvent},
+    stream::{Batch, OpenRequest, Ready, Refused, StreamEvent, position_message, position_of},
 };
 
-/// Time that the home has beyond a deadline to tell of it, in milliseconds.
-const GRACE_MS: u64 = 500;
+/// Time that the home has beyond a deadline to tell of it.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Longest wait for the answer to one inquiry.
+const INQUIRY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause between two inquiries.
+const INQUIRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// A stream whose home is another VM.
 pub struct RemoteStream {
     node: Arc<Node>,
+    home: VmId,
+    group: GroupId,
+    server: ServerId,
     link: Arc<Link>,
     number: u64,
     incoming: mpsc::UnboundedReceiver<Body>,
     deadline: Time,
+    /// Batches sent so far.
+    batches: u32,
+    /// Bytes of the answer taken since the last credit.
+    taken: usize,
+    batch: BatchState,
+    noted: Option<Interrupted>,
+    outbox: VecDeque<StreamEvent>,
+}
+
+/// What is known of the batch that runs.
+#[derive(Clone, Debug, Default)]
+struct BatchState {
+    messages: Bytes,
     sent: bool,
     writes: bool,
+    begun: bool,
+    /// Whether the link was lost under it.
+    lost: bool,
 }
 
 impl RemoteStream {
@@ -46,70 +76,228 @@
             account: request.account.to_string(),
             access: request.access as i32,
             deadline_ms: left_ms(node, request.deadline),
-            needed: request
-                .needed
-                .map(|p| stream::Position { term: p.term().get(), lsn: p.lsn().get() }),
+            needed: request.needed.map(position_message),
             max_age_ms: request.max_age_ms,
             patience_ms: request.patience_ms,
         };
-        let mut stream = RemoteStream {
+        let stream = RemoteStream {
             node: Arc::clone(node),
+            home: home.clone(),
+            group: request.group,
+            server: request.server,
             link,
             number,
             incoming,
             deadline: request.deadline,
-            sent: false,
-            writes: false,
+            batches: 0,
+            taken: 0,
+            batch: BatchState::default(),
+            noted: None,
+            outbox: VecDeque::new(),
         };
-        stream.post(Body::Open(open)).await?;
-        Ok(stream)
+        if stream.link.send(Body::Open(open)).await {
+            return Ok(stream);
+        }
+        Err(Refusal::HomeUnreachable.into())
     }
 
     /// Sends one batch.
     ///
     /// # Errors
     ///
-    /// Returns the refusal when the link is lost.
+    /// Returns the refusal when the link is lost before the batch was sent.
     pub async fn send(&mut self, batch: Batch) -> Result<(), Refused> {
+        let writes = self.batch.writes || batch.writes;
+        let messages = batch.messages.clone();
+        self.batch = BatchState { messages, writes, ..BatchState::default() };
         self.deadline = batch.deadline;
+        self.batches += 1;
         let body = Body::Batch(stream::Batch {
             stream: self.number,
             prepares: batch.prepares,
             messages: batch.messages,
             writes: batch.writes,
             deadline_ms: left_ms(&self.node, batch.deadline),
+            number: self.batches,
         });
-        self.post(body).await?;
-        self.sent = true;
-        self.writes |= batch.writes;
-        Ok(())
-    }
-
-    async fn post(&mut self, body: Body) -> Result<(), Refused> {
-        if self.link.send(body).await {
-            return Ok(());
+        if !self.link.send(body).await {
+            let first = self.batches == 1;
+            let refusal = if first { Refusal::HomeUnreachable } else { Refusal::TransactionEnded };
+            return Err(refusal.into());
         }
-        Err(self.broken())
+        self.batch.sent = true;
+        Ok(())
     }
 
-    /// Waits for the next part of the answer.
+    /// Waits for the next part of the answer. Nothing is lost when the returned
+    /// future is dropped.
     ///
     /// # Errors
     ///
     /// Returns the refusal of the home, or of this end when the link is lost.
     pub async fn next(&mut self) -> Result<StreamEvent, Refused> {
-        let left = self.deadline.since(self.node.clock.now()) + Duration::from_millis(GRACE_MS);
-        match timeout(left, self.incoming.recv()).await {
-            Ok(Some(Body::Answer(answer))) => Ok(StreamEvent::Answer(answer.messages)),
-            Ok(Some(Body::Ready(ready))) => Ok(StreamEvent::Ready(Ready {
-                status: u8::try_from(ready.status).unwrap_or(b'E'),
-                position: ready.position.map(received),
-            })),
-            Ok(Some(Body::Close(close))) => Err(Refused {
-                refusal: close.refusal.parse().unwrap_or_else(|_| self.broken().refusal),
-                applied: close.applied.map(received),
-            }),
-            _ => Err(self.broken()),
+        loop {
+            if let Some(event) = self.outbox.pop_front() {
+                return Ok(event);
+            }
+            if self.batch.lost {
+                self.recover().await?;
+                continue;
+            }
+            let left = self.deadline.since(self.node.clock.now()) + GRACE;
+            match timeout(left, self.incoming.recv()).await {
+                Ok(Some(body)) => self.take(body)?,
+                Ok(None) => self.batch.lost = true,
+                Err(_) => return Err(self.broken()),
+            }
+        }
+    }
+
+    /// Takes one message of the home.
+    fn take(&mut self, body: Body) -> Result<(), Refused> {
+        match body {
+            Body::Answer(answer) => {
+                self.batch.begun = true;
+                self.grant_credit(answer.messages.len());
+                self.outbox.push_back(StreamEvent::Answer(answer.messages));
+            }
+            Body::Ready(ready) => self.finish(Ready::from_message(&ready)),
+            Body::Noted(noted) => {
+                let (term, xid) = (Term::new(noted.term), Some(noted.xid));
+                self.noted = Some(Interrupted { term, xid });
+            }
+            Body::Close(close) => {
+                return Err(Refused {
+                    refusal: close.refusal.parse().unwrap_or_else(|_| self.broken().refusal),
+                    applied: close.applied.map(position_of),
+                });
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, ready: Ready) {
+        if ready.is_idle() {
+            self.noted = None;
+            self.batch.writes = false;
+        }
+        self.batch.sent = false;
+        self.outbox.push_back(StreamEvent::Ready(ready));
+    }
+
+    fn grant_credit(&mut self, bytes: usize) {
+        self.taken += bytes;
+        if self.taken < WINDOW_BYTES / 2 {
+            return;
+        }
+        let bytes = u32::try_from(self.taken).unwrap_or(u32::MAX);
+        if self.link.try_send(Body::Credit(stream::Credit { stream: self.number, bytes })) {
+            self.taken = 0;
+        }
+    }
+
+    /// Finds out what became of a batch whose link was lost: asks the home
+    /// again, and the database group when the home is lost too.
+    async fn recover(&mut self) -> Result<(), Refused> {
+        if self.link.incarnation().is_none() {
+            // The link never stood, so that nothing was sent on it.
+            return Err(self.not_run());
+        }
+        let asks = self.batch.sent && self.batch.writes;
+        let until = self.deadline + GRACE;
+        while asks && self.node.clock.now() < until {
+            match self.inquire().await {
+                Some((finding, same_home)) => {
+                    if let Some(end) = self.judge(finding, same_home) {
+                        return end;
+                    }
+                    if !same_home {
+                        return self.resolve(until).await;
+                    }
+                }
+                None if self.noted.is_some() => return self.resolve(until).await,
+                None => {}
+            }
+            sleep(INQUIRY_PAUSE).await;
+        }
+        Err(self.broken())
+    }
+
+    /// Asks the home; returns also whether its daemon is still the same one.
+    async fn inquire(&mut self) -> Option<(stream::Finding, bool)> {
+        let link = self.node.peers.link(&self.node, &self.home).ok()?;
+        let mut incoming = link.register(self.number);
+        let inquiry = stream::Inquiry { stream: self.number, number: self.batches };
+        let asking = async {
+            if !link.send(Body::Inquiry(inquiry)).await {
+                return None;
+            }
+            loop {
+                match incoming.recv().await? {
+                    Body::Finding(finding) if finding.number == self.batches => {
+                        return Some(finding);
+                    }
+                    _ => {}
+                }
+            }
+        };
+        let finding = timeout(INQUIRY_TIMEOUT, asking).await.ok().flatten();
+        link.forget(self.number);
+        Some((finding?, link.incarnation() == self.link.incarnation()))
+    }
+
+    /// Decides from what the home knows; `None` means to ask again.
+    fn judge(&mut self, finding: stream::Finding, same_home: bool) -> Option<Result<(), Refused>> {
+        match finding.state() {
+            stream::BatchState::Running => None,
+            stream::BatchState::Refused => {
+                let refusal = finding.refusal.parse();
+                Some(Err(refusal.unwrap_or(Refusal::WriteInterrupted).into()))
+            }
+            stream::BatchState::Finished => Some(self.take_finished(&finding)),
+            // A home that knows nothing and has restarted may have run it.
+            stream::BatchState::Unknown if same_home => Some(Err(self.not_run())),
+            stream::BatchState::Unknown => match self.noted {
+                Some(_) => None,
+                None => Some(Err(Refusal::WriteInterrupted.into())),
+            },
+        }
+    }
+
+    fn take_finished(&mut self, finding: &stream::Finding) -> Result<(), Refused> {
+        let ready = finding.ready.as_ref().map(Ready::from_message);
+        match (ready, &finding.answer) {
+            // A transaction that was left open is rolled back with its link.
+            (Some(ready), _) if !ready.is_idle() => Err(Refusal::TransactionEnded.into()),
+            (Some(ready), Some(answer)) if !self.batch.begun => {
+                self.batch.lost = false;
+                self.outbox.push_back(StreamEvent::Answer(answer.clone()));
+                self.finish(ready);
+                Ok(())
+            }
+            (Some(_), _) => Err(Refusal::WriteCommitted.into()),
+            (None, _) => Err(Refusal::WriteInterrupted.into()),
+        }
+    }
+
+    /// Asks the database group what became of a write whose home is lost.
+    async fn resolve(&mut self, until: Time) -> Result<(), Refused> {
+        let Some(write) = self.noted else { return Err(self.broken()) };
+        let resolved = resolve(&self.node, &self.group, &self.server, write, until).await;
+        let messages = &self.batch.messages;
+        match resolved {
+            // Only the first of several transactions was noted.
+            _ if !is_single(messages) => Err(Refusal::WriteInterrupted.into()),
+            Resolved::Committed(position) if is_commit(messages) && !self.batch.begun => {
+                self.batch.lost = false;
+                self.outbox.push_back(StreamEvent::Answer(commit_answer()));
+                self.finish(Ready { status: b'I', position: Some(position) });
+                Ok(())
+            }
+            Resolved::Committed(_) => Err(Refusal::WriteCommitted.into()),
+            Resolved::Lost => Err(Refusal::WriteLost.into()),
+            Resolved::Unknown => Err(Refusal::WriteInterrupted.into()),
         }
     }
 
@@ -119,8 +307,14 @@
         self.link.send(Body::Interrupt(interrupt)).await;
     }
 
+    /// Returns the refusal of a batch that did not reach the home.
+    fn not_run(&self) -> Refused {
+        let first = self.batches <= 1;
+        if first { Refusal::HomeUnreachable.into() } else { Refusal::TransactionEnded.into() }
+    }
+
     fn broken(&self) -> Refused {
-        let refusal = match (self.sent, self.writes) {
+        let refusal = match (self.batch.sent, self.batch.writes) {
             (false, _) => Refusal::HomeUnreachable,
             (true, true) => Refusal::WriteInterrupted,
             (true, false) => Refusal::ReadInterrupted,
@@ -137,10 +331,6 @@
     }
 }
 
-fn received(position: stream::Position) -> Position {
-    Position::new(Term::new(position.term), Lsn::new(position.lsn))
-}
-
 fn left_ms(node: &Node, deadline: Time) -> u32 {
     let left = deadline.since(node.clock.now());
     u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
--- a/crates/proxy/src/peers/serve.rs
+++ b/crates/proxy/src/peers/serve.rs
@@ -1,96 +1,266 @@
 //! The home's end of a stream from another VM.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use chicoryhollow_core::prelude::*;
+use bytes::Bytes;
+use chicoryhollow_core::{ledger::BatchId, prelude::*};
 use chicoryhollow_peer::{Body, Envelope, stream};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
+use super::{
+    WINDOW_BYTES,
+    ledger::{Ended, Kept},
+};
 use crate::{
     home::LocalStream,
     node::Node,
-    stream::{Access, Batch, OpenRequest, Refused, StreamEvent},
+    stream::{Batch, OpenRequest, Ready, Refused, StreamEvent, position_message, position_of},
 };
 
-/// Serves one stream until either side ends it.
-pub(crate) async fn serve(
+/// A stream that is served for an entry on another VM.
+pub(crate) struct Served {
     node: Arc<Node>,
-    open: stream::Open,
-    mut incoming: mpsc::UnboundedReceiver<Body>,
+    entry: Incarnation,
+    number: u64,
+    incoming: mpsc::Receiver<Body>,
     outgoing: mpsc::Sender<Envelope>,
-) {
-    let number = open.stream;
-    let end = exchange(&node, open, &mut incoming, &outgoing).await;
-    let refused = end.err();
-    let close = stream::Close {
-        stream: number,
-        refusal: refused.map(|r| r.refusal.row().label.to_owned()).unwrap_or_default(),
-        applied: refused.and_then(|r| r.applied).map(position),
-    };
-    // An entry that is gone needs no answer.
-    drop(outgoing.send(Envelope::new(Body::Close(close))).await);
+    credit: usize,
+    /// Messages that arrived before the stream was ready for them.
+    early: VecDeque<Body>,
+    /// Whether the connection to the entry is lost.
+    orphaned: bool,
+}
+
+/// Why a stream is served no further.
+enum End {
+    /// The entry closed it.
+    Closed,
+    /// The connection to the entry is lost.
+    Orphaned,
+    /// The batch was refused.
+    Refused(Refused),
+}
+
+impl From<Refused> for End {
+    fn from(refused: Refused) -> Self {
+        End::Refused(refused)
+    }
+}
+
+impl From<Refusal> for End {
+    fn from(refusal: Refusal) -> Self {
+        End::Refused(refusal.into())
+    }
 }
 
-async fn exchange(
-    node: &Arc<Node>,
-    open: stream::Open,
-    incoming: &mut mpsc::UnboundedReceiver<Body>,
-    outgoing: &mpsc::Sender<Envelope>,
-) -> Result<(), Refused> {
-    let number = open.stream;
-    let mut local = LocalStream::open(node, request(node, open)?).await?;
-    while let Some(body) = incoming.recv().await {
-        let Body::Batch(batch) = body else { continue };
-        local.send(received(node, batch)).await?;
+impl Served {
+    /// Makes the home's end of stream `number` of the entry `entry`.
+    pub(crate) fn new(
+        node: &Arc<Node>,
+        entry: Incarnation,
+        number: u64,
+        incoming: mpsc::Receiver<Body>,
+        outgoing: mpsc::Sender<Envelope>,
+    ) -> Self {
+        Served {
+            node: Arc::clone(node),
+            entry,
+            number,
+            incoming,
+            outgoing,
+            credit: WINDOW_BYTES,
+            early: VecDeque::new(),
+            orphaned: false,
+        }
+    }
+
+    /// Serves the stream until either side ends it.
+    pub(crate) async fn run(mut self, open: stream::Open) {
+        let refused = match self.serve(open).await {
+            Ok(()) | Err(End::Closed | End::Orphaned) => None,
+            Err(End::Refused(refused)) => Some(refused),
+        };
+        // An entry that is gone needs no answer.
+        drop(self.outgoing.send(Envelope::new(closed(self.number, refused))).await);
+    }
+
+    async fn serve(&mut self, open: stream::Open) -> Result<(), End> {
+        let request = request(&self.node, open)?;
+        let node = Arc::clone(&self.node);
+        let mut local = tokio::select! {
+            biased;
+            local = LocalStream::open(&node, request) => local?,
+            end = self.entry_gone() => return Err(end),
+        };
+        loop {
+            let batch = match self.receive().await? {
+                Body::Batch(batch) => batch,
+                _ => continue,
+            };
+            let id = BatchId { entry: self.entry, stream: self.number, number: batch.number };
+            let writes = batch.writes;
+            if writes && !self.node.peers.batches.start(id, self.node.clock.now()) {
+                return Err(Refusal::HomeUnreachable.into());
+            }
+            let ended = self.run_batch(&mut local, received(&self.node, batch)).await;
+            if writes {
+                self.record(id, &ended);
+            }
+            ended?;
+        }
+    }
+
+    fn record(&self, id: BatchId, ended: &Result<(Option<Bytes>, Ready), End>) {
+        let ended = match ended {
+            Ok((answer, ready)) => Ended::Ready(answer.clone(), *ready),
+            Err(End::Refused(refused)) => Ended::Refused(*refused),
+            // The entry closed the stream and asks no more.
+            Err(End::Closed) => Ended::Refused(Refusal::WriteInterrupted.into()),
+            // The connection was lost before the batch was sent to the server.
+            Err(End::Orphaned) => Ended::Refused(Refusal::HomeUnreachable.into()),
+        };
+        self.node.peers.batches.finish(id, ended, self.node.clock.now());
+    }
+
+    /// Runs one batch and passes its answer on.
+    ///
+    /// A write whose entry is lost after it was sent goes on, so that the entry
+    /// can ask what became of it.
+    async fn run_batch(
+        &mut self,
+        local: &mut LocalStream,
+        batch: Batch,
+    ) -> Result<(Option<Bytes>, Ready), End> {
+        let (writes, deadline) = (batch.writes, batch.deadline);
+        tokio::select! {
+            biased;
+            sent = local.send(batch) => sent?,
+            end = self.entry_gone() => return Err(end),
+        }
+        if self.early.drain(..).any(|body| matches!(body, Body::Interrupt(_))) {
+            local.interrupt();
+        }
+        if writes && let Some(xid) = local.noted().xid {
+            let term = local.noted().term.get();
+            self.post(Body::Noted(stream::Noted { stream: self.number, term, xid })).await;
+        }
+        let mut kept = Kept::default();
         loop {
             let event = tokio::select! {
                 event = local.next() => event?,
-                body = incoming.recv() => match body {
-                    Some(Body::Interrupt(_)) => { local.interrupt(); continue; }
-                    Some(_) => continue,
-                    None => return Ok(()),
-                },
+                body = self.incoming.recv(), if !self.orphaned => {
+                    match self.note(body) {
+                        Err(End::Orphaned) if writes => {}
+                        Err(end) => return Err(end),
+                        Ok(Body::Interrupt(_)) => local.interrupt(),
+                        Ok(_) => {}
+                    }
+                    continue;
+                }
             };
-            let ready = matches!(event, StreamEvent::Ready(_));
-            if outgoing.send(Envelope::new(body_of(number, event))).await.is_err() {
-                return Ok(());
+            match event {
+                StreamEvent::Answer(part) => {
+                    kept.add(&part);
+                    self.wait_for_credit(local, writes, deadline).await?;
+                    self.credit = self.credit.saturating_sub(part.len());
+                    let stream = self.number;
+                    self.post(Body::Answer(stream::Answer { stream, messages: part })).await;
+                }
+                StreamEvent::Ready(ready) => {
+                    self.post(Body::Ready(ready.to_message(self.number))).await;
+                    return Ok((kept.take(), ready));
+                }
             }
-            if ready {
-                break;
+        }
+    }
+
+    /// Waits until the entry has taken enough of the answer.
+    async fn wait_for_credit(
+        &mut self,
+        local: &mut LocalStream,
+        writes: bool,
+        deadline: Time,
+    ) -> Result<(), End> {
+        while self.credit == 0 && !self.orphaned {
+            let left = deadline.since(self.node.clock.now());
+            let body = timeout(left, self.incoming.recv()).await;
+            match body.map(|body| self.note(body)) {
+                Err(_) if writes => return Err(Refusal::Unconfirmed.into()),
+                Err(_) => return Err(Refusal::ReadInterrupted.into()),
+                Ok(Err(End::Orphaned)) if writes => {}
+                Ok(Err(end)) => return Err(end),
+                Ok(Ok(Body::Interrupt(_))) => local.interrupt(),
+                Ok(Ok(_)) => {}
             }
         }
+        Ok(())
     }
-    Ok(())
-}
 
-fn body_of(stream: u64, event: StreamEvent) -> Body {
-    match event {
-        StreamEvent::Answer(messages) => Body::Answer(stream::Answer { stream, messages }),
-        StreamEvent::Ready(ready) => Body::Ready(stream::Ready {
-            stream,
-            status: ready.status.into(),
-            position: ready.position.map(position),
-        }),
+    /// Waits until the entry closes the stream or is lost; keeps whatever else
+    /// arrives.
+    async fn entry_gone(&mut self) -> End {
+        loop {
+            let body = self.incoming.recv().await;
+            match self.note(body) {
+                Ok(body) => self.early.push_back(body),
+                Err(end) => return end,
+            }
+        }
+    }
+
+    async fn receive(&mut self) -> Result<Body, End> {
+        if let Some(body) = self.early.pop_front() {
+            return Ok(body);
+        }
+        let body = self.incoming.recv().await;
+        self.note(body)
+    }
+
+    /// Takes note of what a message says about the stream itself.
+    fn note(&mut self, body: Option<Body>) -> Result<Body, End> {
+        match body {
+            None => {
+                self.orphaned = true;
+                Err(End::Orphaned)
+            }
+            Some(Body::Close(_)) => Err(End::Closed),
+            Some(Body::Credit(credit)) => {
+                self.credit = (self.credit + credit.bytes as usize).min(WINDOW_BYTES);
+                Ok(Body::Credit(credit))
+            }
+            Some(body) => Ok(body),
+        }
+    }
+
+    async fn post(&mut self, body: Body) {
+        // An entry that is lost asks again on another connection.
+        if !self.orphaned {
+            drop(self.outgoing.send(Envelope::new(body)).await);
+        }
     }
 }
 
-fn position(position: Position) -> stream::Position {
-    stream::Position { term: position.term().get(), lsn: position.lsn().get() }
+/// Makes the message that ends a stream.
+pub(crate) fn closed(stream: u64, refused: Option<Refused>) -> Body {
+    Body::Close(stream::Close {
+        stream,
+        refusal: refused.map(|r| r.refusal.row().label.to_owned()).unwrap_or_default(),
+        applied: refused.and_then(|r| r.applied).map(position_message),
+    })
 }
 
-fn request(node: &Node, open: stream::Open) -> Result<OpenRequest, Refused> {
+fn request(node: &Arc<Node>, open: stream::Open) -> Result<OpenRequest, Refusal> {
     let access = open.access();
     let server = ServerId::new(&open.server).map_err(|_| Refusal::HomeUnreachable)?;
     let account = AccountId::new(&open.account).map_err(|_| Refusal::Malformed)?;
-    let (group, _) =
-        crate::home::find_server(&node.configuration(), &server).ok_or(Refusal::HomeUnreachable)?;
+    let group = node.homes.group(node, &server).ok_or(Refusal::HomeUnreachable)?;
     Ok(OpenRequest {
         group,
         server,
         account,
-        access: Access::try_from(access as i32).unwrap_or(Access::Write),
+        access,
         deadline: node.clock.now() + Duration::from_millis(open.deadline_ms.into()),
-        needed: open.needed.map(|p| Position::new(Term::new(p.term), Lsn::new(p.lsn))),
+        needed: open.needed.map(position_of),
         max_age_ms: open.max_age_ms,
         patience_ms: open.patience_ms,
     })
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chicoryhollow_core::prelude::*;
+use chicoryhollow_peer::stream as message;
 pub use chicoryhollow_peer::stream::{Access, Prepare};
 
 use crate::{home::LocalStream, node::Node, peers::RemoteStream};
@@ -65,6 +66,18 @@
     pub fn is_idle(&self) -> bool {
         self.status == b'I'
     }
+
+    /// Makes the message that ends an answer on stream `stream`.
+    pub(crate) fn to_message(self, stream: u64) -> message::Ready {
+        let position = self.position.map(position_message);
+        message::Ready { stream, status: self.status.into(), position }
+    }
+
+    /// Reads the message that ends an answer.
+    pub(crate) fn from_message(ready: &message::Ready) -> Self {
+        let status = u8::try_from(ready.status).unwrap_or(b'E');
+        Ready { status, position: ready.position.map(position_of) }
+    }
 }
 
 /// A refusal of the home, with the applied position of a server that was behind.
@@ -141,3 +154,13 @@
         }
     }
 }
+
+/// Encodes a position.
+pub(crate) fn position_message(position: Position) -> message::Position {
+    message::Position { term: position.term().get(), lsn: position.lsn().get() }
+}
+
+/// Decodes a position.
+pub(crate) fn position_of(position: message::Position) -> Position {
+    Position::new(Term::new(position.term), Lsn::new(position.lsn))
+}
