--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,8 +24,8 @@
   bounds the statements prepared on each.
 * [`confirm`] tells when a majority holds a position.
 * [`outcome`] finds out what became of a write whose answer was lost.
-* [`listing`] decides when to read the platform's lists of VMs.
 * [`ledger`] remembers batches for entries that lost their connection.
+* [`pace`] spaces periodic control messages within a budget.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -42,8 +42,8 @@
 pub mod confirm;
 pub mod id;
 pub mod ledger;
-pub mod listing;
 pub mod outcome;
+pub mod pace;
 pub mod pool;
 pub mod position;
 pub mod prelude;
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -26,6 +26,7 @@
 use rand::RngExt;
 use tokio::sync::mpsc;
 
+pub(crate) use self::link::hello;
 pub use self::{
     accept::listen,
     dispatch::{Reply, Sign},
