Decide where reads go and which requests are tried again

Cause: the entry tried one replica for 20 ms and then the primary, and retried without bound or pause.

Change: core::route keeps what passing answers show of each server (bounds on its lag, time of an answer, failures) and orders servers by expected time; GroupView::covers judges positions of older and later terms; core::retry says whether a refusal may be tried again, with a budget and jittered pauses.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,9 @@
   result, and says for each whether the request ran.
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
+* [`route`] chooses a backend server for a read by expected time, from
+  [`average`]s of what passing answers show.
+* [`retry`] says whether a refused request is tried again, and when.
 * [`watch`] detects the failure of a primary and promotes another server.
 * [`time`] has the clock values that decisions take as arguments.
 
@@ -32,11 +35,14 @@
 ```
 */
 
+pub mod average;
 pub mod id;
 pub mod position;
 pub mod prelude;
 pub mod rank;
 pub mod refusal;
+pub mod retry;
+pub mod route;
 pub mod session;
 pub mod time;
 pub mod view;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -77,6 +77,21 @@
         let next = self.history.iter().find(|start| start.term > position.term());
         next.map_or(position.lsn(), |start| position.lsn().min(start.lsn))
     }
+
+    /// Tells whether a server that has applied `applied` shows everything that
+    /// `needed` stands for and that survived.
+    ///
+    /// A server whose log is not part of the history of this view covers
+    /// nothing. Where this view is older than the server, a server of the same
+    /// or a later term that is at least as far in the log covers `needed`.
+    pub fn covers(&self, applied: Position, needed: Position) -> bool {
+        match self.contains(applied) {
+            Some(false) => false,
+            Some(true) if needed.term() <= self.term => applied.lsn() >= self.required_lsn(needed),
+            Some(true) => false,
+            None => applied.term() >= needed.term() && applied.lsn() >= needed.lsn(),
+        }
+    }
 }
 
 #[cfg(test)]
@@ -108,4 +123,31 @@
             assert_eq!(view().contains(position), expected, "{position}");
         }
     }
+
+    #[test]
+    fn only_servers_with_the_surviving_log_cover_a_position() {
+        let at = |term, lsn| Position::new(Term::new(term), Lsn::new(lsn));
+        let cases = [
+            // applied, needed, covered
+            (at(3, 200), at(3, 200), true),
+            (at(3, 199), at(3, 200), false),
+            // The tail of term 2 above 140 was lost, so 140 is all that is needed.
+            (at(3, 140), at(2, 190), true),
+            (at(3, 139), at(2, 190), false),
+            // A server with a lost tail covers nothing.
+            (at(2, 150), at(2, 120), false),
+            (at(2, 150), at(1, 1), false),
+            // A server that still follows an older term, within the shared log.
+            (at(2, 130), at(2, 120), true),
+            (at(2, 130), at(3, 150), false),
+            // A position of a term that the view does not know yet.
+            (at(3, 500), at(4, 10), false),
+            (at(4, 200), at(3, 200), true),
+            (at(4, 150), at(3, 200), false),
+            (at(4, 150), at(5, 100), false),
+        ];
+        for (applied, needed, covered) in cases {
+            assert_eq!(view().covers(applied, needed), covered, "{applied} {needed}");
+        }
+    }
 }
