--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -68,7 +68,9 @@
     pub server: ServerId,
     /// Whether it is the primary.
     pub primary: bool,
-    /// Time that it may take to reach the needed position.
+    /// Time that it is expected to take to reach the needed position.
+    pub wait: Duration,
+    /// Time that it may take for that.
     pub patience: Duration,
 }
 
@@ -278,6 +280,7 @@
         Choice {
             server: server.clone(),
             primary: self.primary,
+            wait: Duration::from_micros(self.wait),
             patience: Duration::from_micros(patience),
         }
     }
--- /dev/null
+++ b/crates/proxy/src/entry/attempt.rs
@@ -0,0 +1,526 @@
+//! Running a batch on a server, and on another one when that failed.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use chicoryhollow_config::configuration::{Route, Service};
+use chicoryhollow_core::{
+    prelude::*,
+    retry::{Attempt, Backoff, Next, next},
+    route::{Candidate, Choice, Permit},
+};
+use pgwire::messages::extendedquery::Sync;
+use tokio::time::timeout;
+
+use super::{
+    answer::Progress,
+    batch::Gathered,
+    classify::Class,
+    execute::Failed,
+    session::{Begin, Open, Session, Transaction},
+};
+use crate::{
+    stream::{Access, Batch, OpenRequest, Ready, Stream, StreamEvent},
+    wire::{self, WireError},
+};
+
+/// Bytes of an answer that are held back before the first is passed on. As
+/// long as none was, a broken answer can be replaced by a whole one.
+const HELD_BYTES: usize = 16 << 10;
+
+/// Longest time that a read waits for a server that is fresh enough, in
+/// milliseconds. It bounds what a forged session token costs.
+const FRESH_MS: u64 = 2_000;
+
+/// A barrier is renewed at this fraction of the age that a route accepts.
+const RENEWAL_FRACTION: u32 = 4;
+
+/// Time that the primary has to reach a position, in milliseconds.
+const PRIMARY_PATIENCE_MS: u64 = 20;
+
+/// One batch on its way to a server.
+pub(super) struct Job<'a> {
+    gathered: &'a Gathered,
+    begin: Option<Begin>,
+    route: Route,
+    deadline: Time,
+    watched: bool,
+}
+
+/// What a read needs of a server.
+struct Need {
+    /// Position that it must have applied.
+    position: Option<Position>,
+    /// Time until which that position is fresh enough.
+    until: Time,
+}
+
+/// A server to run on.
+struct Target {
+    server: ServerId,
+    access: Access,
+    needed: Option<Position>,
+    patience: Duration,
+    /// Time until which the batch may begin.
+    until: Time,
+    /// Whether the time of the answer tells how quick the server is.
+    timed: bool,
+}
+
+/// Why an attempt failed, and whether part of an answer was passed on.
+struct Broken {
+    failed: Failed,
+    passed: bool,
+}
+
+impl<T: Into<Failed>> From<T> for Broken {
+    fn from(failed: T) -> Self {
+        Broken { failed: failed.into(), passed: false }
+    }
+}
+
+impl Session {
+    /// Runs a batch on the server of the open transaction.
+    pub(super) async fn run_open(
+        &mut self,
+        gathered: &Gathered,
+        watched: bool,
+    ) -> Result<bool, Failed> {
+        let open = std::mem::replace(&mut self.transaction, Transaction::Aborted);
+        let Transaction::Open(mut open) = open else {
+            return Err(Refusal::TransactionEnded.into());
+        };
+        let batch = batch(gathered, gathered.class() != Class::Read, self.deadline());
+        match self.exchange(&mut open.stream, batch, gathered, watched).await {
+            Ok((ready, failed)) => {
+                let group = self.route().map(|route| route.group);
+                if let (Ok(group), Some(position)) = (group, ready.position) {
+                    self.caller.token.get_or_insert_default().observe(&group, position);
+                }
+                self.keep(open.stream, ready);
+                Ok(failed)
+            }
+            Err(broken) => Err(settle(broken.failed, gathered, Refusal::TransactionEnded)),
+        }
+    }
+
+    /// Runs a batch outside of a transaction, or the first one of it.
+    pub(super) async fn run_fresh(
+        &mut self,
+        gathered: &Gathered,
+        begin: Option<Begin>,
+        watched: bool,
+    ) -> Result<bool, Failed> {
+        let node = Arc::clone(&self.node);
+        let route = self.route()?;
+        let deadline = self.deadline();
+        node.shares.admit(&node, &self.caller.identity.account, deadline).await?;
+        node.entry.with_budget(|budget| budget.earn());
+        let reads = match &begin {
+            Some(begin) => begin.read_only,
+            None => gathered.class() == Class::Read,
+        };
+        let job = Job { gathered, begin, route, deadline, watched };
+        if reads {
+            return self.read(&job).await;
+        }
+        if job.begin.is_some() && self.caller.token.is_none() {
+            self.learn_past(&job).await?;
+        }
+        self.write(&job).await
+    }
+
+    fn deadline(&self) -> Time {
+        let limit = Duration::from_millis(self.node.settings.limits.request_ms);
+        self.node.clock.now() + self.caller.timeout.map_or(limit, |timeout| timeout.min(limit))
+    }
+
+    async fn read(&mut self, job: &Job<'_>) -> Result<bool, Failed> {
+        let node = Arc::clone(&self.node);
+        let mut views = node.groups.follow(&job.route.group);
+        let mut backoff = Backoff::new();
+        let fresh = node.clock.now() + Duration::from_millis(FRESH_MS);
+        let mut last = Refusal::NoPrimary;
+        let mut tried = false;
+        loop {
+            let need = self.need(job).await?;
+            let view = Arc::clone(&views.borrow_and_update());
+            for choice in self.choices(job, &view, need.position) {
+                let now = node.clock.now();
+                let group = &job.route.group;
+                let permit = node.entry.with_estimates(group, |e| e.permit(&choice.server, now));
+                if permit != Permit::Send {
+                    continue;
+                }
+                if tried && !self.may_retry(last) {
+                    return Err(last.into());
+                }
+                tried = true;
+                match self.attempt(job, target_of(choice, &need)).await {
+                    Ok(failed) => return Ok(failed),
+                    Err(broken) => last = decide(broken, job, Attempt::Read)?,
+                }
+                self.route()?;
+            }
+            let end =
+                if last == Refusal::TooStale { fresh.min(job.deadline) } else { job.deadline };
+            let left = end.since(node.clock.now());
+            if left.is_zero() {
+                return Err(last.into());
+            }
+            let pause = backoff.pause(&mut rand::rng()).min(left);
+            // Either way it is time to look again.
+            drop(timeout(pause, views.changed()).await);
+        }
+    }
+
+    async fn write(&mut self, job: &Job<'_>) -> Result<bool, Failed> {
+        let node = Arc::clone(&self.node);
+        let group = &job.route.group;
+        let mut views = node.groups.follow(group);
+        let mut backoff = Backoff::new();
+        let mut last = Refusal::NoPrimary;
+        let mut tried = false;
+        let repeatable = job.route.idempotent && job.begin.is_none() && !job.gathered.opens();
+        let kind = if repeatable { Attempt::Idempotent } else { Attempt::Write };
+        loop {
+            let view = Arc::clone(&views.borrow_and_update());
+            let mut pause = backoff.pause(&mut rand::rng());
+            let now = node.clock.now();
+            if let Some(server) = self.known_primary(&view) {
+                let permit = node.entry.with_estimates(group, |estimates| {
+                    estimates.follow(&view);
+                    estimates.permit(&server, now)
+                });
+                match permit {
+                    Permit::Wait(until) => pause = until.since(now),
+                    Permit::Send => {
+                        if tried && !self.may_retry(last) {
+                            return Err(last.into());
+                        }
+                        tried = true;
+                        match self.attempt(job, primary_target(server, job.deadline)).await {
+                            Ok(failed) => return Ok(failed),
+                            Err(broken) => last = decide(broken, job, kind)?,
+                        }
+                    }
+                }
+            }
+            let left = job.deadline.since(node.clock.now());
+            if left.is_zero() {
+                return Err(last.into());
+            }
+            // Either way it is time to look again.
+            drop(timeout(pause.min(left), views.changed()).await);
+            self.route()?;
+        }
+    }
+
+    /// Returns the primary, unless the session has seen a later term.
+    fn known_primary(&self, view: &GroupView) -> Option<ServerId> {
+        let seen = self.caller.token.as_ref().and_then(|token| token.position(&view.group));
+        let current = seen.is_none_or(|seen| seen.term() <= view.term);
+        view.primary.clone().filter(|_| current)
+    }
+
+    /// Takes a retry from the budget and counts it.
+    fn may_retry(&self, reason: Refusal) -> bool {
+        let allowed = self.node.entry.with_budget(|budget| budget.spend());
+        if allowed {
+            self.node.metrics.retries.with_label_values(&[reason.row().label]).inc();
+        }
+        allowed
+    }
+
+    /// Finds out what a read needs, by a barrier where nothing else tells.
+    async fn need(&mut self, job: &Job<'_>) -> Result<Need, Failed> {
+        let Some(age) = job.route.max_age_ms.map(Duration::from_millis) else {
+            if self.caller.token.is_none() {
+                self.learn_past(job).await?;
+            }
+            let position = self.seen(job);
+            return Ok(Need { position, until: job.deadline });
+        };
+        let node = Arc::clone(&self.node);
+        let group = &job.route.group;
+        let account = &self.caller.identity.account;
+        let now = node.clock.now();
+        let latest = node.entry.barriers.latest(group);
+        let fits = |part: Duration| latest.filter(|barrier| now.since(barrier.began) < part);
+        if fits(age / RENEWAL_FRACTION).is_none() {
+            node.entry.barriers.refresh(&node, group, account);
+        }
+        let barrier = match fits(age * (RENEWAL_FRACTION - 1) / RENEWAL_FRACTION) {
+            Some(barrier) => barrier,
+            None => {
+                let end = now + Duration::from_millis(FRESH_MS);
+                let taken = node.entry.barriers.since(&node, (group, account), now, end).await;
+                taken.map_err(|_| Refusal::TooStale)?
+            }
+        };
+        let position = self.seen(job).max(Some(barrier.position));
+        Ok(Need { position, until: job.deadline.min(barrier.began + age) })
+    }
+
+    /// Takes a barrier after the session arrived, so that its past is known.
+    async fn learn_past(&mut self, job: &Job<'_>) -> Result<(), Failed> {
+        let node = Arc::clone(&self.node);
+        let (group, account) = (&job.route.group, &self.caller.identity.account);
+        let barriers = &node.entry.barriers;
+        let taken = barriers.since(&node, (group, account), self.arrived, job.deadline).await?;
+        self.caller.token.get_or_insert_default().observe(group, taken.position);
+        Ok(())
+    }
+
+    fn seen(&self, job: &Job<'_>) -> Option<Position> {
+        self.caller.token.as_ref().and_then(|token| token.position(&job.route.group))
+    }
+
+    /// Returns the servers to try for a read, best first.
+    fn choices(&self, job: &Job<'_>, view: &GroupView, needed: Option<Position>) -> Vec<Choice> {
+        let versioned = self.node.configuration();
+        let configuration = &versioned.configuration;
+        let Some(group) = configuration.groups.get(&job.route.group) else { return Vec::new() };
+        let is_in = |data_centre: &DataCentreId| {
+            let found = configuration.data_centres.get(data_centre);
+            found.is_none_or(|found| found.service == Service::In)
+        };
+        let candidates: Vec<_> = group
+            .servers
+            .iter()
+            .filter(|(name, server)| {
+                // The primary may be out of service until another one is.
+                let primary = view.primary.as_ref() == Some(*name);
+                primary || (server.service == Service::In && is_in(&server.data_centre))
+            })
+            .map(|(name, server)| Candidate {
+                server: name.clone(),
+                near: server.data_centre == self.node.settings.data_centre,
+            })
+            .collect();
+        let now = self.node.clock.now();
+        self.node.entry.with_estimates(&job.route.group, |estimates| {
+            estimates.follow(view);
+            estimates.choose(view, &candidates, needed, now, &mut rand::rng())
+        })
+    }
+
+    async fn attempt(&mut self, job: &Job<'_>, target: Target) -> Result<bool, Broken> {
+        let node = Arc::clone(&self.node);
+        let group = &job.route.group;
+        let sent = node.clock.now();
+        let answered = self.run_on(job, &target).await;
+        let now = node.clock.now();
+        let replica = target.access == Access::Read;
+        node.entry.with_estimates(group, |estimates| match &answered {
+            Ok((_, ready, _)) => {
+                if target.timed {
+                    estimates.answered(&target.server, now.since(sent));
+                }
+                if let Some(position) = ready.position {
+                    estimates.reached(position, now);
+                    if replica {
+                        estimates.applied(&target.server, position, sent, now);
+                    }
+                }
+            }
+            Err(Broken { failed: Failed::Refused(refused), .. }) => {
+                if let Some(applied) = refused.applied.filter(|_| replica) {
+                    estimates.applied(&target.server, applied, now, now);
+                }
+                if is_fault(refused.refusal) {
+                    estimates.failed(&target.server, now);
+                }
+            }
+            Err(_) => {}
+        });
+        let (stream, ready, failed) = answered?;
+        let kind = if replica { "replica" } else { "primary" };
+        node.metrics.batches.with_label_values(&[kind]).inc();
+        if job.gathered.class() == Class::Read && job.begin.is_none() {
+            node.metrics.reads.with_label_values(&[kind]).inc();
+        }
+        if let Some(position) = ready.position {
+            self.caller.token.get_or_insert_default().observe(group, position);
+        }
+        self.keep(stream, ready);
+        Ok(failed)
+    }
+
+    async fn run_on(
+        &mut self,
+        job: &Job<'_>,
+        target: &Target,
+    ) -> Result<(Stream, Ready, bool), Broken> {
+        let node = Arc::clone(&self.node);
+        let request = OpenRequest {
+            group: job.route.group.clone(),
+            server: target.server.clone(),
+            account: self.caller.identity.account.clone(),
+            access: target.access,
+            deadline: target.until,
+            needed: target.needed,
+            max_age_ms: job.route.max_age_ms,
+            patience_ms: u32::try_from(target.patience.as_millis()).unwrap_or(u32::MAX),
+        };
+        let mut stream = Stream::open(&node, request).await?;
+        if let Some(begin) = &job.begin {
+            open_transaction(&mut stream, begin, job.deadline).await?;
+        }
+        let writes = job.gathered.class() != Class::Read;
+        let batch = batch(job.gathered, writes, job.deadline);
+        let answered = self.exchange(&mut stream, batch, job.gathered, job.watched).await;
+        let (ready, failed) = answered?;
+        Ok((stream, ready, failed))
+    }
+
+    /// Sends a batch and passes the answer on, up to its end.
+    async fn exchange(
+        &mut self,
+        stream: &mut Stream,
+        batch: Batch,
+        gathered: &Gathered,
+        watched: bool,
+    ) -> Result<(Ready, bool), Broken> {
+        let start = self.caller.connection.queued();
+        let deadline = batch.deadline;
+        let cancelled = self.caller.ticket.notify();
+        let mut progress = Progress::new(&gathered.items, watched);
+        let mut passed = false;
+        stream.send(batch).await?;
+        loop {
+            let event = tokio::select! {
+                event = stream.next() => event,
+                () = cancelled.notified() => {
+                    stream.interrupt().await;
+                    continue;
+                }
+            };
+            match event {
+                Ok(StreamEvent::Answer(bytes)) => {
+                    self.caller.connection.queue(&progress.take(bytes)?);
+                    if self.caller.connection.queued() > HELD_BYTES {
+                        passed = true;
+                        self.pass_on(deadline).await?;
+                    }
+                }
+                Ok(StreamEvent::Ready(ready)) => {
+                    self.caller.connection.queue(&progress.finish());
+                    let failed = progress.has_failed();
+                    self.apply(progress.into_effects());
+                    return Ok((ready, failed));
+                }
+                Err(refused) => {
+                    if !passed {
+                        self.caller.connection.truncate(start);
+                    }
+                    return Err(Broken { failed: refused.into(), passed });
+                }
+            }
+        }
+    }
+
+    /// Writes what is queued; a caller that does not take it in time is cut off.
+    async fn pass_on(&mut self, deadline: Time) -> Result<(), WireError> {
+        let left = deadline.since(self.node.clock.now());
+        timeout(left, self.caller.connection.flush()).await.map_err(std::io::Error::from)?
+    }
+
+    fn keep(&mut self, stream: Stream, ready: Ready) {
+        self.transaction = match ready.is_idle() {
+            true => Transaction::Idle,
+            false => Transaction::Open(Box::new(Open { stream, status: ready.status })),
+        };
+    }
+}
+
+fn batch(gathered: &Gathered, writes: bool, deadline: Time) -> Batch {
+    let mut messages = gathered.messages.clone();
+    if !gathered.is_simple() {
+        messages.extend_from_slice(&wire::encode(&Sync::new()));
+    }
+    let messages: Bytes = messages.freeze();
+    Batch { prepares: gathered.prepares.clone(), messages, writes, deadline }
+}
+
+/// Opens the transaction on the server, without telling the caller.
+async fn open_transaction(
+    stream: &mut Stream,
+    begin: &Begin,
+    deadline: Time,
+) -> Result<(), Broken> {
+    let messages = begin.messages.clone();
+    stream.send(Batch { prepares: Vec::new(), messages, writes: false, deadline }).await?;
+    loop {
+        if let StreamEvent::Ready(ready) = stream.next().await? {
+            let open = !ready.is_idle();
+            return if open { Ok(()) } else { Err(Refusal::ServerUnreachable.into()) };
+        }
+    }
+}
+
+fn target_of(choice: Choice, need: &Need) -> Target {
+    let access = if choice.primary { Access::Barrier } else { Access::Read };
+    let patience = match choice.primary {
+        true => Duration::from_millis(PRIMARY_PATIENCE_MS),
+        false => choice.patience,
+    };
+    Target {
+        server: choice.server,
+        access,
+        needed: need.position,
+        patience,
+        until: need.until,
+        timed: choice.wait.is_zero(),
+    }
+}
+
+fn primary_target(server: ServerId, until: Time) -> Target {
+    let patience = Duration::ZERO;
+    Target { server, access: Access::Write, needed: None, patience, until, timed: false }
+}
+
+/// Returns the refusal after which another attempt is made, or the end.
+fn decide(broken: Broken, job: &Job<'_>, attempt: Attempt) -> Result<Refusal, Failed> {
+    let attempt = if broken.passed { Attempt::Answered } else { attempt };
+    let failed = match (&job.begin, attempt) {
+        // The transaction was never told to commit, so it did not run.
+        (Some(_), _) => settle(broken.failed, job.gathered, Refusal::ServerUnreachable),
+        (None, Attempt::Read) => settle(broken.failed, job.gathered, Refusal::TooStale),
+        _ => broken.failed,
+    };
+    match failed {
+        Failed::Refused(refused) if next(attempt, refused.refusal) != Next::Refuse => {
+            Ok(refused.refusal)
+        }
+        failed => Err(failed),
+    }
+}
+
+/// Replaces an unknown outcome by `known` where nothing can have committed.
+fn settle(failed: Failed, gathered: &Gathered, known: Refusal) -> Failed {
+    match failed {
+        Failed::Refused(refused)
+            if !gathered.commits()
+                && (refused.refusal.outcome() != Outcome::NotRun
+                    || known == Refusal::TransactionEnded) =>
+        {
+            known.into()
+        }
+        failed => failed,
+    }
+}
+
+/// Tells whether a refusal says that the server should be avoided for a while.
+fn is_fault(refusal: Refusal) -> bool {
+    matches!(
+        refusal,
+        Refusal::ServerUnreachable
+            | Refusal::HomeUnreachable
+            | Refusal::NotPrimary
+            | Refusal::QueueFull
+            | Refusal::ReadInterrupted
+            | Refusal::WriteInterrupted
+            | Refusal::TooStale
+    )
+}
--- a/crates/proxy/src/entry/classify.rs
+++ b/crates/proxy/src/entry/classify.rs
@@ -1,11 +1,41 @@
 //! Sorting statements into reads, writes and what pooling cannot keep.
 
+use std::{
+    collections::HashMap,
+    ops::ControlFlow,
+    sync::{Arc, Mutex},
+};
+
+use sha2::{Digest, Sha256};
 use sqlparser::{
-    ast::{Expr, Query, SetExpr, Statement, Visit, Visitor},
+    ast::{
+        BinaryOperator, DataType, Expr, ObjectName, Query, Set, SetExpr, Statement, TableFactor,
+        TransactionAccessMode, TransactionMode, Visit, Visitor,
+    },
     dialect::PostgreSqlDialect,
     parser::Parser,
+    tokenizer::{Token, TokenWithSpan, Tokenizer},
 };
-use std::ops::ControlFlow;
+
+use super::{command::Command, functions};
+
+/// Classified texts that are remembered.
+const MAX_CACHED: usize = 8_192;
+
+/// First words of statements that change state of a session.
+const SESSION_STATEMENTS: [&str; 11] = [
+    "COPY",
+    "DEALLOCATE",
+    "DECLARE",
+    "DISCARD",
+    "EXECUTE",
+    "LISTEN",
+    "LOAD",
+    "NOTIFY",
+    "PREPARE",
+    "RESET",
+    "SET",
+];
 
 /// What a piece of SQL does, as far as routing is concerned.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -18,72 +48,247 @@
     Unsupported,
 }
 
-/// Functions that a read may call; all others may write.
-const READ_FUNCTIONS: [&str; 16] = [
-    "count", "sum", "min", "max", "avg", "coalesce", "length", "lower", "upper", "abs", "round",
-    "now", "substr", "trim", "nullif", "pg_sleep",
-];
+/// What a single statement does to the transaction.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Control {
+    /// Opens one.
+    Begin {
+        /// Whether it is declared as read-only.
+        read_only: bool,
+    },
+    /// Ends it with a commit.
+    Commit,
+    /// Ends it with a rollback.
+    Rollback,
+}
+
+/// What is known of a piece of SQL.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Shape {
+    /// Whether it reads or writes.
+    pub(crate) class: Class,
+    /// Set when it consists of a single statement about the transaction.
+    pub(crate) control: Option<Control>,
+    /// Set when it consists of a single statement that the entry answers.
+    pub(crate) command: Option<Command>,
+    /// Whether it may leave a transaction open.
+    pub(crate) opens: bool,
+    /// Whether it may commit a transaction.
+    pub(crate) commits: bool,
+}
+
+impl Shape {
+    fn new(class: Class) -> Self {
+        Shape { class, control: None, command: None, opens: false, commits: false }
+    }
+}
+
+/// Remembers the shapes of texts seen lately.
+#[derive(Default)]
+pub(crate) struct Shapes {
+    known: Mutex<HashMap<[u8; 32], Arc<Shape>>>,
+}
+
+impl Shapes {
+    /// Returns the shape of `sql`.
+    pub(crate) fn get(&self, sql: &str) -> Arc<Shape> {
+        // A collision would let one caller decide how another's text is
+        // treated, so the key is a cryptographic hash.
+        let key: [u8; 32] = Sha256::digest(sql).into();
+        if let Some(shape) = self.lock().get(&key) {
+            return Arc::clone(shape);
+        }
+        let shape = Arc::new(classify(sql));
+        let mut known = self.lock();
+        if known.len() >= MAX_CACHED {
+            known.clear();
+        }
+        known.insert(key, Arc::clone(&shape));
+        shape
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<[u8; 32], Arc<Shape>>> {
+        self.known.lock().expect("no thread panics with this lock")
+    }
+}
 
 /// Classes `sql`; whatever is not surely a read counts as a write.
-pub(crate) fn classify(sql: &str) -> Class {
-    match Parser::parse_sql(&PostgreSqlDialect {}, sql) {
-        Ok(statements) => statements.iter().map(class_of).max().unwrap_or(Class::Read),
-        Err(_) => Class::Write,
+pub(crate) fn classify(sql: &str) -> Shape {
+    let dialect = PostgreSqlDialect {};
+    let Ok(tokens) = Tokenizer::new(&dialect, sql).tokenize_with_location() else {
+        return Shape::new(Class::Unsupported);
+    };
+    let parsed =
+        Parser::new(&dialect).with_tokens_with_locations(tokens.clone()).parse_statements();
+    let statements = match &parsed {
+        Ok(statements) => statements.as_slice(),
+        Err(_) => return unparsed(&tokens),
+    };
+    if let [statement] = statements
+        && let Some(command) = Command::new(statement)
+    {
+        return Shape { command: Some(command), ..Shape::new(Class::Read) };
+    }
+    if tokens.iter().any(is_session_word) {
+        return Shape::new(Class::Unsupported);
+    }
+    let class = statements.iter().map(class_of).max().unwrap_or(Class::Read);
+    let controls: Vec<_> = statements.iter().filter_map(control_of).collect();
+    let single = (statements.len() == 1 && class != Class::Unsupported).then_some(&controls);
+    Shape {
+        class,
+        control: single.and_then(|controls| controls.first().copied()),
+        command: None,
+        opens: matches!(controls.last(), Some(Control::Begin { .. })),
+        commits: controls.contains(&Control::Commit),
+    }
+}
+
+/// Judges a text that the parser does not know by its words alone.
+fn unparsed(tokens: &[TokenWithSpan]) -> Shape {
+    let words = |tokens: &[TokenWithSpan]| -> Vec<String> {
+        let word = |token: &TokenWithSpan| match &token.token {
+            Token::Word(word) => Some(word.value.to_ascii_uppercase()),
+            _ => None,
+        };
+        tokens.iter().filter_map(word).collect()
+    };
+    let mut statements = tokens.split(|token| token.token == Token::SemiColon).map(words);
+    let keeps_state = |words: Vec<String>| {
+        let first = words.first().map_or("", String::as_str);
+        let temporary = words.iter().any(|word| word == "TEMP" || word == "TEMPORARY");
+        SESSION_STATEMENTS.contains(&first) || temporary
+    };
+    if tokens.iter().any(is_session_word) || statements.any(keeps_state) {
+        return Shape::new(Class::Unsupported);
+    }
+    Shape { opens: true, commits: true, ..Shape::new(Class::Write) }
+}
+
+fn is_session_word(token: &TokenWithSpan) -> bool {
+    matches!(&token.token, Token::Word(word) if functions::is_session_word(&word.value))
+}
+
+fn control_of(statement: &Statement) -> Option<Control> {
+    match statement {
+        Statement::StartTransaction { modes, statements, .. } if statements.is_empty() => {
+            let read_only = TransactionMode::AccessMode(TransactionAccessMode::ReadOnly);
+            Some(Control::Begin { read_only: modes.contains(&read_only) })
+        }
+        Statement::Commit { chain: false, .. } => Some(Control::Commit),
+        Statement::Rollback { chain: false, savepoint: None } => Some(Control::Rollback),
+        _ => None,
     }
 }
 
 fn class_of(statement: &Statement) -> Class {
     match statement {
-        Statement::Query(query) if is_read(query) => Class::Read,
-        Statement::LISTEN { .. }
-        | Statement::UNLISTEN { .. }
-        | Statement::NOTIFY { .. }
-        | Statement::Copy { .. }
-        | Statement::Set(_)
-        | Statement::Prepare { .. }
-        | Statement::Declare { .. } => Class::Unsupported,
+        Statement::Query(_) | Statement::Explain { .. } => class_of_query(statement),
+        Statement::ShowVariable { .. } => Class::Read,
+        Statement::StartTransaction { .. } => match control_of(statement) {
+            Some(Control::Begin { read_only: true }) => Class::Read,
+            _ => Class::Write,
+        },
+        // A chained transaction would go on without the proxy's knowledge.
+        Statement::Commit { chain: true, .. } | Statement::Rollback { chain: true, .. } => {
+            Class::Unsupported
+        }
+        Statement::Set(set) if is_local(set) => Class::Read,
         Statement::CreateTable(table) if table.temporary => Class::Unsupported,
-        _ => Class::Write,
+        Statement::CreateView(view) if view.temporary => Class::Unsupported,
+        Statement::CreateSequence { temporary: true, .. } => Class::Unsupported,
+        Statement::Declare { stmts, .. } if stmts.iter().all(|d| d.hold != Some(true)) => {
+            Class::Write
+        }
+        _ => class_by_word(statement),
+    }
+}
+
+/// Tells whether the setting ends with the transaction.
+fn is_local(set: &Set) -> bool {
+    match set {
+        Set::SingleAssignment { scope, .. } => {
+            matches!(scope, Some(sqlparser::ast::ContextModifier::Local))
+        }
+        Set::SetTimeZone { local, .. } => *local,
+        Set::SetTransaction { session, .. } => !session,
+        _ => false,
     }
 }
 
-fn is_read(query: &Query) -> bool {
-    query.locks.is_empty() && query.visit(&mut WriteFinder).is_continue()
+fn class_by_word(statement: &Statement) -> Class {
+    let text = statement.to_string();
+    let first = text.split_whitespace().next().unwrap_or_default().to_ascii_uppercase();
+    if SESSION_STATEMENTS.contains(&first.as_str()) { Class::Unsupported } else { Class::Write }
+}
+
+fn class_of_query(statement: &Statement) -> Class {
+    let mut finder = WriteFinder { temporary: false };
+    match statement.visit(&mut finder) {
+        ControlFlow::Continue(()) => Class::Read,
+        ControlFlow::Break(()) if finder.temporary => Class::Unsupported,
+        ControlFlow::Break(()) => Class::Write,
+    }
 }
 
 /// Stops at the first part of a query that may write.
-struct WriteFinder;
+struct WriteFinder {
+    temporary: bool,
+}
 
 impl Visitor for WriteFinder {
     type Break = ();
 
+    fn pre_visit_statement(&mut self, statement: &Statement) -> ControlFlow<()> {
+        stop_unless(matches!(statement, Statement::Query(_) | Statement::Explain { .. }))
+    }
+
     fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
-        let plain = matches!(
-            *query.body,
-            SetExpr::Select(_)
-                | SetExpr::Query(_)
-                | SetExpr::SetOperation { .. }
-                | SetExpr::Values(_)
-        );
-        let into = matches!(&*query.body, SetExpr::Select(select) if select.into.is_some());
-        if plain && !into && query.locks.is_empty() {
-            return ControlFlow::Continue(());
+        if let SetExpr::Select(select) = &*query.body
+            && let Some(into) = &select.into
+        {
+            self.temporary = into.temporary;
+            return ControlFlow::Break(());
         }
-        ControlFlow::Break(())
+        stop_unless(query.locks.is_empty() && is_plain(&query.body))
     }
 
-    fn pre_visit_expr(&mut self, expr: &Expr) -> ControlFlow<()> {
-        match expr {
-            Expr::Function(function) => {
-                let name = function.name.to_string().to_ascii_lowercase();
-                if READ_FUNCTIONS.contains(&name.as_str()) {
-                    return ControlFlow::Continue(());
-                }
-                ControlFlow::Break(())
+    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
+        match factor {
+            TableFactor::Table { name, args: Some(_), .. } | TableFactor::Function { name, .. } => {
+                stop_unless(is_read_function(name))
             }
             _ => ControlFlow::Continue(()),
         }
     }
+
+    fn pre_visit_expr(&mut self, expr: &Expr) -> ControlFlow<()> {
+        stop_unless(match expr {
+            Expr::Function(function) => is_read_function(&function.name),
+            Expr::Cast { data_type: DataType::Custom(name, _), .. } => {
+                functions::is_read_type(&name.to_string())
+            }
+            Expr::BinaryOp { op: BinaryOperator::PGCustomBinaryOperator(_), .. } => false,
+            _ => true,
+        })
+    }
+}
+
+fn stop_unless(reads: bool) -> ControlFlow<()> {
+    if reads { ControlFlow::Continue(()) } else { ControlFlow::Break(()) }
+}
+
+fn is_read_function(name: &ObjectName) -> bool {
+    functions::is_read(&name.to_string())
+}
+
+fn is_plain(body: &SetExpr) -> bool {
+    match body {
+        SetExpr::Select(select) => select.into.is_none(),
+        SetExpr::SetOperation { left, right, .. } => is_plain(left) && is_plain(right),
+        SetExpr::Query(_) | SetExpr::Values(_) | SetExpr::Table(_) => true,
+        _ => false,
+    }
 }
 
 #[cfg(test)]
@@ -95,18 +300,128 @@
         let cases = [
             ("SELECT 1", Class::Read),
             ("SELECT count(*) FROM t WHERE id = $1", Class::Read),
+            ("SELECT pg_catalog.count(*) FROM t", Class::Read),
+            ("SELECT a::text, CAST(b AS numeric(10, 2)) FROM t", Class::Read),
+            ("SELECT a::regclass FROM t", Class::Read),
+            ("SELECT a::my_type FROM t", Class::Write),
+            ("SELECT 1 UNION ALL SELECT 2 INTERSECT SELECT 3", Class::Read),
+            ("WITH x AS (SELECT 1) SELECT * FROM x", Class::Read),
+            ("SELECT * FROM generate_series(1, 3)", Class::Read),
+            ("SELECT * FROM my_function(1)", Class::Write),
+            ("SELECT (SELECT nextval('s'))", Class::Write),
+            ("VALUES (1), (2)", Class::Read),
+            ("TABLE t", Class::Write),
+            ("SHOW server_version", Class::Read),
+            ("EXPLAIN SELECT 1", Class::Read),
+            ("EXPLAIN ANALYZE DELETE FROM t", Class::Write),
             ("SELECT * FROM t FOR UPDATE", Class::Write),
+            ("SELECT * FROM (SELECT * FROM t FOR SHARE) x", Class::Write),
             ("SELECT nextval('s')", Class::Write),
+            ("SELECT 1 INTO t", Class::Write),
             ("WITH x AS (INSERT INTO t VALUES (1) RETURNING id) SELECT * FROM x", Class::Write),
             ("INSERT INTO t VALUES (1)", Class::Write),
             ("BEGIN", Class::Write),
-            ("LISTEN x", Class::Unsupported),
-            ("CREATE TEMPORARY TABLE t (a int)", Class::Unsupported),
+            ("BEGIN READ ONLY", Class::Read),
+            ("START TRANSACTION READ ONLY", Class::Read),
+            ("SET LOCAL work_mem = '1MB'", Class::Read),
+            ("SET TRANSACTION READ ONLY", Class::Read),
+            ("SELECT 1; DELETE FROM t", Class::Write),
+            ("DECLARE c CURSOR FOR SELECT 1", Class::Write),
+            ("LOCK TABLE t", Class::Write),
             ("not sql at all", Class::Write),
             ("", Class::Read),
         ];
         for (sql, class) in cases {
-            assert_eq!(classify(sql), class, "{sql}");
+            assert_eq!(classify(sql).class, class, "{sql}");
+        }
+    }
+
+    #[test]
+    fn session_state_is_refused() {
+        for sql in [
+            "LISTEN x",
+            "NOTIFY x",
+            "CREATE TEMPORARY TABLE t (a int)",
+            "CREATE TEMP TABLE t AS SELECT 1",
+            "CREATE TABLE pg_temp.t (a int)",
+            "SELECT 1 INTO TEMPORARY t",
+            "SET search_path = x",
+            "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY",
+            "SET ROLE admin",
+            "SET SESSION AUTHORIZATION admin",
+            "SELECT set_config('a.b', 'c', false)",
+            "SELECT pg_advisory_lock(1)",
+            "SELECT PG_TRY_ADVISORY_LOCK(1)",
+            "SELECT pg_catalog.pg_advisory_lock(1)",
+            "SELECT * FROM chicoryhollow.fence(9, 'me')",
+            "SELECT chicoryhollow.status()",
+            "SELECT * FROM \"chicoryhollow\".promote(9, 'me', 'a', 1)",
+            "PREPARE p AS SELECT 1",
+            "EXECUTE p",
+            "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+            "COPY t FROM STDIN",
+            "COPY t TO STDOUT",
+            "COMMIT AND CHAIN",
+            "SELECT 1; SET search_path = x",
+            "SET application_name = 'x'; SET search_path = x",
+            "SELECT 'unterminated",
+        ] {
+            assert_eq!(classify(sql).class, Class::Unsupported, "{sql}");
+        }
+    }
+
+    #[test]
+    fn commands_are_answered_by_the_entry() {
+        let cases = [
+            ("SET application_name = 'x'", Some(Command::Accept("SET"))),
+            ("SET client_encoding TO 'UTF8'", Some(Command::Accept("SET"))),
+            ("SET NAMES 'UTF8'", Some(Command::Accept("SET"))),
+            ("SET TIME ZONE 'UTC'", Some(Command::Accept("SET"))),
+            ("SET datestyle = ISO, MDY", Some(Command::Accept("SET"))),
+            ("SET client_encoding TO 'LATIN1'", None),
+            ("RESET ALL", Some(Command::Accept("RESET"))),
+            ("DISCARD ALL", Some(Command::DiscardAll)),
+            ("DEALLOCATE ALL", Some(Command::Deallocate(None))),
+            ("DEALLOCATE s1", Some(Command::Deallocate(Some("s1".to_owned())))),
+            ("SHOW chicoryhollow.session", Some(Command::ShowSession)),
+            (
+                "SET chicoryhollow.session = 'orders=1/2';",
+                Some(Command::SetSession("orders=1/2".to_owned())),
+            ),
+            (
+                "SET statement_timeout = '2s'",
+                Some(Command::SetTimeout(Some(std::time::Duration::from_secs(2)))),
+            ),
+            ("SET statement_timeout = 0", Some(Command::SetTimeout(None))),
+            ("SELECT 1", None),
+        ];
+        for (sql, command) in cases {
+            assert_eq!(classify(sql).command, command, "{sql}");
+        }
+    }
+
+    #[test]
+    fn transactions_are_recognised() {
+        let begin = |read_only| Some(Control::Begin { read_only });
+        let cases = [
+            ("BEGIN", begin(false), true, false),
+            ("begin isolation level serializable read only", begin(true), true, false),
+            ("COMMIT", Some(Control::Commit), false, true),
+            ("END", Some(Control::Commit), false, true),
+            ("ROLLBACK", Some(Control::Rollback), false, false),
+            ("ABORT", Some(Control::Rollback), false, false),
+            ("ROLLBACK TO SAVEPOINT a", None, false, false),
+            ("BEGIN; INSERT INTO t VALUES (1)", None, true, false),
+            ("BEGIN; INSERT INTO t VALUES (1); COMMIT", None, false, true),
+            ("INSERT INTO t VALUES (1)", None, false, false),
+        ];
+        for (sql, control, opens, commits) in cases {
+            let shape = classify(sql);
+            assert_eq!(
+                (shape.control, shape.opens, shape.commits),
+                (control, opens, commits),
+                "{sql}"
+            );
         }
     }
 }
--- a/crates/proxy/src/entry/handshake.rs
+++ b/crates/proxy/src/entry/handshake.rs
@@ -1,218 +1,289 @@
-//! Start-up of a caller's connection: encryption request, key check, token.
+//! Start-up of a caller's connection: key check, route, token.
 
 use std::{sync::Arc, time::Duration};
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
-use bytes::{Bytes, BytesMut};
-use chicoryhollow_config::{Verifier, configuration::Route};
+use chicoryhollow_config::configuration::{Configuration, Route, Service};
 use chicoryhollow_core::prelude::*;
-use futures_util::{SinkExt, StreamExt};
 use pgwire::messages::{
-    DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage,
     response::{ReadyForQuery, TransactionStatus},
-    startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup},
+    startup::{Authentication, BackendKeyData, NegotiateProtocolVersion, ParameterStatus, Startup},
 };
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time::timeout,
-};
-use tokio_util::codec::Framed;
+use tokio::{net::TcpStream, time::timeout};
 
+use super::{
+    cancel::{self, Ticket},
+    command::parse_timeout,
+    connection::Connection,
+    scram,
+    startup::{self, Opening},
+};
 use crate::{
     node::Node,
-    wire::{self, FrameCodec, WireError},
+    wire::{self, WireError},
 };
 
 /// Parameter in which callers send and receive their session token.
 pub(crate) const SESSION_PARAMETER: &str = "chicoryhollow.session";
 
+/// Prefix of parameters that ask for options of the protocol.
+const PROTOCOL_OPTION: &str = "_pq_.";
+
 /// Longest start-up in milliseconds.
 const STARTUP_MS: u64 = 10_000;
 
-/// Largest start-up packet in bytes.
-const MAX_STARTUP_BYTES: usize = 10_000;
+/// Longest wait for a refused caller to close, in milliseconds.
+const CLOSE_MS: u64 = 1_000;
+
+/// Largest message of a caller whose key was not accepted yet, in bytes.
+const MAX_ANONYMOUS_BYTES: usize = 10_000;
 
 /// A caller whose key was accepted.
 pub(crate) struct Caller {
     /// The connection.
-    pub(crate) framed: Framed<TcpStream, FrameCodec>,
+    pub(crate) connection: Connection,
+    /// Whose requests these are.
+    pub(crate) identity: Identity,
+    /// What the session has seen; none when its past is unknown.
+    pub(crate) token: Option<SessionToken>,
+    /// Limit that the caller set on its statements.
+    pub(crate) timeout: Option<Duration>,
+    /// Registration for cancel requests.
+    pub(crate) ticket: Ticket,
+}
+
+/// Whose requests a connection carries.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
     /// Key that the caller showed; none on a route open to all.
     pub(crate) key: Option<KeyName>,
     /// Account that is served.
     pub(crate) account: AccountId,
     /// Route that the caller named.
     pub(crate) route: RouteName,
-    /// What the session has seen; none when its past is unknown.
-    pub(crate) token: Option<SessionToken>,
 }
 
 /// Runs the start-up; `None` means that the connection was ended in good order.
 pub(crate) async fn accept(
     node: &Arc<Node>,
-    socket: TcpStream,
+    mut socket: TcpStream,
+    crowded: bool,
 ) -> Result<Option<Caller>, WireError> {
     let limit = Duration::from_millis(STARTUP_MS);
-    timeout(limit, start(node, socket)).await.map_err(std::io::Error::from)?
-}
-
-async fn start(node: &Arc<Node>, mut socket: TcpStream) -> Result<Option<Caller>, WireError> {
-    let Some((startup, rest)) = read_startup(&mut socket).await? else {
-        return Ok(None);
+    let opening = timeout(limit, startup::read(&mut socket)).await;
+    let (startup, rest) = match opening.map_err(std::io::Error::from)? {
+        Ok(Opening::Session(startup, rest)) => (startup, rest),
+        Ok(Opening::Cancel(request)) => {
+            cancel::request(node, &request);
+            return Ok(None);
+        }
+        Ok(Opening::Closed) => return Ok(None),
+        Err(error) => {
+            let connection = Connection::new(socket, Default::default(), MAX_ANONYMOUS_BYTES);
+            refuse(node, connection, Refusal::Malformed, Some(&error.to_string())).await?;
+            return Err(error);
+        }
     };
-    let mut framed = Framed::new(socket, FrameCodec::new(node.settings.limits.message_bytes));
-    framed.read_buffer_mut().extend_from_slice(&rest);
-    match admit(node, &mut framed, &startup).await? {
-        Ok((key, account, route, token)) => {
-            welcome(&mut framed).await?;
-            Ok(Some(Caller { framed, key, account, route, token }))
+    let mut connection = Connection::new(socket, rest, MAX_ANONYMOUS_BYTES);
+    let admitted = timeout(limit, admit(node, &mut connection, &startup, crowded)).await;
+    match admitted.map_err(std::io::Error::from)? {
+        Ok(Ok((identity, options))) => {
+            welcome(node, connection, &startup, identity, options).await.map(Some)
         }
-        Err(refusal) => {
-            node.metrics.refused(refusal);
-            framed.send(wire::encode(&wire::refusal("FATAL", refusal, None))).await?;
+        Ok(Err(refusal)) => {
+            refuse(node, connection, refusal, None).await?;
             Ok(None)
         }
-    }
-}
-
-/// Reads start-up packets until one asks for a session.
-async fn read_startup(socket: &mut TcpStream) -> Result<Option<(Startup, BytesMut)>, WireError> {
-    let mut buffer = BytesMut::with_capacity(512);
-    let mut context = DecodeContext::default();
-    loop {
-        match PgWireFrontendMessage::decode(&mut buffer, &context)? {
-            Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None)) => {
-                context.awaiting_frontend_ssl = false;
-            }
-            Some(PgWireFrontendMessage::SslNegotiation(_)) => socket.write_all(b"N").await?,
-            Some(PgWireFrontendMessage::Startup(startup)) => return Ok(Some((startup, buffer))),
-            Some(_) => return Ok(None),
-            None if buffer.len() > MAX_STARTUP_BYTES => return Err(WireError::Truncated),
-            None => {
-                if socket.read_buf(&mut buffer).await? == 0 {
-                    return Ok(None);
-                }
+        Err(error) => {
+            if !matches!(error, WireError::Io(_)) {
+                let detail = error.to_string();
+                refuse(node, connection, Refusal::Malformed, Some(&detail)).await?;
             }
+            Err(error)
         }
     }
 }
 
-type Admitted = (Option<KeyName>, AccountId, RouteName, Option<SessionToken>);
+/// Tells the caller why it is not served and closes the connection.
+pub(super) async fn refuse(
+    node: &Arc<Node>,
+    mut connection: Connection,
+    refusal: Refusal,
+    detail: Option<&str>,
+) -> Result<(), WireError> {
+    node.metrics.refused(refusal);
+    connection.send(&wire::refusal("FATAL", refusal, detail)).await?;
+    connection.close(Duration::from_millis(CLOSE_MS)).await;
+    Ok(())
+}
+
+/// Options that the caller gave at start-up.
+struct Options {
+    token: Option<SessionToken>,
+    timeout: Option<Duration>,
+}
 
 async fn admit(
     node: &Arc<Node>,
-    framed: &mut Framed<TcpStream, FrameCodec>,
+    connection: &mut Connection,
     startup: &Startup,
-) -> Result<Result<Admitted, Refusal>, WireError> {
+    crowded: bool,
+) -> Result<Result<(Identity, Options), Refusal>, WireError> {
     let versioned = node.configuration();
+    let configuration = &versioned.configuration;
     if versioned.version == 0 {
         return Ok(Err(Refusal::NotReady));
     }
+    if node.is_draining() || is_out(node, configuration) {
+        return Ok(Err(Refusal::Draining));
+    }
+    if crowded {
+        return Ok(Err(Refusal::TooManyConnections));
+    }
     let user = startup.parameters.get("user").map_or("", String::as_str);
     let database = startup.parameters.get("database").map_or(user, String::as_str);
-    let token = match startup_token(startup) {
-        Ok(token) => token,
-        Err(refusal) => return Ok(Err(refusal)),
-    };
-    let configuration = &versioned.configuration;
+    let key = configuration.keys.get_key_value(user);
+    if key.is_some() || !is_open(configuration, database) {
+        let verifier = key.map(|(_, key)| key.verifier.clone());
+        let verifier = verifier.unwrap_or_else(|| scram::decoy(configuration, user));
+        if !check(node, connection, &verifier).await? || key.is_none() {
+            return Ok(Err(Refusal::BadKey));
+        }
+    }
     let Some((route, found)) = configuration.routes.get_key_value(database) else {
         return Ok(Err(Refusal::RouteUnknown));
     };
-    let Some((key, held)) = configuration.keys.get_key_value(user) else {
-        let open = found.open_account.clone().map(|account| (None, account, route.clone(), token));
-        return Ok(open.ok_or(Refusal::BadKey));
-    };
-    if !check_key(framed, &held.verifier).await? {
-        return Ok(Err(Refusal::BadKey));
-    }
-    if !may_use(found, &held.account) {
+    let account = key.map(|(_, key)| &key.account).or(found.open_account.as_ref());
+    let Some(account) = account.filter(|account| may_use(found, account)) else {
         return Ok(Err(Refusal::RouteDenied));
-    }
-    Ok(Ok((Some(key.clone()), held.account.clone(), route.clone(), token)))
+    };
+    let key = key.map(|(name, _)| name.clone());
+    let identity = Identity { key, account: account.clone(), route: route.clone() };
+    Ok(options(startup).map(|options| (identity, options)))
 }
 
-/// Tells whether `account` may use `route`.
-pub(crate) fn may_use(route: &Route, account: &AccountId) -> bool {
-    route.open_account.is_some() || route.accounts.contains(account)
+async fn check(
+    node: &Arc<Node>,
+    connection: &mut Connection,
+    verifier: &chicoryhollow_config::Verifier,
+) -> Result<bool, WireError> {
+    if node.settings.limits.cleartext_keys {
+        return scram::check_cleartext(connection, verifier).await;
+    }
+    scram::check(connection, verifier).await
 }
 
-/// Takes the token from `options=-c chicoryhollow.session=TOKEN`.
-fn startup_token(startup: &Startup) -> Result<Option<SessionToken>, Refusal> {
-    let direct = startup.parameters.get(SESSION_PARAMETER).map(String::as_str);
-    let options = startup.parameters.get("options").map_or("", String::as_str);
-    let setting = format!("{SESSION_PARAMETER}=");
-    let named = options.split_whitespace().find_map(|option| {
-        option.strip_prefix("-c").unwrap_or(option).strip_prefix(setting.as_str())
-    });
-    let parse = |text: &str| text.parse().map_err(|_| Refusal::BadToken);
-    direct.or(named).map(parse).transpose()
+fn is_open(configuration: &Configuration, route: &str) -> bool {
+    configuration.routes.get(route).is_some_and(|route| route.open_account.is_some())
 }
 
-/// Checks the caller's key by SCRAM-SHA-256 (RFC 5802) without seeing it.
-async fn check_key(
-    framed: &mut Framed<TcpStream, FrameCodec>,
-    verifier: &Verifier,
-) -> Result<bool, WireError> {
-    let mechanisms = Authentication::SASL(vec!["SCRAM-SHA-256".to_owned()]);
-    framed.send(wire::encode(&mechanisms)).await?;
-    let first = sasl(framed).await?.into_sasl_initial_response()?.data.unwrap_or_default();
-    let first = String::from_utf8_lossy(&first).into_owned();
-    let Some(bare) = first.splitn(3, ',').nth(2).map(str::to_owned) else { return Ok(false) };
-    let Some(client_nonce) = attribute(&bare, "r=") else { return Ok(false) };
-    let server_nonce = STANDARD.encode(rand::random::<[u8; 18]>());
-    let nonce = format!("{client_nonce}{server_nonce}");
-    let salt = STANDARD.encode(verifier.salt());
-    let challenge = format!("r={nonce},s={salt},i={}", verifier.iterations());
-    let message = Authentication::SASLContinue(Bytes::from(challenge.clone()));
-    framed.send(wire::encode(&message)).await?;
-    let last = sasl(framed).await?.into_sasl_response()?.data;
-    let last = String::from_utf8_lossy(&last).into_owned();
-    let Some((without_proof, proof)) = last.rsplit_once(",p=") else { return Ok(false) };
-    if attribute(without_proof, "r=") != Some(nonce.as_str()) {
-        return Ok(false);
-    }
-    let Ok(proof) = STANDARD.decode(proof) else { return Ok(false) };
-    let Some(signature) = verifier.check(&proof, &format!("{bare},{challenge},{without_proof}"))
-    else {
-        return Ok(false);
-    };
-    let proof = format!("v={}", STANDARD.encode(signature));
-    framed.send(wire::encode(&Authentication::SASLFinal(Bytes::from(proof)))).await?;
-    Ok(true)
+/// Tells whether operators have taken out this VM's data centre.
+pub(super) fn is_out(node: &Node, configuration: &Configuration) -> bool {
+    let found = configuration.data_centres.get(&node.settings.data_centre);
+    found.is_some_and(|found| found.service == Service::Out)
 }
 
-async fn sasl(
-    framed: &mut Framed<TcpStream, FrameCodec>,
-) -> Result<pgwire::messages::startup::PasswordMessageFamily, WireError> {
-    let frame = framed.next().await.ok_or(WireError::Truncated)??;
-    match frame.frontend()? {
-        PgWireFrontendMessage::PasswordMessageFamily(message) => Ok(message),
-        _ => Err(WireError::Truncated),
-    }
+/// Tells whether `account` may use `route`.
+pub(super) fn may_use(route: &Route, account: &AccountId) -> bool {
+    route.open_account.is_some() || route.accounts.contains(account)
 }
 
-fn attribute<'a>(message: &'a str, name: &str) -> Option<&'a str> {
-    message.split(',').find_map(|part| part.strip_prefix(name))
+/// Reads the options, given as parameters of their own or as `-c NAME=VALUE`.
+fn options(startup: &Startup) -> Result<Options, Refusal> {
+    let text = startup.parameters.get("options").map_or("", String::as_str);
+    let find = |name: &str| {
+        let given = startup.parameters.get(name).map(String::as_str);
+        let named = |word: &'_ str| -> Option<usize> {
+            let setting = word.strip_prefix("--").or_else(|| word.strip_prefix("-c"));
+            let value = setting.unwrap_or(word).strip_prefix(name)?.strip_prefix('=')?;
+            Some(word.len() - value.len())
+        };
+        let option = || text.split_whitespace().find_map(|word| Some(&word[named(word)?..]));
+        given.or_else(option)
+    };
+    let token = find(SESSION_PARAMETER).map(|text| text.parse().map_err(|_| Refusal::BadToken));
+    let timeout = find("statement_timeout").and_then(parse_timeout).flatten();
+    Ok(Options { token: token.transpose()?, timeout })
 }
 
 /// Ends the start-up.
-async fn welcome(framed: &mut Framed<TcpStream, FrameCodec>) -> Result<(), WireError> {
-    let secret = SecretKey::I32(rand::random());
-    let key = BackendKeyData::new(rand::random(), secret);
-    framed.feed(wire::encode(&Authentication::Ok)).await?;
+async fn welcome(
+    node: &Arc<Node>,
+    mut connection: Connection,
+    startup: &Startup,
+    identity: Identity,
+    options: Options,
+) -> Result<Caller, WireError> {
+    connection.set_limit(node.settings.limits.message_bytes);
+    if let Some(negotiation) = negotiate(startup) {
+        connection.queue_message(&negotiation);
+    }
+    connection.queue_message(&Authentication::Ok);
+    let application = startup.parameters.get("application_name").map_or("", String::as_str);
     let parameters = [
         ("server_version", "16.0"),
         ("server_encoding", "UTF8"),
         ("client_encoding", "UTF8"),
+        ("application_name", application),
         ("DateStyle", "ISO, MDY"),
+        ("IntervalStyle", "postgres"),
         ("TimeZone", "UTC"),
         ("integer_datetimes", "on"),
         ("standard_conforming_strings", "on"),
     ];
     for (name, value) in parameters {
-        let status = ParameterStatus::new(name.to_owned(), value.to_owned());
-        framed.feed(wire::encode(&status)).await?;
+        connection.queue_message(&ParameterStatus::new(name.to_owned(), value.to_owned()));
+    }
+    let ticket = node.entry.cancels.register(node);
+    connection.queue_message(&BackendKeyData::new(ticket.process, ticket.secret.clone()));
+    connection.send(&ReadyForQuery::new(TransactionStatus::Idle)).await?;
+    let Options { token, timeout } = options;
+    Ok(Caller { connection, identity, token, timeout, ticket })
+}
+
+/// Tells a caller of a later minor version what this proxy speaks.
+fn negotiate(startup: &Startup) -> Option<NegotiateProtocolVersion> {
+    let unknown = startup.parameters.keys().filter(|name| name.starts_with(PROTOCOL_OPTION));
+    let unknown: Vec<_> = unknown.cloned().collect();
+    let later = startup.protocol_number_minor > 0 || !unknown.is_empty();
+    // Version 3.0, as clients of version 3.2 expect it.
+    later.then(|| NegotiateProtocolVersion::new(3 << 16, unknown))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn startup(parameters: &[(&str, &str)]) -> Startup {
+        let mut startup = Startup::new();
+        for (name, value) in parameters {
+            startup.parameters.insert((*name).to_owned(), (*value).to_owned());
+        }
+        startup
+    }
+
+    #[test]
+    fn options_are_read_in_all_customary_forms() {
+        let token = |text: &str| options(&startup(&[("options", text)])).map(|o| o.token);
+        let expected: SessionToken = "orders=1/2".parse().expect("a token");
+        for text in [
+            "-c chicoryhollow.session=orders=1/2",
+            "-cchicoryhollow.session=orders=1/2",
+            "--chicoryhollow.session=orders=1/2",
+            "-c statement_timeout=5s -c chicoryhollow.session=orders=1/2",
+        ] {
+            assert_eq!(token(text), Ok(Some(expected.clone())), "{text}");
+        }
+        assert_eq!(token(""), Ok(None));
+        assert_eq!(token("-c chicoryhollow.session="), Ok(Some(SessionToken::new())));
+        assert_eq!(token("-c chicoryhollow.session=x"), Err(Refusal::BadToken));
+    }
+
+    #[test]
+    fn later_versions_are_negotiated_down() {
+        let mut later = startup(&[]);
+        assert!(negotiate(&later).is_none());
+        later.protocol_number_minor = 2;
+        assert_eq!(negotiate(&later).map(|n| n.newest_minor_protocol), Some(3 << 16));
+        assert!(negotiate(&startup(&[("_pq_.x", "1")])).is_some());
     }
-    framed.feed(wire::encode(&key)).await?;
-    framed.send(wire::encode(&ReadyForQuery::new(TransactionStatus::Idle))).await
 }
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -2,303 +2,328 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
 use chicoryhollow_config::configuration::{Route, Versioned};
 use chicoryhollow_core::prelude::*;
-use futures_util::{SinkExt, StreamExt};
 use pgwire::messages::{
-    response::{CommandComplete, ReadyForQuery, TransactionStatus},
+    response::{ReadyForQuery, TransactionStatus},
     startup::ParameterStatus,
 };
-use tokio::sync::watch;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
+};
 
 use super::{
-    batch::{Gathered, Next},
-    classify::Class,
-    handshake::{Caller, SESSION_PARAMETER, may_use},
-    route::{Target, primary, read_targets},
+    batch::{Effect, Gathered, Next},
+    handshake::{Caller, SESSION_PARAMETER, is_out, may_use, refuse},
     statements::Statements,
 };
 use crate::{
     node::Node,
-    stream::{Access, Batch, OpenRequest, Ready, Refused, Stream, StreamEvent},
-    wire::{self, WireError},
+    stream::Stream,
+    wire::{Frame, WireError},
 };
 
+/// Time that a retired caller has to end its transaction, in milliseconds.
+const RETIREMENT_MS: u64 = 4_000;
+
+/// Time for which a caller that must leave is served between transactions
+/// while it goes on sending, in milliseconds.
+const LINGER_MS: u64 = 1_000;
+
+/// State of the caller's transaction.
+pub(super) enum Transaction {
+    /// None is open.
+    Idle,
+    /// The caller opened one, and no server was needed yet.
+    Begun(Begin),
+    /// One is open on a server.
+    Open(Box<Open>),
+    /// One was ended by the proxy, and the caller has yet to end it too.
+    Aborted,
+}
+
+/// A transaction that waits for its first statement.
+#[derive(Clone)]
+pub(super) struct Begin {
+    /// Encoded messages that open it.
+    pub(super) messages: bytes::Bytes,
+    /// Whether it is declared as read-only.
+    pub(super) read_only: bool,
+}
+
+/// A transaction that is open on a server.
+pub(super) struct Open {
+    /// Stream to the server's home.
+    pub(super) stream: Stream,
+    /// Status that the server reported: `T` or `E`.
+    pub(super) status: u8,
+}
+
+/// Why and when the caller must leave.
+#[derive(Clone, Copy)]
+struct Leaving {
+    refusal: Refusal,
+    /// From then on a caller between transactions is cut off even if it sends.
+    linger: Instant,
+    /// From then on an open transaction is rolled back.
+    limit: Instant,
+}
+
 /// One caller's connection.
-pub(crate) struct Session {
-    node: Arc<Node>,
-    caller: Caller,
-    statements: Statements,
-    stream: Option<Stream>,
+pub(super) struct Session {
+    pub(super) node: Arc<Node>,
+    pub(super) caller: Caller,
+    pub(super) statements: Statements,
+    pub(super) transaction: Transaction,
+    /// Time at which the caller connected.
+    pub(super) arrived: Time,
     gathered: Gathered,
+    /// Whether messages are skipped until a `Sync`.
+    pub(super) skipping: bool,
     configurations: watch::Receiver<Arc<Versioned>>,
     reported: String,
-    begun: bool,
+    leaving: Option<Leaving>,
+    active: Instant,
+}
+
+/// What wakes a session.
+enum Wake {
+    Message(Option<Frame>),
+    Configuration,
+    Drain,
+    Limit,
 }
 
 impl Session {
     /// Makes the session of an accepted caller.
-    pub(crate) fn new(node: &Arc<Node>, caller: Caller) -> Self {
+    pub(super) fn new(node: &Arc<Node>, caller: Caller) -> Self {
+        let mut configurations = node.configuration.subscribe();
+        // The key may have been withdrawn during the start-up.
+        configurations.mark_changed();
         Session {
             node: Arc::clone(node),
             caller,
             statements: Statements::new(),
-            stream: None,
+            transaction: Transaction::Idle,
+            arrived: node.clock.now(),
             gathered: Gathered::default(),
-            configurations: node.configuration.subscribe(),
+            skipping: false,
+            configurations,
             reported: String::new(),
-            begun: false,
+            leaving: None,
+            active: Instant::now(),
         }
     }
 
     /// Serves the caller until either side ends the connection.
-    pub(crate) async fn run(mut self) -> Result<(), WireError> {
+    pub(super) async fn run(mut self) -> Result<(), WireError> {
         loop {
-            let node = Arc::clone(&self.node);
-            let frame = tokio::select! {
-                frame = self.caller.framed.next() => frame,
-                _ = self.configurations.changed() => {
-                    if let Some(refusal) = self.withdrawn() {
-                        return self.send(&wire::refusal("FATAL", refusal, None)).await;
-                    }
+            if let Some(refusal) = self.must_end() {
+                return refuse(&self.node, self.caller.connection, refusal, None).await;
+            }
+            let next = match self.wait().await {
+                Ok(Wake::Message(None)) => return Ok(()),
+                Ok(Wake::Message(Some(frame))) => self.receive(&frame),
+                Ok(Wake::Configuration) => {
+                    self.review();
                     continue;
                 }
-                () = node.drained(), if self.stream.is_none() => {
-                    return self.send(&wire::refusal("FATAL", Refusal::Draining, None)).await;
+                Ok(Wake::Drain) => {
+                    let limit = Duration::from_millis(self.node.settings.limits.drain_ms);
+                    self.leave(Refusal::Draining, limit);
+                    continue;
                 }
+                Ok(Wake::Limit) => continue,
+                Err(error) => Err(error),
             };
-            let Some(frame) = frame else { return Ok(()) };
-            match self.gathered.add(&frame?, &mut self.statements)? {
-                Next::More => {}
-                Next::Run => self.run_batch().await?,
-                Next::Terminate => return Ok(()),
+            let done = match next {
+                Ok(Next::More) => Ok(()),
+                Ok(Next::Terminate) => return Ok(()),
+                Ok(next) => self.handle(next).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = done {
+                return self.end_with(error).await;
             }
         }
     }
 
-    async fn run_batch(&mut self) -> Result<(), WireError> {
+    async fn handle(&mut self, next: Next) -> Result<(), WireError> {
         let gathered = std::mem::take(&mut self.gathered);
-        if let Some(token) = gathered.query.as_deref().and_then(token_setting) {
-            return self.set_token(token).await;
-        }
-        self.begun = false;
-        match self.answer(gathered).await {
-            Ok(ready) => self.finish(ready).await,
-            Err(Failed::Refused(refused)) => self.refuse(refused).await,
-            Err(Failed::Caller(error)) => Err(error),
-        }
-    }
-
-    /// Runs the batch and passes its answer on.
-    async fn answer(&mut self, gathered: Gathered) -> Result<Ready, Failed> {
-        let deadline =
-            self.node.clock.now() + Duration::from_millis(self.node.settings.limits.request_ms);
-        let class = gathered.class.unwrap_or(Class::Read);
-        if class == Class::Unsupported {
-            return Err(Failed::Refused(Refusal::Unsupported.into()));
-        }
-        let batch = Batch {
-            prepares: gathered.prepares,
-            messages: gathered.messages.freeze(),
-            writes: class == Class::Write,
-            deadline,
+        // The state of a running batch is large, and most callers are idle.
+        let done = match next {
+            Next::Flush => Box::pin(self.flush_batch(gathered)).await,
+            _ => Box::pin(self.run_batch(gathered)).await,
         };
-        if let Some(mut stream) = self.stream.take() {
-            let ready = self.exchange(&mut stream, &batch, &gathered.answers).await?;
-            self.keep(stream, ready);
-            return Ok(ready);
-        }
-        self.node.shares.admit(&self.node, &self.caller.account, deadline).await?;
-        let route = self.route().ok_or(Refusal::RouteUnknown)?;
-        let mut last = Refused::from(Refusal::NoPrimary);
-        for target in self.targets(&route, class) {
-            match self.attempt(&route, target, &batch, &gathered.answers).await {
-                Err(Failed::Refused(refused)) if !self.begun && is_retried(refused) => {
-                    last = refused;
-                }
-                other => return other,
-            }
-        }
-        Err(Failed::Refused(last))
+        self.active = Instant::now();
+        done
     }
 
-    fn targets(&self, route: &Route, class: Class) -> Vec<Target> {
-        if class == Class::Write {
-            return primary(&self.node.groups.view(&route.group), Access::Write);
+    /// Tells the caller of its error and closes the connection.
+    async fn end_with(self, error: WireError) -> Result<(), WireError> {
+        let broken =
+            matches!(&error, WireError::Io(e) if e.kind() != std::io::ErrorKind::InvalidData);
+        if !broken {
+            let detail = error.to_string();
+            refuse(&self.node, self.caller.connection, Refusal::Malformed, Some(&detail)).await?;
         }
-        read_targets(&self.node, route, self.caller.token.as_ref())
+        Err(error)
     }
 
-    async fn attempt(
-        &mut self,
-        route: &Route,
-        target: Target,
-        batch: &Batch,
-        answers: &BytesMut,
-    ) -> Result<Ready, Failed> {
-        let kind = if target.access == Access::Read { "replica" } else { "primary" };
-        let request = OpenRequest {
-            group: route.group.clone(),
-            server: target.server,
-            account: self.caller.account.clone(),
-            access: target.access,
-            deadline: batch.deadline,
-            needed: target.needed,
-            max_age_ms: route.max_age_ms,
-            patience_ms: target.patience,
-        };
-        let mut stream = Stream::open(&self.node, request).await?;
-        let ready = self.exchange(&mut stream, batch, answers).await?;
-        self.node.metrics.batches.with_label_values(&[kind]).inc();
-        if !batch.writes {
-            self.node.metrics.reads.with_label_values(&[kind]).inc();
-        }
-        if let Some(position) = ready.position {
-            let token = self.caller.token.get_or_insert_default();
-            token.observe(&route.group, position);
-        }
-        self.keep(stream, ready);
-        Ok(ready)
-    }
-
-    /// Sends a batch and passes the answer on, up to its end.
-    async fn exchange(
-        &mut self,
-        stream: &mut Stream,
-        batch: &Batch,
-        answers: &BytesMut,
-    ) -> Result<Ready, Failed> {
-        stream.send(batch.clone()).await?;
-        loop {
-            match stream.next().await? {
-                StreamEvent::Answer(bytes) => {
-                    self.begin(answers).await?;
-                    self.caller.framed.feed(bytes).await?;
-                }
-                StreamEvent::Ready(ready) => {
-                    self.begin(answers).await?;
-                    return Ok(ready);
-                }
+    async fn wait(&mut self) -> Result<Wake, WireError> {
+        let limit = self.limit();
+        tokio::select! {
+            biased;
+            _ = self.configurations.changed() => Ok(Wake::Configuration),
+            frame = self.caller.connection.read() => Ok(Wake::Message(frame?)),
+            () = self.node.drained(), if self.leaving.is_none() => Ok(Wake::Drain),
+            () = sleep_until(limit.unwrap_or_else(Instant::now)), if limit.is_some() => {
+                Ok(Wake::Limit)
             }
         }
     }
 
-    async fn begin(&mut self, answers: &BytesMut) -> Result<(), WireError> {
-        if !self.begun && !answers.is_empty() {
-            self.caller.framed.feed(Bytes::copy_from_slice(answers)).await?;
+    fn receive(&mut self, frame: &Frame) -> Result<Next, WireError> {
+        if self.skipping && !matches!(frame.tag(), b'S' | b'X') {
+            return Ok(Next::More);
         }
-        self.begun = true;
-        Ok(())
-    }
-
-    fn keep(&mut self, stream: Stream, ready: Ready) {
-        if !ready.is_idle() {
-            self.stream = Some(stream);
+        let next = self.gathered.add(frame, &self.statements, &self.node.entry.shapes)?;
+        if self.gathered.messages.len() > self.node.settings.limits.message_bytes {
+            return Err(WireError::Unexpected);
         }
+        Ok(next)
     }
 
-    async fn finish(&mut self, ready: Ready) -> Result<(), WireError> {
-        if ready.is_idle() {
-            self.report_token().await?;
-        }
-        let status = TransactionStatus::try_from(ready.status)?;
-        self.send(&ReadyForQuery::new(status)).await
+    /// Returns when the session must be looked at even if nothing happens.
+    fn limit(&self) -> Option<Instant> {
+        let leaving = self
+            .leaving
+            .map(|leaving| if self.is_between() { leaving.linger } else { leaving.limit });
+        let idle = match self.transaction {
+            Transaction::Open(_) => Some(self.active + self.idle_limit()),
+            _ => None,
+        };
+        leaving.into_iter().chain(idle).min()
     }
 
-    /// Tells the caller its token when it changed.
-    async fn report_token(&mut self) -> Result<(), WireError> {
-        let Some(token) = &self.caller.token else { return Ok(()) };
-        let text = token.to_string();
-        if text != self.reported {
-            let status = ParameterStatus::new(SESSION_PARAMETER.to_owned(), text.clone());
-            self.caller.framed.feed(wire::encode(&status)).await?;
-            self.reported = text;
-        }
-        Ok(())
+    fn idle_limit(&self) -> Duration {
+        Duration::from_millis(self.node.settings.limits.request_ms)
     }
 
-    async fn refuse(&mut self, refused: Refused) -> Result<(), WireError> {
-        self.node.metrics.refused(refused.refusal);
-        self.stream = None;
-        let error = wire::refusal("ERROR", refused.refusal, None);
-        self.caller.framed.feed(wire::encode(&error)).await?;
-        self.send(&ReadyForQuery::new(TransactionStatus::Idle)).await
+    fn is_between(&self) -> bool {
+        matches!(self.transaction, Transaction::Idle) && self.gathered.is_empty()
     }
 
-    async fn set_token(&mut self, text: &str) -> Result<(), WireError> {
-        match text.parse() {
-            Ok(token) => {
-                self.caller.token.get_or_insert_default().merge(&token);
-                let done = wire::encode(&CommandComplete::new("SET".to_owned()));
-                self.caller.framed.feed(done).await?;
-                self.finish(Ready { status: b'I', position: None }).await
-            }
-            Err(_) => self.refuse(Refusal::BadToken.into()).await,
+    /// Returns why the connection ends now, if so.
+    fn must_end(&mut self) -> Option<Refusal> {
+        let now = Instant::now();
+        if let Transaction::Open(_) = self.transaction
+            && now >= self.active + self.idle_limit()
+        {
+            return Some(Refusal::TransactionEnded);
         }
+        let leaving = self.leaving?;
+        let quiet = !self.caller.connection.has_input() || now >= leaving.linger;
+        let ends = (self.is_between() && quiet) || now >= leaving.limit;
+        ends.then_some(leaving.refusal)
     }
 
-    /// Returns why the caller may no longer be served, if so.
-    fn withdrawn(&mut self) -> Option<Refusal> {
+    /// Judges the caller by the newest configuration.
+    fn review(&mut self) {
         let versioned = Arc::clone(&self.configurations.borrow_and_update());
         let configuration = &versioned.configuration;
-        if let Some(key) = &self.caller.key
-            && configuration.keys.get(key).is_none_or(|held| held.account != self.caller.account)
-        {
-            return Some(Refusal::BadKey);
+        let identity = &self.caller.identity;
+        if self.is_withdrawn(&versioned) {
+            return self.leave(Refusal::BadKey, Duration::ZERO);
+        }
+        let grace = Duration::from_millis(RETIREMENT_MS);
+        let route = configuration.routes.get(&identity.route);
+        let allowed = route.is_some_and(|route| may_use(route, &identity.account));
+        if !allowed || !configuration.accounts.contains_key(&identity.account) {
+            return self.leave(Refusal::Draining, grace);
+        }
+        if is_out(&self.node, configuration) {
+            let limit = Duration::from_millis(self.node.settings.limits.drain_ms);
+            return self.leave(Refusal::Draining, limit);
+        }
+        // What was taken out may be put back before the caller has left.
+        if !self.node.is_draining() {
+            self.leaving = None;
         }
-        let Some(route) = configuration.routes.get(&self.caller.route) else {
-            return Some(Refusal::RouteUnknown);
-        };
-        (!may_use(route, &self.caller.account)).then_some(Refusal::RouteDenied)
     }
 
-    fn route(&self) -> Option<Route> {
-        self.node.configuration().configuration.routes.get(&self.caller.route).cloned()
+    /// Tells whether the caller's key was withdrawn from an account that stays.
+    fn is_withdrawn(&self, versioned: &Versioned) -> bool {
+        let identity = &self.caller.identity;
+        let configuration = &versioned.configuration;
+        let Some(key) = &identity.key else { return false };
+        let held = configuration.keys.get(key);
+        let gone = held.is_none_or(|held| held.account != identity.account);
+        gone && configuration.accounts.contains_key(&identity.account)
     }
 
-    async fn send(&mut self, message: &impl pgwire::messages::Message) -> Result<(), WireError> {
-        self.caller.framed.send(wire::encode(message)).await
+    fn leave(&mut self, refusal: Refusal, grace: Duration) {
+        let now = Instant::now();
+        let linger = now + Duration::from_millis(LINGER_MS).min(grace);
+        if self.leaving.is_none_or(|leaving| leaving.limit > now + grace) {
+            self.leaving = Some(Leaving { refusal, linger, limit: now + grace });
+        }
     }
-}
 
-/// Why a batch was not answered in full.
-enum Failed {
-    /// It was refused.
-    Refused(Refused),
-    /// The caller's connection failed.
-    Caller(WireError),
-}
-
-impl From<Refused> for Failed {
-    fn from(refused: Refused) -> Self {
-        Failed::Refused(refused)
+    /// Returns the route, unless the caller may no longer use it.
+    pub(super) fn route(&self) -> Result<Route, Refusal> {
+        let versioned = self.node.configuration();
+        let identity = &self.caller.identity;
+        if self.is_withdrawn(&versioned) {
+            return Err(Refusal::BadKey);
+        }
+        let route = versioned.configuration.routes.get(&identity.route);
+        let route = route.ok_or(Refusal::RouteUnknown)?;
+        if may_use(route, &identity.account) {
+            Ok(route.clone())
+        } else {
+            Err(Refusal::RouteDenied)
+        }
     }
-}
 
-impl From<Refusal> for Failed {
-    fn from(refusal: Refusal) -> Self {
-        Failed::Refused(refusal.into())
+    /// Applies what the answered messages change.
+    pub(super) fn apply(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Define(name, statement) => {
+                    self.statements.insert(name, statement);
+                }
+                Effect::Remove(name) => drop(self.statements.remove(&name)),
+            }
+        }
+        if self.statements.is_empty() {
+            self.statements = Statements::new();
+        }
     }
-}
 
-impl From<WireError> for Failed {
-    fn from(error: WireError) -> Self {
-        Failed::Caller(error)
+    /// Ends the answer to a batch.
+    pub(super) async fn ready(&mut self) -> Result<(), WireError> {
+        let status = match &self.transaction {
+            Transaction::Idle => TransactionStatus::Idle,
+            Transaction::Begun(_) => TransactionStatus::Transaction,
+            Transaction::Open(open) => TransactionStatus::try_from(open.status)?,
+            Transaction::Aborted => TransactionStatus::Error,
+        };
+        if let Transaction::Idle = self.transaction {
+            self.report_token();
+        }
+        self.caller.connection.send(&ReadyForQuery::new(status)).await
     }
-}
 
-fn is_retried(refused: Refused) -> bool {
-    let row = refused.refusal.row();
-    row.outcome == Outcome::NotRun
-        && (row.retry == chicoryhollow_core::refusal::Retry::Within
-            || refused.refusal == Refusal::ReadInterrupted)
-}
-
-/// Returns the token of `SET chicoryhollow.session = 'TOKEN'`.
-fn token_setting(sql: &str) -> Option<&str> {
-    let rest = sql.trim().trim_end_matches(';').strip_prefix("SET ")?;
-    let rest = rest.trim_start().strip_prefix(SESSION_PARAMETER)?.trim_start();
-    let rest = rest.strip_prefix('=').or_else(|| rest.strip_prefix("TO "))?;
-    rest.trim().strip_prefix('\'')?.strip_suffix('\'')
+    /// Tells the caller its token when it changed.
+    fn report_token(&mut self) {
+        let Some(token) = &self.caller.token else { return };
+        let text = token.to_string();
+        if text != self.reported {
+            let status = ParameterStatus::new(SESSION_PARAMETER.to_owned(), text.clone());
+            self.caller.connection.queue_message(&status);
+            self.reported = text;
+        }
+    }
 }
--- a/crates/proxy/src/entry/statements.rs
+++ b/crates/proxy/src/entry/statements.rs
@@ -1,36 +1,52 @@
 //! Prepared statements of one session.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
 use pgwire::messages::extendedquery::Parse;
+use sha2::{Digest, Sha256};
 
-use super::classify::{Class, classify};
+use super::classify::{Shape, Shapes};
 use crate::{stream::Prepare, wire};
 
+/// Bytes of the hash in the names of statements on backend connections.
+const NAME_BYTES: usize = 20;
+
 /// A statement that the caller prepared.
 #[derive(Clone)]
 pub(crate) struct Statement {
     /// Name on backend connections.
     pub(crate) name: String,
     /// Encoded `Parse` under that name.
-    pub(crate) parse: Bytes,
+    parse: Bytes,
+    /// Encoded `Parse` of the unnamed statement.
+    pub(crate) unnamed: Bytes,
     /// What the statement does.
-    pub(crate) class: Class,
+    pub(crate) shape: Arc<Shape>,
 }
 
 impl Statement {
     /// Makes a statement of a caller's `Parse`.
     ///
     /// The name on backend connections is derived from the text and the types,
-    /// so that sessions share what is already prepared there.
-    pub(crate) fn new(parse: &Parse) -> Self {
-        let mut text = parse.query.clone().into_bytes();
-        text.push(0);
-        parse.type_oids.iter().for_each(|oid| text.extend_from_slice(&oid.to_be_bytes()));
-        let name = format!("s{:032x}", xxhash_rust::xxh3::xxh3_128(&text));
-        let renamed = Parse::new(Some(name.clone()), parse.query.clone(), parse.type_oids.clone());
-        Statement { name, parse: wire::encode(&renamed), class: classify(&parse.query) }
+    /// so that sessions share what is already prepared there. The hash is a
+    /// cryptographic one, since a collision would make one caller run the
+    /// statement of another.
+    pub(crate) fn new(parse: &Parse, shapes: &Shapes) -> Self {
+        let mut hash = Sha256::new_with_prefix(&parse.query);
+        hash.update([0]);
+        parse.type_oids.iter().for_each(|oid| hash.update(oid.to_be_bytes()));
+        let hash: [u8; 32] = hash.finalize().into();
+        let hex: String = hash[..NAME_BYTES].iter().map(|byte| format!("{byte:02x}")).collect();
+        let name = format!("s{hex}");
+        let encode =
+            |name| wire::encode(&Parse::new(name, parse.query.clone(), parse.type_oids.clone()));
+        Statement {
+            parse: encode(Some(name.clone())),
+            unnamed: encode(None),
+            name,
+            shape: shapes.get(&parse.query),
+        }
     }
 
     /// Returns what the home needs to prepare the statement.
@@ -40,4 +56,4 @@
 }
 
 /// Prepared statements by the caller's names; the empty name is the unnamed one.
-pub(crate) type Statements = HashMap<String, Statement>;
+pub(crate) type Statements = HashMap<String, Arc<Statement>>;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, groups::Groups, home::Homes, members::Members, metrics::Metrics, peers::Peers,
-    shares::Shares,
+    clock::Clock, entry::Entry, groups::Groups, home::Homes, members::Members, metrics::Metrics,
+    peers::Peers, shares::Shares,
 };
 
 /// The shared state of one daemon.
@@ -37,6 +37,8 @@
     pub homes: Homes,
     /// Connections to other VMs.
     pub peers: Peers,
+    /// What the callers of this VM share.
+    pub entry: Entry,
     /// Admission by rate.
     pub shares: Shares,
     /// Whether the daemon drains.
@@ -58,6 +60,7 @@
             groups: Groups::new(),
             homes: Homes::new(),
             peers: Peers::new(),
+            entry: Entry::new(),
             shares: Shares::new(),
             draining: AtomicBool::new(false),
             drain: Notify::new(),
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -130,6 +130,16 @@
     ErrorResponse::new(fields)
 }
 
+/// Makes an error with a SQLSTATE that belongs to no refusal.
+pub fn error(sqlstate: &str, text: &str) -> ErrorResponse {
+    ErrorResponse::new(vec![
+        (b'S', "ERROR".to_owned()),
+        (b'V', "ERROR".to_owned()),
+        (b'C', sqlstate.to_owned()),
+        (b'M', text.to_owned()),
+    ])
+}
+
 /// Why a message could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum WireError {
@@ -142,4 +152,7 @@
     /// A message is shorter than its kind requires.
     #[error("truncated message")]
     Truncated,
+    /// A message does not belong where it came.
+    #[error("unexpected message")]
+    Unexpected,
 }
