--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Returns the newest position that the log is known to have reached.
+    pub fn newest(&self) -> Option<Position> {
+        self.marks.back().map(|mark| mark.position)
+    }
+
     /// Records that a replica had applied `position` at some time between
     /// `since` and `until`.
     ///
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -1,6 +1,10 @@
 //! Clock values that decisions take as arguments.
 
-use std::{fmt, ops::Add, time::Duration};
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    time::Duration,
+};
 
 /// A reading of one VM's monotonic clock, in microseconds since an arbitrary
 /// start.
@@ -41,6 +45,16 @@
     }
 }
 
+impl Sub<Duration> for Time {
+    type Output = Time;
+
+    /// Returns the time that much earlier, or the clock's start.
+    fn sub(self, span: Duration) -> Time {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
+}
+
 impl fmt::Display for Time {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}us", self.0)
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -17,6 +17,7 @@
     batch::Gathered,
     classify::Class,
     execute::Failed,
+    freshness::{FRESH_MS, Need},
     session::{Begin, Open, Session, Transaction},
 };
 use crate::{
@@ -28,31 +29,21 @@
 /// long as none was, a broken answer can be replaced by a whole one.
 const HELD_BYTES: usize = 16 << 10;
 
-/// Longest time that a read waits for a server that is fresh enough, in
-/// milliseconds. It bounds what a forged session token costs.
-const FRESH_MS: u64 = 2_000;
-
-/// A barrier is renewed at this fraction of the age that a route accepts.
-const RENEWAL_FRACTION: u32 = 4;
-
 /// Time that the primary has to reach a position, in milliseconds.
 const PRIMARY_PATIENCE_MS: u64 = 20;
 
 /// One batch on its way to a server.
 pub(super) struct Job<'a> {
-    gathered: &'a Gathered,
-    begin: Option<Begin>,
-    route: Route,
-    deadline: Time,
-    watched: bool,
-}
-
-/// What a read needs of a server.
-struct Need {
-    /// Position that it must have applied.
-    position: Option<Position>,
-    /// Time until which that position is fresh enough.
-    until: Time,
+    /// The batch.
+    pub(super) gathered: &'a Gathered,
+    /// The transaction that it begins.
+    pub(super) begin: Option<Begin>,
+    /// Route of the caller.
+    pub(super) route: Route,
+    /// Time at which it must be over.
+    pub(super) deadline: Time,
+    /// Whether to note that the server answers with an error.
+    pub(super) watched: bool,
 }
 
 /// A server to run on.
@@ -65,6 +56,8 @@
     until: Time,
     /// Whether the time of the answer tells how quick the server is.
     timed: bool,
+    /// Whether the server is to blame when it is not fresh enough.
+    blamed: bool,
 }
 
 /// Why an attempt failed, and whether part of an answer was passed on.
@@ -90,17 +83,23 @@
         let Transaction::Open(mut open) = open else {
             return Err(Refusal::TransactionEnded.into());
         };
-        let batch = batch(gathered, gathered.class() != Class::Read, self.deadline());
+        let writes = gathered.class() != Class::Read && !open.read_only;
+        let batch = batch(gathered, writes, self.deadline());
         match self.exchange(&mut open.stream, batch, gathered, watched).await {
             Ok((ready, failed)) => {
                 let group = self.route().map(|route| route.group);
                 if let (Ok(group), Some(position)) = (group, ready.position) {
                     self.caller.token.get_or_insert_default().observe(&group, position);
                 }
-                self.keep(open.stream, ready);
+                self.keep(open.stream, ready, open.read_only);
                 Ok(failed)
             }
-            Err(broken) => Err(settle(broken.failed, gathered, Refusal::TransactionEnded)),
+            Err(broken) => {
+                if gathered.commits() && !gathered.opens() {
+                    self.transaction = Transaction::Idle;
+                }
+                Err(settle(broken.failed, gathered, Refusal::TransactionEnded))
+            }
         }
     }
 
@@ -152,7 +151,7 @@
                 if permit != Permit::Send {
                     continue;
                 }
-                if tried && !self.may_retry(last) {
+                if tried && need.verified && !self.may_retry(last) {
                     return Err(last.into());
                 }
                 tried = true;
@@ -232,50 +231,6 @@
         allowed
     }
 
-    /// Finds out what a read needs, by a barrier where nothing else tells.
-    async fn need(&mut self, job: &Job<'_>) -> Result<Need, Failed> {
-        let Some(age) = job.route.max_age_ms.map(Duration::from_millis) else {
-            if self.caller.token.is_none() {
-                self.learn_past(job).await?;
-            }
-            let position = self.seen(job);
-            return Ok(Need { position, until: job.deadline });
-        };
-        let node = Arc::clone(&self.node);
-        let group = &job.route.group;
-        let account = &self.caller.identity.account;
-        let now = node.clock.now();
-        let latest = node.entry.barriers.latest(group);
-        let fits = |part: Duration| latest.filter(|barrier| now.since(barrier.began) < part);
-        if fits(age / RENEWAL_FRACTION).is_none() {
-            node.entry.barriers.refresh(&node, group, account);
-        }
-        let barrier = match fits(age * (RENEWAL_FRACTION - 1) / RENEWAL_FRACTION) {
-            Some(barrier) => barrier,
-            None => {
-                let end = now + Duration::from_millis(FRESH_MS);
-                let taken = node.entry.barriers.since(&node, (group, account), now, end).await;
-                taken.map_err(|_| Refusal::TooStale)?
-            }
-        };
-        let position = self.seen(job).max(Some(barrier.position));
-        Ok(Need { position, until: job.deadline.min(barrier.began + age) })
-    }
-
-    /// Takes a barrier after the session arrived, so that its past is known.
-    async fn learn_past(&mut self, job: &Job<'_>) -> Result<(), Failed> {
-        let node = Arc::clone(&self.node);
-        let (group, account) = (&job.route.group, &self.caller.identity.account);
-        let barriers = &node.entry.barriers;
-        let taken = barriers.since(&node, (group, account), self.arrived, job.deadline).await?;
-        self.caller.token.get_or_insert_default().observe(group, taken.position);
-        Ok(())
-    }
-
-    fn seen(&self, job: &Job<'_>) -> Option<Position> {
-        self.caller.token.as_ref().and_then(|token| token.position(&job.route.group))
-    }
-
     /// Returns the servers to try for a read, best first.
     fn choices(&self, job: &Job<'_>, view: &GroupView, needed: Option<Position>) -> Vec<Choice> {
         let versioned = self.node.configuration();
@@ -328,7 +283,8 @@
                 if let Some(applied) = refused.applied.filter(|_| replica) {
                     estimates.applied(&target.server, applied, now, now);
                 }
-                if is_fault(refused.refusal) {
+                let late = now >= job.deadline;
+                if is_fault(refused.refusal, target.blamed) && !late {
                     estimates.failed(&target.server, now);
                 }
             }
@@ -343,7 +299,8 @@
         if let Some(position) = ready.position {
             self.caller.token.get_or_insert_default().observe(group, position);
         }
-        self.keep(stream, ready);
+        let read_only = job.begin.as_ref().is_some_and(|begin| begin.read_only);
+        self.keep(stream, ready, read_only);
         Ok(failed)
     }
 
@@ -367,7 +324,8 @@
         if let Some(begin) = &job.begin {
             open_transaction(&mut stream, begin, job.deadline).await?;
         }
-        let writes = job.gathered.class() != Class::Read;
+        let read_only = job.begin.as_ref().is_some_and(|begin| begin.read_only);
+        let writes = job.gathered.class() != Class::Read && !read_only;
         let batch = batch(job.gathered, writes, job.deadline);
         let answered = self.exchange(&mut stream, batch, job.gathered, job.watched).await;
         let (ready, failed) = answered?;
@@ -384,15 +342,18 @@
     ) -> Result<(Ready, bool), Broken> {
         let start = self.caller.connection.queued();
         let deadline = batch.deadline;
-        let cancelled = self.caller.ticket.notify();
+        let cancels = self.caller.ticket.notify();
+        let mut cancelled = Box::pin(cancels.notified());
+        cancelled.as_mut().enable();
         let mut progress = Progress::new(&gathered.items, watched);
         let mut passed = false;
         stream.send(batch).await?;
         loop {
             let event = tokio::select! {
                 event = stream.next() => event,
-                () = cancelled.notified() => {
+                () = &mut cancelled => {
                     stream.interrupt().await;
+                    cancelled.set(cancels.notified());
                     continue;
                 }
             };
@@ -426,10 +387,10 @@
         timeout(left, self.caller.connection.flush()).await.map_err(std::io::Error::from)?
     }
 
-    fn keep(&mut self, stream: Stream, ready: Ready) {
+    fn keep(&mut self, stream: Stream, ready: Ready, read_only: bool) {
         self.transaction = match ready.is_idle() {
             true => Transaction::Idle,
-            false => Transaction::Open(Box::new(Open { stream, status: ready.status })),
+            false => Transaction::Open(Box::new(Open { stream, status: ready.status, read_only })),
         };
     }
 }
@@ -449,8 +410,8 @@
     begin: &Begin,
     deadline: Time,
 ) -> Result<(), Broken> {
-    let messages = begin.messages.clone();
-    stream.send(Batch { prepares: Vec::new(), messages, writes: false, deadline }).await?;
+    let Begin { prepares, messages, .. } = begin.clone();
+    stream.send(Batch { prepares, messages, writes: false, deadline }).await?;
     loop {
         if let StreamEvent::Ready(ready) = stream.next().await? {
             let open = !ready.is_idle();
@@ -472,12 +433,20 @@
         patience,
         until: need.until,
         timed: choice.wait.is_zero(),
+        blamed: need.verified && !choice.primary,
     }
 }
 
 fn primary_target(server: ServerId, until: Time) -> Target {
-    let patience = Duration::ZERO;
-    Target { server, access: Access::Write, needed: None, patience, until, timed: false }
+    Target {
+        server,
+        access: Access::Write,
+        needed: None,
+        patience: Duration::ZERO,
+        until,
+        timed: false,
+        blamed: false,
+    }
 }
 
 /// Returns the refusal after which another attempt is made, or the end.
@@ -512,15 +481,16 @@
 }
 
 /// Tells whether a refusal says that the server should be avoided for a while.
-fn is_fault(refusal: Refusal) -> bool {
-    matches!(
-        refusal,
+///
+/// A full queue does not: it may be full for one account only.
+fn is_fault(refusal: Refusal, blamed: bool) -> bool {
+    match refusal {
         Refusal::ServerUnreachable
-            | Refusal::HomeUnreachable
-            | Refusal::NotPrimary
-            | Refusal::QueueFull
-            | Refusal::ReadInterrupted
-            | Refusal::WriteInterrupted
-            | Refusal::TooStale
-    )
+        | Refusal::HomeUnreachable
+        | Refusal::NotPrimary
+        | Refusal::ReadInterrupted
+        | Refusal::WriteInterrupted => true,
+        Refusal::TooStale => blamed,
+        _ => false,
+    }
 }
--- a/crates/proxy/src/entry/batch.rs
+++ b/crates/proxy/src/entry/batch.rs
@@ -297,11 +297,13 @@
         self.items.iter().filter(|item| item.runs()).map(|item| item.shape.as_ref())
     }
 
-    /// Returns the control statement that is all that the batch executes.
+    /// Returns the control statement that the batch is about, if it executes
+    /// that statement once and nothing else.
     pub(crate) fn control(&self) -> Option<Control> {
         let mut executed = self.executed();
         let control = executed.next()??.control;
-        executed.next().is_none().then_some(control)?
+        let alone = executed.next().is_none() && self.shapes().all(|s| s.control == control);
+        control.filter(|_| alone)
     }
 
     /// Returns the class of what is executed.
@@ -325,7 +327,7 @@
 
     /// Tells whether the batch may leave a transaction open.
     pub(crate) fn opens(&self) -> bool {
-        self.executed().any(|shape| shape.is_none_or(|shape| shape.opens))
+        self.executed().flatten().any(|shape| shape.opens)
     }
 
     /// Tells whether the batch ends with a simple query.
--- a/crates/proxy/src/entry/classify.rs
+++ b/crates/proxy/src/entry/classify.rs
@@ -193,6 +193,7 @@
         Statement::Commit { chain: true, .. } | Statement::Rollback { chain: true, .. } => {
             Class::Unsupported
         }
+        Statement::Rollback { savepoint: None, .. } => Class::Read,
         Statement::Set(set) if is_local(set) => Class::Read,
         Statement::CreateTable(table) if table.temporary => Class::Unsupported,
         Statement::CreateView(view) if view.temporary => Class::Unsupported,
--- a/crates/proxy/src/entry/connection.rs
+++ b/crates/proxy/src/entry/connection.rs
@@ -1,8 +1,9 @@
 //! A caller's connection, framed with buffers that an idle caller does not hold.
 
 use std::{
+    cell::Cell,
     io,
-    panic::{AssertUnwindSafe, catch_unwind},
+    panic::{self, AssertUnwindSafe, catch_unwind},
     time::Duration,
 };
 
@@ -127,7 +128,26 @@
     contained(|| frame.frontend())
 }
 
+thread_local! {
+    /// Whether this thread runs a decoder whose panics are expected.
+    static DECODING: Cell<bool> = const { Cell::new(false) };
+}
+
 /// Runs a decoder that may panic on malformed input.
 pub(crate) fn contained<T>(decoder: impl FnOnce() -> Result<T, WireError>) -> Result<T, WireError> {
-    catch_unwind(AssertUnwindSafe(decoder)).unwrap_or(Err(WireError::Truncated))
+    DECODING.set(true);
+    let decoded = catch_unwind(AssertUnwindSafe(decoder));
+    DECODING.set(false);
+    decoded.unwrap_or(Err(WireError::Truncated))
+}
+
+/// Keeps panics of decoders off standard error, where callers could otherwise
+/// write as much as they like.
+pub(super) fn quiet_decoders() {
+    let report = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        if !DECODING.get() {
+            report(info);
+        }
+    }));
 }
--- a/crates/proxy/src/entry/execute.rs
+++ b/crates/proxy/src/entry/execute.rs
@@ -135,7 +135,7 @@
             }
             (Transaction::Idle, Some(Control::Begin { read_only })) => {
                 let messages = begin_messages(gathered);
-                let begin = Begin { messages, read_only };
+                let begin = Begin { prepares: gathered.prepares.clone(), messages, read_only };
                 Step::Control(Reply::Tag("BEGIN"), Transaction::Begun(begin))
             }
             (Transaction::Idle, _) => Step::Start(None),
@@ -218,13 +218,13 @@
         };
         self.caller.connection.queue(&error);
         let ends = gathered.commits() && !gathered.opens();
-        let open = !matches!(self.transaction, Transaction::Idle);
-        // A caller that goes on without waiting for the answer must not run
-        // outside of the transaction that it meant to open.
-        if (open && !ends) || gathered.opens() {
-            self.transaction = Transaction::Aborted;
-        } else if !matches!(self.transaction, Transaction::Aborted) {
-            self.transaction = Transaction::Idle;
+        match &self.transaction {
+            Transaction::Begun(_) if ends => self.transaction = Transaction::Idle,
+            Transaction::Begun(_) | Transaction::Open(_) => self.transaction = Transaction::Aborted,
+            // A caller that goes on without waiting for the answer must not run
+            // outside of the transaction that it meant to open.
+            Transaction::Idle if gathered.opens() => self.transaction = Transaction::Aborted,
+            Transaction::Idle | Transaction::Aborted => {}
         }
         Ok(())
     }
--- a/crates/proxy/src/entry/mod.rs
+++ b/crates/proxy/src/entry/mod.rs
@@ -11,7 +11,8 @@
   needs no backend server.
 * [`attempt`] runs a batch on a server, elsewhere when that failed, and
   [`answer`] matches what comes back with the messages of the batch.
-* [`barriers`] finds out where a group's log stands.
+* [`freshness`] says what a read needs of a server, and [`barriers`] finds out
+  where a group's log stands.
 */
 
 mod answer;
@@ -23,6 +24,7 @@
 mod command;
 mod connection;
 mod execute;
+mod freshness;
 mod functions;
 mod handshake;
 mod local;
@@ -93,6 +95,7 @@
 ///
 /// While the daemon drains, new callers are still answered, with a refusal.
 pub async fn listen(node: Arc<Node>, listener: TcpListener) {
+    connection::quiet_decoders();
     loop {
         match listener.accept().await {
             Ok((socket, _)) => drop(tokio::spawn(serve(Arc::clone(&node), socket))),
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -20,7 +20,7 @@
 };
 use crate::{
     node::Node,
-    stream::Stream,
+    stream::{Prepare, Stream},
     wire::{Frame, WireError},
 };
 
@@ -46,6 +46,8 @@
 /// A transaction that waits for its first statement.
 #[derive(Clone)]
 pub(super) struct Begin {
+    /// Statements that must be prepared first.
+    pub(super) prepares: Vec<Prepare>,
     /// Encoded messages that open it.
     pub(super) messages: bytes::Bytes,
     /// Whether it is declared as read-only.
@@ -58,6 +60,8 @@
     pub(super) stream: Stream,
     /// Status that the server reported: `T` or `E`.
     pub(super) status: u8,
+    /// Whether it is declared as read-only.
+    pub(super) read_only: bool,
 }
 
 /// Why and when the caller must leave.
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -25,6 +25,9 @@
 /// Bound on everything that should happen soon.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Time after which daemons know a changed list of VMs.
+pub const LIST_LAG: Duration = Duration::from_secs(2);
+
 /// Key of the account `press`.
 pub const PRESS_KEY: &str = "press-secret";
 
@@ -125,6 +128,14 @@
         assert!(listed.expect("the platform answers").status().is_success());
     }
 
+    /// Takes a daemon off the platform's list, and waits until the others know.
+    pub async fn forget_daemon(&self, daemon: usize) {
+        let url = format!("{}/control/vms/vm-{daemon}", self.base);
+        let gone = awc::Client::default().delete(url).send().await;
+        assert!(gone.expect("the platform answers").status().is_success());
+        tokio::time::sleep(LIST_LAG).await;
+    }
+
     /// Waits until a daemon says that it is ready and knows a primary.
     pub async fn wait_ready(&self, daemon: usize) {
         let url = format!("http://{}/readyz", self.daemons[daemon].admin);
@@ -219,7 +230,10 @@
         max_age_ms: None,
         idempotent: false,
     };
+    let open_account = Some("clinic".parse().expect("a valid name"));
+    let open = Route { accounts: Vec::new(), open_account, ..route.clone() };
     configuration.routes.insert("orders".parse().expect("a valid name"), route);
+    configuration.routes.insert("open".parse().expect("a valid name"), open);
     configuration.sort();
     configuration
 }
