--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock::Clock,
     configuration::{Following, is_stale},
+    entry::Entry,
     groups::Groups,
     home::Homes,
     members::Members,
@@ -45,6 +46,8 @@
     pub homes: Homes,
     /// Connections to other VMs.
     pub peers: Peers,
+    /// What the callers of this VM share.
+    pub entry: Entry,
     /// Admission by rate.
     pub shares: Shares,
     /// Whether the daemon drains.
@@ -67,6 +70,7 @@
             groups: Groups::new(),
             homes: Homes::new(),
             peers: Peers::new(),
+            entry: Entry::new(),
             shares: Shares::new(),
             draining: AtomicBool::new(false),
             drain: Notify::new(),
