--- /dev/null
+++ b/crates/testkit/src/checker/report.rs
@@ -0,0 +1,289 @@
+//! Measures and broken promises of one run.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::{
+    checker::{Circumstances, Databases, breaches, rate::excess},
+    cluster::Deployment,
+    load::{Kind, Outcome, Request},
+};
+
+/// SQLSTATE of a refusal because of the account's rate.
+const RATE_EXCEEDED: &str = "53400";
+
+/// A promise that can be broken.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Breach {
+    /// An acknowledged write is not in the database.
+    Lost,
+    /// A write is in the database more than once.
+    Doubled,
+    /// A read showed less than its session had seen.
+    Stale,
+    /// An answer belonged to another request, session or account.
+    Crossed,
+    /// An account got more than its rate and burst.
+    RateExcess,
+    /// A withdrawn key still worked.
+    WithdrawnKey,
+    /// A write refused as not run is in the database.
+    FalseNotRun,
+    /// A connection that nothing had broken ended without an answer.
+    Cut,
+    /// A configuration was reported as applied and is not in force, or two
+    /// operators were both told that theirs came first.
+    ConfigurationLost,
+}
+
+impl Breach {
+    /// All promises, in the order of the report.
+    pub const ALL: [Breach; 9] = [
+        Breach::Lost,
+        Breach::Doubled,
+        Breach::Stale,
+        Breach::Crossed,
+        Breach::RateExcess,
+        Breach::WithdrawnKey,
+        Breach::FalseNotRun,
+        Breach::Cut,
+        Breach::ConfigurationLost,
+    ];
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Breach::Lost => "lost",
+            Breach::Doubled => "doubled",
+            Breach::Stale => "stale",
+            Breach::Crossed => "crossed",
+            Breach::RateExcess => "rate excess",
+            Breach::WithdrawnKey => "withdrawn key served",
+            Breach::FalseNotRun => "false not-run",
+            Breach::Cut => "cut requests",
+            Breach::ConfigurationLost => "configuration lost",
+        })
+    }
+}
+
+/// How one account fared.
+#[derive(Clone, Debug, Serialize)]
+pub struct AccountReport {
+    /// Name of the account.
+    pub account: &'static str,
+    /// Requests that it sent.
+    pub requests: u64,
+    /// Share of them that got their result.
+    pub success: f64,
+    /// 99th percentile of the latency in milliseconds.
+    pub p99_ms: f64,
+    /// Requests refused because of its rate.
+    pub refused: u64,
+    /// Whether it sent above its rate.
+    pub noisy: bool,
+}
+
+/// What a run has shown.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Requests sent.
+    pub requests: u64,
+    /// Share of them that got their result.
+    pub success: f64,
+    /// Share of the reads served by replicas, as the daemons count them.
+    pub replica_share: Option<f64>,
+    /// Time from the fault to the first acknowledged write after it, in
+    /// milliseconds, for the group that took longest; absent without a fault.
+    pub failover_gap_ms: Option<f64>,
+    /// Groups in which no write was acknowledged after the fault.
+    pub groups_without_write: u64,
+    /// The account with the smallest share of successes.
+    pub worst_account: Option<AccountReport>,
+    /// Largest 99th percentile of an account within its rate, in milliseconds.
+    pub worst_p99_ms: f64,
+    /// Requests refused although their account was within its rate.
+    pub wrongful_refusals: u64,
+    /// Share of successes of accounts within their rate, from the fault on.
+    pub service: f64,
+    /// Slowest acknowledged write in milliseconds.
+    pub slowest_write_ms: f64,
+    /// All accounts.
+    pub accounts: Vec<AccountReport>,
+    /// Failures by their kind and SQLSTATE.
+    pub failures: BTreeMap<String, u64>,
+    /// Count of each broken promise.
+    pub breaches: BTreeMap<Breach, u64>,
+}
+
+impl Report {
+    /// Judges a run.
+    pub fn new(
+        deployment: &Deployment,
+        requests: &[Request],
+        databases: &Databases,
+        circumstances: &Circumstances,
+    ) -> Self {
+        let accounts: Vec<_> = (0..deployment.accounts.len())
+            .map(|index| account_report(deployment, index, requests, circumstances))
+            .collect();
+        let within = || accounts.iter().filter(|account| !account.noisy);
+        let worst = within().min_by(|a, b| a.success.total_cmp(&b.success)).cloned();
+        let gaps = failover_gaps(deployment, requests, circumstances);
+        let since = circumstances.injection.as_ref().map_or(Duration::ZERO, |i| i.at);
+        let served = |request: &&Request| {
+            request.started >= since && !circumstances.noisy.contains(&request.account)
+        };
+        let mut report = Report {
+            requests: requests.len() as u64,
+            success: share(requests.iter()),
+            replica_share: None,
+            failover_gap_ms: gaps.iter().flatten().copied().reduce(f64::max),
+            groups_without_write: gaps.iter().filter(|gap| gap.is_none()).count() as u64,
+            worst_account: worst,
+            worst_p99_ms: within().map(|account| account.p99_ms).fold(0.0, f64::max),
+            wrongful_refusals: within().map(|account| account.refused).sum(),
+            service: share(requests.iter().filter(served)),
+            slowest_write_ms: slowest_write(requests),
+            accounts,
+            failures: failures(requests),
+            breaches: Breach::ALL.into_iter().map(|breach| (breach, 0)).collect(),
+        };
+        let mut add = |breach, count| *report.breaches.entry(breach).or_insert(0) += count;
+        breaches(requests, databases, circumstances, &mut add);
+        for (index, size) in deployment.accounts.iter().enumerate() {
+            let own: Vec<_> = requests.iter().filter(|r| r.account == index).collect();
+            add(Breach::RateExcess, excess(&own, size.rate, size.burst));
+        }
+        report
+    }
+
+    /// Adds the share of reads that replicas served.
+    pub fn with_replica_share(self, share: Option<f64>) -> Self {
+        Report { replica_share: share, ..self }
+    }
+
+    /// Tells whether every promise was kept.
+    pub fn is_clean(&self) -> bool {
+        self.breaches.values().all(|count| *count == 0) && self.groups_without_write == 0
+    }
+}
+
+fn share<'a>(requests: impl Iterator<Item = &'a Request>) -> f64 {
+    let (mut all, mut done) = (0_u64, 0_u64);
+    for request in requests {
+        all += 1;
+        done += u64::from(request.succeeded());
+    }
+    if all == 0 { 1.0 } else { done as f64 / all as f64 }
+}
+
+fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
+}
+
+fn account_report(
+    deployment: &Deployment,
+    index: usize,
+    requests: &[Request],
+    circumstances: &Circumstances,
+) -> AccountReport {
+    let own = || requests.iter().filter(|request| request.account == index);
+    let refused = |request: &&Request| matches!(&request.outcome, Outcome::NotRun(code) if code == RATE_EXCEEDED);
+    AccountReport {
+        account: deployment.accounts[index].name,
+        requests: own().count() as u64,
+        success: share(own()),
+        p99_ms: percentile(own(), 0.99),
+        refused: own().filter(refused).count() as u64,
+        noisy: circumstances.noisy.contains(&index),
+    }
+}
+
+fn percentile<'a>(requests: impl Iterator<Item = &'a Request>, quantile: f64) -> f64 {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else { return 0.0 };
+    for request in requests.filter(|request| request.succeeded()) {
+        let micros = (request.ended - request.started).as_micros();
+        histogram.saturating_record(u64::try_from(micros).unwrap_or(u64::MAX));
+    }
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+/// Returns the gap of each group that was hit, or none where no write followed.
+fn failover_gaps(
+    deployment: &Deployment,
+    requests: &[Request],
+    circumstances: &Circumstances,
+) -> Vec<Option<f64>> {
+    let Some(injection) = &circumstances.injection else { return Vec::new() };
+    let gap = |group: &usize| {
+        let acknowledged = requests.iter().filter(|request| {
+            let in_group = deployment.accounts[request.account].group == *group;
+            let write = matches!(request.kind, Kind::Write { .. });
+            in_group && write && request.succeeded() && request.started >= injection.at
+        });
+        acknowledged.map(|request| millis(request.ended - injection.at)).reduce(f64::min)
+    };
+    injection.groups.iter().map(gap).collect()
+}
+
+fn slowest_write(requests: &[Request]) -> f64 {
+    let writes = requests
+        .iter()
+        .filter(|request| matches!(request.kind, Kind::Write { .. }) && request.succeeded());
+    writes.map(|request| millis(request.ended - request.started)).fold(0.0, f64::max)
+}
+
+fn failures(requests: &[Request]) -> BTreeMap<String, u64> {
+    let mut failures = BTreeMap::new();
+    for request in requests {
+        let name = match &request.outcome {
+            Outcome::Done | Outcome::Stale | Outcome::Crossed => continue,
+            Outcome::NotRun(code) => format!("not run {code}"),
+            Outcome::Unknown(code) => format!("unknown {code}"),
+            Outcome::Committed => "committed, answer lost".to_owned(),
+            Outcome::Cut => "cut".to_owned(),
+            Outcome::Unreachable => "unreachable".to_owned(),
+        };
+        *failures.entry(name).or_insert(0) += 1;
+    }
+    failures
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "requests            {} ({:.3}% succeeded)",
+            self.requests,
+            self.success * 100.0
+        )?;
+        match self.replica_share {
+            Some(share) => writeln!(f, "replica share       {:.3} of the reads", share)?,
+            None => writeln!(f, "replica share       not measured")?,
+        }
+        if let Some(gap) = self.failover_gap_ms {
+            writeln!(f, "failover gap        {gap:.0} ms")?;
+        }
+        if self.groups_without_write > 0 {
+            writeln!(f, "no write after      {} groups", self.groups_without_write)?;
+        }
+        if let Some(worst) = &self.worst_account {
+            let success = worst.success * 100.0;
+            writeln!(f, "worst account       {} ({success:.3}% succeeded)", worst.account)?;
+        }
+        writeln!(f, "worst p99           {:.1} ms", self.worst_p99_ms)?;
+        writeln!(f, "slowest write       {:.1} ms", self.slowest_write_ms)?;
+        writeln!(f, "wrongful refusals   {}", self.wrongful_refusals)?;
+        writeln!(f, "service             {:.4} of requests", self.service)?;
+        for (failure, count) in &self.failures {
+            writeln!(f, "failed              {count} x {failure}")?;
+        }
+        let counts: Vec<_> =
+            self.breaches.iter().map(|(b, count)| format!("{b} {count}")).collect();
+        write!(f, "broken promises     {}", counts.join(", "))
+    }
+}
--- a/crates/testkit/src/cluster/mod.rs
+++ b/crates/testkit/src/cluster/mod.rs
@@ -44,6 +44,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause between two looks at something that is awaited.
 const POLL: Duration = Duration::from_millis(20);
+/// Metric of the daemon that counts reads by the kind of server.
+const READS_METRIC: &str = "chicoryhollow_reads_total{";
 /// Longest wait for an answer of a backend server asked directly.
 const SERVER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -351,6 +353,21 @@
         http::get(&format!("{}/metrics", self.admin_url(vm))).await
     }
 
+    /// Returns the share of reads that replicas served, as the running daemons
+    /// count them.
+    pub async fn replica_share(&self) -> Option<f64> {
+        let (mut replica, mut all) = (0.0, 0.0);
+        for vm in 0..self.daemons.len() {
+            let Ok(text) = self.metrics(vm).await else { continue };
+            for line in text.lines().filter(|line| line.starts_with(READS_METRIC)) {
+                let count = line.rsplit(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0.0);
+                all += count;
+                replica += if line.contains("\"replica\"") { count } else { 0.0 };
+            }
+        }
+        (all > 0.0).then(|| replica / all)
+    }
+
     /// Connects to a backend server directly, beside the proxy.
     ///
     /// # Errors
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,10 +10,15 @@
 * [`fault`] is a TCP proxy whose links can be delayed and cut.
 * [`cluster`] brings up a whole deployment as real processes.
 * [`load`] has the clients that put a deployment under load.
+* [`checker`] compares what clients were told with what the databases hold.
 */
 
 pub mod backend;
+pub mod checker;
 pub mod cluster;
 pub mod fault;
 pub mod load;
 pub mod platform;
+mod runtime;
+
+pub use crate::runtime::run;
