--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 * [`cluster`] brings up a whole deployment as real processes.
 * [`load`] has the clients that put a deployment under load.
 * [`checker`] compares what clients were told with what the databases hold.
+* [`scenario`] puts faults and load together into named runs.
 */
 
 pub mod backend;
@@ -20,5 +21,6 @@
 pub mod load;
 pub mod platform;
 mod runtime;
+pub mod scenario;
 
 pub use crate::runtime::run;
