--- a/crates/testkit/src/checker/report.rs
+++ b/crates/testkit/src/checker/report.rs
@@ -207,7 +207,8 @@
     let Ok(mut histogram) = Histogram::<u64>::new(3) else { return 0.0 };
     for request in requests.filter(|request| request.succeeded()) {
         let micros = (request.ended - request.started).as_micros();
-        histogram.saturating_record(u64::try_from(micros).unwrap_or(u64::MAX));
+        // The histogram grows with its values, so none is out of range.
+        let _ = histogram.record(u64::try_from(micros).unwrap_or(u64::MAX));
     }
     histogram.value_at_quantile(quantile) as f64 / 1_000.0
 }
@@ -241,7 +242,9 @@
     let mut failures = BTreeMap::new();
     for request in requests {
         let name = match &request.outcome {
-            Outcome::Done | Outcome::Stale | Outcome::Crossed => continue,
+            Outcome::Done => continue,
+            Outcome::Stale => format!("stale {}", request.arrival),
+            Outcome::Crossed => "crossed".to_owned(),
             Outcome::NotRun(code) => format!("not run {code}"),
             Outcome::Unknown(code) => format!("unknown {code}"),
             Outcome::Committed => "committed, answer lost".to_owned(),
--- a/crates/testkit/src/load/mod.rs
+++ b/crates/testkit/src/load/mod.rs
@@ -12,6 +12,7 @@
 mod session;
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{
         Arc,
@@ -61,6 +62,27 @@
     Unreachable,
 }
 
+/// How a session came to the VM that it asks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Arrival {
+    /// It is new.
+    New,
+    /// It moved there and showed its token.
+    WithToken,
+    /// It moved there and showed no token.
+    WithoutToken,
+}
+
+impl fmt::Display for Arrival {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Arrival::New => "in a new session",
+            Arrival::WithToken => "after a move with a token",
+            Arrival::WithoutToken => "after a move without a token",
+        })
+    }
+}
+
 /// One request of a session.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -70,6 +92,8 @@
     pub account: usize,
     /// Index of the VM that was asked.
     pub vm: usize,
+    /// How the session came there.
+    pub arrival: Arrival,
     /// When it was sent, since the load began.
     pub started: Duration,
     /// When its answer had arrived.
--- a/crates/testkit/src/load/session.rs
+++ b/crates/testkit/src/load/session.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::load::{
-    Kind, Outcome, Plan, Request,
+    Arrival, Kind, Outcome, Plan, Request,
     client::{Client, ClientError, Rows},
 };
 
@@ -32,6 +32,7 @@
     client: Option<Client>,
     vm: usize,
     token: Option<String>,
+    arrival: Arrival,
     /// Requests since the session came to its VM.
     served: usize,
     /// Number of the last write that was sent.
@@ -53,6 +54,7 @@
             client: None,
             vm,
             token: None,
+            arrival: Arrival::New,
             served: 0,
             sent: 0,
             acknowledged: 0,
@@ -96,6 +98,7 @@
             kind,
             account: self.plan.account,
             vm: self.vm,
+            arrival: self.arrival,
             started,
             ended: self.plan.began.elapsed(),
             outcome,
@@ -135,6 +138,11 @@
             match timeout(CONNECT_TIMEOUT, connecting).await {
                 Ok(Ok(client)) => {
                     self.client = Some(client);
+                    self.arrival = match self.token {
+                        Some(_) => Arrival::WithToken,
+                        None if self.requests.is_empty() => Arrival::New,
+                        None => Arrival::WithoutToken,
+                    };
                     return Ok(());
                 }
                 Ok(Err(error @ ClientError::Refused { .. })) => {
