Test that each write reports a later position

Ruled out: the stand-in; it reports a later position at COMMIT (this test). Conclusion: the daemon loses the position of batches that continue a kept stream: entry/session.rs observes it in attempt() only, so the token and the next read miss the commit. To be mended in the proxy.

--- a/crates/testkit/tests/backend_sql.rs
+++ b/crates/testkit/tests/backend_sql.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use chicoryhollow_testkit::load::client::{Client, Identity};
 use common::{Group, code};
 use tokio_postgres::{SimpleQueryMessage, types::Type};
 
@@ -125,3 +126,23 @@
     };
     assert_eq!(code(&error), "57014");
 }
+
+#[tokio::test]
+async fn each_write_reports_a_later_position() {
+    let group = Group::start(1, |_, _| {}).await;
+    let mut client =
+        Client::new(group.addresses[0], &Identity::default(), None).await.expect("a client");
+    let writes = [
+        "CREATE TABLE t (a INT8)",
+        "INSERT INTO t VALUES (1)",
+        "BEGIN; INSERT INTO t VALUES (2)",
+        "COMMIT",
+    ];
+    let mut positions = Vec::new();
+    for text in writes {
+        client.simple(text).await.expect("a write");
+        positions.push(client.parameter("chicoryhollow.position").map(str::to_owned));
+    }
+    let expected = ["1/1", "1/2", "1/2", "1/3"].map(|position| Some(position.to_owned()));
+    assert_eq!(positions, expected);
+}
