List the setting note_transactions in the schema

Cause: the setting was added without its row, so a file that used it was refused. Change: the row. Figures: the schema's test fails before and passes after. Conclusion: settings and schema agree again.

--- a/crates/config/src/schema/settings.rs
+++ b/crates/config/src/schema/settings.rs
@@ -34,6 +34,7 @@
     Field::optional("user", Kind::Text),
     Field::optional("password", Kind::Text),
     Field::optional("database", Kind::Text),
+    Field::optional("note_transactions", Kind::Flag),
 ];
 
 const LOG: &[Field] = &[
