Split the rate and burst of an account over all VMs

Cause: an account may not exceed its rate and burst over the fleet, and should get nearly all of it wherever its callers land, without the store.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
 * [`watch`] detects the failure of a primary and promotes another server.
+* [`share`] splits the rate and burst of an account over all VMs.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -38,6 +39,7 @@
 pub mod rank;
 pub mod refusal;
 pub mod session;
+pub mod share;
 pub mod time;
 pub mod view;
 pub mod watch;
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -131,7 +131,7 @@
             self.deliver(message);
         }
         for i in 0..self.servers.len() {
-            if !self.down.contains(&i) && self.now.as_micros() % 10_000 == 0 {
+            if !self.down.contains(&i) && self.now.as_micros().is_multiple_of(10_000) {
                 self.write(i);
                 self.ship(i);
             }
