--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -18,6 +18,10 @@
     pub listen: Listen,
     /// Address of the platform's service, as `http://IP:PORT`.
     pub platform: String,
+    /// Peer addresses of other VMs to ask for the list of VMs when the platform
+    /// does not answer at start-up.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Role under which the proxy logs in to backend servers.
     #[serde(default)]
     pub backend: BackendRole,
@@ -62,6 +66,10 @@
     pub password: Option<String>,
     /// Database to open.
     pub database: String,
+    /// Whether the id of each writing transaction is noted before it can
+    /// commit, so that the fate of an interrupted write can be looked up. It
+    /// costs each such transaction one round trip to the server.
+    pub note_transactions: bool,
 }
 
 impl Default for BackendRole {
@@ -70,6 +78,7 @@
             user: "chicoryhollow".to_owned(),
             password: None,
             database: "main".to_owned(),
+            note_transactions: true,
         }
     }
 }
@@ -119,6 +128,9 @@
     pub buffer_bytes: usize,
     /// Whether callers may send their key in clear text.
     pub cleartext_keys: bool,
+    /// Longest time in milliseconds to serve callers without a fresh sign that
+    /// the configuration is the newest; 0 for no limit.
+    pub stale_configuration_ms: u64,
 }
 
 impl Default for Limits {
@@ -131,6 +143,7 @@
             message_bytes: 16 << 20,
             buffer_bytes: 64 << 10,
             cleartext_keys: false,
+            stale_configuration_ms: 0,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,8 +18,18 @@
   result, and says for each whether the request ran.
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
+* [`route`] chooses a backend server for a read by expected time, from
+  [`average`]s of what passing answers show.
+* [`retry`] says whether a refused request is tried again, and when.
 * [`watch`] detects the failure of a primary and promotes another server.
 * [`share`] splits the rate and burst of an account over all VMs.
+* [`pace`] spaces periodic control messages within a budget.
+* [`queue`] divides the slots of a backend server fairly between accounts.
+* [`pool`] sizes the set of connections to a backend server, and [`prepared`]
+  bounds the statements prepared on each.
+* [`confirm`] tells when a majority holds a position.
+* [`outcome`] finds out what became of a write whose answer was lost.
+* [`ledger`] remembers batches for entries that lost their connection.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -33,11 +43,21 @@
 ```
 */
 
+pub mod average;
+pub mod confirm;
 pub mod id;
+pub mod ledger;
+pub mod outcome;
+pub mod pace;
+pub mod pool;
 pub mod position;
 pub mod prelude;
+pub mod prepared;
+pub mod queue;
 pub mod rank;
 pub mod refusal;
+pub mod retry;
+pub mod route;
 pub mod session;
 pub mod share;
 pub mod time;
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -54,7 +54,8 @@
 
 #[test]
 fn no_window_exceeds_rate_and_burst_when_slices_change_hands() {
-    let cases: [(&str, fn(&mut Fleet)); 3] = [
+    type Fault = fn(&mut Fleet);
+    let cases: [(&str, Fault); 3] = [
         ("a VM is paused past its lease", |fleet| fleet.pause(4, Duration::from_secs(9))),
         ("a data centre is cut off past its leases", |fleet| fleet.cut = vec![0]),
         ("a cut-off keeper is replaced while others hold its part", |fleet| {
--- /dev/null
+++ b/crates/proxy/src/home/confirm.rs
@@ -0,0 +1,117 @@
+//! Waiting until an answer of the primary may be passed on.
+
+use std::sync::Arc;
+
+use chicoryhollow_core::{
+    confirm::{Verdict, judge},
+    prelude::*,
+};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use super::{SILENCE_CHECK, tracker::Tracker};
+use crate::node::Node;
+
+/// Why a position was not confirmed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Unsettled {
+    /// A newer primary does not have it, and no majority ever will.
+    Lost,
+    /// It was not known by the deadline.
+    Timeout,
+}
+
+/// Waits until `position`, reported by the primary behind `tracker`, is held by
+/// a majority.
+///
+/// When the primary changes meanwhile, the new term's history decides; a
+/// position that survived is confirmed once the new primary's majority holds
+/// it.
+pub(crate) async fn settle(
+    node: &Arc<Node>,
+    group: &GroupId,
+    tracker: &Arc<Tracker>,
+    position: Position,
+    deadline: Time,
+) -> Result<(), Unsettled> {
+    if tracker.is_confirmed(position) {
+        return Ok(());
+    }
+    let left = deadline.since(node.clock.now());
+    let settled = timeout(left, settle_unbounded(node, group, tracker, position));
+    settled.await.unwrap_or(Err(Unsettled::Timeout))
+}
+
+async fn settle_unbounded(
+    node: &Arc<Node>,
+    group: &GroupId,
+    tracker: &Arc<Tracker>,
+    position: Position,
+) -> Result<(), Unsettled> {
+    let mut views = node.groups.follow(group);
+    loop {
+        let view = Arc::clone(&views.borrow_and_update());
+        match judge(&view, position) {
+            Verdict::Lost => return Err(Unsettled::Lost),
+            Verdict::Wait => tokio::select! {
+                () = tracker.confirmed(position) => return Ok(()),
+                () = changed(&mut views) => {}
+            },
+            Verdict::Survived(term, lsn) => {
+                let successor = view.primary.as_ref().and_then(|s| node.homes.tracker(node, s));
+                let successor = successor.unwrap_or_else(|| Arc::clone(tracker));
+                tokio::select! {
+                    () = successor.confirmed(Position::new(term, lsn)) => return Ok(()),
+                    () = changed(&mut views) => {}
+                }
+            }
+        }
+    }
+}
+
+/// Waits for the next view.
+pub(crate) async fn changed(views: &mut watch::Receiver<Arc<GroupView>>) {
+    if views.changed().await.is_err() {
+        // Views are kept for as long as the daemon runs.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Holds a new write back while a majority is silent, since it could only be
+/// sent to end as unknown.
+///
+/// # Errors
+///
+/// Returns [`Refusal::NotPrimary`] when the primary changes meanwhile and
+/// [`Refusal::MajorityLagging`] when half of the time left has passed; nothing
+/// has run then.
+pub(crate) async fn wait_for_majority(
+    node: &Arc<Node>,
+    group: &GroupId,
+    server: &ServerId,
+    tracker: &Arc<Tracker>,
+    deadline: Time,
+) -> Result<(), Refusal> {
+    if !tracker.is_silent() {
+        return Ok(());
+    }
+    let now = node.clock.now();
+    let until = now + deadline.since(now) / 2;
+    let mut views = node.groups.follow(group);
+    while tracker.is_silent() {
+        if views.borrow_and_update().primary.as_ref() != Some(server) {
+            return Err(Refusal::NotPrimary);
+        }
+        if node.clock.now() >= until {
+            return Err(Refusal::MajorityLagging);
+        }
+        tokio::select! {
+            () = tracker.changed() => {}
+            () = changed(&mut views) => {}
+            () = sleep(SILENCE_CHECK) => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/proxy/src/home/local.rs
@@ -0,0 +1,518 @@
+//! The end of a stream at the home of a backend server.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use chicoryhollow_core::{outcome::Interrupted, prelude::*};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use super::{
+    Home,
+    answer::{Answer, Next},
+    confirm::{Unsettled, changed, settle, wait_for_majority},
+    exchange::{self, Noted},
+    outcome::{Resolved, resolve},
+    request::{self, Preamble},
+    schedule::Lease,
+};
+use crate::{
+    node::Node,
+    stream::{Access, Batch, OpenRequest, Ready, Refused, StreamEvent},
+    wire::Frame,
+};
+
+/// Time beyond a deadline in which a cancelled statement may still answer, and
+/// in which the fate of a write is looked up.
+const GRACE: Duration = Duration::from_millis(200);
+
+/// A stream whose home is this VM.
+pub struct LocalStream {
+    node: Arc<Node>,
+    home: Arc<Home>,
+    account: AccountId,
+    weight: u32,
+    access: Access,
+    needed: Option<Position>,
+    views: watch::Receiver<Arc<GroupView>>,
+    lease: Option<Lease>,
+    /// Transaction status after the last batch.
+    status: u8,
+    /// Whether the server owes an answer.
+    running: bool,
+    /// Whether a cancel was sent, which may still reach the server.
+    cancelled: bool,
+    batch: BatchState,
+    write: Interrupted,
+    writes: bool,
+    phase: Phase,
+    outbox: VecDeque<StreamEvent>,
+}
+
+/// What the answer waits for; kept here so that a call to [`LocalStream::next`]
+/// may be dropped and repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// Messages of the server.
+    Receiving,
+    /// Confirmation of a commit in the middle of the batch.
+    Confirming,
+    /// Confirmation of the whole batch, after which the stream has this status.
+    Finishing(u8, Option<Position>),
+    /// The fate of a batch whose connection is lost.
+    Resolving,
+}
+
+/// What is known of the batch that runs.
+struct BatchState {
+    deadline: Time,
+    late: bool,
+    lost: bool,
+    /// Messages of the caller.
+    messages: Bytes,
+    /// Whether the server refused a write because it is not the primary.
+    not_primary: bool,
+    answer: Answer,
+    preamble: Preamble,
+}
+
+impl BatchState {
+    fn new(deadline: Time, holds: bool) -> Self {
+        BatchState {
+            deadline,
+            late: false,
+            lost: false,
+            messages: Bytes::new(),
+            not_primary: false,
+            answer: Answer::new(holds),
+            preamble: Preamble::default(),
+        }
+    }
+}
+
+/// What came from the server.
+enum Received {
+    Frame(Frame),
+    /// The connection failed, or the server is no longer the primary.
+    Lost,
+    /// The deadline passed.
+    Late,
+}
+
+impl LocalStream {
+    /// Opens a stream; a connection is taken with the first batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the server does not satisfy the request;
+    /// nothing has run then.
+    pub async fn open(node: &Arc<Node>, request: OpenRequest) -> Result<Self, Refused> {
+        let home = node.homes.get(node, &request.server).ok_or(Refusal::HomeUnreachable)?;
+        if !home.takes_work(node) {
+            return Err(Refusal::ServerUnreachable.into());
+        }
+        if request.access != Access::Read && !home.is_primary(node) {
+            return Err(Refusal::NotPrimary.into());
+        }
+        match (request.access, request.needed) {
+            (Access::Barrier, _) => barrier(node, &home, request.deadline).await?,
+            (Access::Read, Some(needed)) => {
+                let patience = Duration::from_millis(request.patience_ms.into());
+                let applied = &home.applied;
+                applied.wait(node, &home.group, &home.tracker, needed, patience).await?;
+            }
+            _ => {}
+        }
+        let configuration = node.configuration();
+        let account = configuration.configuration.accounts.get(&request.account);
+        Ok(LocalStream {
+            views: node.groups.follow(&home.group),
+            node: Arc::clone(node),
+            home,
+            weight: account.map_or(1, |account| account.weight),
+            account: request.account,
+            access: request.access,
+            needed: request.needed,
+            lease: None,
+            status: b'I',
+            running: false,
+            cancelled: false,
+            batch: BatchState::new(request.deadline, false),
+            write: Interrupted { term: Term::default(), xid: None },
+            writes: false,
+            phase: Phase::Receiving,
+            outbox: VecDeque::new(),
+        })
+    }
+
+    /// Returns what is noted of the write that runs.
+    pub(crate) fn noted(&self) -> Interrupted {
+        self.write
+    }
+
+    /// Waits for a slot and a connection and sends one batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the batch was not sent.
+    pub async fn send(&mut self, batch: Batch) -> Result<(), Refused> {
+        self.phase = Phase::Receiving;
+        self.batch = BatchState::new(batch.deadline, self.access != Access::Read);
+        self.batch.messages = batch.messages.clone();
+        match self.lease {
+            None => self.begin(batch.writes).await?,
+            Some(_) => self.resume().await?,
+        }
+        if batch.writes && self.write.xid.is_none() && self.status != b'E' {
+            self.note_transaction().await?;
+        }
+        let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
+        let backend = lease.backend()?;
+        let bytes = self.batch.preamble.encode(&batch, &mut backend.prepared);
+        self.running = true;
+        self.writes |= batch.writes;
+        // Some of it may have been sent, so the failure is an interrupted batch.
+        self.batch.lost = backend.send(bytes).is_err();
+        Ok(())
+    }
+
+    /// Takes a connection for a new transaction.
+    async fn begin(&mut self, writes: bool) -> Result<(), Refused> {
+        let (node, home) = (&self.node, &self.home);
+        let deadline = self.batch.deadline;
+        if self.access != Access::Read && !home.is_primary(node) {
+            return Err(Refusal::NotPrimary.into());
+        }
+        if writes {
+            let (group, server) = (&home.group, &home.server);
+            wait_for_majority(node, group, server, &home.tracker, deadline).await?;
+        }
+        let mut lease = home.schedule.begin(&self.account, self.weight, deadline).await?;
+        if self.access != Access::Read {
+            let term = node.groups.view(&home.group).term;
+            let left = deadline.since(node.clock.now());
+            // A connection that is dropped in the middle of this is closed.
+            let found = exchange::term(lease.backend()?, term, left).await;
+            let found = found.map_err(|_| Refusal::ServerUnreachable)?;
+            if found < term {
+                return Err(Refusal::NotPrimary.into());
+            }
+            self.write = Interrupted { term: found, xid: None };
+        }
+        self.lease = Some(lease);
+        Ok(())
+    }
+
+    /// Takes a slot for the next batch of an open transaction.
+    async fn resume(&mut self) -> Result<(), Refused> {
+        if self.is_deposed() {
+            self.lease = None;
+            return Err(Refusal::TransactionEnded.into());
+        }
+        let Some(lease) = &mut self.lease else { return Err(Refusal::TransactionEnded.into()) };
+        Ok(lease.resume(self.weight, self.batch.deadline).await?)
+    }
+
+    /// Notes the transaction id before anything can commit.
+    async fn note_transaction(&mut self) -> Result<(), Refused> {
+        if !self.node.settings.backend.note_transactions {
+            return Ok(());
+        }
+        let idle = self.status == b'I';
+        let left = self.batch.deadline.since(self.node.clock.now());
+        let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
+        self.running = true;
+        let noted = exchange::note_xid(lease.backend()?, left).await;
+        self.running = false;
+        let refusal = match noted {
+            Noted::Xid(xid) => {
+                self.write.xid = Some(xid);
+                return Ok(());
+            }
+            Noted::Unavailable if idle => return Ok(()),
+            Noted::NotPrimary if idle => Refusal::NotPrimary,
+            Noted::Lost if idle => Refusal::ServerUnreachable,
+            // An open transaction that was not committed is rolled back.
+            _ => Refusal::TransactionEnded,
+        };
+        self.lease = None;
+        Err(refusal.into())
+    }
+
+    /// Waits for the next part of the answer. Nothing is lost when the returned
+    /// future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the answer breaks off or is not confirmed.
+    pub async fn next(&mut self) -> Result<StreamEvent, Refused> {
+        loop {
+            if let Some(event) = self.outbox.pop_front() {
+                return Ok(event);
+            }
+            match self.phase {
+                Phase::Receiving => match self.receive().await {
+                    Received::Frame(frame) => self.take(&frame)?,
+                    Received::Late if !self.batch.late => self.extend(),
+                    Received::Late | Received::Lost => self.lose(),
+                },
+                Phase::Confirming => {
+                    self.confirm(None).await?;
+                    self.phase = Phase::Receiving;
+                    self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
+                }
+                Phase::Finishing(status, position) => {
+                    self.finish(status, position).await?;
+                    self.phase = Phase::Receiving;
+                }
+                Phase::Resolving => {
+                    self.resolve().await?;
+                    self.phase = Phase::Receiving;
+                }
+            }
+        }
+    }
+
+    async fn receive(&mut self) -> Received {
+        if self.batch.lost {
+            return Received::Lost;
+        }
+        let left = self.batch.deadline.since(self.node.clock.now());
+        let watched = self.access != Access::Read;
+        let Some(Ok(backend)) = self.lease.as_mut().map(Lease::backend) else {
+            return Received::Lost;
+        };
+        loop {
+            tokio::select! {
+                biased;
+                received = timeout(left, backend.receive()) => return match received {
+                    Ok(Ok(frame)) => Received::Frame(frame),
+                    Ok(Err(_)) => Received::Lost,
+                    Err(_) => Received::Late,
+                },
+                () = changed(&mut self.views), if watched => {
+                    if self.views.borrow().term > self.write.term {
+                        return Received::Lost;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Cancels a statement whose deadline passed and gives it a last chance to
+    /// tell what became of it.
+    fn extend(&mut self) {
+        self.batch.late = true;
+        self.batch.deadline = self.batch.deadline + GRACE;
+        self.interrupt();
+    }
+
+    /// Takes one message of the answer.
+    fn take(&mut self, frame: &Frame) -> Result<(), Refused> {
+        let Some(Ok(backend)) = self.lease.as_mut().map(Lease::backend) else { return Ok(()) };
+        if self.batch.preamble.takes(frame, &mut backend.prepared) {
+            return Ok(());
+        }
+        match frame.tag() {
+            b'Z' => return self.end_exchange(frame.bytes().last().copied().unwrap_or(b'E')),
+            // Parameters and notifications of pooled connections mean nothing
+            // to the caller.
+            b'S' | b'A' => return Ok(()),
+            // No batch that the entry lets through copies data.
+            b'G' | b'H' | b'W' => self.batch.lost = true,
+            b'E' if self.status == b'I' && self.batch.answer.is_untouched() => {
+                self.batch.not_primary |= exchange::is_not_primary(frame);
+            }
+            _ => {}
+        }
+        match self.batch.answer.add(frame) {
+            Next::More => {}
+            Next::Pass(part) => self.outbox.push_back(StreamEvent::Answer(part)),
+            Next::Confirm => self.phase = Phase::Confirming,
+        }
+        Ok(())
+    }
+
+    /// Gives back the slot and, when idle, the connection, before the answer
+    /// waits for its confirmation.
+    fn end_exchange(&mut self, status: u8) -> Result<(), Refused> {
+        let untouched = self.batch.answer.is_untouched() && self.status == b'I';
+        self.status = status;
+        self.running = false;
+        let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
+        let position = lease.backend()?.position();
+        position.into_iter().for_each(|position| self.home.applied.report(position));
+        self.phase = Phase::Finishing(status, position);
+        if status != b'I' {
+            lease.pause();
+            return Ok(());
+        }
+        let clean = !self.cancelled && !self.batch.lost && self.batch.preamble.is_done();
+        if let Some(lease) = self.lease.take()
+            && clean
+        {
+            lease.give_back();
+        }
+        self.cancelled = false;
+        self.write.xid = None;
+        if self.batch.not_primary {
+            return Err(Refusal::NotPrimary.into());
+        }
+        if self.batch.late && untouched && self.batch.answer.has_failed() {
+            return Err(Refusal::DeadlinePassed.into());
+        }
+        Ok(())
+    }
+
+    /// Ends the answer: an answer of a primary waits until it is confirmed.
+    async fn finish(&mut self, status: u8, position: Option<Position>) -> Result<(), Refused> {
+        if status == b'I' {
+            self.check(position).await?;
+            self.writes = false;
+        }
+        self.outbox.extend(self.batch.answer.take().map(StreamEvent::Answer));
+        self.outbox.push_back(StreamEvent::Ready(Ready { status, position }));
+        Ok(())
+    }
+
+    /// Makes sure that the answer may be passed on.
+    async fn check(&mut self, position: Option<Position>) -> Result<(), Refused> {
+        if self.access != Access::Read {
+            return self.confirm(position).await;
+        }
+        let (Some(needed), Some(position)) = (self.needed, position) else { return Ok(()) };
+        let view = self.node.groups.view(&self.home.group);
+        if super::applied::holds(&view, position, needed) || self.batch.answer.is_begun() {
+            return Ok(());
+        }
+        Err(Refused { refusal: Refusal::TooStale, applied: Some(position) })
+    }
+
+    /// Waits until a majority holds `position`, or all that is committed now.
+    async fn confirm(&mut self, position: Option<Position>) -> Result<(), Refused> {
+        let deadline = self.batch.deadline;
+        let tracker = &self.home.tracker;
+        let left = deadline.since(self.node.clock.now());
+        let position = match position {
+            Some(position) => Some(position),
+            None => timeout(left, tracker.barrier()).await.ok().flatten(),
+        };
+        let settled = match position {
+            Some(position) => {
+                settle(&self.node, &self.home.group, tracker, position, deadline).await
+            }
+            None => Err(Unsettled::Timeout),
+        };
+        let wrote = self.writes && !self.batch.answer.has_failed();
+        let refusal = match settled {
+            Ok(()) => return Ok(()),
+            Err(_) if !wrote => Refusal::ReadInterrupted,
+            Err(Unsettled::Lost) if request::is_single(&self.batch.messages) => Refusal::WriteLost,
+            // Part of a batch of several transactions may have survived.
+            Err(Unsettled::Lost) => Refusal::WriteInterrupted,
+            Err(Unsettled::Timeout) => Refusal::Unconfirmed,
+        };
+        Err(refusal.into())
+    }
+
+    fn is_deposed(&self) -> bool {
+        let term = self.node.groups.view(&self.home.group).term;
+        self.access != Access::Read && term > self.write.term
+    }
+
+    /// Drops a connection that broke off.
+    fn lose(&mut self) {
+        self.interrupt();
+        self.lease = None;
+        self.running = false;
+        self.phase = Phase::Resolving;
+    }
+
+    /// Finds out what became of a batch whose connection broke off.
+    async fn resolve(&mut self) -> Result<(), Refused> {
+        let idle = self.status == b'I';
+        if !self.writes {
+            let refusal = if idle { Refusal::ReadInterrupted } else { Refusal::TransactionEnded };
+            return Err(refusal.into());
+        }
+        let (node, home) = (&self.node, &self.home);
+        let deadline = self.batch.deadline + GRACE;
+        let resolved = resolve(node, &home.group, &home.server, self.write, deadline).await;
+        let messages = &self.batch.messages;
+        let refusal = match (resolved, request::is_single(messages)) {
+            (Resolved::Committed(position), true) => {
+                if request::is_commit(messages) && self.batch.answer.is_untouched() {
+                    self.answer_commit(position);
+                    return Ok(());
+                }
+                Refusal::WriteCommitted
+            }
+            (Resolved::Lost, true) => Refusal::WriteLost,
+            (Resolved::Unknown, _) | (_, false) => Refusal::WriteInterrupted,
+        };
+        Err(refusal.into())
+    }
+
+    /// Makes the answer to a `COMMIT` that was found to have taken effect.
+    fn answer_commit(&mut self, position: Position) {
+        self.status = b'I';
+        self.writes = false;
+        self.write.xid = None;
+        self.cancelled = false;
+        self.outbox.push_back(StreamEvent::Answer(request::commit_answer()));
+        let ready = Ready { status: b'I', position: Some(position) };
+        self.outbox.push_back(StreamEvent::Ready(ready));
+    }
+
+    /// Asks the server to cancel the statement that runs.
+    ///
+    /// The request may reach the server late, so the connection serves no other
+    /// stream afterwards.
+    pub fn interrupt(&mut self) {
+        if !self.running {
+            return;
+        }
+        self.cancelled = true;
+        let canceller = self.lease.as_mut().and_then(|lease| lease.backend().ok()?.canceller());
+        if let Some(canceller) = canceller {
+            tokio::spawn(async move {
+                // A cancel that fails leaves the statement running, as it may.
+                drop(canceller.cancel().await);
+            });
+        }
+    }
+}
+
+impl Drop for LocalStream {
+    /// Gives a clean connection back, rolls an open transaction back, and
+    /// closes a connection that still owes an answer.
+    fn drop(&mut self) {
+        self.interrupt();
+        let Some(lease) = self.lease.take() else { return };
+        if self.running || self.cancelled {
+            return;
+        }
+        if self.status == b'I' {
+            lease.give_back();
+        } else if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(exchange::roll_back(lease));
+        }
+    }
+}
+
+/// Makes sure that the server was still the primary after this call began.
+async fn barrier(node: &Arc<Node>, home: &Home, deadline: Time) -> Result<(), Refused> {
+    let left = deadline.since(node.clock.now());
+    let deposed = async {
+        while home.is_primary(node) {
+            sleep(super::SILENCE_CHECK).await;
+        }
+    };
+    let answered = tokio::select! {
+        answered = timeout(left, home.tracker.barrier()) => answered.ok().flatten(),
+        () = deposed => None,
+    };
+    answered.map(drop).ok_or_else(|| Refusal::NotPrimary.into())
+}
