--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,6 @@
 * [`rank`] places roles on VMs by rendezvous hashing.
 * [`view`] is what a VM believes about one database group.
 * [`watch`] detects the failure of a primary and promotes another server.
-* [`pace`] spaces periodic control messages within a budget.
 * [`queue`] divides the slots of a backend server fairly between accounts.
 * [`pool`] sizes the set of connections to a backend server, and [`prepared`]
   bounds the statements prepared on each.
--- /dev/null
+++ b/crates/proxy/tests/streams.rs
@@ -0,0 +1,233 @@
+//! Streams to homes: pools, confirmation, outcomes and lost links, between
+//! nodes in the test process.
+
+mod fleet;
+
+use std::time::Duration;
+
+use chicoryhollow_core::prelude::*;
+use chicoryhollow_proxy::stream::Access;
+use fleet::{Fleet, query, rows};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn statements_of_many_streams_keep_to_the_limits() {
+    let fleet = Fleet::start(1, 2, |_, options| {
+        options.connections = 4;
+        options.slots = 2;
+        options.statement_time = Duration::from_millis(1);
+    })
+    .await;
+    fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..40 {
+        let fleet = fleet.clone();
+        tasks.spawn(async move {
+            for step in 0..5 {
+                let id = number * 100 + step;
+                let sql = format!("INSERT INTO t (id) VALUES ({id})");
+                let vm = usize::try_from(number % 2).expect("small");
+                fleet.write(vm, &sql).await.expect("the write is run");
+                let seen = fleet.read(vm, &format!("SELECT id FROM t WHERE id = {id}")).await;
+                assert_eq!(seen.expect("the read is run"), [id.to_string()]);
+            }
+        });
+    }
+    while let Some(task) = tasks.join_next().await {
+        task.expect("no stream fails");
+    }
+    assert_eq!(fleet.read(0, "SELECT count(*) FROM t").await.expect("a count"), ["200"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lost_caller_leaves_nothing_open_and_no_answer_behind() {
+    let fleet = Fleet::start(1, 2, |_, options| options.connections = 2).await;
+    fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+    for vm in [0, 1] {
+        let mut open = fleet.open(vm, Access::Write).await.expect("a stream");
+        query(&mut open, "BEGIN", true).await.expect("it begins");
+        query(&mut open, "INSERT INTO t (id) VALUES (1)", true).await.expect("it writes");
+        drop(open);
+        let mut slow = fleet.open(vm, Access::Write).await.expect("a stream");
+        slow.send(fleet.batch("SELECT pg_sleep(5), 99", false)).await.expect("it is sent");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(slow);
+        let mut left = fleet.open(vm, Access::Write).await.expect("a stream");
+        left.send(fleet.batch("SELECT 98", false)).await.expect("it is sent");
+        drop(left);
+        for _ in 0..20 {
+            let seen = fleet.read(vm, "SELECT count(*) FROM t").await.expect("a count");
+            assert_eq!(seen, ["0"], "an answer was crossed or a write kept");
+        }
+        fleet.write(vm, "DELETE FROM t").await.expect("no lock is held");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_larger_than_the_window_arrive_whole() {
+    let fleet = Fleet::start(1, 2, |_, _| {}).await;
+    fleet.write(0, "CREATE TABLE t (id int, body text)").await.expect("the table is made");
+    let body = "x".repeat(1_000);
+    let values: Vec<String> = (0..1_000).map(|id| format!("({id}, '{body}')")).collect();
+    let sql = format!("INSERT INTO t (id, body) VALUES {}", values.join(", "));
+    fleet.write(0, &sql).await.expect("the rows are written");
+    for vm in [0, 1] {
+        let seen = fleet.read(vm, "SELECT id, body FROM t ORDER BY id").await.expect("rows");
+        assert_eq!(seen.len(), 1_000, "vm {vm}");
+        let mut slow = fleet.open(vm, Access::Barrier).await.expect("a stream");
+        slow.send(fleet.batch("SELECT id, body FROM t ORDER BY id", false)).await.expect("sent");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let other = fleet.read(vm, "SELECT 1").await.expect("a slow caller holds up nobody");
+        assert_eq!(other, ["1"]);
+        assert_eq!(rows(&mut slow).await.expect("rows").len(), 1_000);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_unconfirmed_write_is_lost_when_another_primary_lacks_it() {
+    for vm in [0, 1] {
+        let fleet = Fleet::start(3, 2, |_, _| {}).await;
+        fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+        fleet.caught_up().await;
+        fleet.stop_shipping(true).await;
+        let writing = {
+            let fleet = fleet.clone();
+            tokio::spawn(async move { fleet.write(vm, "INSERT INTO t (id) VALUES (1)").await })
+        };
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        assert!(!writing.is_finished(), "an unconfirmed write is not acknowledged");
+        fleet.promote(1, 2).await;
+        let refused = writing.await.expect("the task ends").expect_err("the write is lost");
+        assert_eq!(refused, Refusal::WriteLost, "vm {vm}");
+        let count = fleet.read(vm, "SELECT count(*) FROM t").await.expect("a count");
+        assert_eq!(count, ["0"]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_commit_whose_primary_died_is_answered_once_it_is_known() {
+    for vm in [0, 1] {
+        let fleet = Fleet::start(3, 2, |_, _| {}).await;
+        fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+        let mut stream = fleet.open(vm, Access::Write).await.expect("a stream");
+        query(&mut stream, "BEGIN", true).await.expect("it begins");
+        query(&mut stream, "INSERT INTO t (id) VALUES (1)", true).await.expect("it writes");
+        // The answer of the server is lost after the commit took effect.
+        fleet.hold_answers(true);
+        stream.send(fleet.batch("COMMIT", true)).await.expect("it is sent");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fleet.kill(0);
+        fleet.promote(1, 2).await;
+        let answer = rows(&mut stream).await;
+        assert_eq!(answer, Ok(Vec::new()), "vm {vm}");
+        drop(stream);
+        let count = fleet.read(vm, "SELECT count(*) FROM t").await.expect("a count");
+        assert_eq!(count, ["1"]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_write_whose_primary_died_is_told_lost_or_committed() {
+    for vm in [0, 1] {
+        let fleet = Fleet::start(3, 2, |_, _| {}).await;
+        fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+        fleet.hold_answers(true);
+        let mut stream = fleet.open(vm, Access::Write).await.expect("a stream");
+        // The transaction id cannot be noted, so nothing is sent.
+        let unsent = {
+            let batch = fleet.batch("INSERT INTO t (id) VALUES (1)", true);
+            tokio::spawn(async move {
+                stream.send(batch).await?;
+                rows(&mut stream).await.map_err(Into::into)
+            })
+        };
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fleet.kill(0);
+        fleet.promote(1, 2).await;
+        let unsent: Result<_, chicoryhollow_proxy::stream::Refused> =
+            unsent.await.expect("the task ends");
+        let refusal = unsent.expect_err("the write is not run").refusal;
+        assert_eq!(refusal.outcome(), Outcome::NotRun, "{refusal:?}");
+        let count = fleet.read(vm, "SELECT count(*) FROM t").await.expect("a count");
+        assert_eq!(count, ["0"]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lost_link_is_asked_about_and_never_repeated() {
+    let fleet = Fleet::start(1, 2, |_, options| {
+        options.statement_time = Duration::from_millis(30);
+    })
+    .await;
+    fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+    for id in 0..10 {
+        let writing = {
+            let fleet = fleet.clone();
+            let sql = format!("INSERT INTO t (id) VALUES ({id})");
+            tokio::spawn(async move { fleet.write(1, &sql).await })
+        };
+        tokio::time::sleep(Duration::from_millis(5 + id * 10)).await;
+        fleet.close_links();
+        let written = writing.await.expect("the task ends");
+        let ids = fleet.read(0, &format!("SELECT id FROM t WHERE id = {id}")).await;
+        let count = ids.expect("rows").len();
+        match written {
+            Ok(_) => assert_eq!(count, 1, "an acknowledged write ran once"),
+            Err(refusal) => match refusal.outcome() {
+                Outcome::NotRun => assert_eq!(count, 0, "{refusal:?}"),
+                Outcome::Committed => assert_eq!(count, 1, "{refusal:?}"),
+                Outcome::Unknown => panic!("the home knows what became of it: {refusal:?}"),
+            },
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_home_that_falls_silent_is_noticed_soon() {
+    let fleet = Fleet::start(1, 2, |_, _| {}).await;
+    fleet.write(1, "CREATE TABLE t (id int)").await.expect("the table is made");
+    let mut stream = fleet.open(1, Access::Barrier).await.expect("a stream");
+    stream.send(fleet.batch("SELECT pg_sleep(5)", false)).await.expect("it is sent");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.hold_links();
+    let begun = std::time::Instant::now();
+    let refused = rows(&mut stream).await.expect_err("the link is dead");
+    assert_eq!(refused, Refusal::ReadInterrupted);
+    assert!(begun.elapsed() < Duration::from_secs(2), "after {:?}", begun.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_deadline_ends_a_statement_and_spares_the_others() {
+    let fleet = Fleet::start(1, 2, |_, options| options.connections = 2).await;
+    for vm in [0, 1] {
+        let mut stream = fleet.open(vm, Access::Barrier).await.expect("a stream");
+        let mut batch = fleet.batch("SELECT pg_sleep(5), 97", false);
+        batch.deadline = fleet.now(vm) + Duration::from_millis(100);
+        stream.send(batch).await.expect("it is sent");
+        let refused = rows(&mut stream).await.expect_err("it takes too long");
+        assert_eq!(refused.outcome(), Outcome::NotRun, "{refused:?}");
+        for _ in 0..10 {
+            assert_eq!(fleet.read(vm, "SELECT 5").await.expect("a row"), ["5"]);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn two_homes_of_one_server_share_its_limit() {
+    let fleet = Fleet::start(1, 2, |_, options| options.connections = 3).await;
+    fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+    fleet.split_homes();
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..20 {
+        let fleet = fleet.clone();
+        tasks.spawn(async move {
+            for _ in 0..5 {
+                let vm = number % 2;
+                let seen = fleet.read(vm, "SELECT count(*) FROM t").await;
+                assert_eq!(seen.expect("a usable connection is left"), ["0"]);
+            }
+        });
+    }
+    while let Some(task) = tasks.join_next().await {
+        task.expect("no stream fails");
+    }
+}
--- a/crates/testkit/src/cluster/files.rs
+++ b/crates/testkit/src/cluster/files.rs
@@ -140,6 +140,7 @@
         data_centre: name(&Deployment::data_centre(vm)),
         listen,
         platform,
+        seeds: Vec::new(),
         backend: BackendRole::default(),
         translate,
         log: Log::default(),
