Wait for a full server; notice a new primary while taking a connection

Cause: a server that had not yet noticed closed connections answered 53300 and, with no connection left, the pool refused waiting statements; and a held connection was waited for until the deadline after a new primary was known.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -16,15 +16,12 @@
 /// Time between two closings of a connection that is no longer needed.
 const CLOSE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// First pause after the server could not be reached.
+/// First pause after the server could not be reached or was full.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest pause after the server could not be reached.
+/// Longest pause after the server could not be reached or was full.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Pause after the server refused one more connection.
-const FULL_PAUSE: Duration = Duration::from_secs(1);
-
 /// One spare connection is kept for so many in use.
 const USED_PER_SPARE: u32 = 4;
 
@@ -60,6 +57,7 @@
     window_end: Time,
     last_close: Time,
     failures: u32,
+    unreachable: bool,
     retry_at: Time,
 }
 
@@ -77,6 +75,7 @@
             window_end: Time::default(),
             last_close: Time::default(),
             failures: 0,
+            unreachable: false,
             retry_at: Time::default(),
         }
     }
@@ -110,9 +109,10 @@
     }
 
     /// Tells whether the server could not be reached and no connection is left,
-    /// so that statements need not wait for one.
+    /// so that statements need not wait for one. A server that is full is
+    /// worth waiting for: it may not have noticed yet that others were closed.
     pub fn is_unreachable(&self) -> bool {
-        self.failures > 0 && self.total() == 0
+        self.unreachable && self.total() == 0
     }
 
     /// Records that a connection was opened and is idle.
@@ -120,22 +120,19 @@
         self.opening -= 1;
         self.idle += 1;
         self.failures = 0;
+        self.unreachable = false;
     }
 
     /// Records that a connection could not be opened.
     pub fn open_failed(&mut self, error: OpenError, now: Time, rng: &mut impl Rng) {
         self.opening -= 1;
-        match error {
-            OpenError::Full => {
-                // Another holder of this role uses the rest of the server's limit.
-                self.ceiling = (self.idle + self.used).max(1);
-                self.retry_at = now + jittered(FULL_PAUSE, rng);
-            }
-            OpenError::Unreachable => {
-                let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
-                self.retry_at = now + jittered(pause.min(LONGEST_PAUSE), rng);
-            }
+        self.unreachable = error == OpenError::Unreachable;
+        if error == OpenError::Full {
+            // Another holder of this role uses the rest of the server's limit.
+            self.ceiling = (self.idle + self.used).max(1);
         }
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
+        self.retry_at = now + pause.min(LONGEST_PAUSE).mul_f64(rng.random_range(0.75..1.25));
         self.failures = self.failures.saturating_add(1);
     }
 
@@ -212,11 +209,6 @@
     }
 }
 
-/// Returns a pause between three quarters and five quarters of `pause`.
-fn jittered(pause: Duration, rng: &mut impl Rng) -> Duration {
-    pause.mul_f64(rng.random_range(0.75..1.25))
-}
-
 #[cfg(test)]
 mod tests {
     use rand::{SeedableRng, rngs::StdRng};
--- a/crates/proxy/src/home/local.rs
+++ b/crates/proxy/src/home/local.rs
@@ -189,18 +189,26 @@
             let (group, server) = (&home.group, &home.server);
             wait_for_majority(node, group, server, &home.tracker, deadline).await?;
         }
-        let mut lease = home.schedule.begin(&self.account, self.weight, deadline).await?;
-        if self.access != Access::Read {
-            let term = node.groups.view(&home.group).term;
+        let term = node.groups.view(&home.group).term;
+        self.write = Interrupted { term, xid: None };
+        let taking = async {
+            let mut lease = home.schedule.begin(&self.account, self.weight, deadline).await?;
+            if self.access == Access::Read {
+                return Ok((lease, term));
+            }
             let left = deadline.since(node.clock.now());
             // A connection that is dropped in the middle of this is closed.
             let found = exchange::term(lease.backend()?, term, left).await;
             let found = found.map_err(|_| Refusal::ServerUnreachable)?;
-            if found < term {
+            if found < term { Err(Refusal::NotPrimary) } else { Ok((lease, found)) }
+        };
+        let (lease, term) = tokio::select! {
+            taken = taking => taken?,
+            () = deposed(node, home, term), if self.access != Access::Read => {
                 return Err(Refusal::NotPrimary.into());
             }
-            self.write = Interrupted { term: found, xid: None };
-        }
+        };
+        self.write.term = term;
         self.lease = Some(lease);
         Ok(())
     }
@@ -224,7 +232,10 @@
         let left = self.batch.deadline.since(self.node.clock.now());
         let lease = self.lease.as_mut().ok_or(Refusal::ServerUnreachable)?;
         self.running = true;
-        let noted = exchange::note_xid(lease.backend()?, left).await;
+        let noted = tokio::select! {
+            noted = exchange::note_xid(lease.backend()?, left) => noted,
+            () = deposed(&self.node, &self.home, self.write.term) => Noted::Lost,
+        };
         self.running = false;
         let refusal = match noted {
             Noted::Xid(xid) => {
@@ -502,6 +513,14 @@
     }
 }
 
+/// Waits until a primary of a term after `term` is known.
+async fn deposed(node: &Arc<Node>, home: &Home, term: Term) {
+    let mut views = node.groups.follow(&home.group);
+    while views.borrow_and_update().term <= term {
+        changed(&mut views).await;
+    }
+}
+
 /// Makes sure that the server was still the primary after this call began.
 async fn barrier(node: &Arc<Node>, home: &Home, deadline: Time) -> Result<(), Refused> {
     let left = deadline.since(node.clock.now());
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -132,6 +132,7 @@
         fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
         fleet.hold_answers(true);
         let mut stream = fleet.open(vm, Access::Write).await.expect("a stream");
+        let begun = std::time::Instant::now();
         // The transaction id cannot be noted, so nothing is sent.
         let unsent = {
             let batch = fleet.batch("INSERT INTO t (id) VALUES (1)", true);
@@ -146,6 +147,7 @@
         let unsent: Result<_, chicoryhollow_proxy::stream::Refused> =
             unsent.await.expect("the task ends");
         let refusal = unsent.expect_err("the write is not run").refusal;
+        assert!(begun.elapsed() < Duration::from_secs(2), "after {:?}", begun.elapsed());
         assert_eq!(refusal.outcome(), Outcome::NotRun, "{refusal:?}");
         let count = fleet.read(vm, "SELECT count(*) FROM t").await.expect("a count");
         assert_eq!(count, ["0"]);
