--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -18,6 +18,10 @@
     pub listen: Listen,
     /// Address of the platform's service, as `http://IP:PORT`.
     pub platform: String,
+    /// Peer addresses of other VMs to ask for the list of VMs when the platform
+    /// does not answer at start-up.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Role under which the proxy logs in to backend servers.
     #[serde(default)]
     pub backend: BackendRole,
@@ -62,6 +66,10 @@
     pub password: Option<String>,
     /// Database to open.
     pub database: String,
+    /// Whether the id of each writing transaction is noted before it can
+    /// commit, so that the fate of an interrupted write can be looked up. It
+    /// costs each such transaction one round trip to the server.
+    pub note_transactions: bool,
 }
 
 impl Default for BackendRole {
@@ -70,6 +78,7 @@
             user: "chicoryhollow".to_owned(),
             password: None,
             database: "main".to_owned(),
+            note_transactions: true,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,12 @@
   [`average`]s of what passing answers show.
 * [`retry`] says whether a refused request is tried again, and when.
 * [`watch`] detects the failure of a primary and promotes another server.
+* [`pace`] spaces periodic control messages within a budget.
+* [`queue`] divides the slots of a backend server fairly between accounts.
+* [`pool`] sizes the set of connections to a backend server, and [`prepared`]
+  bounds the statements prepared on each.
+* [`confirm`] tells when a majority holds a position.
+* [`outcome`] finds out what became of a write whose answer was lost.
 * [`time`] has the clock values that decisions take as arguments.
 
 # Example
@@ -36,9 +42,15 @@
 */
 
 pub mod average;
+pub mod confirm;
 pub mod id;
+pub mod outcome;
+pub mod pace;
+pub mod pool;
 pub mod position;
 pub mod prelude;
+pub mod prepared;
+pub mod queue;
 pub mod rank;
 pub mod refusal;
 pub mod retry;
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -21,6 +21,7 @@
     session::{Begin, Open, Session, Transaction},
 };
 use crate::{
+    configuration::is_stale,
     stream::{Access, Batch, OpenRequest, Ready, Stream, StreamEvent},
     wire::{self, WireError},
 };
@@ -111,9 +112,12 @@
         watched: bool,
     ) -> Result<bool, Failed> {
         let node = Arc::clone(&self.node);
+        if is_stale(&node) {
+            return Err(Refusal::NotReady.into());
+        }
         let route = self.route()?;
         let deadline = self.deadline();
-        node.shares.admit(&node, &self.caller.identity.account, deadline).await?;
+        node.shares.admit(&node, &self.caller.credentials.account, deadline).await?;
         node.entry.with_budget(|budget| budget.earn());
         let reads = match &begin {
             Some(begin) => begin.read_only,
@@ -313,7 +317,7 @@
         let request = OpenRequest {
             group: job.route.group.clone(),
             server: target.server.clone(),
-            account: self.caller.identity.account.clone(),
+            account: self.caller.credentials.account.clone(),
             access: target.access,
             deadline: target.until,
             needed: target.needed,
--- a/crates/proxy/src/entry/freshness.rs
+++ b/crates/proxy/src/entry/freshness.rs
@@ -40,7 +40,7 @@
         };
         let node = Arc::clone(&self.node);
         let group = &job.route.group;
-        let account = &self.caller.identity.account;
+        let account = &self.caller.credentials.account;
         let now = node.clock.now();
         let latest = node.entry.barriers.latest(group);
         let younger = |age: Duration| latest.filter(|barrier| now.since(barrier.began) < age);
@@ -73,7 +73,7 @@
     async fn verify(&self, job: &Job<'_>, position: Option<Position>) -> Result<bool, Failed> {
         let Some(position) = position else { return Ok(true) };
         let node = Arc::clone(&self.node);
-        let (group, account) = (&job.route.group, &self.caller.identity.account);
+        let (group, account) = (&job.route.group, &self.caller.credentials.account);
         let mut views = node.groups.follow(group);
         let end = job.deadline.min(node.clock.now() + Duration::from_millis(FRESH_MS));
         let known = node.entry.with_estimates(group, |estimates| estimates.newest());
@@ -100,7 +100,7 @@
     /// Takes a barrier after the session arrived, so that its past is known.
     pub(super) async fn learn_past(&mut self, job: &Job<'_>) -> Result<(), Failed> {
         let node = Arc::clone(&self.node);
-        let (group, account) = (&job.route.group, &self.caller.identity.account);
+        let (group, account) = (&job.route.group, &self.caller.credentials.account);
         let barriers = &node.entry.barriers;
         let taken = barriers.since(&node, (group, account), self.arrived, job.deadline).await?;
         self.caller.token.get_or_insert_default().observe(group, taken.position);
--- a/crates/proxy/src/entry/handshake.rs
+++ b/crates/proxy/src/entry/handshake.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chicoryhollow_config::configuration::{Configuration, Route, Service};
+use chicoryhollow_config::{Configuration, Verifier, standing::Credentials};
 use chicoryhollow_core::prelude::*;
 use pgwire::messages::{
     response::{ReadyForQuery, TransactionStatus},
@@ -18,6 +18,7 @@
     startup::{self, Opening},
 };
 use crate::{
+    configuration::is_stale,
     node::Node,
     wire::{self, WireError},
 };
@@ -41,8 +42,8 @@
 pub(crate) struct Caller {
     /// The connection.
     pub(crate) connection: Connection,
-    /// Whose requests these are.
-    pub(crate) identity: Identity,
+    /// What the caller was let in with.
+    pub(crate) credentials: Credentials,
     /// What the session has seen; none when its past is unknown.
     pub(crate) token: Option<SessionToken>,
     /// Limit that the caller set on its statements.
@@ -51,17 +52,6 @@
     pub(crate) ticket: Ticket,
 }
 
-/// Whose requests a connection carries.
-#[derive(Clone, Debug)]
-pub(crate) struct Identity {
-    /// Key that the caller showed; none on a route open to all.
-    pub(crate) key: Option<KeyName>,
-    /// Account that is served.
-    pub(crate) account: AccountId,
-    /// Route that the caller named.
-    pub(crate) route: RouteName,
-}
-
 /// Runs the start-up; `None` means that the connection was ended in good order.
 pub(crate) async fn accept(
     node: &Arc<Node>,
@@ -86,8 +76,8 @@
     let mut connection = Connection::new(socket, rest, MAX_ANONYMOUS_BYTES);
     let admitted = timeout(limit, admit(node, &mut connection, &startup, crowded)).await;
     match admitted.map_err(std::io::Error::from)? {
-        Ok(Ok((identity, options))) => {
-            welcome(node, connection, &startup, identity, options).await.map(Some)
+        Ok(Ok((credentials, options))) => {
+            welcome(node, connection, &startup, credentials, options).await.map(Some)
         }
         Ok(Err(refusal)) => {
             refuse(node, connection, refusal, None).await?;
@@ -127,13 +117,13 @@
     connection: &mut Connection,
     startup: &Startup,
     crowded: bool,
-) -> Result<Result<(Identity, Options), Refusal>, WireError> {
+) -> Result<Result<(Credentials, Options), Refusal>, WireError> {
     let versioned = node.configuration();
     let configuration = &versioned.configuration;
-    if versioned.version == 0 {
+    if versioned.version == 0 || is_stale(node) {
         return Ok(Err(Refusal::NotReady));
     }
-    if node.is_draining() || is_out(node, configuration) {
+    if node.is_draining() || !configuration.is_in_service(&node.settings.data_centre) {
         return Ok(Err(Refusal::Draining));
     }
     if crowded {
@@ -153,18 +143,19 @@
         return Ok(Err(Refusal::RouteUnknown));
     };
     let account = key.map(|(_, key)| &key.account).or(found.open_account.as_ref());
-    let Some(account) = account.filter(|account| may_use(found, account)) else {
-        return Ok(Err(Refusal::RouteDenied));
-    };
-    let key = key.map(|(name, _)| name.clone());
-    let identity = Identity { key, account: account.clone(), route: route.clone() };
-    Ok(options(startup).map(|options| (identity, options)))
+    let Some(account) = account.cloned() else { return Ok(Err(Refusal::RouteDenied)) };
+    let key = key.map(|(name, key)| (name.clone(), key.verifier.clone()));
+    let credentials = Credentials { key, account, route: route.clone() };
+    if let Err(refusal) = configuration.check_standing(&credentials) {
+        return Ok(Err(refusal));
+    }
+    Ok(options(startup).map(|options| (credentials, options)))
 }
 
 async fn check(
     node: &Arc<Node>,
     connection: &mut Connection,
-    verifier: &chicoryhollow_config::Verifier,
+    verifier: &Verifier,
 ) -> Result<bool, WireError> {
     if node.settings.limits.cleartext_keys {
         return scram::check_cleartext(connection, verifier).await;
@@ -176,17 +167,6 @@
     configuration.routes.get(route).is_some_and(|route| route.open_account.is_some())
 }
 
-/// Tells whether operators have taken out this VM's data centre.
-pub(super) fn is_out(node: &Node, configuration: &Configuration) -> bool {
-    let found = configuration.data_centres.get(&node.settings.data_centre);
-    found.is_some_and(|found| found.service == Service::Out)
-}
-
-/// Tells whether `account` may use `route`.
-pub(super) fn may_use(route: &Route, account: &AccountId) -> bool {
-    route.open_account.is_some() || route.accounts.contains(account)
-}
-
 /// Reads the options, given as parameters of their own or as `-c NAME=VALUE`.
 fn options(startup: &Startup) -> Result<Options, Refusal> {
     let text = startup.parameters.get("options").map_or("", String::as_str);
@@ -210,7 +190,7 @@
     node: &Arc<Node>,
     mut connection: Connection,
     startup: &Startup,
-    identity: Identity,
+    credentials: Credentials,
     options: Options,
 ) -> Result<Caller, WireError> {
     connection.set_limit(node.settings.limits.message_bytes);
@@ -237,7 +217,7 @@
     connection.queue_message(&BackendKeyData::new(ticket.process, ticket.secret.clone()));
     connection.send(&ReadyForQuery::new(TransactionStatus::Idle)).await?;
     let Options { token, timeout } = options;
-    Ok(Caller { connection, identity, token, timeout, ticket })
+    Ok(Caller { connection, credentials, token, timeout, ticket })
 }
 
 /// Tells a caller of a later minor version what this proxy speaks.
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chicoryhollow_config::configuration::{Route, Versioned};
+use chicoryhollow_config::{
+    Configuration,
+    configuration::{Route, Versioned},
+};
 use chicoryhollow_core::prelude::*;
 use pgwire::messages::{
     response::{ReadyForQuery, TransactionStatus},
@@ -15,7 +18,7 @@
 
 use super::{
     batch::{Effect, Gathered, Next},
-    handshake::{Caller, SESSION_PARAMETER, is_out, may_use, refuse},
+    handshake::{Caller, SESSION_PARAMETER, refuse},
     statements::Statements,
 };
 use crate::{
@@ -237,34 +240,32 @@
     fn review(&mut self) {
         let versioned = Arc::clone(&self.configurations.borrow_and_update());
         let configuration = &versioned.configuration;
-        let identity = &self.caller.identity;
-        if self.is_withdrawn(&versioned) {
-            return self.leave(Refusal::BadKey, Duration::ZERO);
-        }
-        let grace = Duration::from_millis(RETIREMENT_MS);
-        let route = configuration.routes.get(&identity.route);
-        let allowed = route.is_some_and(|route| may_use(route, &identity.account));
-        if !allowed || !configuration.accounts.contains_key(&identity.account) {
-            return self.leave(Refusal::Draining, grace);
-        }
-        if is_out(&self.node, configuration) {
-            let limit = Duration::from_millis(self.node.settings.limits.drain_ms);
-            return self.leave(Refusal::Draining, limit);
-        }
-        // What was taken out may be put back before the caller has left.
-        if !self.node.is_draining() {
-            self.leaving = None;
+        match self.standing(configuration) {
+            Ok(()) if !configuration.is_in_service(&self.node.settings.data_centre) => {
+                let limit = Duration::from_millis(self.node.settings.limits.drain_ms);
+                self.leave(Refusal::Draining, limit);
+            }
+            // What was taken out may be put back before the caller has left.
+            Ok(()) if !self.node.is_draining() => self.leaving = None,
+            Ok(()) => {}
+            Err(Refusal::Draining) => {
+                self.leave(Refusal::Draining, Duration::from_millis(RETIREMENT_MS));
+            }
+            Err(refusal) => self.leave(refusal, Duration::ZERO),
         }
     }
 
-    /// Tells whether the caller's key was withdrawn from an account that stays.
-    fn is_withdrawn(&self, versioned: &Versioned) -> bool {
-        let identity = &self.caller.identity;
-        let configuration = &versioned.configuration;
-        let Some(key) = &identity.key else { return false };
-        let held = configuration.keys.get(key);
-        let gone = held.is_none_or(|held| held.account != identity.account);
-        gone && configuration.accounts.contains_key(&identity.account)
+    /// Tells why the caller may no longer be served, if so.
+    ///
+    /// A withdrawn key ends at once. An account or a route that was retired is
+    /// told as [`Refusal::Draining`] and leaves time to end a transaction.
+    fn standing(&self, configuration: &Configuration) -> Result<(), Refusal> {
+        let credentials = &self.caller.credentials;
+        let kept = configuration.accounts.contains_key(&credentials.account);
+        configuration.check_standing(credentials).map_err(|refusal| match refusal {
+            Refusal::BadKey if kept => Refusal::BadKey,
+            _ => Refusal::Draining,
+        })
     }
 
     fn leave(&mut self, refusal: Refusal, grace: Duration) {
@@ -278,17 +279,10 @@
     /// Returns the route, unless the caller may no longer use it.
     pub(super) fn route(&self) -> Result<Route, Refusal> {
         let versioned = self.node.configuration();
-        let identity = &self.caller.identity;
-        if self.is_withdrawn(&versioned) {
-            return Err(Refusal::BadKey);
-        }
-        let route = versioned.configuration.routes.get(&identity.route);
-        let route = route.ok_or(Refusal::RouteUnknown)?;
-        if may_use(route, &identity.account) {
-            Ok(route.clone())
-        } else {
-            Err(Refusal::RouteDenied)
-        }
+        let credentials = &self.caller.credentials;
+        versioned.configuration.check_standing(credentials)?;
+        let route = versioned.configuration.routes.get(&credentials.route);
+        route.cloned().ok_or(Refusal::RouteUnknown)
     }
 
     /// Applies what the answered messages change.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,8 +11,15 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, entry::Entry, groups::Groups, home::Homes, members::Members, metrics::Metrics,
-    peers::Peers, shares::Shares,
+    clock::Clock,
+    configuration::{Following, is_stale},
+    entry::Entry,
+    groups::Groups,
+    home::Homes,
+    members::Members,
+    metrics::Metrics,
+    peers::Peers,
+    shares::Shares,
 };
 
 /// The shared state of one daemon.
@@ -29,6 +36,8 @@
     pub metrics: Metrics,
     /// Accepted configuration; version 0 means that none was received yet.
     pub configuration: watch::Sender<Arc<Versioned>>,
+    /// Follower of the configuration.
+    pub following: Following,
     /// Live VMs.
     pub members: Members,
     /// Views of the database groups.
@@ -57,6 +66,7 @@
             log,
             metrics: Metrics::new(),
             configuration: watch::Sender::new(Arc::default()),
+            following: Following::new(),
             groups: Groups::new(),
             homes: Homes::new(),
             peers: Peers::new(),
@@ -83,6 +93,15 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Tells whether the daemon takes new work: it has a configuration that is
+    /// fresh enough and has its data centre in service, and does not drain.
+    pub fn takes_work(&self) -> bool {
+        let versioned = self.configuration();
+        versioned.configuration.is_in_service(&self.settings.data_centre)
+            && !is_stale(self)
+            && !self.is_draining()
+    }
+
     /// Waits until the daemon drains.
     pub async fn drained(&self) {
         let notified = self.drain.notified();
