--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chicoryhollow_config::configuration::{Configuration, Route, Versioned};
+use chicoryhollow_config::{
+    Configuration,
+    configuration::{Route, Versioned},
+};
 use chicoryhollow_core::prelude::*;
 use pgwire::messages::{
     response::{ReadyForQuery, TransactionStatus},
@@ -19,7 +22,6 @@
     statements::Statements,
 };
 use crate::{
-    configuration::is_stale,
     node::Node,
     stream::{Prepare, Stream},
     wire::{Frame, WireError},
@@ -238,33 +240,32 @@
     fn review(&mut self) {
         let versioned = Arc::clone(&self.configurations.borrow_and_update());
         let configuration = &versioned.configuration;
-        match self.check_standing(configuration) {
+        match self.standing(configuration) {
+            Ok(()) if !configuration.is_in_service(&self.node.settings.data_centre) => {
+                let limit = Duration::from_millis(self.node.settings.limits.drain_ms);
+                self.leave(Refusal::Draining, limit);
+            }
+            // What was taken out may be put back before the caller has left.
+            Ok(()) if !self.node.is_draining() => self.leaving = None,
             Ok(()) => {}
-            Err(Refusal::BadKey) => return self.leave(Refusal::BadKey, Duration::ZERO),
-            Err(_) => {
-                return self.leave(Refusal::Draining, Duration::from_millis(RETIREMENT_MS));
+            Err(Refusal::Draining) => {
+                self.leave(Refusal::Draining, Duration::from_millis(RETIREMENT_MS));
             }
-        }
-        if !configuration.is_in_service(&self.node.settings.data_centre) {
-            let limit = Duration::from_millis(self.node.settings.limits.drain_ms);
-            return self.leave(Refusal::Draining, limit);
-        }
-        // What was taken out may be put back before the caller has left.
-        if !self.node.is_draining() {
-            self.leaving = None;
+            Err(refusal) => self.leave(refusal, Duration::ZERO),
         }
     }
 
-    /// Judges the caller's credentials; those of a retired account count as a
-    /// route that is closed to it, since its connections end in good order.
-    fn check_standing(&self, configuration: &Configuration) -> Result<(), Refusal> {
+    /// Tells why the caller may no longer be served, if so.
+    ///
+    /// A withdrawn key ends at once. An account or a route that was retired is
+    /// told as [`Refusal::Draining`] and leaves time to end a transaction.
+    fn standing(&self, configuration: &Configuration) -> Result<(), Refusal> {
         let credentials = &self.caller.credentials;
-        match configuration.check_standing(credentials) {
-            Err(Refusal::BadKey) if !configuration.accounts.contains_key(&credentials.account) => {
-                Err(Refusal::RouteDenied)
-            }
-            judged => judged,
-        }
+        let kept = configuration.accounts.contains_key(&credentials.account);
+        configuration.check_standing(credentials).map_err(|refusal| match refusal {
+            Refusal::BadKey if kept => Refusal::BadKey,
+            _ => Refusal::Draining,
+        })
     }
 
     fn leave(&mut self, refusal: Refusal, grace: Duration) {
@@ -277,12 +278,10 @@
 
     /// Returns the route, unless the caller may no longer use it.
     pub(super) fn route(&self) -> Result<Route, Refusal> {
-        if is_stale(&self.node) {
-            return Err(Refusal::NotReady);
-        }
         let versioned = self.node.configuration();
-        self.check_standing(&versioned.configuration)?;
-        let route = versioned.configuration.routes.get(&self.caller.credentials.route);
+        let credentials = &self.caller.credentials;
+        versioned.configuration.check_standing(credentials)?;
+        let route = versioned.configuration.routes.get(&credentials.route);
         route.cloned().ok_or(Refusal::RouteUnknown)
     }
 
