Rank the home of a server once for each list of VMs

Cause: each request searched all groups for its server and ranked all VMs of the data centre; both costs grow with the fleet (17,000 groups, 145 VMs). Change: the request names its group, and homes are kept until the list of VMs changes. /status tells what each home is busy with. Conclusion: the cost of a request no longer grows with the fleet.

--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -53,5 +53,6 @@
         "data_centre": node.settings.data_centre,
         "version": node.configuration().version,
         "state": state,
+        "homes": node.homes.report(),
     }))
 }
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -92,11 +92,34 @@
         Some(tracker)
     }
 
+    /// Describes the servers that this VM is in charge of.
+    pub(crate) fn report(&self) -> Vec<HomeReport> {
+        let homes = self.homes.lock().expect("no thread panics with this lock");
+        let report = |home: &Arc<Home>| {
+            let (waiting, running, connections) = home.schedule.counts();
+            HomeReport { server: home.server.clone(), waiting, running, connections }
+        };
+        homes.values().map(report).collect()
+    }
+
     fn forget(&self, server: &ServerId) {
         self.homes.lock().expect("no thread panics with this lock").remove(server);
     }
 }
 
+/// What a home is busy with.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub(crate) struct HomeReport {
+    /// The backend server.
+    server: ServerId,
+    /// Statements that wait for a slot.
+    waiting: usize,
+    /// Statements that run.
+    running: u32,
+    /// Open connections.
+    connections: u32,
+}
+
 /// Returns the group and description of a configured server.
 pub fn find_server(versioned: &Versioned, server: &ServerId) -> Option<(GroupId, Server)> {
     let groups = &versioned.configuration.groups;
@@ -153,12 +176,13 @@
 async fn tend(node: Arc<Node>, home: Weak<Home>) {
     while let Some(home) = home.upgrade() {
         let versioned = node.configuration();
-        let found = find_server(&versioned, &home.server).map(|(_, found)| found);
+        let group = versioned.configuration.groups.get(&home.group);
+        let found = group.and_then(|group| group.servers.get(&home.server)).cloned();
         match found.filter(|found| node.settings.dial(found.address) == home.address) {
             Some(found) => {
                 home.note_service(node.clock.now(), service(&versioned, &found));
                 home.schedule.set_limits(found.slots, found.connections);
-                let elsewhere = node.members.home(&versioned, &home.server);
+                let elsewhere = node.members.home(&found.data_centre, &home.server);
                 home.schedule.tend(elsewhere.as_ref() != Some(&node.settings.vm));
             }
             None => {
--- a/crates/proxy/src/members.rs
+++ b/crates/proxy/src/members.rs
@@ -1,8 +1,10 @@
 //! Live VMs and the roles that follow from them.
 
-use std::sync::{Arc, RwLock};
+use std::{
+    collections::HashMap,
+    sync::{Arc, RwLock},
+};
 
-use chicoryhollow_config::configuration::Versioned;
 use chicoryhollow_core::{prelude::*, rank::rank};
 use chicoryhollow_platform::{Vm, VmState};
 
@@ -13,17 +15,22 @@
 pub struct Members {
     data_centre: DataCentreId,
     listed: RwLock<Arc<Vec<Vm>>>,
+    /// Homes of servers under the present list; ranking costs time with every
+    /// VM of a data centre, and each request needs a home.
+    homes: RwLock<HashMap<ServerId, VmId>>,
 }
 
 impl Members {
     /// Makes an empty list as seen from `data_centre`.
     pub fn new(data_centre: DataCentreId) -> Self {
-        Members { data_centre, listed: RwLock::default() }
+        Members { data_centre, listed: RwLock::default(), homes: RwLock::default() }
     }
 
     /// Replaces the list.
     pub fn replace(&self, vms: Vec<Vm>) {
         *self.listed.write().expect("no thread panics with this lock") = Arc::new(vms);
+        // Cleared after the list, so that no home of the old list stays behind.
+        self.homes.write().expect("no thread panics with this lock").clear();
     }
 
     /// Returns the list.
@@ -41,19 +48,29 @@
         &self.data_centre
     }
 
-    /// Returns the VM in charge of `server`: the first by rank among the live
-    /// VMs of the server's data centre, or among all live VMs when it has none.
-    pub fn home(&self, configuration: &Versioned, server: &ServerId) -> Option<VmId> {
-        let groups = configuration.configuration.groups.values();
-        let found = groups.into_iter().find_map(|group| group.servers.get(server))?;
+    /// Returns the VM in charge of `server` in `data_centre`: the first by rank
+    /// among the live VMs there, or among all live VMs when it has none.
+    pub fn home(&self, data_centre: &DataCentreId, server: &ServerId) -> Option<VmId> {
+        let known = self.homes.read().expect("no thread panics with this lock");
+        if let Some(home) = known.get(server) {
+            return Some(home.clone());
+        }
+        drop(known);
+        // The lock is taken before the list is read, so that a newer list
+        // clears what an older one leaves here.
+        let mut homes = self.homes.write().expect("no thread panics with this lock");
+        let home = self.rank_home(data_centre, server)?;
+        homes.insert(server.clone(), home.clone());
+        Some(home)
+    }
+
+    fn rank_home(&self, data_centre: &DataCentreId, server: &ServerId) -> Option<VmId> {
         let listed = self.listed();
         let live = || listed.iter().filter(|vm| vm.state == VmState::Live);
-        let near: Vec<&str> = live()
-            .filter(|vm| vm.data_centre == found.data_centre)
-            .map(|vm| vm.vm.as_str())
-            .collect();
-        let all: Vec<&str> = live().map(|vm| vm.vm.as_str()).collect();
-        let candidates = if near.is_empty() { all } else { near };
+        let near: Vec<&str> =
+            live().filter(|vm| vm.data_centre == *data_centre).map(|vm| vm.vm.as_str()).collect();
+        let all = || live().map(|vm| vm.vm.as_str()).collect();
+        let candidates = if near.is_empty() { all() } else { near };
         let first = rank(&format!("home/{server}"), candidates, 1);
         first.first().and_then(|name| VmId::new(name).ok())
     }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -111,8 +111,7 @@
     /// Returns the refusal when the home cannot be reached or does not take
     /// the stream; nothing has run then.
     pub async fn open(node: &Arc<Node>, request: OpenRequest) -> Result<Stream, Refused> {
-        let home = node.members.home(&node.configuration(), &request.server);
-        let home = home.ok_or(Refusal::HomeUnreachable)?;
+        let home = find_home(node, &request).ok_or(Refusal::HomeUnreachable)?;
         if home == node.settings.vm {
             node.metrics.streams.with_label_values(&["local"]).inc();
             return LocalStream::open(node, request).await.map(Box::new).map(Stream::Local);
@@ -164,3 +163,11 @@
 pub(crate) fn position_of(position: message::Position) -> Position {
     Position::new(Term::new(position.term), Lsn::new(position.lsn))
 }
+
+/// Returns the VM in charge of the requested server.
+fn find_home(node: &Node, request: &OpenRequest) -> Option<VmId> {
+    let versioned = node.configuration();
+    let group = versioned.configuration.groups.get(&request.group)?;
+    let server = group.servers.get(&request.server)?;
+    node.members.home(&server.data_centre, &request.server)
+}
