Watch database groups and pass their views on by subscription

Cause: every daemon polled every server and nobody ordered a promotion. Change: the watchers of a group drive the decisions of core over control connections; other daemons subscribe to two of them. Links that carry control messages have heartbeats, so that a silent one is replaced. Not measured yet.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -8,7 +8,7 @@
 use chicoryhollow_config::{Settings, configuration::Versioned};
 use chicoryhollow_core::prelude::*;
 use slog::Logger;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{self, Notify};
 
 use crate::{
     clock::Clock,
@@ -20,6 +20,7 @@
     metrics::Metrics,
     peers::Peers,
     shares::Shares,
+    watch::Watches,
 };
 
 /// The shared state of one daemon.
@@ -35,7 +36,7 @@
     /// Counters and gauges.
     pub metrics: Metrics,
     /// Accepted configuration; version 0 means that none was received yet.
-    pub configuration: watch::Sender<Arc<Versioned>>,
+    pub configuration: sync::watch::Sender<Arc<Versioned>>,
     /// Follower of the configuration.
     pub following: Following,
     /// Live VMs.
@@ -50,6 +51,8 @@
     pub entry: Entry,
     /// Admission by rate.
     pub shares: Shares,
+    /// Database groups that this VM watches.
+    pub watches: Watches,
     /// Whether the daemon drains.
     draining: AtomicBool,
     drain: Notify,
@@ -65,13 +68,14 @@
             clock: Clock::new(),
             log,
             metrics: Metrics::new(),
-            configuration: watch::Sender::new(Arc::default()),
+            configuration: sync::watch::Sender::new(Arc::default()),
             following: Following::new(),
             groups: Groups::new(),
             homes: Homes::new(),
             peers: Peers::new(),
             entry: Entry::new(),
             shares: Shares::new(),
+            watches: Watches::new(),
             draining: AtomicBool::new(false),
             drain: Notify::new(),
         })
--- a/crates/proxy/src/peers/dispatch.rs
+++ b/crates/proxy/src/peers/dispatch.rs
@@ -40,6 +40,11 @@
         self.outgoing.try_send(Envelope::new(body)).is_ok()
     }
 
+    /// Tells whether both send on the same connection.
+    pub fn is_same(&self, other: &Reply) -> bool {
+        self.outgoing.same_channel(&other.outgoing)
+    }
+
     /// Tells whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.outgoing.is_closed()
--- a/crates/proxy/src/peers/link.rs
+++ b/crates/proxy/src/peers/link.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     io,
-    sync::{Arc, Mutex, MutexGuard, OnceLock},
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -55,6 +58,8 @@
     streams: Mutex<Streams>,
     /// The daemon at the other end, once it introduced itself.
     incarnation: OnceLock<Incarnation>,
+    /// Whether control messages were sent, so that a silent link is replaced.
+    controlled: AtomicBool,
 }
 
 /// Receivers of the messages of streams; none once the link has ended.
@@ -65,7 +70,8 @@
     pub(crate) fn dial(node: &Arc<Node>, vm: Vm) -> Arc<Self> {
         let (outgoing, queue) = mpsc::channel(QUEUE_MESSAGES);
         let streams = Mutex::new(Some(HashMap::new()));
-        let link = Arc::new(Link { outgoing, streams, incarnation: OnceLock::new() });
+        let (incarnation, controlled) = (OnceLock::new(), AtomicBool::new(false));
+        let link = Arc::new(Link { outgoing, streams, incarnation, controlled });
         tokio::spawn(run(Arc::clone(node), Arc::clone(&link), vm, queue));
         link
     }
@@ -96,6 +102,7 @@
 
     /// Sends a message unless the queue is full or closed.
     pub fn try_send(&self, body: Body) -> bool {
+        self.controlled.store(true, Ordering::Relaxed);
         self.outgoing.try_send(Envelope::new(body)).is_ok()
     }
 
@@ -121,7 +128,8 @@
     }
 
     fn is_used(&self) -> bool {
-        self.lock().as_ref().is_some_and(|streams| !streams.is_empty())
+        let streaming = self.lock().as_ref().is_some_and(|streams| !streams.is_empty());
+        streaming || self.controlled.load(Ordering::Relaxed)
     }
 
     fn receive(&self, node: &Arc<Node>, peer: &Peer, body: Body) {
@@ -209,7 +217,7 @@
                     let version = node.configuration().version;
                     let ping = Ping { number, leaving: node.is_draining(), version };
                     // A full queue is written to the peer as fast as it reads.
-                    link.try_send(Body::Ping(ping));
+                    drop(link.outgoing.try_send(Envelope::new(Body::Ping(ping))));
                 }
             }
         }
