--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
   [`average`]s of what passing answers show.
 * [`retry`] says whether a refused request is tried again, and when.
 * [`watch`] detects the failure of a primary and promotes another server.
+* [`share`] splits the rate and burst of an account over all VMs.
 * [`pace`] spaces periodic control messages within a budget.
 * [`queue`] divides the slots of a backend server fairly between accounts.
 * [`pool`] sizes the set of connections to a backend server, and [`prepared`]
@@ -58,6 +59,7 @@
 pub mod retry;
 pub mod route;
 pub mod session;
+pub mod share;
 pub mod time;
 pub mod view;
 pub mod watch;
--- a/crates/core/src/watch/status.rs
+++ b/crates/core/src/watch/status.rs
@@ -77,8 +77,19 @@
 
 impl ServerStatus {
     /// Returns the position that the server holds durably.
+    ///
+    /// A server that began to follow a term and has not yet received all that
+    /// came before it ranks with the term that its log reaches. Otherwise it
+    /// would outrank a server that holds acknowledged writes of that term.
     pub fn position(&self) -> Position {
-        Position::new(self.term, self.received)
+        let begun = |start: &&TermStart| start.lsn > self.received;
+        let missing = self.history.iter().find(begun).map(|start| start.term);
+        let reached = self.history.iter().rev().find(|start| start.lsn <= self.received);
+        let term = match missing {
+            Some(_) => reached.map_or(Term::default(), |start| start.term),
+            None => self.term,
+        };
+        Position::new(term, self.received)
     }
 
     /// Returns the highest term that the server has seen.
