--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -31,12 +31,12 @@
 ) -> Result<Answer, Failure> {
     let next = load(&apply.directory)?;
     let base = base(platform, timeout).await?;
-    check_base(platform, apply, base.as_ref(), timeout).await?;
     let present = base.as_ref().map(|base| base.configuration.clone()).unwrap_or_default();
     let difference = Difference::new(&present, &next);
     let version = match &base {
         Some(base) if difference.is_empty() => base.row.version,
         _ => {
+            check_base(platform, apply, base.as_ref(), timeout).await?;
             check_change(&present, &next)?;
             attempt(platform, base.as_ref(), &next, timeout).await?
         }
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -73,6 +73,25 @@
     assert_eq!(answer.json["version"], 3);
 }
 
+#[actix_web::test]
+async fn an_unknown_outcome_is_settled_by_applying_again() {
+    let platform = MemoryPlatform::default();
+    let directory = Directory::new(&data_centres(&["a"]));
+    run(&platform, &directory, None).await.expect("published");
+    directory.write(&data_centres(&["a", "b"]));
+    platform.lose_answers_from_now_on();
+    let apply = Apply { directory: directory.path().to_owned(), base: None, wait: None };
+    let failure = apply::run(&platform, &apply, Duration::from_millis(300)).await;
+    let failure = failure.expect_err("no answer");
+    assert_eq!(failure.code, Code::Unavailable);
+    assert!(failure.message.contains("outcome unknown"), "{}", failure.message);
+    platform.set_down(false);
+    for base in [None, Some(1)] {
+        let answer = run(&platform, &directory, base).await.expect("it was published");
+        assert_eq!(answer.text, "no difference: version 2 already has this content");
+    }
+}
+
 #[actix_web::test]
 async fn nothing_is_published_when_one_file_is_wrong() {
     let platform = MemoryPlatform::default();
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -22,6 +22,8 @@
     Lost,
     /// It takes effect and the answer gets lost.
     AnswerLost,
+    /// It takes effect, the answer gets lost, and the platform goes down.
+    AnswerLostForGood,
 }
 
 /// A platform in memory whose writes to the row meet the given fates.
@@ -51,6 +53,11 @@
         *self.down.borrow_mut() = down;
     }
 
+    /// Lets the next write take effect, and answers nothing from then on.
+    pub(crate) fn lose_answers_from_now_on(&self) {
+        self.fates.borrow_mut().push_back(Fate::AnswerLostForGood);
+    }
+
     pub(crate) fn version(&self, key: &str) -> u64 {
         self.rows.borrow().get(key).map_or(0, |row| row.version)
     }
@@ -93,7 +100,8 @@
             return Err(unavailable());
         }
         let swap = self.write(key, expect, value);
-        if fate == Fate::AnswerLost { Err(unavailable()) } else { Ok(swap) }
+        self.down.replace(fate == Fate::AnswerLostForGood);
+        if fate == Fate::Answered { Ok(swap) } else { Err(unavailable()) }
     }
 
     async fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
