Change a group's servers only when the last version is in force

Cause: two changes of one group within seconds leave a VM two versions behind, whose majority need not overlap with the newest one. Change: apply asks every listed VM and refuses while one is behind the version in force; the decision of the reader is split by who is spoken to. Conclusion: neighbouring memberships only, but for VMs that are not listed.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -49,6 +49,17 @@
     problems
 }
 
+/// Lists the groups of both configurations whose servers are not the same.
+pub fn regrouped(old: &Configuration, new: &Configuration) -> Vec<GroupId> {
+    let same = |a: &Group, b: &Group| {
+        a.servers.len() == b.servers.len() && a.servers.keys().all(|s| b.servers.contains_key(s))
+    };
+    let changed = |(name, group): &(&GroupId, &Group)| {
+        old.groups.get(*name).is_some_and(|before| !same(before, group))
+    };
+    new.groups.iter().filter(changed).map(|(name, _)| name.clone()).collect()
+}
+
 fn membership_change(name: &GroupId, before: &Group, after: &Group) -> Option<ChangeProblem> {
     let missing = |from: &Group, other: &Group| {
         from.servers.keys().filter(|server| !other.servers.contains_key(*server)).count()
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -8,6 +8,8 @@
 mod log;
 mod offer;
 mod place;
+mod relay;
+mod source;
 
 use std::{sync::Arc, time::Duration};
 
@@ -231,118 +233,6 @@
         actions.push(Action::Ask(vm, version));
     }
 
-    /// Takes in the platform's row.
-    pub fn row(&mut self, row: Option<publish::Versioned>, now: Time) -> Vec<Action> {
-        let read = self.row_read.unwrap_or(now);
-        self.row_answered = Some(now);
-        let Some(row) = row else {
-            return Vec::new();
-        };
-        if row.version <= self.version() {
-            self.confirm(read);
-            return self.settle(now).into_iter().collect();
-        }
-        self.target = Some(Target { row, read });
-        self.fetch(now).into_iter().collect()
-    }
-
-    /// Chooses the object that leads from the version held towards the row's.
-    fn fetch(&mut self, now: Time) -> Option<Action> {
-        if self.fetch.as_ref().is_some_and(|(_, at)| now.since(*at) < FETCH_TIMEOUT) {
-            return None;
-        }
-        let target = self.target.as_ref().filter(|target| target.row.version > self.version())?;
-        let delta = self.next_delta(&target.row).map(|(_, name)| name);
-        let name = delta.unwrap_or_else(|| target.row.value.hash.object());
-        self.fetch = Some((name.clone(), now));
-        Some(Action::ReadObject(name))
-    }
-
-    /// Finds the difference from the version held to the one that follows it.
-    fn next_delta(&self, row: &publish::Versioned) -> Option<(publish::Past, String)> {
-        let held = self.held.as_ref().filter(|_| !self.whole && !self.missing)?;
-        row.at(held.versioned.version).filter(|past| past.hash == held.hash)?;
-        let next = row.at(held.versioned.version + 1)?;
-        Some((next, held.hash.delta_object(&next.hash)))
-    }
-
-    /// Takes in an object of the platform; `None` when it could not be read.
-    pub fn object(&mut self, name: &str, bytes: Option<Vec<u8>>, now: Time) -> Vec<Action> {
-        if self.fetch.as_ref().is_none_or(|(fetched, _)| fetched != name) {
-            return Vec::new();
-        }
-        self.fetch = None;
-        let Some(Target { row, read }) = self.target.clone() else {
-            return Vec::new();
-        };
-        let Some(json) = bytes else {
-            self.missing = true;
-            return Vec::new();
-        };
-        let offer = match self.next_delta(&row).filter(|(_, delta)| delta == name) {
-            Some((next, _)) => Offer::new(next.version, next.hash, json).with_base(self.version()),
-            None if name == row.value.hash.object() => {
-                Offer::new(row.version, row.value.hash, json)
-            }
-            None => return Vec::new(),
-        };
-        let mut actions = self.accept(&offer, now).unwrap_or_default();
-        if self.version() == row.version {
-            self.confirm(read);
-        }
-        actions.extend(self.fetch(now));
-        actions
-    }
-
-    /// Takes in the ask of another VM for a version newer than `version`.
-    pub fn asked(&mut self, from: VmId, version: u64, now: Time) -> Vec<Action> {
-        let Some(held) = &self.held else {
-            return Vec::new();
-        };
-        let present = held.versioned.version;
-        let mut actions = Vec::new();
-        if version > present && !self.asked.contains_key(&from) {
-            self.ask(from.clone(), now, &mut actions);
-        }
-        actions.push(Action::Send(from.clone(), self.offer(version, now)));
-        if self.children.len() < MAX_CHILDREN || self.children.contains_key(&from) {
-            let child = Child { version: version.max(present), until: now + CHILD_LEASE };
-            self.children.insert(from, child);
-        }
-        actions
-    }
-
-    /// Takes in an offer of another VM.
-    ///
-    /// # Errors
-    ///
-    /// Returns why an offer of a newer version was not accepted.
-    pub fn offered(
-        &mut self,
-        from: &VmId,
-        offer: &Offer,
-        now: Time,
-    ) -> Result<Vec<Action>, OfferError> {
-        let asked = self.asked.swap_remove(from);
-        if Some(from) == self.place.parent() || self.asked.is_empty() {
-            self.misses = 0;
-            self.asked.clear();
-        }
-        let actions = if offer.version() > self.version() {
-            self.accept(offer, now)?
-        } else {
-            self.settle(now).into_iter().collect()
-        };
-        // The age was measured when the answer was sent, which was not before
-        // the oldest ask that it may belong to.
-        if let (Some(asked), Some(age)) = (asked, offer.age())
-            && offer.version() >= self.version()
-        {
-            self.confirm_before(asked, age);
-        }
-        Ok(actions)
-    }
-
     fn accept(&mut self, offer: &Offer, now: Time) -> Result<Vec<Action>, OfferError> {
         if offer.version() <= self.version() {
             return Ok(Vec::new());
@@ -413,53 +303,7 @@
         })
     }
 
-    /// Offers the version held to the VMs that have asked and are behind it.
-    fn pass_on(&mut self, now: Time) -> Vec<Action> {
-        let version = self.version();
-        let behind: Vec<_> = self
-            .children
-            .iter()
-            .filter(|(_, child)| child.version < version && child.until > now)
-            .map(|(vm, child)| (vm.clone(), child.version))
-            .collect();
-        let mut offers = IndexMap::new();
-        let mut actions = Vec::new();
-        for (vm, base) in behind {
-            let offer = offers.entry(base).or_insert_with(|| self.offer(base, now));
-            actions.push(Action::Send(vm, offer.clone()));
-        }
-        self.children.values_mut().for_each(|child| child.version = version);
-        actions
-    }
-
-    /// Makes the offer for a VM that holds `version`.
-    fn offer(&self, version: u64, now: Time) -> Offer {
-        let held = self.held.as_ref().expect("only a VM with a configuration makes offers");
-        let present = held.versioned.version;
-        let age = self.age(now);
-        if version >= present {
-            return Offer::new(present, held.hash, Vec::new()).with_base(present).with_age(age);
-        }
-        let json = |value: Result<Vec<u8>, _>| value.expect("a configuration is always JSON");
-        let offer = match self.log.since(version) {
-            Some(delta) => {
-                let json = json(serde_json::to_vec(&delta));
-                Offer::new(present, held.hash, json).with_base(version)
-            }
-            None => {
-                let json = json(serde_json::to_vec(&held.versioned.configuration));
-                Offer::new(present, held.hash, json)
-            }
-        };
-        offer.with_age(age)
-    }
-
     fn confirm(&mut self, at: Time) {
         self.confirmed = self.confirmed.max(Some(at));
     }
-
-    fn confirm_before(&mut self, asked: Time, age: Duration) {
-        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        self.confirm(Time::from_micros(asked.as_micros().saturating_sub(age)));
-    }
 }
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -2,7 +2,7 @@
 
 use chicoryhollow_config::{
     Configuration, Settings, Text,
-    schema::{paths, settings::SETTINGS},
+    schema::{configuration::CONFIGURATION, paths, settings::SETTINGS},
 };
 
 const SITES: &str = r#"{
@@ -234,6 +234,40 @@
     assert_eq!(fields, listed);
 }
 
+#[test]
+fn the_schema_lists_exactly_the_fields_of_the_configuration() {
+    let mut configuration =
+        parse(&[("a.jsonc", SITES), ("b.jsonc", ACCOUNTS)]).expect("valid files");
+    configuration.routes[0].open_account = Some("press-line".parse().expect("a name"));
+    configuration.routes[0].max_age_ms = Some(1);
+    let json = serde_json::to_value(configuration).expect("a configuration is JSON");
+    let named = ["data_centres", "groups", "servers", "accounts", "keys", "routes"];
+    let mut fields = std::collections::BTreeSet::new();
+    collect(&json, "", &named, &mut fields);
+    assert_eq!(fields, paths(CONFIGURATION).into_iter().collect());
+}
+
+/// Collects the paths of all fields, with `*` for the names in a section.
+fn collect(
+    json: &serde_json::Value,
+    path: &str,
+    named: &[&str],
+    fields: &mut std::collections::BTreeSet<String>,
+) {
+    let Some(object) = json.as_object() else {
+        fields.insert(path.to_owned());
+        return;
+    };
+    let section = path.rsplit('.').next().unwrap_or_default();
+    // `accounts` is a section at the top and a list in a route.
+    let is_section = named.contains(&section) && !path.ends_with('*');
+    for (name, value) in object {
+        let step = if is_section { "*" } else { name };
+        let inner = if path.is_empty() { step.to_owned() } else { format!("{path}.{step}") };
+        collect(value, &inner, named, fields);
+    }
+}
+
 #[test]
 fn arbitrary_bytes_are_parsed_or_refused() {
     bolero::check!().for_each(|bytes: &[u8]| {
--- a/crates/config/tests/reader.rs
+++ b/crates/config/tests/reader.rs
@@ -344,6 +344,30 @@
     assert!((120..=200).contains(&fleet.row_reads), "{} reads in 20 s", fleet.row_reads);
 }
 
+#[test]
+fn arbitrary_offers_change_nothing_or_fit() {
+    let hash = ContentHash::new(&Configuration::default());
+    let vm: VmId = "b".parse().expect("a valid name");
+    let offers = bolero::check!().with_type::<(u8, Option<u8>, bool, Vec<u8>)>();
+    offers.for_each(|(version, base, right, json)| {
+        let now = Time::default();
+        let own = "a".parse().expect("a valid name");
+        let mut state = ConfigurationState::new(own, "d".parse().expect("a valid name"), now);
+        state.offered(&vm, &Offer::new(3, hash, "{}"), now).expect("a whole configuration");
+        let other = ContentHash::from_bytes(&[7; 32]).expect("32 bytes");
+        let named = if *right { hash } else { other };
+        let offer = Offer::new(u64::from(*version), named, json.clone());
+        let offer = match base {
+            Some(base) => offer.with_base(u64::from(*base)),
+            None => offer,
+        };
+        match state.offered(&vm, &offer, now) {
+            Ok(_) => assert!(state.version() == 3 || *right),
+            Err(_) => assert_eq!(state.version(), 3),
+        }
+    });
+}
+
 #[test]
 fn offers_that_do_not_fit_are_refused() {
     let hash = ContentHash::new(&Configuration::default());
--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use chicoryhollow_config::{
-    Configuration, ContentHash, Difference, change::forbidden_changes, publish::ApplyId,
+    Configuration, ContentHash, Difference,
+    change::{forbidden_changes, regrouped},
+    publish::ApplyId,
 };
 use chicoryhollow_platform::Platform;
 use rand::RngExt;
@@ -38,6 +40,7 @@
         _ => {
             check_base(platform, apply, base.as_ref(), timeout).await?;
             check_change(&present, &next)?;
+            check_reach(platform, base.as_ref(), &next, timeout).await?;
             attempt(platform, base.as_ref(), &next, timeout).await?
         }
     };
@@ -118,6 +121,41 @@
     Err(Failure::new(Code::Refused, lines.join("\n")).with_details(details))
 }
 
+/// Checks that no VM is two versions behind a group's servers.
+///
+/// Majorities overlap between neighbouring memberships only, so that the last
+/// change has to be in force everywhere before the next one.
+async fn check_reach(
+    platform: &impl Platform,
+    base: Option<&Base>,
+    next: &Configuration,
+    timeout: Duration,
+) -> Result<(), Failure> {
+    let Some(base) = base else { return Ok(()) };
+    let groups = regrouped(&base.configuration, next);
+    if groups.is_empty() {
+        return Ok(());
+    }
+    let version = base.row.version;
+    let behind = status::behind(platform, version, timeout).await?;
+    if behind.is_empty() {
+        return Ok(());
+    }
+    let names: Vec<_> = behind.iter().map(|vm| vm.vm.as_str()).collect();
+    let lines: Vec<_> = groups
+        .iter()
+        .map(|group| {
+            format!(
+                "groups.{group}.servers: version {version} is not in force on {}; \
+                 wait until `chicoryctl status` shows it everywhere, or stop these VMs",
+                names.join(", ")
+            )
+        })
+        .collect();
+    let details = json!({ "version": version, "groups": groups, "behind": behind });
+    Err(Failure::new(Code::Refused, lines.join("\n")).with_details(details))
+}
+
 async fn attempt(
     platform: &impl Platform,
     base: Option<&Base>,
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -107,6 +107,26 @@
     }
 }
 
+/// Lists the VMs that are not known to have at least `version` in force.
+///
+/// A leaving VM that does not answer counts as gone.
+///
+/// # Errors
+///
+/// Returns a failure when the platform's list of VMs cannot be read.
+pub async fn behind(
+    platform: &impl Platform,
+    version: u64,
+    timeout: Duration,
+) -> Result<Vec<VmReport>, Failure> {
+    let mut vms = survey(platform, timeout).await?;
+    vms.retain(|vm| match vm.version {
+        Some(held) => held < version,
+        None => vm.state == VmState::Live,
+    });
+    Ok(vms)
+}
+
 /// Asks all VMs of the platform's list.
 async fn survey(platform: &impl Platform, timeout: Duration) -> Result<Vec<VmReport>, Failure> {
     let vms = request::repeat(timeout, || platform.vms()).await?;
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -141,6 +141,39 @@
     assert_eq!(failure.code, Code::Unavailable);
 }
 
+#[actix_web::test]
+async fn a_group_changes_only_when_its_last_change_is_in_force() {
+    let server = |number: u16| {
+        format!(
+            "\"s{number}\": {{ \"address\": \"10.0.0.1:{number}\", \"data_centre\": \"a\", \
+             \"slots\": 1, \"connections\": 1 }}"
+        )
+    };
+    let files = |count: u16| {
+        let servers: Vec<_> = (1..=count).map(server).collect();
+        format!(
+            "{{ \"data_centres\": {{ \"a\": {{}} }}, \"groups\": {{ \"g\": {{ \"servers\": {{ {} }} }} }} }}",
+            servers.join(", ")
+        )
+    };
+    let nobody = "127.0.0.1:1".parse().expect("an address");
+    let cases = [
+        ("in force", serve_status(1), VmState::Live, None),
+        ("behind", serve_status(0), VmState::Live, Some(Code::Refused)),
+        ("leaving and behind", serve_status(0), VmState::Leaving, Some(Code::Refused)),
+        ("no answer", nobody, VmState::Live, Some(Code::Refused)),
+        ("gone", nobody, VmState::Leaving, None),
+    ];
+    for (case, admin, state, expected) in cases {
+        let platform = MemoryPlatform::with_vms(vec![vm("vm-1", admin, state)]);
+        let directory = Directory::new(&files(3));
+        run(&platform, &directory, None).await.expect("published");
+        directory.write(&files(4));
+        let result = run(&platform, &directory, None).await;
+        assert_eq!(result.err().map(|failure| failure.code), expected, "{case}");
+    }
+}
+
 /// Serves `/status` with a fixed version and returns the address.
 fn serve_status(version: u64) -> std::net::SocketAddr {
     let body = format!("{{ \"vm\": \"x\", \"version\": {version}, \"more\": [] }}");
