--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use std::{ffi::OsString, path::PathBuf, time::Duration};
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, time::Duration};
 
 use chicoryhollow_core::{AccountId, KeyName};
 use pico_args::Arguments as Raw;
@@ -23,6 +23,8 @@
   --wait SECONDS     after apply, wait until every live VM has the version
   --timeout SECONDS  longest time to try while the platform does not answer
                      [default: 30]
+  --via IP:PORT      status: take the list of VMs from the administration
+                     address of one of them, as when the platform is down
   --json             print JSON
   --help             print this text
   --version          print the version
@@ -69,8 +71,9 @@
     Diff(PathBuf),
     /// Publish a directory.
     Apply(Apply),
-    /// Show where which version is in force.
-    Status,
+    /// Show where which version is in force, by the list of the platform or
+    /// of the VM with this administration address.
+    Status(Option<SocketAddr>),
     /// Make a key.
     NewKey(KeyName, AccountId),
 }
@@ -110,8 +113,7 @@
         if let Some(extra) = rest.first() {
             return Err(UsageError::Extra(extra.to_string_lossy().into_owned()));
         }
-        let remote = !matches!(command, Command::Check(_) | Command::NewKey(..));
-        if remote && platform.is_none() {
+        if needs_platform(&command) && platform.is_none() {
             return Err(UsageError::NoPlatform);
         }
         let platform = platform.unwrap_or_default().trim_end_matches('/').to_owned();
@@ -119,6 +121,13 @@
     }
 }
 
+fn needs_platform(command: &Command) -> bool {
+    match command {
+        Command::Check(_) | Command::NewKey(..) | Command::Status(Some(_)) => false,
+        Command::Diff(_) | Command::Apply(_) | Command::Status(None) => true,
+    }
+}
+
 fn command(raw: &mut Raw) -> Result<Command, UsageError> {
     let name = raw.subcommand()?.ok_or(UsageError::NoCommand)?;
     match name.as_str() {
@@ -129,7 +138,7 @@
             let wait = seconds(raw, "--wait")?;
             Ok(Command::Apply(Apply { directory: directory(raw)?, base, wait }))
         }
-        "status" => Ok(Command::Status),
+        "status" => Ok(Command::Status(raw.opt_value_from_str("--via")?)),
         "key" => match raw.subcommand()?.as_deref() {
             Some("new") => Ok(Command::NewKey(raw.free_from_str()?, raw.free_from_str()?)),
             _ => Err(UsageError::Unknown("key".to_owned())),
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -23,7 +23,8 @@
         Command::Check(directory) => check::run(directory),
         Command::Diff(directory) => diff::run(platform, directory, arguments.timeout).await,
         Command::Apply(apply) => apply::run(platform, apply, arguments.timeout).await,
-        Command::Status => status::run(platform, arguments.timeout).await,
+        Command::Status(None) => status::run(platform, arguments.timeout).await,
+        Command::Status(Some(admin)) => status::run_via(*admin).await,
         Command::NewKey(name, account) => Ok(key::run(name, account)),
     }
 }
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -1,6 +1,6 @@
 //! `chicoryctl status`.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use actix_web::rt::time::{Instant, sleep};
 use awc::Client;
@@ -74,6 +74,29 @@
     Ok(Answer::new(text, json))
 }
 
+/// Shows where which version is in force, by the list of VMs that the one at
+/// `admin` has.
+///
+/// # Errors
+///
+/// Returns a failure when that VM does not answer.
+pub async fn run_via(admin: SocketAddr) -> Result<Answer, Failure> {
+    let failure = |error: String| Failure::new(Code::Unavailable, format!("{admin}: {error}"));
+    let client = Client::builder().timeout(STATUS_TIMEOUT).finish();
+    let request = client.get(format!("http://{admin}/vms"));
+    let mut answer = request.send().await.map_err(|error| failure(error.to_string()))?;
+    let vms: Vec<Vm> = answer.json().await.map_err(|error| failure(error.to_string()))?;
+    let vms = ask_all(vms).await;
+    let newest = vms.iter().filter_map(|vm| vm.version).max().unwrap_or(0);
+    let (reached, live) = reach(&vms, newest);
+    let text = format!(
+        "version {newest} is the newest on any VM, in force on {reached} of {live} live VMs\n{}",
+        table(&vms)
+    );
+    let json = json!({ "version": newest, "reached": reached, "live": live, "vms": vms });
+    Ok(Answer::new(text, json))
+}
+
 /// Waits until each live VM has `version` in force and adds to `answer` where
 /// it is.
 ///
@@ -130,11 +153,15 @@
 /// Asks all VMs of the platform's list.
 async fn survey(platform: &impl Platform, timeout: Duration) -> Result<Vec<VmReport>, Failure> {
     let vms = request::repeat(timeout, || platform.vms()).await?;
+    Ok(ask_all(vms).await)
+}
+
+async fn ask_all(vms: Vec<Vm>) -> Vec<VmReport> {
     let client = Client::builder().timeout(STATUS_TIMEOUT).finish();
     let asked = stream::iter(vms.into_iter().map(|vm| ask(&client, vm)));
     let mut reports: Vec<_> = asked.buffer_unordered(CONCURRENT).collect().await;
     reports.sort_by(|a, b| (&a.data_centre, &a.vm).cmp(&(&b.data_centre, &b.vm)));
-    Ok(reports)
+    reports
 }
 
 async fn ask(client: &Client, vm: Vm) -> VmReport {
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -174,6 +174,26 @@
     }
 }
 
+#[actix_web::test]
+async fn the_status_is_known_by_one_vm_while_the_platform_is_down() {
+    let other = serve_status(7);
+    let list = vec![vm("vm-1", other, VmState::Live), vm("vm-2", other, VmState::Leaving)];
+    let answer = move || {
+        let list = list.clone();
+        async { HttpResponse::Ok().json(list) }
+    };
+    let server = HttpServer::new(move || App::new().route("/vms", web::get().to(answer.clone())));
+    let server = server.workers(1).bind("127.0.0.1:0").expect("a free port");
+    let admin = server.addrs()[0];
+    actix_web::rt::spawn(server.run());
+    let shown = status::run_via(admin).await.expect("a status");
+    let expected = "version 7 is the newest on any VM, in force on 1 of 1 live VMs\n";
+    assert!(shown.text.starts_with(expected), "{}", shown.text);
+    let nobody = "127.0.0.1:1".parse().expect("an address");
+    let failure = status::run_via(nobody).await.expect_err("no answer");
+    assert_eq!(failure.code, Code::Unavailable);
+}
+
 /// Serves `/status` with a fixed version and returns the address.
 fn serve_status(version: u64) -> std::net::SocketAddr {
     let body = format!("{{ \"vm\": \"x\", \"version\": {version}, \"more\": [] }}");
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -11,7 +11,7 @@
 
 use crate::node::Node;
 
-/// Serves `/healthz`, `/readyz`, `/metrics` and `/status`.
+/// Serves `/healthz`, `/readyz`, `/metrics`, `/status` and `/vms`.
 ///
 /// # Errors
 ///
@@ -25,6 +25,7 @@
             .route("/readyz", web::get().to(readyz))
             .route("/metrics", web::get().to(metrics))
             .route("/status", web::get().to(status))
+            .route("/vms", web::get().to(vms))
     };
     let server = HttpServer::new(app).workers(1).disable_signals();
     Ok(server.bind(node.settings.listen.admin)?.run())
@@ -45,6 +46,11 @@
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(node.metrics.text())
 }
 
+/// Answers the list of VMs as this one knows it.
+async fn vms(node: Data<Node>) -> HttpResponse {
+    HttpResponse::Ok().json(&*node.members.listed())
+}
+
 async fn status(node: Data<Node>) -> HttpResponse {
     let state = if node.is_draining() { "draining" } else { "serving" };
     HttpResponse::Ok().json(json!({
