Test the limit on the configuration's age

A daemon cut off for longer than the limit refuses new callers and requests with 57P03, not run, and serves again once the platform answers. The refusal's words now cover a configuration that is too old as well as none.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -78,7 +78,7 @@
     Malformed,
     /// The VM or the data centre takes no new work.
     Draining,
-    /// No configuration has been received yet.
+    /// No configuration, or none that is fresh enough, is in force.
     NotReady,
     /// The session token is malformed.
     BadToken,
@@ -269,7 +269,7 @@
                 ("draining", "57P01", NotRun, Never, "this VM takes no new work", "reconnect")
             }
             Refusal::NotReady => {
-                ("not_ready", "57P03", NotRun, Never, "no configuration received yet", "retry")
+                ("not_ready", "57P03", NotRun, Never, "no configuration that is fresh enough", "retry")
             }
             Refusal::BadToken => (
                 "bad_token",
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -43,6 +43,8 @@
     pub daemons: Vec<Daemon>,
     pub platform: HttpPlatform,
     pub configuration: Configuration,
+    /// Limit on the age of the configuration, for daemons started from now on.
+    pub stale_ms: u64,
     base: String,
     version: u64,
 }
@@ -80,6 +82,7 @@
             configuration: configuration(&addresses),
             base,
             version: 0,
+            stale_ms: 0,
         };
         deployment.apply().await;
         for (i, data_centre) in data_centres.iter().enumerate() {
@@ -143,7 +146,7 @@
             "listen": { "callers": callers, "peers": peers, "admin": admin },
             "platform": format!("{}/dc/{data_centre}", self.base),
             "seeds": self.daemons.iter().map(|daemon| daemon.peers).collect::<Vec<_>>(),
-            "limits": { "request_ms": 10_000, "drain_ms": 5_000 },
+            "limits": { "request_ms": 10_000, "drain_ms": 5_000, "stale_configuration_ms": self.stale_ms },
         });
         let file = format!("chicoryhollow-{}-{}.json", std::process::id(), callers.port());
         let path = std::env::temp_dir().join(file);
--- a/crates/proxy/tests/configuration.rs
+++ b/crates/proxy/tests/configuration.rs
@@ -155,6 +155,26 @@
     });
 }
 
+#[test]
+fn a_limit_on_the_age_stops_a_daemon_that_is_cut_off() {
+    run(async {
+        let mut deployment = Deployment::start(&[]).await;
+        deployment.stale_ms = 3_000;
+        deployment.start_daemon("vm-0", "a").await;
+        deployment.wait_ready(0).await;
+        let caller = deployment.client(0, None).await;
+        caller.simple_query("CREATE TABLE t (id int)").await.expect("the table is made");
+        deployment.fault(&Fault { outage: true, ..Fault::default() }).await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(refusal(&deployment, 0).await.as_deref(), Some("57P03"));
+        let refused = caller.simple_query("SELECT 1").await.expect_err("a stale configuration");
+        assert_eq!(refused.code().map(|code| code.code()), Some("57P03"));
+        deployment.fault(&Fault::default()).await;
+        deployment.wait_ready(0).await;
+        assert_eq!(values(&caller, "SELECT count(*) FROM t").await, ["0"]);
+    });
+}
+
 #[test]
 fn an_outage_of_the_platform_stops_nobody() {
     run(async {
