Count only answers as fresh that must belong to a known read

Cause: a late answer of the platform was taken for one to the newest read, so that the configuration's age could be too low by the platform's delay; and an offer that crossed with another one made a VM ask for a whole configuration. Change: an answer counts from the oldest unanswered read, a second one not at all; only damaged offers lead to a whole configuration.

--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -81,7 +81,10 @@
     missing: bool,
     whole: bool,
     started: Time,
+    /// Begin of the last read of the row.
     row_read: Option<Time>,
+    /// Begin of the oldest read of the row since the last answer.
+    row_asked: Option<Time>,
     row_answered: Option<Time>,
     confirmed: Option<Time>,
     asked: IndexMap<VmId, Time>,
@@ -102,7 +105,7 @@
 #[derive(Clone, Debug)]
 struct Target {
     row: publish::Versioned,
-    read: Time,
+    read: Option<Time>,
 }
 
 /// A VM that asked this one.
@@ -127,6 +130,7 @@
             whole: false,
             started: now,
             row_read: None,
+            row_asked: None,
             row_answered: None,
             confirmed: None,
             asked: IndexMap::new(),
@@ -174,6 +178,7 @@
         self.misses += u32::from(!self.asked.is_empty());
         if self.must_read_row(now) {
             self.row_read = Some(now);
+            self.row_asked.get_or_insert(now);
             actions.push(Action::ReadRow);
         }
         for vm in self.sources(now, rng) {
@@ -241,9 +246,10 @@
             None => self.whole(offer),
             Some(base) => self.difference(base, offer),
         };
-        // What is held may differ from what the sender takes it for, so that
-        // only a whole configuration helps.
-        self.whole = next.is_err();
+        // After damage only a whole configuration is sure to help. A difference
+        // from another version merely crossed with another answer, and the next
+        // ask tells the sender better.
+        self.whole = !matches!(next, Ok(_) | Err(OfferError::Base { .. }));
         self.held = Some(next?);
         self.missing = false;
         let mut actions: Vec<_> = self.settle(now).into_iter().collect();
@@ -303,7 +309,7 @@
         })
     }
 
-    fn confirm(&mut self, at: Time) {
-        self.confirmed = self.confirmed.max(Some(at));
+    fn confirm(&mut self, at: Option<Time>) {
+        self.confirmed = self.confirmed.max(at);
     }
 }
--- a/crates/config/src/reader/relay.rs
+++ b/crates/config/src/reader/relay.rs
@@ -100,6 +100,6 @@
 
     fn confirm_before(&mut self, asked: Time, age: Duration) {
         let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        self.confirm(Time::from_micros(asked.as_micros().saturating_sub(age)));
+        self.confirm(Some(Time::from_micros(asked.as_micros().saturating_sub(age))));
     }
 }
--- a/crates/config/src/reader/source.rs
+++ b/crates/config/src/reader/source.rs
@@ -8,7 +8,9 @@
 impl ConfigurationState {
     /// Takes in the platform's row.
     pub fn row(&mut self, row: Option<publish::Versioned>, now: Time) -> Vec<Action> {
-        let read = self.row_read.unwrap_or(now);
+        // The answer may belong to any read since the last one, and an answer
+        // without a read is a late one that proves nothing.
+        let read = self.row_asked.take();
         self.row_answered = Some(now);
         let Some(row) = row else {
             return Vec::new();
@@ -17,7 +19,9 @@
             self.confirm(read);
             return self.settle(now).into_iter().collect();
         }
-        self.target = Some(Target { row, read });
+        if self.target.as_ref().is_none_or(|target| target.row.version <= row.version) {
+            self.target = Some(Target { row, read });
+        }
         self.fetch(now).into_iter().collect()
     }
 
--- a/crates/config/tests/reader.rs
+++ b/crates/config/tests/reader.rs
@@ -344,6 +344,54 @@
     assert!((120..=200).contains(&fleet.row_reads), "{} reads in 20 s", fleet.row_reads);
 }
 
+#[test]
+fn crossed_offers_cost_no_whole_configuration() {
+    let hash = ContentHash::new(&Configuration::default());
+    let vm: VmId = "b".parse().expect("a valid name");
+    let now = Time::default();
+    let rng = &mut StdRng::seed_from_u64(1);
+    let own = "a".parse().expect("a valid name");
+    let mut state = ConfigurationState::new(own, "d".parse().expect("a valid name"), now);
+    state.offered(&vm, &Offer::new(5, hash, "{}"), now).expect("a whole configuration");
+    let crossed = Offer::new(7, hash, "{}").with_base(4);
+    assert!(matches!(state.offered(&vm, &crossed, now), Err(OfferError::Base { .. })));
+    let members = ["a", "b", "c", "e"].map(|name| Member {
+        vm: name.parse().expect("a valid name"),
+        data_centre: "d".parse().expect("a valid name"),
+    });
+    state.set_members(members);
+    let later = now + 2 * TARGET;
+    let asks = state.tick(later, rng);
+    let versions = asks.iter().filter_map(|action| match action {
+        Action::Ask(_, version) => Some(*version),
+        _ => None,
+    });
+    assert!(versions.clone().count() > 0 && versions.clone().all(|v| v == 5), "{asks:?}");
+}
+
+#[test]
+fn a_late_answer_of_the_platform_is_no_fresh_sign() {
+    let rng = &mut StdRng::seed_from_u64(1);
+    let hash = ContentHash::new(&Configuration::default());
+    let value = Published::new(hash, ApplyId::new(1));
+    let row = || Some(Versioned { version: 1, value: value.clone() });
+    let own = "a".parse().expect("a valid name");
+    let start = Time::from_millis(1_000);
+    let mut state = ConfigurationState::new(own, "d".parse().expect("a valid name"), start);
+    assert!(state.tick(start, rng).contains(&Action::ReadRow));
+    state.row(row(), start);
+    state.object(&hash.object(), Some(b"{}".to_vec()), start);
+    assert_eq!(state.age(start), Some(Duration::ZERO));
+    let first = start + 2 * TARGET;
+    assert!(state.tick(first, rng).contains(&Action::ReadRow));
+    let second = first + 2 * TARGET;
+    assert!(state.tick(second, rng).contains(&Action::ReadRow));
+    state.row(row(), second);
+    assert_eq!(state.age(second), Some(2 * TARGET), "it may answer the first read");
+    state.row(row(), second + TARGET);
+    assert_eq!(state.age(second + TARGET), Some(3 * TARGET), "it answers no later read");
+}
+
 #[test]
 fn arbitrary_offers_change_nothing_or_fit() {
     let hash = ContentHash::new(&Configuration::default());
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -268,9 +268,14 @@
             Refusal::Draining => {
                 ("draining", "57P01", NotRun, Never, "this VM takes no new work", "reconnect")
             }
-            Refusal::NotReady => {
-                ("not_ready", "57P03", NotRun, Never, "no configuration that is fresh enough", "retry")
-            }
+            Refusal::NotReady => (
+                "not_ready",
+                "57P03",
+                NotRun,
+                Never,
+                "no configuration that is fresh enough",
+                "retry",
+            ),
             Refusal::BadToken => (
                 "bad_token",
                 "22023",
--- a/crates/proxy/src/configuration/follower.rs
+++ b/crates/proxy/src/configuration/follower.rs
@@ -9,7 +9,7 @@
     ConfigurationState,
     configuration::Versioned,
     publish::{self, Published, ROW},
-    reader::{Action, Offer},
+    reader::{Action, Offer, OfferError},
 };
 use chicoryhollow_core::prelude::*;
 use chicoryhollow_peer::Body;
@@ -160,6 +160,8 @@
     fn offered(&mut self, from: &VmId, offer: &Offer, context: &mut Context<Self>) {
         match self.state.offered(from, offer, self.node.clock.now()) {
             Ok(actions) => self.act(actions, context),
+            // The offer crossed with another one; the next ask settles it.
+            Err(OfferError::Base { .. }) => {}
             Err(error) => {
                 let fields = o!("vm" => from.to_string(), "error" => error.to_string());
                 Event::ConfigurationRefused.record(&self.node.log, fields);
