--- a/crates/proxy/src/home/confirm.rs
+++ b/crates/proxy/src/home/confirm.rs
@@ -11,7 +11,7 @@
     time::{sleep, timeout},
 };
 
-use super::{SILENCE_CHECK, tracker::Tracker};
+use super::{Home, SILENCE_CHECK, tracker::Tracker};
 use crate::node::Node;
 
 /// Why a position was not confirmed.
@@ -115,3 +115,26 @@
     }
     Ok(())
 }
+
+/// Waits until a primary of a term after `term` is known.
+pub(crate) async fn deposed(node: &Arc<Node>, home: &Home, term: Term) {
+    let mut views = node.groups.follow(&home.group);
+    while views.borrow_and_update().term <= term {
+        changed(&mut views).await;
+    }
+}
+
+/// Makes sure that the server was still the primary after this call began.
+pub(crate) async fn barrier(node: &Arc<Node>, home: &Home, deadline: Time) -> Result<(), Refusal> {
+    let left = deadline.since(node.clock.now());
+    let deposed = async {
+        while home.is_primary(node) {
+            sleep(SILENCE_CHECK).await;
+        }
+    };
+    let answered = tokio::select! {
+        answered = timeout(left, home.tracker.barrier()) => answered.ok().flatten(),
+        () = deposed => None,
+    };
+    answered.map(drop).ok_or(Refusal::NotPrimary)
+}
--- a/crates/proxy/src/home/local.rs
+++ b/crates/proxy/src/home/local.rs
@@ -2,20 +2,17 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use chicoryhollow_core::{outcome::Interrupted, prelude::*};
-use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-};
+use tokio::{sync::watch, time::timeout};
 
 use super::{
     Home,
-    answer::{Answer, Next},
-    confirm::{Unsettled, changed, settle, wait_for_majority},
+    answer::Next,
+    batch::BatchState,
+    confirm::{Unsettled, barrier, changed, deposed, settle, wait_for_majority},
     exchange::{self, Noted},
     outcome::{Resolved, resolve},
-    request::{self, Preamble},
+    request,
     schedule::Lease,
 };
 use crate::{
@@ -65,33 +62,6 @@
     Resolving,
 }
 
-/// What is known of the batch that runs.
-struct BatchState {
-    deadline: Time,
-    late: bool,
-    lost: bool,
-    /// Messages of the caller.
-    messages: Bytes,
-    /// Whether the server refused a write because it is not the primary.
-    not_primary: bool,
-    answer: Answer,
-    preamble: Preamble,
-}
-
-impl BatchState {
-    fn new(deadline: Time, holds: bool) -> Self {
-        BatchState {
-            deadline,
-            late: false,
-            lost: false,
-            messages: Bytes::new(),
-            not_primary: false,
-            answer: Answer::new(holds),
-            preamble: Preamble::default(),
-        }
-    }
-}
-
 /// What came from the server.
 enum Received {
     Frame(Frame),
@@ -512,26 +482,3 @@
         }
     }
 }
-
-/// Waits until a primary of a term after `term` is known.
-async fn deposed(node: &Arc<Node>, home: &Home, term: Term) {
-    let mut views = node.groups.follow(&home.group);
-    while views.borrow_and_update().term <= term {
-        changed(&mut views).await;
-    }
-}
-
-/// Makes sure that the server was still the primary after this call began.
-async fn barrier(node: &Arc<Node>, home: &Home, deadline: Time) -> Result<(), Refused> {
-    let left = deadline.since(node.clock.now());
-    let deposed = async {
-        while home.is_primary(node) {
-            sleep(super::SILENCE_CHECK).await;
-        }
-    };
-    let answered = tokio::select! {
-        answered = timeout(left, home.tracker.barrier()) => answered.ok().flatten(),
-        () = deposed => None,
-    };
-    answered.map(drop).ok_or_else(|| Refusal::NotPrimary.into())
-}
--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod applied;
 mod backend;
+mod batch;
 mod confirm;
 pub mod control;
 mod exchange;
@@ -92,7 +93,8 @@
         Some(tracker)
     }
 
-    fn forget(&self, server: &ServerId) {
+    fn forget(&self, node: &Node, server: &ServerId) {
+        node.metrics.forget_server(server.as_str());
         self.homes.lock().expect("no thread panics with this lock").remove(server);
     }
 }
@@ -143,6 +145,16 @@
         self.is_primary(node) && node.clock.now().since(since) < LEAVING_PRIMARY
     }
 
+    /// Publishes what waits, runs and is open.
+    fn report(&self, node: &Node) {
+        let (waiting, running, connections) = self.schedule.counts();
+        let server = &[self.server.as_str()];
+        let metrics = &node.metrics;
+        metrics.waiting.with_label_values(server).set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        metrics.running.with_label_values(server).set(running.into());
+        metrics.connections.with_label_values(server).set(connections.into());
+    }
+
     fn note_service(&self, now: Time, service: Service) {
         let mut out_since = self.out_since.lock().expect("no thread panics with this lock");
         *out_since = (service == Service::Out).then(|| out_since.unwrap_or(now));
@@ -160,9 +172,10 @@
                 home.schedule.set_limits(found.slots, found.connections);
                 let elsewhere = node.members.home(&versioned, &home.server);
                 home.schedule.tend(elsewhere.as_ref() != Some(&node.settings.vm));
+                home.report(&node);
             }
             None => {
-                node.homes.forget(&home.server);
+                node.homes.forget(&node, &home.server);
                 home.schedule.tend(true);
             }
         }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and gauges in Prometheus form.
 
 use chicoryhollow_core::Refusal;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
 /// Everything that the daemon counts.
 #[derive(Clone)]
@@ -17,6 +17,12 @@
     pub reads: IntCounterVec,
     /// Streams opened to homes, by place: `local` or `remote`.
     pub streams: IntCounterVec,
+    /// Statements that wait at this home, by backend server.
+    pub waiting: IntGaugeVec,
+    /// Statements that hold a slot at this home, by backend server.
+    pub running: IntGaugeVec,
+    /// Connections that this home holds, by backend server.
+    pub connections: IntGaugeVec,
     /// Connected callers.
     pub callers: IntGauge,
     /// Configuration version in force.
@@ -41,6 +47,9 @@
             batches: family(&registry, "batches_total", "Statement batches answered.", "server"),
             reads: family(&registry, "reads_total", "Read-only batches answered.", "server"),
             streams: family(&registry, "streams_total", "Streams opened to homes.", "place"),
+            waiting: gauges(&registry, "statements_waiting", "Statements that wait at homes."),
+            running: gauges(&registry, "statements_running", "Statements that hold slots."),
+            connections: gauges(&registry, "backend_connections", "Connections of homes."),
             callers: gauge(&registry, "callers", "Connected callers."),
             version: gauge(&registry, "configuration_version", "Configuration in force."),
             age: gauge(
@@ -62,6 +71,14 @@
         self.refusals.with_label_values(&[refusal.row().label]).inc();
     }
 
+    /// Forgets the gauges of a backend server that is no longer configured.
+    pub fn forget_server(&self, server: &str) {
+        for gauges in [&self.waiting, &self.running, &self.connections] {
+            // A gauge that was never set is not there.
+            drop(gauges.remove_label_values(&[server]));
+        }
+    }
+
     /// Returns all metrics in the text form that Prometheus reads.
     pub fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
@@ -81,6 +98,13 @@
     family
 }
 
+fn gauges(registry: &Registry, name: &str, help: &str) -> IntGaugeVec {
+    let opts = Opts::new(format!("chicoryhollow_{name}"), help);
+    let gauges = IntGaugeVec::new(opts, &["server"]).expect("metric names are valid");
+    registry.register(Box::new(gauges.clone())).expect("metric names are unique");
+    gauges
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge =
         IntGauge::new(format!("chicoryhollow_{name}"), help).expect("metric names are valid");
--- a/crates/proxy/tests/fleet/mod.rs
+++ b/crates/proxy/tests/fleet/mod.rs
@@ -65,6 +65,16 @@
         servers: usize,
         vms: usize,
         change: impl Fn(usize, &mut BackendOptions),
+    ) -> Self {
+        Fleet::start_with(servers, vms, change, true).await
+    }
+
+    /// Starts a fleet whose nodes note transaction ids or not.
+    pub async fn start_with(
+        servers: usize,
+        vms: usize,
+        change: impl Fn(usize, &mut BackendOptions),
+        note_transactions: bool,
     ) -> Self {
         let (backends, direct, options) = start_servers(servers, change).await;
         let mut server_links = Vec::new();
@@ -77,7 +87,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
             let address = listener.local_addr().expect("a bound listener");
             let link = Link::new(address).await.expect("a free port");
-            let node = start_node(number, address);
+            let node = start_node(number, address, note_transactions);
             tokio::spawn(peers::listen(Arc::clone(&node), listener));
             node.configuration.send_replace(Arc::new(configuration.clone()));
             listed.push(vm(number, link.address()));
@@ -110,6 +120,11 @@
         &self.shared.nodes[vm]
     }
 
+    /// Returns the address of a server as the nodes dial it.
+    pub fn address(&self, server: usize) -> SocketAddr {
+        self.shared.server_links[server].address()
+    }
+
     /// Makes a batch of one simple query.
     pub fn batch(&self, sql: &str, writes: bool) -> Batch {
         let messages = wire::encode(&Query::new(sql.to_owned()));
@@ -325,12 +340,13 @@
     (backends, direct, all)
 }
 
-fn start_node(number: usize, peers: SocketAddr) -> Arc<Node> {
+fn start_node(number: usize, peers: SocketAddr, note_transactions: bool) -> Arc<Node> {
     let settings: Settings = serde_json::from_value(json!({
         "vm": format!("vm-{number}"),
         "data_centre": if number == 0 { "a" } else { "b" },
         "listen": { "callers": "127.0.0.1:1", "peers": peers, "admin": "127.0.0.1:1" },
         "platform": "http://127.0.0.1:1",
+        "backend": { "note_transactions": note_transactions },
     }))
     .expect("valid settings");
     let log = slog::Logger::root(slog::Discard, slog::o!());
