--- a/crates/core/src/watch/watcher.rs
+++ b/crates/core/src/watch/watcher.rs
@@ -281,13 +281,12 @@
         self.links.get(server).and_then(|l| l.reached).is_some_and(|at| now.since(at) < SUSPECT)
     }
 
-    /// Tells whether no server of the group ever had a member list and all of
-    /// them were reached.
+    /// Tells whether all servers of the group were reached and none ever had a
+    /// primary.
     fn is_unstarted(&self, now: Time) -> bool {
         let servers = &self.plan.servers;
         !servers.is_empty()
             && self.highest == Term::default()
-            && newest(self.known.values()).is_none()
             && servers.keys().all(|server| self.is_reachable(server, now))
     }
 
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -15,7 +15,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -24,7 +24,7 @@
 use chicoryhollow_peer::{Body, Envelope};
 use futures_util::{Sink, SinkExt};
 use rand::RngExt;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::sleep};
 
 pub(crate) use self::link::hello;
 pub use self::{
@@ -48,12 +48,19 @@
 /// Longest pause before a VM that could not be reached is dialled again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between two looks at whether all streams have ended.
+const FINISH_CHECK: Duration = Duration::from_millis(10);
+
 /// Links to the VMs that this one talks to, dialled on first use.
 #[derive(Default)]
 pub struct Peers {
     links: Mutex<HashMap<VmId, Dialled>>,
     streams: AtomicU64,
     batches: Batches,
+    /// Streams of other VMs that are served here.
+    serving: AtomicUsize,
+    /// Whether new streams of other VMs are refused.
+    closed: AtomicBool,
 }
 
 /// The newest link to one VM.
@@ -102,6 +109,18 @@
         self.link(node, vm).is_ok_and(|link| link.try_send(body))
     }
 
+    /// Stops serving new streams of other VMs and waits for the end of those
+    /// under way.
+    ///
+    /// To be called only once other VMs know that this one leaves, since an
+    /// entry that does not know tries it again.
+    pub async fn finish(&self) {
+        self.closed.store(true, Ordering::Release);
+        while self.serving.load(Ordering::Acquire) > 0 {
+            sleep(FINISH_CHECK).await;
+        }
+    }
+
     /// Returns a number for a new stream.
     fn next_stream(&self) -> u64 {
         self.streams.fetch_add(1, Ordering::Relaxed)
