Let another VM stand in for a home that is down

An entry whose link to a home fell silent or could not be made goes to the next VM by rank, and comes back after the home has stood for 2 s. A VM that is not in charge keeps its connections for 1 s after its last statement.

--- a/crates/proxy/src/home/mod.rs
+++ b/crates/proxy/src/home/mod.rs
@@ -195,7 +195,8 @@
                 home.note_service(node.clock.now(), service(&versioned, &found));
                 home.schedule.set_limits(found.slots, found.connections);
                 let elsewhere = node.members.home(&found.data_centre, &home.server);
-                home.schedule.tend(elsewhere.as_ref() != Some(&node.settings.vm));
+                let elsewhere = elsewhere.as_ref() != Some(&node.settings.vm);
+                home.schedule.tend(elsewhere);
                 home.publish(&node);
             }
             None => {
--- a/crates/proxy/src/home/schedule.rs
+++ b/crates/proxy/src/home/schedule.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
 };
 
 use chicoryhollow_config::settings::BackendRole;
@@ -23,6 +24,10 @@
 /// Statements of all accounts that may wait for one server.
 const TOTAL_QUEUE: usize = 4_096;
 
+/// Time without statements after which a VM that is not in charge closes its
+/// connections.
+const UNUSED: Duration = Duration::from_secs(1);
+
 /// SQLSTATE of a server that takes no more connections.
 const TOO_MANY_CONNECTIONS: &str = "53300";
 
@@ -39,6 +44,7 @@
     pool: Pool,
     idle: Vec<Backend>,
     waiting: HashMap<Ticket, oneshot::Sender<Given>>,
+    last_begin: Time,
 }
 
 /// What a waiting statement was given.
@@ -59,6 +65,7 @@
             pool: Pool::new(connections),
             idle: Vec::new(),
             waiting: HashMap::new(),
+            last_begin: Time::default(),
         };
         Arc::new(Schedule { address, role, clock, state: Mutex::new(state) })
     }
@@ -95,6 +102,7 @@
                 }
                 self.spawn_opening(plan.open);
             }
+            state.last_begin = now;
             let ticket = state.queue.push(account, weight, lane, now, deadline)?;
             state.waiting.insert(ticket.clone(), sender);
             Ok(ticket)
@@ -118,10 +126,12 @@
         });
     }
 
-    /// Closes what is dead or no longer needed and opens what is; `draining`
-    /// keeps no idle connections.
-    pub(crate) fn tend(self: &Arc<Self>, draining: bool) {
-        self.change(|state, _| {
+    /// Closes what is dead or no longer needed and opens what is; when this VM
+    /// is not in charge (`elsewhere`), no idle connection is kept after the last
+    /// statement.
+    pub(crate) fn tend(self: &Arc<Self>, elsewhere: bool) {
+        self.change(|state, now| {
+            let draining = elsewhere && now.since(state.last_begin) >= UNUSED;
             let before = state.idle.len();
             state.idle.retain(|backend| !backend.is_stale());
             (state.idle.len()..before).for_each(|_| state.pool.idle_closed());
--- a/crates/proxy/src/members.rs
+++ b/crates/proxy/src/members.rs
@@ -10,6 +10,9 @@
 
 use crate::{node::Node, peers::Sign};
 
+/// VMs that may be in charge of one server.
+const HOME_CANDIDATES: usize = 3;
+
 /// What this VM knows of the VMs.
 #[derive(Debug)]
 pub struct Members {
@@ -17,7 +20,7 @@
     listed: RwLock<Arc<Vec<Vm>>>,
     /// Homes of servers under the present list; ranking costs time with every
     /// VM of a data centre, and each request needs a home.
-    homes: RwLock<HashMap<ServerId, VmId>>,
+    homes: RwLock<HashMap<ServerId, Arc<[VmId]>>>,
 }
 
 impl Members {
@@ -51,28 +54,34 @@
     /// Returns the VM in charge of `server` in `data_centre`: the first by rank
     /// among the live VMs there, or among all live VMs when it has none.
     pub fn home(&self, data_centre: &DataCentreId, server: &ServerId) -> Option<VmId> {
+        self.homes(data_centre, server).first().cloned()
+    }
+
+    /// Returns the VMs that may be in charge of `server`, the first by rank in
+    /// front; each further one stands in when those before it are down.
+    pub fn homes(&self, data_centre: &DataCentreId, server: &ServerId) -> Arc<[VmId]> {
         let known = self.homes.read().expect("no thread panics with this lock");
-        if let Some(home) = known.get(server) {
-            return Some(home.clone());
+        if let Some(homes) = known.get(server) {
+            return Arc::clone(homes);
         }
         drop(known);
         // The lock is taken before the list is read, so that a newer list
         // clears what an older one leaves here.
         let mut homes = self.homes.write().expect("no thread panics with this lock");
-        let home = self.rank_home(data_centre, server)?;
-        homes.insert(server.clone(), home.clone());
-        Some(home)
+        let ranked = self.rank_homes(data_centre, server);
+        homes.insert(server.clone(), Arc::clone(&ranked));
+        ranked
     }
 
-    fn rank_home(&self, data_centre: &DataCentreId, server: &ServerId) -> Option<VmId> {
+    fn rank_homes(&self, data_centre: &DataCentreId, server: &ServerId) -> Arc<[VmId]> {
         let listed = self.listed();
         let live = || listed.iter().filter(|vm| vm.state == VmState::Live);
         let near: Vec<&str> =
             live().filter(|vm| vm.data_centre == *data_centre).map(|vm| vm.vm.as_str()).collect();
         let all = || live().map(|vm| vm.vm.as_str()).collect();
         let candidates = if near.is_empty() { all() } else { near };
-        let first = rank(&format!("home/{server}"), candidates, 1);
-        first.first().and_then(|name| VmId::new(name).ok())
+        let ranked = rank(&format!("home/{server}"), candidates, HOME_CANDIDATES);
+        ranked.into_iter().filter_map(|name| VmId::new(name).ok()).collect()
     }
 }
 
--- a/crates/proxy/src/peers/link.rs
+++ b/crates/proxy/src/peers/link.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use chicoryhollow_core::Incarnation;
+use chicoryhollow_core::{Incarnation, Time};
 use chicoryhollow_peer::{
     Body, CodecError, Envelope, EnvelopeCodec,
     member::{Hello, Ping},
@@ -44,10 +44,14 @@
 /// What became of a link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LinkState {
-    /// It stands or is being made.
-    Open,
-    /// It stood and was lost.
+    /// It is being made.
+    Dialling,
+    /// It stands since this time.
+    Stands(Time),
+    /// It stood and was closed.
     Lost,
+    /// It stood and fell silent.
+    Silent,
     /// It never stood.
     Failed,
 }
@@ -56,8 +60,9 @@
 pub struct Link {
     outgoing: mpsc::Sender<Envelope>,
     streams: Mutex<Streams>,
-    /// The daemon at the other end, once it introduced itself.
-    incarnation: OnceLock<Incarnation>,
+    /// The daemon at the other end, once it introduced itself, and when.
+    introduced: OnceLock<(Incarnation, Time)>,
+    silent: AtomicBool,
     /// Whether control messages were sent, so that a silent link is replaced.
     controlled: AtomicBool,
 }
@@ -70,8 +75,13 @@
     pub(crate) fn dial(node: &Arc<Node>, vm: Vm) -> Arc<Self> {
         let (outgoing, queue) = mpsc::channel(QUEUE_MESSAGES);
         let streams = Mutex::new(Some(HashMap::new()));
-        let (incarnation, controlled) = (OnceLock::new(), AtomicBool::new(false));
-        let link = Arc::new(Link { outgoing, streams, incarnation, controlled });
+        let link = Arc::new(Link {
+            outgoing,
+            streams,
+            introduced: OnceLock::new(),
+            silent: AtomicBool::new(false),
+            controlled: AtomicBool::new(false),
+        });
         tokio::spawn(run(Arc::clone(node), Arc::clone(&link), vm, queue));
         link
     }
@@ -83,16 +93,19 @@
 
     /// Returns what became of the link.
     pub(crate) fn state(&self) -> LinkState {
-        match (self.is_open(), self.incarnation().is_some()) {
-            (true, _) => LinkState::Open,
-            (false, true) => LinkState::Lost,
-            (false, false) => LinkState::Failed,
+        let since = self.introduced.get().map(|(_, since)| *since);
+        match (self.is_open(), since) {
+            (true, None) => LinkState::Dialling,
+            (true, Some(since)) => LinkState::Stands(since),
+            (false, Some(_)) if self.silent.load(Ordering::Acquire) => LinkState::Silent,
+            (false, Some(_)) => LinkState::Lost,
+            (false, None) => LinkState::Failed,
         }
     }
 
     /// Returns the daemon at the other end, once it introduced itself.
     pub(crate) fn incarnation(&self) -> Option<Incarnation> {
-        self.incarnation.get().copied()
+        self.introduced.get().map(|(incarnation, _)| *incarnation)
     }
 
     /// Sends a message; returns whether the link still takes any.
@@ -100,9 +113,15 @@
         self.outgoing.send(Envelope::new(body)).await.is_ok()
     }
 
-    /// Sends a message unless the queue is full or closed.
+    /// Sends a control message unless the queue is full or closed.
     pub fn try_send(&self, body: Body) -> bool {
         self.controlled.store(true, Ordering::Relaxed);
+        self.post(body)
+    }
+
+    /// Sends a message of a stream or a heartbeat unless the queue is full or
+    /// closed.
+    pub(crate) fn post(&self, body: Body) -> bool {
         self.outgoing.try_send(Envelope::new(body)).is_ok()
     }
 
@@ -179,7 +198,7 @@
     if peer.vm != vm.vm {
         return Err(io::Error::from(io::ErrorKind::AddrNotAvailable).into());
     }
-    link.incarnation.get_or_init(|| peer.incarnation);
+    link.introduced.get_or_init(|| (peer.incarnation, node.clock.now()));
     let (sink, source) = framed.split();
     tokio::select! {
         ended = read(node, link, &peer, source) => ended,
@@ -209,6 +228,7 @@
             }
             now = heartbeats.tick() => {
                 if unanswered.is_some_and(|since| now.duration_since(since) >= LINK_TIMEOUT) {
+                    link.silent.store(true, Ordering::Release);
                     return Err(io::Error::from(io::ErrorKind::TimedOut).into());
                 }
                 if link.is_used() {
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -48,6 +48,9 @@
 /// Longest pause before a VM that could not be reached is dialled again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which a VM that was down must stand before it is tried first again.
+const PROBATION: Duration = Duration::from_secs(2);
+
 /// Time between two looks at whether all streams have ended.
 const FINISH_CHECK: Duration = Duration::from_millis(10);
 
@@ -68,6 +71,8 @@
     link: Arc<Link>,
     /// Links in a row that never stood.
     failures: u32,
+    /// Whether the link before this one showed that the VM was down.
+    was_down: bool,
     /// Until when the VM is not dialled again, once the link has ended.
     retry_at: Option<Time>,
 }
@@ -86,21 +91,44 @@
     /// not be reached a moment ago.
     pub fn link(&self, node: &Arc<Node>, vm: &VmId) -> Result<Arc<Link>, Refusal> {
         let mut links = self.lock();
-        let mut failures = 0;
+        let (mut failures, mut was_down) = (0, false);
         if let Some(dialled) = links.get_mut(vm) {
             if dialled.link.is_open() {
                 return Ok(Arc::clone(&dialled.link));
             }
             dialled.pause(node.clock.now())?;
             failures = dialled.failures;
+            was_down = dialled.link.state() != LinkState::Lost;
         }
         let listed = node.members.get(vm).ok_or(Refusal::HomeUnreachable)?;
         let link = Link::dial(node, listed);
-        let dialled = Dialled { link: Arc::clone(&link), failures, retry_at: None };
+        let dialled = Dialled { link: Arc::clone(&link), failures, was_down, retry_at: None };
         links.insert(vm.clone(), dialled);
         Ok(link)
     }
 
+    /// Returns the first of `candidates` that is not known to be down, this VM
+    /// included; a VM that is down is dialled again meanwhile.
+    ///
+    /// Another VM may decide otherwise. Then two VMs serve one backend server,
+    /// which is safe, since its own limit bounds their connections.
+    pub(crate) fn first_up(&self, node: &Arc<Node>, candidates: &[VmId]) -> Option<VmId> {
+        let up = candidates.iter().find(|vm| **vm == node.settings.vm || self.is_up(node, vm));
+        up.or(candidates.first()).cloned()
+    }
+
+    /// Tells whether a VM may be tried. One that was down must have stood for a
+    /// while first, so that a flapping VM does not attract its role each time.
+    fn is_up(&self, node: &Arc<Node>, vm: &VmId) -> bool {
+        let now = node.clock.now();
+        let down = self.lock().get(vm).is_some_and(|dialled| dialled.is_down(now));
+        if down {
+            // Whether this can be dialled yet shows with a later request.
+            drop(self.link(node, vm));
+        }
+        !down
+    }
+
     /// Sends a message that belongs to no stream to `vm`, dialling it when
     /// needed; returns whether the message was queued.
     ///
@@ -132,12 +160,22 @@
 }
 
 impl Dialled {
+    fn is_down(&self, now: Time) -> bool {
+        match self.link.state() {
+            // Dialled after a loss or for the first time, it may well stand.
+            LinkState::Dialling => self.was_down,
+            LinkState::Stands(since) => self.was_down && now.since(since) < PROBATION,
+            LinkState::Lost => false,
+            LinkState::Silent | LinkState::Failed => true,
+        }
+    }
+
     /// Decides whether the ended link may be replaced now.
     fn pause(&mut self, now: Time) -> Result<(), Refusal> {
         let retry_at = match self.retry_at {
             Some(retry_at) => retry_at,
             None => {
-                let stood = self.link.state() == LinkState::Lost;
+                let stood = self.link.state() != LinkState::Failed;
                 self.failures = if stood { 0 } else { self.failures + 1 };
                 let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
                 let pause = if stood { Duration::ZERO } else { pause.min(LONGEST_PAUSE) };
--- a/crates/proxy/src/peers/remote.rs
+++ b/crates/proxy/src/peers/remote.rs
@@ -192,7 +192,7 @@
             return;
         }
         let bytes = u32::try_from(self.taken).unwrap_or(u32::MAX);
-        if self.link.try_send(Body::Credit(stream::Credit { stream: self.number, bytes })) {
+        if self.link.post(Body::Credit(stream::Credit { stream: self.number, bytes })) {
             self.taken = 0;
         }
     }
@@ -327,7 +327,7 @@
     fn drop(&mut self) {
         self.link.forget(self.number);
         let close = stream::Close { stream: self.number, refusal: String::new(), applied: None };
-        self.link.try_send(Body::Close(close));
+        self.link.post(Body::Close(close));
     }
 }
 
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -165,9 +165,10 @@
 }
 
 /// Returns the VM in charge of the requested server.
-fn find_home(node: &Node, request: &OpenRequest) -> Option<VmId> {
+fn find_home(node: &Arc<Node>, request: &OpenRequest) -> Option<VmId> {
     let versioned = node.configuration();
     let group = versioned.configuration.groups.get(&request.group)?;
     let server = group.servers.get(&request.server)?;
-    node.members.home(&server.data_centre, &request.server)
+    let candidates = node.members.homes(&server.data_centre, &request.server);
+    node.peers.first_up(node, &candidates)
 }
--- a/crates/proxy/tests/fleet/mod.rs
+++ b/crates/proxy/tests/fleet/mod.rs
@@ -201,6 +201,29 @@
         }
     }
 
+    /// Puts all nodes into one data centre and returns the number of the VM in
+    /// charge of server 0.
+    pub fn join_data_centres(&self) -> usize {
+        let centre: DataCentreId = "a".parse().expect("a valid name");
+        let listed: Vec<Vm> = self
+            .shared
+            .vms
+            .iter()
+            .map(|vm| Vm { data_centre: centre.clone(), ..vm.clone() })
+            .collect();
+        for node in &self.shared.nodes {
+            node.members.replace(listed.clone());
+        }
+        let home = self.node(0).members.home(&centre, &server_name(0));
+        listed.iter().position(|vm| Some(&vm.vm) == home.as_ref()).expect("a home")
+    }
+
+    /// Holds everything on its way to one node, or passes it again.
+    pub fn hold_node(&self, vm: usize, held: bool) {
+        let state = LinkState::default();
+        self.shared.peer_links[vm].set(if held { state.cut() } else { state });
+    }
+
     /// Stops a server.
     pub fn kill(&self, server: usize) {
         self.shared.servers.lock().expect("no test panics with this lock")[server] = None;
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -273,3 +273,23 @@
     let finished = tokio::time::timeout(Duration::from_secs(5), finishing).await;
     finished.expect("the home finishes").expect("the task ends");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn another_vm_stands_in_for_a_home_that_is_down() {
+    let fleet = Fleet::start(1, 3, |_, _| {}).await;
+    let home = fleet.join_data_centres();
+    let entry = (home + 1) % 3;
+    assert_eq!(fleet.read(entry, "SELECT 1").await.expect("a row"), ["1"]);
+    fleet.hold_node(home, true);
+    let begun = std::time::Instant::now();
+    while fleet.read(entry, "SELECT 2").await.is_err() {}
+    assert!(begun.elapsed() < Duration::from_secs(3), "after {:?}", begun.elapsed());
+    for _ in 0..20 {
+        assert_eq!(fleet.read(entry, "SELECT 3").await.expect("a row"), ["3"]);
+    }
+    fleet.hold_node(home, false);
+    for _ in 0..100 {
+        assert_eq!(fleet.read(entry, "SELECT 4").await.expect("a row"), ["4"]);
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+}
