Test the entry under cancels, promotions and a lost primary

A daemon whose port was taken in the meantime is started on another one: one of fourteen tests failed in one run because its daemon never listened.

--- a/crates/proxy/src/entry/batch.rs
+++ b/crates/proxy/src/entry/batch.rs
@@ -340,3 +340,75 @@
 fn problem(sqlstate: &str, text: &str) -> Bytes {
     wire::encode(&wire::error(sqlstate, text))
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio_util::codec::Decoder;
+
+    use super::*;
+    use crate::wire::FrameCodec;
+
+    /// Feeds bytes as a caller's messages and returns the batch gathered.
+    fn gather(bytes: &[u8]) -> Gathered {
+        let (statements, shapes) = (Statements::new(), Shapes::default());
+        let mut gathered = Gathered::default();
+        let mut input = BytesMut::from(bytes);
+        let mut codec = FrameCodec::new(1 << 20);
+        while let Ok(Some(frame)) = codec.decode(&mut input) {
+            if gathered.add(&frame, &statements, &shapes).is_err() {
+                break;
+            }
+        }
+        gathered
+    }
+
+    #[test]
+    fn any_messages_are_gathered_or_refused() {
+        super::super::connection::quiet_decoders();
+        bolero::check!().with_type::<Vec<(u8, Vec<u8>)>>().for_each(
+            |messages: &Vec<(u8, Vec<u8>)>| {
+                let mut bytes = Vec::new();
+                for (tag, body) in messages {
+                    bytes.push(*tag);
+                    let length = u32::try_from(body.len() + 4).expect("a short body");
+                    bytes.extend_from_slice(&length.to_be_bytes());
+                    bytes.extend_from_slice(body);
+                }
+                gather(&bytes);
+            },
+        );
+    }
+
+    #[test]
+    fn any_bytes_are_gathered_or_refused() {
+        super::super::connection::quiet_decoders();
+        bolero::check!().with_type::<Vec<u8>>().for_each(|bytes: &Vec<u8>| {
+            gather(bytes);
+        });
+    }
+
+    #[test]
+    fn statements_are_parsed_in_place_and_prepared_once() {
+        let parse = |name: &str, sql: &str| {
+            wire::encode(&Parse::new(Some(name.to_owned()), sql.to_owned(), Vec::new()))
+        };
+        let bind = |name: &str| {
+            let none = Vec::new;
+            wire::encode(&Bind::new(None, Some(name.to_owned()), none(), Vec::new(), none()))
+        };
+        let batch = [parse("a", "SELECT 1"), parse("b", "SELECT 2"), bind("a"), bind("b")].concat();
+        let gathered = gather(&batch);
+        let kinds: Vec<_> = gathered.items.iter().map(|item| (item.kind, item.shown)).collect();
+        let expected = [
+            (Kind::Parse, true),
+            (Kind::Parse, true),
+            (Kind::Parse, false),
+            (Kind::Bind, true),
+            (Kind::Parse, false),
+            (Kind::Bind, true),
+        ];
+        assert_eq!(kinds, expected);
+        assert!(gathered.prepares.is_empty());
+        assert!(gather(&bind("missing")).problem.is_some());
+    }
+}
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -18,7 +18,7 @@
 };
 use chicoryhollow_platform::{HttpPlatform, Platform, Vm, VmState};
 use chicoryhollow_testkit::{
-    backend::{Backend, BackendOptions},
+    backend::{Backend, BackendOptions, CONTROL_ROLE},
     platform::{Counts, Fault},
 };
 use indexmap::IndexMap;
@@ -28,6 +28,9 @@
 /// Bound on everything that should happen soon.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Age in milliseconds that reads on the route `aged` accept.
+pub const MAX_AGE_MS: u64 = 1_000;
+
 /// Time after which daemons know a changed list of VMs.
 pub const LIST_LAG: Duration = Duration::from_secs(2);
 
@@ -136,7 +139,29 @@
 
     /// Starts a daemon that knows those started before it as seeds.
     pub async fn start_daemon(&mut self, name: &str, data_centre: &str) {
-        let [callers, peers, admin] = [free_port(), free_port(), free_port()];
+        // Another process may take a free port before the daemon binds it.
+        let (daemon, peers, admin) = loop {
+            let [callers, peers, admin] = [free_port(), free_port(), free_port()];
+            let daemon = self.spawn(name, data_centre, [callers, peers, admin]);
+            if let Some(daemon) = listening(daemon).await {
+                break (daemon, peers, admin);
+            }
+        };
+        self.daemons.push(daemon);
+        let vm = Vm {
+            vm: name.parse().expect("a valid name"),
+            data_centre: data_centre.parse().expect("a valid name"),
+            peers,
+            admin,
+            state: VmState::Live,
+        };
+        let url = format!("{}/control/vms/{name}", self.base);
+        let listed = awc::Client::default().put(url).send_json(&vm).await;
+        assert!(listed.expect("the platform answers").status().is_success());
+    }
+
+    fn spawn(&self, name: &str, data_centre: &str, ports: [SocketAddr; 3]) -> Daemon {
+        let [callers, peers, admin] = ports;
         let settings = json!({
             "vm": name,
             "data_centre": data_centre,
@@ -153,17 +178,48 @@
             .arg(&path)
             .spawn()
             .expect("the daemon starts");
-        self.daemons.push(Daemon { child, callers, peers, admin, settings: path });
-        let vm = Vm {
-            vm: name.parse().expect("a valid name"),
-            data_centre: data_centre.parse().expect("a valid name"),
-            peers,
-            admin,
-            state: VmState::Live,
+        Daemon { child, callers, peers, admin, settings: path }
+    }
+
+    /// Fences the servers that run and promotes one of them at `term`, unless
+    /// somebody else was quicker.
+    pub async fn promote(&self, server: usize, term: u64) {
+        let groups = self.configuration.groups.values();
+        let addresses: Vec<_> =
+            groups.flat_map(|group| group.servers.values().map(|s| s.address)).collect();
+        let members = "orders-0,orders-1,orders-2";
+        let mut controls = Vec::new();
+        for (i, address) in addresses.iter().enumerate() {
+            if self.servers[i].is_none() {
+                continue;
+            }
+            let config =
+                format!("host={} port={} user={CONTROL_ROLE}", address.ip(), address.port());
+            let (control, connection) =
+                tokio_postgres::connect(&config, NoTls).await.expect("a control connection");
+            tokio::spawn(connection);
+            let fence = format!("SELECT * FROM chicoryhollow.fence({term}, 'test')");
+            control.simple_query(&fence).await.expect("an answer");
+            controls.push((i, control));
+        }
+        let promote =
+            format!("SELECT * FROM chicoryhollow.promote({term}, 'test', '{members}', 1)");
+        for (_, control) in controls.iter().filter(|(i, _)| *i == server) {
+            control.simple_query(&promote).await.expect("an answer");
+        }
+    }
+
+    /// Returns the share of a daemon's reads that replicas served.
+    pub async fn replica_share(&self, daemon: usize) -> f64 {
+        let url = format!("http://{}/metrics", self.daemons[daemon].admin);
+        let mut answer = awc::Client::default().get(url).send().await.expect("an answer");
+        let text = answer.body().await.expect("a body");
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let count = |kind: &str| -> f64 {
+            let name = format!("chicoryhollow_reads_total{{server=\"{kind}\"}} ");
+            text.lines().find_map(|line| line.strip_prefix(&name)?.parse().ok()).unwrap_or(0.0)
         };
-        let url = format!("{}/control/vms/{name}", self.base);
-        let listed = awc::Client::default().put(url).send_json(&vm).await;
-        assert!(listed.expect("the platform answers").status().is_success());
+        count("replica") / (count("replica") + count("primary"))
     }
 
     /// Takes a daemon off the platform's list, and waits until the others know.
@@ -271,11 +327,24 @@
     let open_account = Some("clinic".parse().expect("a valid name"));
     let open = Route { accounts: Vec::new(), open_account, ..route.clone() };
     configuration.routes.insert("orders".parse().expect("a valid name"), route);
+    let aged = Route { max_age_ms: Some(MAX_AGE_MS), ..open.clone() };
+    configuration.routes.insert("aged".parse().expect("a valid name"), aged);
     configuration.routes.insert("open".parse().expect("a valid name"), open);
     configuration.sort();
     configuration
 }
 
+/// Waits until a daemon listens; `None` when it ended instead.
+async fn listening(mut daemon: Daemon) -> Option<Daemon> {
+    while tokio::net::TcpStream::connect(daemon.admin).await.is_err() {
+        if daemon.child.try_wait().expect("the process can be asked").is_some() {
+            return None;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Some(daemon)
+}
+
 fn free_port() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("a bound listener")
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -9,8 +9,10 @@
 use futures_util::TryStreamExt;
 use pgwire::messages::{
     Message,
+    cancel::CancelRequest,
     extendedquery::{Bind, Close, Describe, Execute, Flush, Parse, Sync},
     simplequery::Query,
+    startup::{SecretKey, Startup},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -44,6 +46,7 @@
     socket: TcpStream,
     input: BytesMut,
     last: BytesMut,
+    key: Option<(i32, i32)>,
 }
 
 impl Raw {
@@ -51,8 +54,8 @@
     async fn connect(deployment: &Deployment, daemon: usize) -> Self {
         let address = deployment.daemons[daemon].callers;
         let socket = TcpStream::connect(address).await.expect("the daemon listens");
-        let mut raw = Raw { socket, input: BytesMut::new(), last: BytesMut::new() };
-        let mut startup = pgwire::messages::startup::Startup::new();
+        let mut raw = Raw { socket, input: BytesMut::new(), last: BytesMut::new(), key: None };
+        let mut startup = Startup::new();
         startup.parameters.insert("user".to_owned(), "anybody".to_owned());
         startup.parameters.insert("database".to_owned(), "open".to_owned());
         raw.send(&[&startup]).await;
@@ -74,6 +77,7 @@
                 let length = length as usize + 1;
                 if self.input.len() >= length {
                     self.last = self.input.split_to(length);
+                    self.note_key();
                     return Some(char::from(self.last[0]));
                 }
             }
@@ -83,13 +87,18 @@
         }
     }
 
+    fn note_key(&mut self) {
+        if let [b'K', _, _, _, _, p0, p1, p2, p3, s0, s1, s2, s3] = self.last[..] {
+            let process = i32::from_be_bytes([p0, p1, p2, p3]);
+            self.key = Some((process, i32::from_be_bytes([s0, s1, s2, s3])));
+        }
+    }
+
     /// Returns the tags of all messages up to `ReadyForQuery` or the end.
     async fn until_ready(&mut self) -> String {
         let mut tags = String::new();
         while let Some(tag) = self.next().await {
-            if tag == 'E' {
-                eprintln!("{:?}", String::from_utf8_lossy(&self.last));
-            }
+            if tag == 'E' {}
             if tag != 'S' {
                 tags.push(tag);
             }
@@ -383,10 +392,90 @@
         for bytes in [&b"\0\0\0\x04"[..], b"GET / HTTP/1.1\r\n\r\n", &[0xff; 64]] {
             let address = deployment.daemons[0].callers;
             let socket = TcpStream::connect(address).await.expect("the daemon listens");
-            let mut raw = Raw { socket, input: BytesMut::new(), last: BytesMut::new() };
+            let mut raw = Raw { socket, input: BytesMut::new(), last: BytesMut::new(), key: None };
             raw.socket.write_all(bytes).await.expect("the daemon reads");
             assert_eq!(raw.until_ready().await, "E", "{bytes:?}");
         }
         assert_eq!(values(&client, "SELECT 1").await, ["1"]);
     });
 }
+
+#[test]
+fn a_cancel_request_needs_the_secret_and_may_go_to_another_vm() {
+    run(async {
+        let (deployment, _client) = with_table().await;
+        let mut raw = Raw::connect(&deployment, 0).await;
+        let (process, secret) = raw.key.expect("key data");
+        raw.send(&[&Query::new("SELECT pg_sleep(8)".to_owned())]).await;
+        let begun = Instant::now();
+        for (number, tried) in [(1, secret ^ 1), (1, secret)] {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let address = deployment.daemons[number].callers;
+            let mut socket = TcpStream::connect(address).await.expect("the daemon listens");
+            let mut bytes = BytesMut::new();
+            CancelRequest::new(process, SecretKey::I32(tried)).put(&mut bytes);
+            socket.write_all(&bytes).await.expect("the daemon reads");
+            assert_eq!(socket.read(&mut [0; 1]).await.unwrap_or(0), 0, "no answer is due");
+        }
+        assert_eq!(raw.until_ready().await, "EZ");
+        assert!(begun.elapsed() > Duration::from_millis(500), "the wrong secret was honoured");
+        assert!(begun.elapsed() < Duration::from_secs(4));
+    });
+}
+
+#[test]
+fn a_write_waits_for_another_primary() {
+    run(async {
+        let (mut deployment, client) = with_table().await;
+        client.simple_query("INSERT INTO t VALUES (1, 'a')").await.expect("the row");
+        drop(deployment.servers[0].take());
+        let write = client.simple_query("INSERT INTO t VALUES (2, 'b')");
+        let promote = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            deployment.promote(1, 2).await;
+        };
+        let (written, ()) = tokio::join!(write, promote);
+        written.expect("the write is not refused");
+        assert_eq!(values(&client, "SELECT count(*) FROM t").await, ["2"]);
+        let unknown = deployment.client(1, None).await;
+        assert_eq!(values(&unknown, "SELECT count(*) FROM t").await, ["2"]);
+    });
+}
+
+#[test]
+fn reads_of_a_stated_age_end_with_that_age_when_the_primary_is_gone() {
+    run(async {
+        let (mut deployment, client) = with_table().await;
+        client.simple_query("INSERT INTO t VALUES (1, 'a')").await.expect("the row");
+        let aged = deployment.connect(1, "anybody", "", "aged", None).await.expect("a session");
+        assert_eq!(values(&aged, "SELECT count(*) FROM t").await, ["1"]);
+        drop(deployment.servers[0].take());
+        let gone = Instant::now();
+        let mut served = Duration::ZERO;
+        while aged.simple_query("SELECT count(*) FROM t").await.is_ok() {
+            served = gone.elapsed();
+            assert!(served < Duration::from_millis(common::MAX_AGE_MS + 200), "served {served:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(served > Duration::from_millis(common::MAX_AGE_MS / 4), "served {served:?}");
+    });
+}
+
+#[test]
+fn replicas_serve_most_reads_between_writes() {
+    run(async {
+        let (deployment, client) = with_table().await;
+        for i in 0..40 {
+            client
+                .simple_query(&format!("INSERT INTO t VALUES ({i}, 'a')"))
+                .await
+                .expect("the row");
+            for _ in 0..5 {
+                let count = values(&client, "SELECT count(*) FROM t").await;
+                assert_eq!(count, [(i + 1).to_string()]);
+            }
+        }
+        let share = deployment.replica_share(0).await;
+        assert!(share >= 0.9, "replicas served {share}");
+    });
+}
