--- a/crates/proxy/src/entry/handshake.rs
+++ b/crates/proxy/src/entry/handshake.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chicoryhollow_config::{Configuration, Verifier, standing::Credentials};
+use chicoryhollow_config::{configuration::Configuration, standing::Credentials};
 use chicoryhollow_core::prelude::*;
 use pgwire::messages::{
     response::{ReadyForQuery, TransactionStatus},
@@ -143,9 +143,9 @@
         return Ok(Err(Refusal::RouteUnknown));
     };
     let account = key.map(|(_, key)| &key.account).or(found.open_account.as_ref());
-    let Some(account) = account.cloned() else { return Ok(Err(Refusal::RouteDenied)) };
-    let key = key.map(|(name, key)| (name.clone(), key.verifier.clone()));
-    let credentials = Credentials { key, account, route: route.clone() };
+    let Some(account) = account else { return Ok(Err(Refusal::RouteDenied)) };
+    let key = key.map(|(name, held)| (name.clone(), held.verifier.clone()));
+    let credentials = Credentials { key, account: account.clone(), route: route.clone() };
     if let Err(refusal) = configuration.check_standing(&credentials) {
         return Ok(Err(refusal));
     }
@@ -155,7 +155,7 @@
 async fn check(
     node: &Arc<Node>,
     connection: &mut Connection,
-    verifier: &Verifier,
+    verifier: &chicoryhollow_config::Verifier,
 ) -> Result<bool, WireError> {
     if node.settings.limits.cleartext_keys {
         return scram::check_cleartext(connection, verifier).await;
