--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -21,6 +21,7 @@
     session::{Begin, Open, Session, Transaction},
 };
 use crate::{
+    configuration::is_stale,
     stream::{Access, Batch, OpenRequest, Ready, Stream, StreamEvent},
     wire::{self, WireError},
 };
@@ -111,6 +112,9 @@
         watched: bool,
     ) -> Result<bool, Failed> {
         let node = Arc::clone(&self.node);
+        if is_stale(&node) {
+            return Err(Refusal::NotReady.into());
+        }
         let route = self.route()?;
         let deadline = self.deadline();
         node.shares.admit(&node, &self.caller.credentials.account, deadline).await?;
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -449,7 +449,9 @@
         client.simple_query("INSERT INTO t VALUES (1, 'a')").await.expect("the row");
         let aged = deployment.connect(1, "anybody", "", "aged", None).await.expect("a session");
         assert_eq!(values(&aged, "SELECT count(*) FROM t").await, ["1"]);
+        // One server of three is no majority, so it is not promoted.
         drop(deployment.servers[0].take());
+        drop(deployment.servers[2].take());
         let gone = Instant::now();
         let mut served = Duration::ZERO;
         while aged.simple_query("SELECT count(*) FROM t").await.is_ok() {
