--- a/crates/testkit/examples/demo.rs
+++ b/crates/testkit/examples/demo.rs
@@ -91,7 +91,7 @@
     let deployment = cluster.deployment();
     for vm in 0..deployment.vms {
         let name = Deployment::vm(vm);
-        let Some(address) = cluster.caller_address(vm) else { continue };
+        let address = cluster.caller_address(vm);
         for (index, account) in deployment.accounts.iter().enumerate() {
             let shown = identity(deployment, index);
             println!(
--- /dev/null
+++ b/crates/testkit/src/bench/mod.rs
@@ -0,0 +1,93 @@
+/*!
+Closed loops of point reads, directly and through the proxy.
+
+All figures are taken in one run on one machine, so that they compare.
+*/
+
+mod memory;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use tokio::task::JoinSet;
+
+pub use crate::bench::memory::{Idle, resident_bytes};
+use crate::load::client::{Client, ClientError, Identity};
+
+/// The point read that every client repeats.
+const POINT_READ: &str = "SELECT account FROM writes WHERE id = $1";
+/// Rows among which the reads choose.
+pub const ROWS: i64 = 1_000;
+/// Highest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// A target of reads.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Where to connect.
+    pub address: SocketAddr,
+    /// Whom to connect as.
+    pub identity: Identity,
+}
+
+/// What a loop of reads has shown.
+#[derive(Clone, Copy, Debug)]
+pub struct Measured {
+    /// Reads a second over all clients.
+    pub per_second: f64,
+    /// Median latency in milliseconds.
+    pub median_ms: f64,
+    /// 99th percentile of the latency in milliseconds.
+    pub p99_ms: f64,
+}
+
+/// Lets `clients` read in closed loops for a while.
+///
+/// # Errors
+///
+/// Returns the first error of a client.
+pub async fn read_loop(
+    target: &Target,
+    clients: usize,
+    length: Duration,
+) -> Result<Measured, ClientError> {
+    let mut loops = JoinSet::new();
+    for number in 0..clients {
+        let client = Client::new(target.address, &target.identity, None).await?;
+        loops.spawn(read(client, number as i64, Instant::now() + length));
+    }
+    let mut all = new_histogram();
+    while let Some(joined) = loops.join_next().await {
+        let histogram = joined.map_err(|e| ClientError::Broken(e.to_string()))??;
+        // Both histograms have the same bounds.
+        let _ = all.add(histogram);
+    }
+    Ok(Measured {
+        per_second: all.len() as f64 / length.as_secs_f64(),
+        median_ms: all.value_at_quantile(0.5) as f64 / 1_000.0,
+        p99_ms: all.value_at_quantile(0.99) as f64 / 1_000.0,
+    })
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_LATENCY_US, 3).expect("the bounds are valid")
+}
+
+async fn read(
+    mut client: Client,
+    mut id: i64,
+    until: Instant,
+) -> Result<Histogram<u64>, ClientError> {
+    let mut histogram = new_histogram();
+    while Instant::now() < until {
+        id = (id + 1) % ROWS;
+        let began = Instant::now();
+        client.run(POINT_READ, &[id.to_string()]).await?;
+        histogram.saturating_record(began.elapsed().as_micros() as u64);
+    }
+    client.close().await;
+    Ok(histogram)
+}
--- a/crates/testkit/src/cluster/deployment.rs
+++ b/crates/testkit/src/cluster/deployment.rs
@@ -42,11 +42,16 @@
     pub statement_time: Duration,
     /// Delay with which replicas apply what they hold.
     pub apply_lag: Duration,
+    /// Whether connections go through links that can be cut.
+    pub linked: bool,
 }
 
 /// Number of data centres in each deployment.
 pub const DATA_CENTRES: usize = 3;
 
+/// A rate and a burst that no client reaches.
+const UNLIMITED: f64 = 1_000_000.0;
+
 const fn account(
     name: &'static str,
     rate: f64,
@@ -81,6 +86,7 @@
             connect_delay: Duration::from_millis(10),
             statement_time: Duration::ZERO,
             apply_lag: Duration::from_millis(10),
+            linked: true,
         }
     }
 
@@ -107,6 +113,29 @@
             connect_delay: Duration::from_millis(30),
             statement_time: Duration::ZERO,
             apply_lag: Duration::from_millis(10),
+            linked: true,
+        }
+    }
+
+    /// Returns a deployment without delays, links and scarce connections, whose
+    /// accounts have no rate worth the name.
+    pub fn unlimited() -> Self {
+        let mut deployment = Deployment::pressworks();
+        for account in &mut deployment.accounts {
+            account.rate = UNLIMITED;
+            account.burst = UNLIMITED;
+        }
+        Deployment {
+            name: "unlimited",
+            vms: DATA_CENTRES,
+            data_centre_trip: Duration::ZERO,
+            client_trip: Duration::ZERO,
+            slots: 128,
+            connections: 256,
+            connect_delay: Duration::ZERO,
+            apply_lag: Duration::ZERO,
+            linked: false,
+            ..deployment
         }
     }
 
--- a/crates/testkit/src/cluster/mod.rs
+++ b/crates/testkit/src/cluster/mod.rs
@@ -156,6 +156,11 @@
         &self.servers
     }
 
+    /// Returns the address at which a backend server itself listens.
+    pub fn server_address(&self, server: usize) -> SocketAddr {
+        self.servers[server].address
+    }
+
     /// Returns the address of the platform as `http://IP:PORT`.
     pub fn platform_url(&self) -> String {
         format!("http://{}", self.platform)
@@ -177,9 +182,10 @@
     }
 
     /// Returns the address at which clients reach a VM.
-    pub fn caller_address(&self, vm: usize) -> Option<SocketAddr> {
-        let data_centre = vm % DATA_CENTRES;
-        self.links.address(End::Clients, End::Vm { index: vm, data_centre })
+    pub fn caller_address(&self, vm: usize) -> SocketAddr {
+        let to = End::Vm { index: vm, data_centre: vm % DATA_CENTRES };
+        let link = self.links.address(End::Clients, to);
+        link.unwrap_or_else(|| self.direct_address(vm))
     }
 
     /// Returns the address at which a VM itself listens for callers.
--- a/crates/testkit/src/cluster/start.rs
+++ b/crates/testkit/src/cluster/start.rs
@@ -143,7 +143,7 @@
         let members = self.servers.iter().filter(|server| server.group == group);
         let members: Vec<_> = members.map(|s| (s.name.clone(), s.data_centre, s.address)).collect();
         for (name, data_centre, mut address) in members {
-            if data_centre != own {
+            if data_centre != own && self.deployment.linked {
                 let from = End::Server { group, data_centre: own };
                 let to = End::Server { group, data_centre };
                 let delay = self.trip_delay(own, data_centre);
@@ -156,6 +156,17 @@
 
     async fn make_daemons(&mut self, ports: &[SocketAddr]) -> Result<(), ClusterError> {
         let listens: Vec<Listen> = ports.chunks_exact(VM_PORTS).map(listen).collect();
+        if self.deployment.linked {
+            self.link_daemons(&listens).await?;
+        }
+        for index in 0..listens.len() {
+            let daemon = self.make_daemon(index, &listens)?;
+            self.daemons.push(daemon);
+        }
+        Ok(())
+    }
+
+    async fn link_daemons(&mut self, listens: &[Listen]) -> Result<(), ClusterError> {
         for data_centre in 0..DATA_CENTRES {
             let from = End::Vms { data_centre };
             self.links.add(from, End::Platform, self.platform, Duration::ZERO).await?;
@@ -175,8 +186,6 @@
             let to = End::Vm { index, data_centre: index % DATA_CENTRES };
             let delay = self.deployment.client_trip / 2;
             self.links.add(End::Clients, to, listen.callers, delay).await?;
-            let daemon = self.make_daemon(index, &listens)?;
-            self.daemons.push(daemon);
         }
         Ok(())
     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,9 +12,11 @@
 * [`load`] has the clients that put a deployment under load.
 * [`checker`] compares what clients were told with what the databases hold.
 * [`scenario`] puts faults and load together into named runs.
+* [`bench`] compares reads through the proxy with direct ones.
 */
 
 pub mod backend;
+pub mod bench;
 pub mod checker;
 pub mod cluster;
 pub mod fault;
--- a/crates/testkit/src/load/mod.rs
+++ b/crates/testkit/src/load/mod.rs
@@ -164,7 +164,7 @@
         let began = Instant::now();
         let stop = Arc::new(AtomicBool::new(false));
         let mut sessions = JoinSet::new();
-        let vms: Vec<_> = (0..deployment.vms).filter_map(|vm| cluster.caller_address(vm)).collect();
+        let vms: Vec<_> = (0..deployment.vms).map(|vm| cluster.caller_address(vm)).collect();
         for (account, size) in deployment.accounts.iter().enumerate() {
             let rate = size.rate * options.intensity[account] / options.sessions as f64;
             let plan = Plan {
