--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -22,8 +22,10 @@
 pub mod problem;
 pub mod publish;
 pub mod rate;
+pub mod reader;
 pub mod schema;
 pub mod settings;
+pub mod standing;
 mod text;
 mod value;
 pub mod verifier;
@@ -37,6 +39,7 @@
     hash::{ContentHash, Digests},
     problem::{Place, Problem, Problems},
     rate::{Burst, Rate},
+    reader::ConfigurationState,
     settings::Settings,
     text::Text,
     verifier::Verifier,
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -35,7 +35,7 @@
 }
 
 async fn readyz(node: Data<Node>) -> HttpResponse {
-    if node.configuration().version == 0 || node.is_draining() {
+    if !node.takes_work() {
         return HttpResponse::ServiceUnavailable().body("not ready\n");
     }
     HttpResponse::Ok().body("ready\n")
@@ -53,5 +53,6 @@
         "data_centre": node.settings.data_centre,
         "version": node.configuration().version,
         "state": state,
+        "homes": node.homes.report(),
     }))
 }
--- a/crates/proxy/src/peers/dispatch.rs
+++ b/crates/proxy/src/peers/dispatch.rs
@@ -40,6 +40,11 @@
         self.outgoing.try_send(Envelope::new(body)).is_ok()
     }
 
+    /// Tells whether both send on the same connection.
+    pub fn is_same(&self, other: &Reply) -> bool {
+        self.outgoing.same_channel(&other.outgoing)
+    }
+
     /// Tells whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.outgoing.is_closed()
@@ -78,7 +83,10 @@
         Body::ShareAsk(_) | Body::ShareGrant(_) | Body::ShareReturn(_) => {
             shares::receive(node, &from.vm, body, reply);
         }
-        Body::ConfigurationAsk(_) | Body::ConfigurationAnswer(_) => {
+        Body::ConfigurationAsk(_)
+        | Body::ConfigurationAnswer(_)
+        | Body::MembersAsk(_)
+        | Body::MembersAnswer(_) => {
             configuration::receive(node, &from.vm, body, reply);
         }
         Body::Cancel(cancel) => entry::cancel(node, &cancel),
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chicoryhollow_core::prelude::*;
+use chicoryhollow_peer::stream as message;
 pub use chicoryhollow_peer::stream::{Access, Prepare};
 
 use crate::{home::LocalStream, node::Node, peers::RemoteStream};
@@ -65,6 +66,18 @@
     pub fn is_idle(&self) -> bool {
         self.status == b'I'
     }
+
+    /// Makes the message that ends an answer on stream `stream`.
+    pub(crate) fn to_message(self, stream: u64) -> message::Ready {
+        let position = self.position.map(position_message);
+        message::Ready { stream, status: self.status.into(), position }
+    }
+
+    /// Reads the message that ends an answer.
+    pub(crate) fn from_message(ready: &message::Ready) -> Self {
+        let status = u8::try_from(ready.status).unwrap_or(b'E');
+        Ready { status, position: ready.position.map(position_of) }
+    }
 }
 
 /// A refusal of the home, with the applied position of a server that was behind.
@@ -98,8 +111,7 @@
     /// Returns the refusal when the home cannot be reached or does not take
     /// the stream; nothing has run then.
     pub async fn open(node: &Arc<Node>, request: OpenRequest) -> Result<Stream, Refused> {
-        let home = node.members.home(&node.configuration(), &request.server);
-        let home = home.ok_or(Refusal::HomeUnreachable)?;
+        let home = find_home(node, &request).ok_or(Refusal::HomeUnreachable)?;
         if home == node.settings.vm {
             node.metrics.streams.with_label_values(&["local"]).inc();
             return LocalStream::open(node, request).await.map(Box::new).map(Stream::Local);
@@ -136,8 +148,26 @@
     /// Asks the backend server to cancel the statement that runs.
     pub async fn interrupt(&mut self) {
         match self {
-            Stream::Local(stream) => stream.interrupt().await,
+            Stream::Local(stream) => stream.interrupt(),
             Stream::Remote(stream) => stream.interrupt().await,
         }
     }
 }
+
+/// Encodes a position.
+pub(crate) fn position_message(position: Position) -> message::Position {
+    message::Position { term: position.term().get(), lsn: position.lsn().get() }
+}
+
+/// Decodes a position.
+pub(crate) fn position_of(position: message::Position) -> Position {
+    Position::new(Term::new(position.term), Lsn::new(position.lsn))
+}
+
+/// Returns the VM in charge of the requested server.
+fn find_home(node: &Node, request: &OpenRequest) -> Option<VmId> {
+    let versioned = node.configuration();
+    let group = versioned.configuration.groups.get(&request.group)?;
+    let server = group.servers.get(&request.server)?;
+    node.members.home(&server.data_centre, &request.server)
+}
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -17,7 +17,10 @@
     rate::{Burst, Rate},
 };
 use chicoryhollow_platform::{HttpPlatform, Platform, Vm, VmState};
-use chicoryhollow_testkit::backend::{Backend, BackendOptions};
+use chicoryhollow_testkit::{
+    backend::{Backend, BackendOptions},
+    platform::{Counts, Fault},
+};
 use indexmap::IndexMap;
 use serde_json::json;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
@@ -25,6 +28,9 @@
 /// Bound on everything that should happen soon.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Time after which daemons know a changed list of VMs.
+pub const LIST_LAG: Duration = Duration::from_secs(2);
+
 /// Key of the account `press`.
 pub const PRESS_KEY: &str = "press-secret";
 
@@ -45,6 +51,7 @@
 pub struct Daemon {
     pub child: Child,
     pub callers: SocketAddr,
+    pub peers: SocketAddr,
     pub admin: SocketAddr,
     settings: PathBuf,
 }
@@ -95,13 +102,47 @@
         self.version += 1;
     }
 
-    async fn start_daemon(&mut self, name: &str, data_centre: &str) {
+    /// Makes the platform misbehave.
+    pub async fn fault(&self, fault: &Fault) {
+        let url = format!("{}/control/fault", self.base);
+        let answer = awc::Client::default().put(url).send_json(fault).await;
+        assert!(answer.expect("the platform answers").status().is_success());
+    }
+
+    /// Returns how many requests the platform has received.
+    pub async fn counts(&self) -> Counts {
+        let url = format!("{}/control/counts", self.base);
+        let mut answer = awc::Client::default().get(url).send().await.expect("an answer");
+        answer.json().await.expect("the counts")
+    }
+
+    /// Returns the version that a daemon has in force.
+    pub async fn version(&self, daemon: usize) -> u64 {
+        let url = format!("http://{}/status", self.daemons[daemon].admin);
+        let mut answer = awc::Client::default().get(url).send().await.expect("an answer");
+        let status: serde_json::Value = answer.json().await.expect("a status");
+        status["version"].as_u64().expect("a version")
+    }
+
+    /// Waits until a daemon has the newest version in force.
+    pub async fn wait_version(&self, daemon: usize, limit: Duration) {
+        let newest = async {
+            while self.version(daemon).await < self.version {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(limit, newest).await.expect("the newest version is in force in time");
+    }
+
+    /// Starts a daemon that knows those started before it as seeds.
+    pub async fn start_daemon(&mut self, name: &str, data_centre: &str) {
         let [callers, peers, admin] = [free_port(), free_port(), free_port()];
         let settings = json!({
             "vm": name,
             "data_centre": data_centre,
             "listen": { "callers": callers, "peers": peers, "admin": admin },
-            "platform": self.base,
+            "platform": format!("{}/dc/{data_centre}", self.base),
+            "seeds": self.daemons.iter().map(|daemon| daemon.peers).collect::<Vec<_>>(),
             "limits": { "request_ms": 10_000, "drain_ms": 5_000 },
         });
         let file = format!("chicoryhollow-{}-{}.json", std::process::id(), callers.port());
@@ -112,7 +153,7 @@
             .arg(&path)
             .spawn()
             .expect("the daemon starts");
-        self.daemons.push(Daemon { child, callers, admin, settings: path });
+        self.daemons.push(Daemon { child, callers, peers, admin, settings: path });
         let vm = Vm {
             vm: name.parse().expect("a valid name"),
             data_centre: data_centre.parse().expect("a valid name"),
@@ -125,6 +166,14 @@
         assert!(listed.expect("the platform answers").status().is_success());
     }
 
+    /// Takes a daemon off the platform's list, and waits until the others know.
+    pub async fn forget_daemon(&self, daemon: usize) {
+        let url = format!("{}/control/vms/vm-{daemon}", self.base);
+        let gone = awc::Client::default().delete(url).send().await;
+        assert!(gone.expect("the platform answers").status().is_success());
+        tokio::time::sleep(LIST_LAG).await;
+    }
+
     /// Waits until a daemon says that it is ready and knows a primary.
     pub async fn wait_ready(&self, daemon: usize) {
         let url = format!("http://{}/readyz", self.daemons[daemon].admin);
@@ -219,7 +268,10 @@
         max_age_ms: None,
         idempotent: false,
     };
+    let open_account = Some("clinic".parse().expect("a valid name"));
+    let open = Route { accounts: Vec::new(), open_account, ..route.clone() };
     configuration.routes.insert("orders".parse().expect("a valid name"), route);
+    configuration.routes.insert("open".parse().expect("a valid name"), open);
     configuration.sort();
     configuration
 }
