Let open transactions of the stand-in not wait for each other

The stand-in held one write lock for each group from a transaction's first write to its end; other writes waited in the server and kept the daemon's slots, so the transaction's own COMMIT queued behind them until the deadline. PostgreSQL locks rows, so the stand-in made a conflict of what is none. Conclusion: on a real row conflict the daemon can still starve the holder's COMMIT behind waiting statements; statements of an open transaction should not queue for a slot behind new work.

--- a/crates/testkit/src/backend/core.rs
+++ b/crates/testkit/src/backend/core.rs
@@ -11,7 +11,7 @@
 
 use crate::backend::{
     BackendOptions,
-    engine::Engine,
+    engine::{Engine, OpenWrite},
     error::SqlError,
     log::{Log, Record},
 };
@@ -135,11 +135,11 @@
     }
 
     /// Logs the committed write transaction.
-    pub(crate) fn commit(&mut self, xid: u64) -> Result<u64, SqlError> {
-        let changes = match self.engine.commit() {
+    pub(crate) fn commit(&mut self, xid: u64, write: OpenWrite) -> Result<u64, SqlError> {
+        let changes = match self.engine.commit(write) {
             Ok(changes) => changes,
             Err(error) => {
-                self.engine.rollback();
+                self.engine.release();
                 self.engine.xacts(|xacts| xacts.end(xid, false));
                 return Err(error);
             }
@@ -320,7 +320,7 @@
 
     fn stop_leading(&mut self, role: Role) {
         if self.role == Role::Primary {
-            self.engine.rollback();
+            self.engine.release();
             self.epoch += 1;
         }
         self.role = role;
--- a/crates/testkit/src/backend/error.rs
+++ b/crates/testkit/src/backend/error.rs
@@ -29,10 +29,19 @@
 
     /// Encodes the error for the wire.
     pub(crate) fn response(&self) -> ErrorResponse {
+        self.with_severity("ERROR")
+    }
+
+    /// Encodes the error as one that ends the connection.
+    pub(crate) fn fatal_response(&self) -> ErrorResponse {
+        self.with_severity("FATAL")
+    }
+
+    fn with_severity(&self, severity: &str) -> ErrorResponse {
         let field = |tag: u8, text: &str| (tag, text.to_owned());
         ErrorResponse::new(vec![
-            field(b'S', "ERROR"),
-            field(b'V', "ERROR"),
+            field(b'S', severity),
+            field(b'V', severity),
             field(b'C', self.code),
             field(b'M', &self.message),
         ])
--- a/crates/testkit/src/backend/mod.rs
+++ b/crates/testkit/src/backend/mod.rs
@@ -5,8 +5,9 @@
 its committed transactions to the other members of its group, and offers the
 control functions of `docs/design/backend-control.md`.
 
-A database group has one write lock: a transaction takes it at its first
-statement that writes. Other sessions go on reading committed data.
+Transactions see committed data and their own writes. They do not lock rows:
+of two that change the same row the later commit wins, as if its statements had
+run then.
 */
 
 mod codec;
--- /dev/null
+++ b/crates/testkit/tests/checker.rs
@@ -0,0 +1,137 @@
+//! The checker finds what broke, and nothing else.
+
+use std::time::Duration;
+
+use chicoryhollow_testkit::{
+    checker::{Breach, Circumstances, Databases, Injection, Report},
+    cluster::Deployment,
+    load::{Arrival, Kind, Outcome, Request},
+};
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn request(kind: Kind, outcome: Outcome, started: u64, ended: u64) -> Request {
+    Request {
+        kind,
+        account: 0,
+        vm: 0,
+        arrival: Arrival::New,
+        started: at(started),
+        ended: at(ended),
+        outcome,
+    }
+}
+
+fn write(outcome: Outcome) -> Request {
+    request(Kind::Write { id: 7 }, outcome, 0, 1)
+}
+
+fn read(outcome: Outcome) -> Request {
+    request(Kind::Read, outcome, 0, 1)
+}
+
+fn refused() -> Outcome {
+    Outcome::NotRun("57014".to_owned())
+}
+
+fn unknown() -> Outcome {
+    Outcome::Unknown("08007".to_owned())
+}
+
+fn judge(requests: &[Request], found: u64, circumstances: &Circumstances) -> Vec<(Breach, u64)> {
+    let databases = Databases::new((found > 0).then_some((7, found)));
+    let report = Report::new(&Deployment::pressworks(), requests, &databases, circumstances);
+    report.breaches.into_iter().filter(|(_, count)| *count > 0).collect()
+}
+
+#[test]
+fn writes_are_compared_with_the_databases() {
+    let cases = [
+        (Outcome::Done, 1, None),
+        (Outcome::Done, 0, Some(Breach::Lost)),
+        (Outcome::Done, 2, Some(Breach::Doubled)),
+        (Outcome::Committed, 1, None),
+        (Outcome::Committed, 0, Some(Breach::Lost)),
+        (refused(), 0, None),
+        (refused(), 1, Some(Breach::FalseNotRun)),
+        (unknown(), 0, None),
+        (unknown(), 1, None),
+        (unknown(), 2, Some(Breach::Doubled)),
+        (Outcome::Unreachable, 1, Some(Breach::FalseNotRun)),
+    ];
+    for (outcome, found, breach) in cases {
+        let broken = judge(&[write(outcome.clone())], found, &Circumstances::default());
+        let expected: Vec<_> = breach.into_iter().map(|breach| (breach, 1)).collect();
+        assert_eq!(broken, expected, "{outcome:?} found {found} times");
+    }
+}
+
+#[test]
+fn answers_are_judged_by_what_they_say() {
+    let cases = [
+        (Outcome::Done, None),
+        (Outcome::Stale, Some(Breach::Stale)),
+        (Outcome::Crossed, Some(Breach::Crossed)),
+        (Outcome::Cut, Some(Breach::Cut)),
+        (refused(), None),
+    ];
+    for (outcome, breach) in cases {
+        let broken = judge(&[read(outcome.clone())], 0, &Circumstances::default());
+        let expected: Vec<_> = breach.into_iter().map(|breach| (breach, 1)).collect();
+        assert_eq!(broken, expected, "{outcome:?}");
+    }
+}
+
+#[test]
+fn cuts_on_a_vm_that_was_broken_on_purpose_are_no_breach() {
+    let broken = Circumstances { broken_vms: vec![0], ..Circumstances::default() };
+    assert_eq!(judge(&[read(Outcome::Cut)], 0, &broken), []);
+}
+
+#[test]
+fn a_withdrawn_key_may_work_for_five_seconds() {
+    let circumstances =
+        Circumstances { withdrawn: Some((0, at(1_000))), ..Circumstances::default() };
+    for (started, expected) in [(5_900, vec![]), (6_100, vec![(Breach::WithdrawnKey, 1)])] {
+        let request = request(Kind::Read, Outcome::Done, started, started + 1);
+        assert_eq!(judge(&[request], 0, &circumstances), expected, "{started}");
+    }
+}
+
+#[test]
+fn requests_above_rate_and_burst_are_counted() {
+    let size = Deployment::pressworks().accounts[0];
+    let allowed = (size.rate * 0.25 + size.burst) as u64;
+    for (extra, expected) in [(0, vec![]), (5, vec![(Breach::RateExcess, 5)])] {
+        let burst: Vec<_> = (0..allowed + extra).map(|_| read(Outcome::Done)).collect();
+        assert_eq!(judge(&burst, 0, &Circumstances::default()), expected, "{extra} more");
+    }
+}
+
+#[test]
+fn the_failover_gap_ends_with_the_first_write_sent_after_the_fault() {
+    let injection = Some(Injection { at: at(100), groups: vec![0] });
+    let circumstances = Circumstances { injection, ..Circumstances::default() };
+    let write = |started, ended| request(Kind::Write { id: 7 }, Outcome::Done, started, ended);
+    let requests = [write(50, 150), write(200, 900), write(400, 800)];
+    let databases = Databases::new([(7, 1)]);
+    let report = Report::new(&Deployment::pressworks(), &requests, &databases, &circumstances);
+    assert_eq!(report.failover_gap_ms, Some(700.0));
+    let report = Report::new(&Deployment::pressworks(), &requests[..1], &databases, &circumstances);
+    assert_eq!((report.groups_without_write, report.is_clean()), (1, false));
+}
+
+#[test]
+fn wrongful_refusals_are_those_of_accounts_within_their_rate() {
+    let refused = read(Outcome::NotRun("53400".to_owned()));
+    for (noisy, expected) in [(vec![], 1), (vec![0], 0)] {
+        let circumstances = Circumstances { noisy, ..Circumstances::default() };
+        let deployment = Deployment::pressworks();
+        let none = Databases::default();
+        let report =
+            Report::new(&deployment, std::slice::from_ref(&refused), &none, &circumstances);
+        assert_eq!(report.wrongful_refusals, expected);
+    }
+}
