--- a/crates/testkit/src/cluster/start.rs
+++ b/crates/testkit/src/cluster/start.rs
@@ -24,6 +24,10 @@
 CREATE INDEX writes_by_id ON writes (id); \
 CREATE INDEX writes_by_session ON writes (session, seq)";
 
+/// Ports on which the processes of a cluster listen.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// Ports that are tried before giving up.
+const MAX_PORT_ATTEMPTS: usize = 10_000;
 /// Listeners of one VM.
 const VM_PORTS: usize = 3;
 
@@ -254,8 +258,20 @@
 }
 
 /// Finds addresses on which nobody listens.
+///
+/// They lie below the ports that the system gives to outgoing connections, so
+/// that none is taken before the process that it is meant for listens.
 fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, ClusterError> {
-    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0"));
-    let listeners: Vec<_> = listeners.collect::<Result<_, _>>()?;
+    let mut listeners = Vec::with_capacity(count);
+    for _ in 0..MAX_PORT_ATTEMPTS {
+        if listeners.len() == count {
+            break;
+        }
+        let port = rand::random_range(PORTS);
+        listeners.extend(TcpListener::bind(("127.0.0.1", port)));
+    }
+    if listeners.len() < count {
+        return Err(ClusterError::Request("too few free ports".to_owned()));
+    }
     Ok(listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?)
 }
