Drive the watchers of database groups and subscribe to their views

Cause: every daemon polled every server and nobody ordered a promotion. Change: each watched group has a task that carries messages between its watcher, one task per server and the other VMs; other daemons subscribe.

--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -30,7 +30,7 @@
 
 pub use self::{
     members::MemberList,
-    message::{Action, Event},
+    message::{Action, Event, Promotion},
     place::{WatcherPlace, watchers},
     plan::{GroupPlan, ServerPlan},
     status::{Owner, ServerRole, ServerStatus},
--- a/crates/core/src/watch/attempt.rs
+++ b/crates/core/src/watch/attempt.rs
@@ -67,6 +67,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     term: Term,
+    planned: bool,
     failed: Option<ServerId>,
     since: Time,
     stage: Stage,
@@ -83,12 +84,14 @@
 
     /// Starts a planned move from `primary` to `target`.
     pub(crate) fn with_drain(term: Term, primary: ServerId, target: ServerId, now: Time) -> Self {
-        Attempt::with_stage(term, now, Stage::Draining(Drain { primary, target }))
+        let stage = Stage::Draining(Drain { primary, target });
+        Attempt { planned: true, ..Attempt::with_stage(term, now, stage) }
     }
 
     fn with_stage(term: Term, now: Time, stage: Stage) -> Self {
         Attempt {
             term,
+            planned: false,
             failed: None,
             since: now,
             stage,
@@ -103,6 +106,11 @@
         self.term
     }
 
+    /// Tells whether it is a planned move.
+    pub(crate) fn is_planned(&self) -> bool {
+        self.planned
+    }
+
     /// Returns the primary whose failure is the cause.
     pub(crate) fn failed(&self) -> Option<&ServerId> {
         self.failed.as_ref()
--- a/crates/core/src/watch/message.rs
+++ b/crates/core/src/watch/message.rs
@@ -26,6 +26,17 @@
     Promoted(ServerId, Term, bool),
     /// Another watcher told what it sees.
     Heard(VmId, Observation),
+    /// Requests to the primary failed, as a VM that sends them noticed.
+    Suspected,
+}
+
+/// A promotion that a watcher has under way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Promotion {
+    /// Term that it opens.
+    pub term: Term,
+    /// Whether the present primary has not failed.
+    pub planned: bool,
 }
 
 /// What a watcher wants done.
--- a/crates/core/src/watch/watcher.rs
+++ b/crates/core/src/watch/watcher.rs
@@ -16,7 +16,7 @@
         attempt::{Attempt, Order, Step},
         election::Ballot,
         members::{MemberList, newest},
-        message::{Action, Event},
+        message::{Action, Event, Promotion},
         place::WatcherPlace,
         plan::GroupPlan,
         status::{Owner, ServerRole, ServerStatus},
@@ -54,6 +54,14 @@
     Unfit,
 }
 
+/// What the other watchers were last told, and when.
+#[derive(Clone, Debug)]
+struct Told {
+    judgement: Judgement,
+    primary: (Term, Option<ServerId>),
+    at: Time,
+}
+
 #[derive(Clone, Debug)]
 enum Intent {
     Failover,
@@ -82,7 +90,7 @@
     tries: u32,
     members_due: Time,
     published: Option<(GroupView, Time)>,
-    told: Option<(Judgement, Time)>,
+    told: Option<Told>,
 }
 
 impl Watcher {
@@ -132,6 +140,17 @@
         &self.view
     }
 
+    /// Returns the promotion that is under way.
+    pub fn promotion(&self) -> Option<Promotion> {
+        let attempt = self.attempt.as_ref()?;
+        Some(Promotion { term: attempt.term(), planned: attempt.is_planned() })
+    }
+
+    /// Tells whether this watcher finds the primary failed.
+    pub fn is_suspecting(&self, now: Time) -> bool {
+        self.view.primary.is_some() && self.judge(now) != Judgement::Healthy
+    }
+
     /// Takes in `event` and returns what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, rng: &mut impl Rng) -> Vec<Action> {
         self.note_pause(now);
@@ -177,6 +196,7 @@
                 }
             }
             Event::Heard(vm, observation) => self.listen(now, vm, observation),
+            Event::Suspected => self.hurry_poll(),
         }
     }
 
--- a/crates/core/src/watch/watcher/duties.rs
+++ b/crates/core/src/watch/watcher/duties.rs
@@ -13,7 +13,7 @@
         message::Action,
         status::ServerRole,
         suspicion::{Observation, SUSPECT},
-        watcher::{Judgement, Watcher},
+        watcher::{Judgement, Told, Watcher},
     },
 };
 
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Makes the next status request to the primary due at once.
+    pub(super) fn hurry_poll(&mut self) {
+        if let Some(primary) = self.view.primary.clone() {
+            self.link(primary).polled = None;
+        }
+    }
+
     pub(super) fn poll_one(
         &mut self,
         server: ServerId,
@@ -101,12 +108,15 @@
 
     pub(super) fn tell(&mut self, now: Time, actions: &mut Vec<Action>) {
         let judgement = self.judge(now);
-        let quiet =
-            self.told.is_some_and(|(last, at)| last == judgement && now.since(at) < TELL_INTERVAL);
+        let primary = (self.view.term, self.view.primary.clone());
+        let quiet = self.told.as_ref().is_some_and(|told| {
+            let same = told.judgement == judgement && told.primary == primary;
+            same && now.since(told.at) < TELL_INTERVAL
+        });
         if quiet {
             return;
         }
-        self.told = Some((judgement, now));
+        self.told = Some(Told { judgement, primary, at: now });
         let lost = self.primary_status().and_then(|s| s.majority_age).is_some_and(|a| a >= SUSPECT);
         let observation =
             Observation { view: self.view.clone(), silence: self.silence(now), majority: !lost };
--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -8,7 +8,7 @@
     /// What the message is about; none for a body of a later version.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 30, 31, 32, 40, 41"
+        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 32, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -80,6 +80,9 @@
     /// What one watcher sees of a group's servers.
     #[prost(message, tag = "22")]
     Observation(group::Observation),
+    /// Tells a watcher that requests to the primary fail.
+    #[prost(message, tag = "23")]
+    Suspect(group::Suspect),
     /// Asks the keeper of an account for a share.
     #[prost(message, tag = "30")]
     ShareAsk(share::ShareAsk),
--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -71,3 +71,14 @@
     #[prost(bool, tag = "3")]
     pub majority: bool,
 }
+
+/// Tells a watcher that requests to a group's primary fail.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Suspect {
+    /// Name of the group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Term of the primary that the sender used.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -22,6 +22,14 @@
     ConfigurationRefused,
     /// A group has a new primary.
     PrimaryChanged,
+    /// A watcher no longer reaches a primary, or the primary no majority.
+    PrimarySuspected,
+    /// A watcher begins to move the role of the primary.
+    PromotionBegun,
+    /// A promotion has given the group a new primary.
+    PromotionEnded,
+    /// A promotion was given up; another one may follow.
+    PromotionAbandoned,
     /// A connection was closed because of a malformed message.
     MalformedMessage,
     /// A request was refused.
@@ -32,7 +40,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 11] = [
+    pub const ALL: [Event; 15] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -41,6 +49,10 @@
         Event::PlatformAvailable,
         Event::ConfigurationRefused,
         Event::PrimaryChanged,
+        Event::PrimarySuspected,
+        Event::PromotionBegun,
+        Event::PromotionEnded,
+        Event::PromotionAbandoned,
         Event::MalformedMessage,
         Event::Refused,
         Event::PeerLost,
@@ -57,6 +69,10 @@
             Event::PlatformAvailable => (202, Level::Info, "platform available"),
             Event::ConfigurationRefused => (203, Level::Warning, "configuration offer refused"),
             Event::PrimaryChanged => (300, Level::Info, "primary changed"),
+            Event::PrimarySuspected => (301, Level::Warning, "primary suspected"),
+            Event::PromotionBegun => (302, Level::Info, "promotion begun"),
+            Event::PromotionEnded => (303, Level::Info, "promotion ended"),
+            Event::PromotionAbandoned => (304, Level::Warning, "promotion abandoned"),
             Event::MalformedMessage => (400, Level::Warning, "malformed message"),
             Event::Refused => (401, Level::Debug, "request refused"),
             Event::PeerLost => (500, Level::Warning, "peer connection lost"),
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -23,6 +23,12 @@
     pub version: IntGauge,
     /// Seconds since the configuration in force was known to be the newest.
     pub age: IntGauge,
+    /// Promotions that this VM brought about, by kind: `failover` or `planned`.
+    pub promotions: IntCounterVec,
+    /// Questions and orders sent to backend servers of watched groups.
+    pub heartbeats: IntCounter,
+    /// Groups that this VM watches.
+    pub watched: IntGauge,
     /// Malformed messages that closed a connection.
     pub malformed: IntCounter,
 }
@@ -48,6 +54,9 @@
                 "configuration_age_seconds",
                 "Time since the configuration was known to be the newest.",
             ),
+            promotions: family(&registry, "promotions_total", "Primaries promoted.", "kind"),
+            heartbeats: counter(&registry, "heartbeats_total", "Calls to watched servers."),
+            watched: gauge(&registry, "watched_groups", "Groups that this VM watches."),
             malformed: counter(&registry, "malformed_total", "Malformed messages."),
             registry,
         };
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -19,6 +19,7 @@
     metrics::Metrics,
     peers::Peers,
     shares::Shares,
+    watch::Watching,
 };
 
 /// The shared state of one daemon.
@@ -41,6 +42,8 @@
     pub members: Members,
     /// Views of the database groups.
     pub groups: Groups,
+    /// Groups that this VM watches.
+    pub watching: Watching,
     /// Backend servers that this VM is in charge of.
     pub homes: Homes,
     /// Connections to other VMs.
@@ -65,6 +68,7 @@
             configuration: watch::Sender::new(Arc::default()),
             following: Following::new(),
             groups: Groups::new(),
+            watching: Watching::new(),
             homes: Homes::new(),
             peers: Peers::new(),
             shares: Shares::new(),
--- a/crates/proxy/src/peers/dispatch.rs
+++ b/crates/proxy/src/peers/dispatch.rs
@@ -72,7 +72,7 @@
 /// Hands a message that belongs to no stream to its module.
 pub(crate) fn dispatch(node: &Arc<Node>, from: &Peer, body: Body, reply: &Reply) {
     match body {
-        Body::Subscribe(_) | Body::View(_) | Body::Observation(_) => {
+        Body::Subscribe(_) | Body::View(_) | Body::Observation(_) | Body::Suspect(_) => {
             watch::receive(node, &from.vm, body, reply);
         }
         Body::ShareAsk(_) | Body::ShareGrant(_) | Body::ShareReturn(_) => {
--- /dev/null
+++ b/crates/proxy/src/watch/convert.rs
@@ -0,0 +1,141 @@
+//! Views, observations and statuses as messages.
+
+use std::time::Duration;
+
+use chicoryhollow_core::{
+    prelude::*,
+    view::{ServerView, TermStart},
+    watch::{Action, Observation, Owner, ServerRole, ServerStatus},
+};
+use chicoryhollow_peer::group;
+
+use crate::{
+    home::control::ControlRow,
+    stream::{position_message, position_of},
+};
+
+/// Makes the message of a view.
+pub(super) fn view_message(view: &GroupView) -> group::View {
+    let server = |(name, server): (&ServerId, &ServerView)| group::ServerView {
+        server: name.to_string(),
+        reachable: server.reachable,
+        applied: Some(position_message(server.applied)),
+    };
+    let start = |start: &TermStart| group::TermStart {
+        term: start.term.get(),
+        lsn: start.lsn.get(),
+        xid: start.xid,
+    };
+    group::View {
+        group: view.group.to_string(),
+        term: view.term.get(),
+        primary: view.primary.as_ref().map(ToString::to_string).unwrap_or_default(),
+        history: view.history.iter().map(start).collect(),
+        servers: view.servers.iter().map(server).collect(),
+    }
+}
+
+/// Reads the message of a view, or `None` when a name in it is malformed.
+pub(super) fn view_of(message: &group::View) -> Option<GroupView> {
+    let mut view = GroupView::new(GroupId::new(&message.group).ok()?);
+    view.term = Term::new(message.term);
+    if !message.primary.is_empty() {
+        view.primary = Some(ServerId::new(&message.primary).ok()?);
+    }
+    let start = |start: &group::TermStart| TermStart {
+        term: Term::new(start.term),
+        lsn: Lsn::new(start.lsn),
+        xid: start.xid,
+    };
+    view.history = message.history.iter().map(start).collect();
+    for server in &message.servers {
+        let applied = server.applied.map(position_of).unwrap_or_default();
+        let found = ServerView { reachable: server.reachable, applied };
+        view.servers.insert(ServerId::new(&server.server).ok()?, found);
+    }
+    Some(view)
+}
+
+/// Makes the message of an observation.
+pub(super) fn observation_message(observation: &Observation) -> group::Observation {
+    group::Observation {
+        view: Some(view_message(&observation.view)),
+        silence_ms: u64::try_from(observation.silence.as_millis()).unwrap_or(u64::MAX),
+        majority: observation.majority,
+    }
+}
+
+/// Reads the message of an observation.
+pub(super) fn observation_of(message: &group::Observation) -> Option<Observation> {
+    Some(Observation {
+        view: view_of(message.view.as_ref()?)?,
+        silence: Duration::from_millis(message.silence_ms),
+        majority: message.majority,
+    })
+}
+
+/// Returns the server that an action is about and the control function that
+/// carries it out, or `None` when the action concerns no server.
+pub(super) fn function(action: &Action) -> Option<(&ServerId, String)> {
+    match action {
+        Action::Poll(server) => Some((server, "status()".to_owned())),
+        Action::Fence { server, term, owner } => {
+            Some((server, format!("fence({term}, '{owner}')")))
+        }
+        Action::Promote { server, term, owner, members } => {
+            let list = join(&members.servers);
+            Some((server, format!("promote({term}, '{owner}', '{list}', {})", members.version)))
+        }
+        Action::SetMembers { server, term, members } => {
+            let list = join(&members.servers);
+            Some((server, format!("set_members({term}, {}, '{list}')", members.version)))
+        }
+        Action::Publish(_) | Action::Tell(_) => None,
+    }
+}
+
+fn join(servers: &[ServerId]) -> String {
+    let names: Vec<&str> = servers.iter().map(ServerId::as_str).collect();
+    names.join(",")
+}
+
+/// Tells whether a control function says that it did what it was asked.
+pub(super) fn is_granted(row: &ControlRow) -> bool {
+    text(row, "granted") == "t"
+}
+
+/// Reads the columns of a status.
+pub(super) fn status_of(row: &ControlRow) -> Option<ServerStatus> {
+    let role = match text(row, "role") {
+        "primary" => ServerRole::Primary,
+        "replica" => ServerRole::Replica,
+        "fenced" => ServerRole::Fenced,
+        _ => return None,
+    };
+    let members: Result<Vec<ServerId>, _> = text(row, "members")
+        .split(',')
+        .filter(|name| !name.is_empty())
+        .map(ServerId::new)
+        .collect();
+    Some(ServerStatus {
+        role,
+        term: Term::new(number(row, "term")?),
+        fence_term: Term::new(number(row, "fence_term")?),
+        fence_owner: Owner::from_text(text(row, "fence_owner")),
+        received: Lsn::new(number(row, "received")?),
+        applied: Lsn::new(number(row, "applied")?),
+        // A server without a majority reports a negative age.
+        majority_age: number(row, "majority_age_ms").map(Duration::from_millis),
+        members: members.ok()?,
+        members_version: number(row, "members_version")?,
+        history: serde_json::from_str(text(row, "history")).ok()?,
+    })
+}
+
+fn text<'a>(row: &'a ControlRow, name: &str) -> &'a str {
+    row.get(name).map_or("", String::as_str)
+}
+
+fn number(row: &ControlRow, name: &str) -> Option<u64> {
+    text(row, name).parse().ok()
+}
--- a/crates/proxy/src/watch/mod.rs
+++ b/crates/proxy/src/watch/mod.rs
@@ -1,82 +1,207 @@
-//! Following the database groups.
+//! Following and watching the database groups.
 //!
-//! Every daemon asks every server for its status.
+//! A few VMs watch each group: they ask its backend servers for their status
+//! and order promotions, as [`chicoryhollow_core::watch`] decides. All other VMs
+//! that use the group subscribe to the views of one of them.
 
-use std::{sync::Arc, time::Duration};
+mod convert;
+mod group;
+mod places;
+mod server;
+mod subscribers;
+mod subscription;
 
-use chicoryhollow_config::configuration::Server;
-use chicoryhollow_core::{prelude::*, view::TermStart};
-use chicoryhollow_peer::Body;
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use chicoryhollow_core::{
+    prelude::*,
+    watch::{Event, WatcherPlace},
+};
+use chicoryhollow_peer::{Body, group as message};
 use slog::o;
-use tokio::time::timeout;
+use tokio::time::{MissedTickBehavior, interval};
 
-use crate::{
-    events::Event,
-    home::control::{Control, ControlRow},
-    node::Node,
-    peers::Reply,
+use self::{
+    group::{GroupTask, Input},
+    places::Places,
+    subscription::Subscriptions,
 };
+use crate::{events, node::Node, peers::Reply};
 
-/// Time between two questions to one server, in milliseconds.
-const POLL_MS: u64 = 200;
+/// Time between two looks at the watched and the followed groups.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Least time between two reports of one group's failing primary.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The groups that this VM watches and those that it follows.
+#[derive(Debug, Default)]
+pub struct Watching {
+    state: Mutex<State>,
+}
 
-/// Longest wait for an answer, in milliseconds.
-const ANSWER_MS: u64 = 1_000;
+#[derive(Debug, Default)]
+struct State {
+    watched: HashMap<GroupId, GroupTask>,
+    subscriptions: Subscriptions,
+    places: Places,
+    suspected: HashMap<GroupId, Time>,
+}
+
+impl Watching {
+    /// Makes the state of a daemon that watches nothing yet.
+    pub fn new() -> Self {
+        Watching::default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with this lock")
+    }
+}
 
-/// Follows all configured servers for as long as the daemon runs.
+/// Watches and follows groups for as long as the daemon runs.
 pub async fn follow(node: Arc<Node>) {
     let mut configurations = node.configuration.subscribe();
-    let mut followed = std::collections::HashSet::new();
+    let mut sweeps = interval(SWEEP_INTERVAL);
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let versioned = Arc::clone(&configurations.borrow_and_update());
-        for (group, found) in &versioned.configuration.groups {
-            for (server, found) in &found.servers {
-                if followed.insert(server.clone()) {
-                    tokio::spawn(ask(Arc::clone(&node), group.clone(), found.clone()));
-                }
-            }
+        tokio::select! {
+            _ = sweeps.tick() => {}
+            () = node.groups.wanted() => {}
+            // The daemon owns the sender.
+            _ = configurations.changed() => {}
         }
-        if configurations.changed().await.is_err() {
+        assign(&node);
+        subscribe(&node);
+    }
+}
+
+/// Starts and ends the watching of groups as the configuration and the VMs
+/// change.
+fn assign(node: &Arc<Node>) {
+    let mut state = node.watching.lock();
+    let versioned = node.configuration();
+    if !state.places.refresh(&versioned, &node.members.listed()) {
+        return;
+    }
+    let State { watched, places, .. } = &mut *state;
+    watched.retain(|group, _| places.is_watcher(group, &node.settings.vm));
+    let configuration = Arc::new(versioned.configuration.clone());
+    for (group, places) in places.iter() {
+        if !places.iter().any(|place| place.vm == node.settings.vm) {
+            continue;
+        }
+        let task = watched.entry(group.clone()).or_insert_with(|| GroupTask::new(node, group));
+        let input = Input::Configure(Arc::clone(&configuration), places.to_vec());
+        if !task.send(input) {
+            // A task that is overloaded starts again from its newest view.
+            watched.remove(group);
+        }
+    }
+    node.metrics.watched.set(i64::try_from(watched.len()).unwrap_or(i64::MAX));
+}
+
+/// Subscribes to the groups in use that this VM does not watch.
+fn subscribe(node: &Arc<Node>) {
+    let now = node.clock.now();
+    let used = node.groups.take_used();
+    let due = {
+        let mut state = node.watching.lock();
+        let State { watched, subscriptions, places, .. } = &mut *state;
+        for group in &used {
+            subscriptions.used(group, now);
+        }
+        subscriptions.retain(now, |group| watched.contains_key(group));
+        let chosen = |group: &GroupId| -> Vec<WatcherPlace> { places.of(group).to_vec() };
+        subscriptions.due(now, chosen, &node.settings.data_centre)
+    };
+    for (group, vm) in due {
+        let body = Body::Subscribe(message::Subscribe { group: group.to_string() });
+        node.peers.send(node, &vm, body);
+    }
+}
+
+/// Tells the watchers of `group` that requests to its primary fail.
+///
+/// They ask the primary at once instead of at the next heartbeat; the rules of
+/// suspicion stay the same.
+pub fn suspect(node: &Arc<Node>, group: &GroupId) {
+    let now = node.clock.now();
+    let term = node.groups.view(group).term;
+    let places = {
+        let mut state = node.watching.lock();
+        let last = state.suspected.insert(group.clone(), now);
+        if last.is_some_and(|last| now.since(last) < SUSPECT_INTERVAL) {
+            state.suspected.extend(last.map(|last| (group.clone(), last)));
             return;
         }
+        state.subscriptions.hurry(group);
+        state.places.of(group).to_vec()
+    };
+    for place in places {
+        let body = Body::Suspect(message::Suspect { group: group.to_string(), term: term.get() });
+        if place.vm == node.settings.vm {
+            suspected(node, group, term);
+        } else {
+            node.peers.send(node, &place.vm, body);
+        }
     }
 }
 
-async fn ask(node: Arc<Node>, group: GroupId, server: Server) {
-    let mut control = None;
-    let patience = Duration::from_millis(ANSWER_MS);
-    loop {
-        if control.is_none() {
-            let address = node.settings.dial(server.address);
-            let connecting = Control::connect(address, &node.settings.backend);
-            control = timeout(patience, connecting).await.ok().and_then(Result::ok);
+fn suspected(node: &Arc<Node>, group: &GroupId, term: Term) {
+    if term >= node.groups.view(group).term {
+        to_task(node, group, Input::Event(Event::Suspected));
+    }
+}
+
+/// Receives a control message of another VM.
+pub(crate) fn receive(node: &Arc<Node>, from: &VmId, body: Body, reply: &Reply) {
+    match body {
+        Body::Subscribe(ask) => {
+            if let Ok(group) = GroupId::new(&ask.group) {
+                to_task(node, &group, Input::Subscribe(from.clone(), reply.clone()));
+            }
+        }
+        Body::View(view) => {
+            if let Some(view) = convert::view_of(&view) {
+                let now = node.clock.now();
+                node.watching.lock().subscriptions.heard(&view.group, from, now);
+                publish(node, view);
+            }
+        }
+        Body::Observation(observation) => {
+            if let Some(observation) = convert::observation_of(&observation) {
+                let group = observation.view.group.clone();
+                to_task(node, &group, Input::Event(Event::Heard(from.clone(), observation)));
+            }
         }
-        if let Some(connection) = &mut control {
-            match timeout(patience, connection.call("status()")).await {
-                Ok(Ok(row)) => publish(&node, &group, &row),
-                _ => control = None,
+        Body::Suspect(suspect) => {
+            if let Ok(group) = GroupId::new(&suspect.group) {
+                suspected(node, &group, Term::new(suspect.term));
             }
         }
-        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        _ => {}
     }
 }
 
-fn publish(node: &Node, group: &GroupId, row: &ControlRow) {
-    let text = |name: &str| row.get(name).map_or("", String::as_str);
-    if text("role") != "primary" {
-        return;
+fn to_task(node: &Arc<Node>, group: &GroupId, input: Input) {
+    if let Some(task) = node.watching.lock().watched.get(group) {
+        task.send(input);
     }
-    let mut view = GroupView::new(group.clone());
-    view.term = Term::new(text("term").parse().unwrap_or(0));
-    view.primary = ServerId::new(text("server")).ok();
-    view.history = serde_json::from_str::<Vec<TermStart>>(text("history")).unwrap_or_default();
-    let (term, primary) = (view.term, view.primary.clone());
-    if node.groups.publish(view) {
+}
+
+/// Makes a view known to this VM's entries and homes.
+fn publish(node: &Node, view: GroupView) {
+    let before = node.groups.peek(&view.group);
+    let (group, term, primary) = (view.group.clone(), view.term, view.primary.clone());
+    let moved = before.is_none_or(|known| known.primary != primary || known.term != term);
+    if node.groups.publish(view) && moved {
         let primary = primary.map(|server| server.to_string()).unwrap_or_default();
         let fields = o!("group" => group.to_string(), "term" => term.get(), "primary" => primary);
-        Event::PrimaryChanged.record(&node.log, fields);
+        events::Event::PrimaryChanged.record(&node.log, fields);
     }
 }
-
-/// Receives a control message of another VM.
-pub(crate) fn receive(_node: &Arc<Node>, _from: &VmId, _body: Body, _reply: &Reply) {}
