--- a/crates/core/tests/model/server.rs
+++ b/crates/core/tests/model/server.rs
@@ -8,6 +8,9 @@
     watch::{Action, Event, MemberList, Owner, ServerRole, ServerStatus},
 };
 
+/// Most records that one shipment brings.
+const SHIPPED_RECORDS: usize = 3;
+
 #[derive(Clone)]
 pub(crate) struct Shipment {
     term: Term,
@@ -152,9 +155,11 @@
             return None;
         }
         if shipment.term > self.term || shipment.log.len() >= self.log.len() {
+            let common = self.log.iter().zip(&*shipment.log).take_while(|(a, b)| a == b).count();
+            let end = shipment.log.len().min(common + SHIPPED_RECORDS);
             self.role = ServerRole::Replica;
             self.term = shipment.term;
-            self.log = shipment.log.to_vec();
+            self.log = shipment.log[..end].to_vec();
             self.members = shipment.members;
             self.history = shipment.history;
         }
--- a/crates/proxy/src/watch/mod.rs
+++ b/crates/proxy/src/watch/mod.rs
@@ -40,7 +40,7 @@
 
 /// The groups that this VM watches and those that it follows.
 #[derive(Debug, Default)]
-pub struct Watching {
+pub struct Watches {
     state: Mutex<State>,
 }
 
@@ -52,10 +52,10 @@
     suspected: HashMap<GroupId, Time>,
 }
 
-impl Watching {
+impl Watches {
     /// Makes the state of a daemon that watches nothing yet.
     pub fn new() -> Self {
-        Watching::default()
+        Watches::default()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -83,7 +83,7 @@
 /// Starts and ends the watching of groups as the configuration and the VMs
 /// change.
 fn assign(node: &Arc<Node>) {
-    let mut state = node.watching.lock();
+    let mut state = node.watches.lock();
     let versioned = node.configuration();
     if !state.places.refresh(&versioned, &node.members.listed()) {
         return;
@@ -110,7 +110,7 @@
     let now = node.clock.now();
     let used = node.groups.take_used();
     let due = {
-        let mut state = node.watching.lock();
+        let mut state = node.watches.lock();
         let State { watched, subscriptions, places, .. } = &mut *state;
         for group in &used {
             subscriptions.used(group, now);
@@ -133,7 +133,7 @@
     let now = node.clock.now();
     let term = node.groups.view(group).term;
     let places = {
-        let mut state = node.watching.lock();
+        let mut state = node.watches.lock();
         let last = state.suspected.insert(group.clone(), now);
         if last.is_some_and(|last| now.since(last) < SUSPECT_INTERVAL) {
             state.suspected.extend(last.map(|last| (group.clone(), last)));
@@ -169,7 +169,7 @@
         Body::View(view) => {
             if let Some(view) = convert::view_of(&view) {
                 let now = node.clock.now();
-                node.watching.lock().subscriptions.heard(&view.group, from, now);
+                node.watches.lock().subscriptions.heard(&view.group, from, now);
                 publish(node, view);
             }
         }
@@ -189,7 +189,7 @@
 }
 
 fn to_task(node: &Arc<Node>, group: &GroupId, input: Input) {
-    if let Some(task) = node.watching.lock().watched.get(group) {
+    if let Some(task) = node.watches.lock().watched.get(group) {
         task.send(input);
     }
 }
--- a/crates/proxy/src/watch/server.rs
+++ b/crates/proxy/src/watch/server.rs
@@ -19,6 +19,10 @@
 /// Longest wait for an answer, in milliseconds.
 const ANSWER_MS: u64 = 500;
 
+/// Longest wait for a promotion, which applies all that the server received, in
+/// milliseconds.
+const PROMOTE_MS: u64 = 1_000;
+
 /// Actions that may wait for one server. The decision repeats what was dropped.
 const QUEUED_ACTIONS: usize = 8;
 
@@ -64,7 +68,11 @@
     async fn run(mut self, mut queue: mpsc::Receiver<Action>, events: mpsc::Sender<Event>) {
         while let Some(action) = queue.recv().await {
             let Some((server, function)) = function(&action) else { continue };
-            let event = match self.call(&function).await {
+            let limit_ms = match action {
+                Action::Promote { .. } => PROMOTE_MS,
+                _ => ANSWER_MS,
+            };
+            let event = match self.call(&function, limit_ms).await {
                 Ok(row) => answered(&action, &row),
                 Err(_) => Some(Event::Failed(server.clone())),
             };
@@ -76,14 +84,14 @@
         }
     }
 
-    async fn call(&mut self, function: &str) -> Result<ControlRow, BackendError> {
+    async fn call(&mut self, function: &str, limit_ms: u64) -> Result<ControlRow, BackendError> {
         self.node.metrics.heartbeats.inc();
         let idle = self.control.take().filter(|control| !control.is_stale());
         let mut control = match idle {
             Some(control) => control,
             None => self.connect().await?,
         };
-        let row = bounded(ANSWER_MS, control.call(function)).await?;
+        let row = bounded(limit_ms, control.call(function)).await?;
         self.control = Some(control);
         Ok(row)
     }
