--- a/crates/proxy/src/watch/server.rs
+++ b/crates/proxy/src/watch/server.rs
@@ -1,131 +1,129 @@
-//! Control orders to one backend server.
+//! Questions and orders to one backend server of a watched group.
+//!
+//! Each server has a task of its own, so that a slow one delays no other.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
-use chicoryhollow_core::{
-    prelude::*,
-    watch::{Action, Event, MemberList},
-};
+use chicoryhollow_core::watch::{Action, Event};
 use tokio::{sync::mpsc, time::timeout};
 
-use super::convert;
+use super::convert::{function, is_granted, status_of};
 use crate::{
-    home::control::{Control, ControlRow},
+    home::control::{BackendError, Control, ControlRow},
     node::Node,
 };
 
-/// Longest wait for a connection and for the answer to an order.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time to connect and log in, in milliseconds.
+const CONNECT_MS: u64 = 300;
+
+/// Longest wait for an answer, in milliseconds.
+const ANSWER_MS: u64 = 500;
 
-/// Longest wait for a promotion, which applies all that the server received.
-const PROMOTE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for a promotion, which applies all that the server received, in
+/// milliseconds.
+const PROMOTE_MS: u64 = 1_000;
 
-/// Orders that wait for one server; further ones are dropped, and the watcher
-/// sends them again.
-const QUEUE_ORDERS: usize = 4;
+/// Actions that may wait for one server. The decision repeats what was dropped.
+const QUEUED_ACTIONS: usize = 8;
 
-/// Carries the orders of one watcher to one server, in their order.
-pub(super) struct Server {
-    orders: mpsc::Sender<Action>,
-    address: SocketAddr,
+/// The task of one server; it ends when this handle is dropped.
+#[derive(Debug)]
+pub(super) struct ServerTask {
+    address: std::net::SocketAddr,
+    actions: mpsc::Sender<Action>,
 }
 
-impl Server {
-    /// Starts to carry orders to the server at `address`; what comes of them
-    /// goes to `events`.
-    pub(super) fn start(
+impl ServerTask {
+    /// Starts the task of the server at `address`, as the configuration gives
+    /// it; answers arrive at `events`.
+    pub(super) fn new(
         node: &Arc<Node>,
-        server: ServerId,
-        address: SocketAddr,
+        address: std::net::SocketAddr,
         events: mpsc::Sender<Event>,
     ) -> Self {
-        let (orders, queue) = mpsc::channel(QUEUE_ORDERS);
-        let node = Arc::clone(node);
-        let carrier = Carrier { node, server, address, events, control: None };
-        tokio::spawn(carrier.run(queue));
-        Server { orders, address }
+        let (actions, queue) = mpsc::channel(QUEUED_ACTIONS);
+        let worker = Worker { node: Arc::clone(node), address, control: None };
+        tokio::spawn(worker.run(queue, events));
+        ServerTask { address, actions }
     }
 
-    /// Returns the configured address.
-    pub(super) fn address(&self) -> SocketAddr {
+    /// Returns the address of the configuration.
+    pub(super) fn address(&self) -> std::net::SocketAddr {
         self.address
     }
 
-    /// Queues an order unless the server is behind with earlier ones.
-    pub(super) fn order(&self, action: Action) {
-        drop(self.orders.try_send(action));
+    /// Queues an action unless too many wait already.
+    pub(super) fn send(&self, action: Action) {
+        drop(self.actions.try_send(action));
     }
 }
 
-struct Carrier {
+struct Worker {
     node: Arc<Node>,
-    server: ServerId,
-    address: SocketAddr,
-    events: mpsc::Sender<Event>,
+    address: std::net::SocketAddr,
     control: Option<Control>,
 }
 
-impl Carrier {
-    async fn run(mut self, mut queue: mpsc::Receiver<Action>) {
+impl Worker {
+    async fn run(mut self, mut queue: mpsc::Receiver<Action>, events: mpsc::Sender<Event>) {
         while let Some(action) = queue.recv().await {
-            if let Some(event) = self.carry_out(action).await
-                && self.events.send(event).await.is_err()
+            let Some((server, function)) = function(&action) else { continue };
+            let limit_ms = match action {
+                Action::Promote { .. } => PROMOTE_MS,
+                _ => ANSWER_MS,
+            };
+            let event = match self.call(&function, limit_ms).await {
+                Ok(row) => answered(&action, &row),
+                Err(_) => Some(Event::Failed(server.clone())),
+            };
+            if let Some(event) = event
+                && events.send(event).await.is_err()
             {
                 return;
             }
         }
     }
 
-    async fn carry_out(&mut self, action: Action) -> Option<Event> {
-        let server = self.server.clone();
-        match action {
-            Action::Poll(_) => {
-                let row = self.call("status()", ANSWER_TIMEOUT).await;
-                let status = row.as_ref().and_then(convert::status);
-                Some(status.map_or(Event::Failed(server.clone()), |s| Event::Status(server, s)))
-            }
-            Action::Fence { term, owner, .. } => {
-                let row = self.call(&format!("fence({term}, '{owner}')"), ANSWER_TIMEOUT).await?;
-                Some(Event::Fenced(server, term, granted(&row), convert::status(&row)?))
-            }
-            Action::Promote { term, owner, members, .. } => {
-                let (list, version) = (names(&members), members.version);
-                let order = format!("promote({term}, '{owner}', '{list}', {version})");
-                let row = self.call(&order, PROMOTE_TIMEOUT).await?;
-                Some(Event::Promoted(server, term, granted(&row)))
-            }
-            Action::SetMembers { term, members, .. } => {
-                let (list, version) = (names(&members), members.version);
-                self.call(&format!("set_members({term}, {version}, '{list}')"), ANSWER_TIMEOUT)
-                    .await;
-                None
-            }
-            Action::Publish(_) | Action::Tell(_) => None,
-        }
-    }
-
-    /// Calls a function on the control connection, making one when needed.
-    async fn call(&mut self, function: &str, patience: Duration) -> Option<ControlRow> {
-        let mut control = match self.control.take() {
+    async fn call(&mut self, function: &str, limit_ms: u64) -> Result<ControlRow, BackendError> {
+        self.node.metrics.heartbeats.inc();
+        let idle = self.control.take().filter(|control| !control.is_stale());
+        let mut control = match idle {
             Some(control) => control,
-            None => {
-                let address = self.node.settings.dial(self.address);
-                let connecting = Control::connect(address, &self.node.settings.backend);
-                timeout(ANSWER_TIMEOUT, connecting).await.ok()?.ok()?
-            }
+            None => self.connect().await?,
         };
-        let row = timeout(patience, control.call(function)).await.ok()?.ok()?;
-        // A connection that failed or timed out is not used again.
+        let row = bounded(limit_ms, control.call(function)).await?;
         self.control = Some(control);
-        Some(row)
+        Ok(row)
+    }
+
+    async fn connect(&self) -> Result<Control, BackendError> {
+        let address = self.node.settings.dial(self.address);
+        bounded(CONNECT_MS, Control::connect(address, &self.node.settings.backend)).await
     }
 }
 
-fn granted(row: &ControlRow) -> bool {
-    row.get("granted").is_some_and(|granted| granted == "t")
+async fn bounded<T>(
+    limit_ms: u64,
+    exchange: impl Future<Output = Result<T, BackendError>>,
+) -> Result<T, BackendError> {
+    let limit = Duration::from_millis(limit_ms);
+    timeout(limit, exchange).await.unwrap_or(Err(BackendError::Closed))
 }
 
-fn names(members: &MemberList) -> String {
-    let names: Vec<&str> = members.servers.iter().map(ServerId::as_str).collect();
-    names.join(",")
+/// Turns an answer into what the decision is told.
+fn answered(action: &Action, row: &ControlRow) -> Option<Event> {
+    match action {
+        Action::Poll(server) => Some(match status_of(row) {
+            Some(status) => Event::Status(server.clone(), status),
+            None => Event::Failed(server.clone()),
+        }),
+        Action::Fence { server, term, .. } => {
+            Some(Event::Fenced(server.clone(), *term, is_granted(row), status_of(row)?))
+        }
+        Action::Promote { server, term, .. } => {
+            Some(Event::Promoted(server.clone(), *term, is_granted(row)))
+        }
+        // The next status shows whether the list was taken over.
+        Action::SetMembers { .. } | Action::Publish(_) | Action::Tell(_) => None,
+    }
 }
