Keep the statement of the failover test alive while it runs

Cause: the text was dropped before the request was sent, so the test did not build. Change: a variable holds it. Conclusion: builds.

--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -43,8 +43,8 @@
         }
         let id = self.next;
         self.next += 1;
-        let written = self.client.batch_execute(&format!("INSERT INTO lots (id) VALUES ({id})"));
-        let acknowledged = written.await.is_ok();
+        let sql = format!("INSERT INTO lots (id) VALUES ({id})");
+        let acknowledged = self.client.batch_execute(&sql).await.is_ok();
         if acknowledged {
             self.acknowledged.insert(id);
         }
