Never pass on a read that a replica answered too early

Cause: a read whose first rows had been passed on was let through although the server had not applied what it needed. Now it ends in an error. A connection with unread bytes is closed rather than given back.

--- a/crates/proxy/src/home/answer.rs
+++ b/crates/proxy/src/home/answer.rs
@@ -45,11 +45,6 @@
         Answer { holds, ..Answer::default() }
     }
 
-    /// Tells whether any part was passed on.
-    pub(crate) fn is_begun(&self) -> bool {
-        self.begun
-    }
-
     /// Tells whether the answer holds nothing but an error so far.
     pub(crate) fn is_untouched(&self) -> bool {
         !self.begun && self.held_from.is_none()
--- a/crates/proxy/src/home/applied.rs
+++ b/crates/proxy/src/home/applied.rs
@@ -49,6 +49,11 @@
         });
     }
 
+    /// Records that the server has applied no more than `position`.
+    pub(crate) fn reset(&self, position: Position) {
+        self.newest.send_replace(position);
+    }
+
     /// Waits until the server has applied `needed`, for `patience` at most.
     ///
     /// # Errors
--- a/crates/proxy/src/home/backend.rs
+++ b/crates/proxy/src/home/backend.rs
@@ -142,6 +142,11 @@
         self.position
     }
 
+    /// Tells whether nothing is left to be written or taken from what was read.
+    pub(crate) fn is_clean(&self) -> bool {
+        self.flushed && self.framed.read_buffer().is_empty()
+    }
+
     /// Tells whether an idle connection can no longer be used: it was closed,
     /// or the server sent something that nobody asked for.
     pub(crate) fn is_stale(&self) -> bool {
--- a/crates/proxy/src/home/local.rs
+++ b/crates/proxy/src/home/local.rs
@@ -365,9 +365,11 @@
         }
         let (Some(needed), Some(position)) = (self.needed, position) else { return Ok(()) };
         let view = self.node.groups.view(&self.home.group);
-        if super::applied::holds(&view, position, needed) || self.batch.answer.is_begun() {
+        if super::applied::holds(&view, position, needed) {
             return Ok(());
         }
+        // The server has gone back, so what was known of it is out of date.
+        self.home.applied.reset(position);
         Err(Refused { refusal: Refusal::TooStale, applied: Some(position) })
     }
 
--- a/crates/proxy/src/home/schedule.rs
+++ b/crates/proxy/src/home/schedule.rs
@@ -322,9 +322,10 @@
         }
     }
 
-    /// Gives slot and connection back; the connection must be idle and clean.
+    /// Gives slot and connection back; the connection must be idle. It is closed
+    /// when anything is left on it that could reach the next stream.
     pub(crate) fn give_back(mut self) {
-        let Some(backend) = self.backend.take() else { return };
+        let Some(backend) = self.backend.take_if(|backend| backend.is_clean()) else { return };
         let grant = self.grant.take();
         self.schedule.change(|state, now| {
             if let Some(grant) = grant {
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chicoryhollow_core::prelude::*;
-use chicoryhollow_proxy::stream::Access;
+use chicoryhollow_proxy::stream::{Access, StreamEvent};
 use fleet::{Fleet, query, rows};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -293,3 +293,32 @@
         tokio::time::sleep(Duration::from_millis(30)).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replica_answers_only_with_what_is_needed() {
+    let fleet = Fleet::start(3, 2, |_, _| {}).await;
+    fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+    fleet.control(1, "set_lag(0, 400)").await;
+    let mut stream = fleet.open(0, Access::Write).await.expect("a stream");
+    stream.send(fleet.batch("INSERT INTO t (id) VALUES (1)", true)).await.expect("it is sent");
+    let written = loop {
+        if let StreamEvent::Ready(ready) = stream.next().await.expect("an answer") {
+            break ready.position.expect("a position");
+        }
+    };
+    let replica = fleet::server_name(1);
+    for vm in [0, 1] {
+        let early = fleet.open_at(vm, &replica, Access::Read, Some(written)).await;
+        let refused = match early {
+            Ok(mut stream) => query(&mut stream, "SELECT id FROM t", false).await.map(drop),
+            Err(refused) => Err(refused.refusal),
+        };
+        assert_eq!(refused, Err(Refusal::TooStale), "vm {vm}");
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for vm in [0, 1] {
+        let opened = fleet.open_at(vm, &replica, Access::Read, Some(written)).await;
+        let seen = query(&mut opened.expect("a stream"), "SELECT id FROM t", false).await;
+        assert_eq!(seen.expect("a row"), ["1"], "vm {vm}");
+    }
+}
