Learn the lag of a replica without turning reads away from it

Cause: a read that a replica missed suspended that replica for 50 ms and more, so with a lag of 45 ms a burst of reads went to the primary while the lag was being learned.

Change: a miss only raises the estimate, and the next wait allows for the whole estimate; after six misses in a row the replica is tried last.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -46,6 +46,9 @@
 /// Longest time that a server is avoided after failures, in milliseconds.
 const MAX_SUSPENSION_MS: u64 = 1_000;
 
+/// Times in a row that a replica may miss a position before it is avoided.
+const MISSES_ALLOWED: u32 = 6;
+
 /// Shortest time given to a replica to catch up, in microseconds.
 const MIN_PATIENCE_US: u64 = 5_000;
 
@@ -95,6 +98,7 @@
     lag: Duration,
     cost: Average,
     failures: u32,
+    misses: u32,
     suspended: Time,
 }
 
@@ -152,14 +156,28 @@
         estimate.lag = estimate.lag.clamp(least, most);
     }
 
-    /// Records that a server answered after `took`, and forgets its failures.
-    pub fn answered(&mut self, server: &ServerId, took: Duration) {
+    /// Records that a server answered, and forgets its failures. `took` is the
+    /// time of the answer, where that tells how quick the server is.
+    pub fn answered(&mut self, server: &ServerId, took: Option<Duration>) {
         let estimate = self.estimate(server);
-        estimate.cost.add(took);
+        took.into_iter().for_each(|took| estimate.cost.add(took));
         estimate.failures = 0;
+        estimate.misses = 0;
         estimate.suspended = Time::default();
     }
 
+    /// Records that a replica did not reach a position in time.
+    ///
+    /// A few times in a row this only makes its lag known. A replica that goes
+    /// on missing is tried last for a while.
+    pub fn missed(&mut self, server: &ServerId, now: Time) {
+        let estimate = self.estimate(server);
+        estimate.misses = estimate.misses.saturating_add(1);
+        if let Some(excess) = estimate.misses.checked_sub(MISSES_ALLOWED) {
+            estimate.suspended = estimate.suspended.max(now + suspension(excess));
+        }
+    }
+
     /// Records that a server could not serve a request, and avoids it for a
     /// time that doubles with every failure in a row.
     pub fn failed(&mut self, server: &ServerId, now: Time) {
@@ -238,7 +256,9 @@
         };
         let reserve = if primary { PRIMARY_RESERVE_US } else { 0 };
         let suspended = estimate.is_some_and(|e| now < e.suspended);
-        Score { suspended, time: cost + wait + reserve, near: candidate.near, primary, wait }
+        let lag = estimate.map_or(0, |estimate| micros(estimate.lag));
+        let time = cost + wait + reserve;
+        Score { suspended, time, near: candidate.near, primary, wait, lag }
     }
 
     /// Returns the expected time until a replica has applied `needed`.
@@ -272,6 +292,7 @@
     near: bool,
     primary: bool,
     wait: u64,
+    lag: u64,
 }
 
 impl Score {
@@ -281,7 +302,7 @@
     }
 
     fn choice(&self, server: &ServerId) -> Choice {
-        let patience = (self.wait * 2).clamp(MIN_PATIENCE_US, MAX_PATIENCE_US);
+        let patience = (self.wait * 2 + self.lag).clamp(MIN_PATIENCE_US, MAX_PATIENCE_US);
         Choice {
             server: server.clone(),
             primary: self.primary,
@@ -382,10 +403,24 @@
         assert_eq!(estimates.permit(&near, Time::from_millis(50)), Permit::Send);
         let others = estimates.permit(&near, Time::from_millis(51));
         assert_eq!(others, Permit::Wait(Time::from_millis(150)));
-        estimates.answered(&near, Duration::from_micros(300));
+        estimates.answered(&near, Some(Duration::from_micros(300)));
         assert_eq!(first(&estimates, None, Time::from_millis(60)), "near");
     }
 
+    #[test]
+    fn a_replica_that_goes_on_missing_is_tried_last() {
+        let mut estimates = Estimates::new();
+        let now = Time::from_millis(1);
+        for misses in 0..MISSES_ALLOWED {
+            assert_eq!(first(&estimates, None, now), "near", "{misses} misses");
+            estimates.missed(&server("near"), now);
+        }
+        assert_eq!(first(&estimates, None, now), "far");
+        assert_eq!(estimates.permit(&server("near"), now), Permit::Send);
+        estimates.answered(&server("near"), None);
+        assert_eq!(first(&estimates, None, now), "near");
+    }
+
     #[test]
     fn a_promotion_clears_the_failures_of_the_new_primary() {
         let mut estimates = Estimates::new();
@@ -397,7 +432,7 @@
     #[test]
     fn slow_replicas_lose_reads_to_quicker_ones() {
         let mut estimates = Estimates::new();
-        estimates.answered(&server("near"), Duration::from_millis(30));
+        estimates.answered(&server("near"), Some(Duration::from_millis(30)));
         assert_eq!(first(&estimates, None, Time::default()), "far");
     }
 }
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -148,12 +148,12 @@
         let server = index(&choice.server);
         let applied = model.servers[server].position();
         if !session.token.is_none_or(|needed| view.covers(applied, needed)) {
-            estimates.failed(&choice.server, now);
+            estimates.missed(&choice.server, now);
             continue;
         }
         let stale = missing(model, server, &session.seen);
         estimates.applied(&choice.server, applied, now, now);
-        estimates.answered(&choice.server, Duration::from_micros(500));
+        estimates.answered(&choice.server, Some(Duration::from_micros(500)));
         session.token = session.token.max(Some(applied));
         return stale;
     }
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -273,9 +273,8 @@
         let replica = target.access == Access::Read;
         node.entry.with_estimates(group, |estimates| match &answered {
             Ok((_, ready, _)) => {
-                if target.timed {
-                    estimates.answered(&target.server, now.since(sent));
-                }
+                let took = target.timed.then(|| now.since(sent));
+                estimates.answered(&target.server, took);
                 if let Some(position) = ready.position {
                     estimates.reached(position, now);
                     if replica {
@@ -287,8 +286,9 @@
                 if let Some(applied) = refused.applied.filter(|_| replica) {
                     estimates.applied(&target.server, applied, now, now);
                 }
-                let late = now >= job.deadline;
-                if is_fault(refused.refusal, target.blamed) && !late {
+                if refused.refusal == Refusal::TooStale && target.blamed {
+                    estimates.missed(&target.server, now);
+                } else if is_fault(refused.refusal) && now < job.deadline {
                     estimates.failed(&target.server, now);
                 }
             }
@@ -487,14 +487,13 @@
 /// Tells whether a refusal says that the server should be avoided for a while.
 ///
 /// A full queue does not: it may be full for one account only.
-fn is_fault(refusal: Refusal, blamed: bool) -> bool {
-    match refusal {
+fn is_fault(refusal: Refusal) -> bool {
+    matches!(
+        refusal,
         Refusal::ServerUnreachable
-        | Refusal::HomeUnreachable
-        | Refusal::NotPrimary
-        | Refusal::ReadInterrupted
-        | Refusal::WriteInterrupted => true,
-        Refusal::TooStale => blamed,
-        _ => false,
-    }
+            | Refusal::HomeUnreachable
+            | Refusal::NotPrimary
+            | Refusal::ReadInterrupted
+            | Refusal::WriteInterrupted
+    )
 }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -71,11 +71,16 @@
 impl Deployment {
     /// Starts everything, with one daemon in each of `data_centres`.
     pub async fn start(data_centres: &[&str]) -> Self {
+        Deployment::start_lagging(data_centres, Duration::ZERO).await
+    }
+
+    /// Starts everything, with servers that apply what they receive after `lag`.
+    pub async fn start_lagging(data_centres: &[&str], lag: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let base = format!("http://{}", listener.local_addr().expect("a bound listener"));
         let server = chicoryhollow_testkit::platform::serve(listener).expect("a platform");
         actix::spawn(server);
-        let (servers, addresses) = start_servers().await;
+        let (servers, addresses) = start_servers(lag).await;
         let mut deployment = Deployment {
             servers,
             daemons: Vec::new(),
@@ -272,7 +277,7 @@
     }
 }
 
-async fn start_servers() -> (Vec<Option<Backend>>, Vec<SocketAddr>) {
+async fn start_servers(lag: Duration) -> (Vec<Option<Backend>>, Vec<SocketAddr>) {
     let mut listeners = Vec::new();
     for _ in 0..3 {
         listeners.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
@@ -284,6 +289,7 @@
     let start = |(i, listener)| {
         let mut options = BackendOptions::new(format!("orders-{i}"), members.clone());
         options.initial_primary = i == 0;
+        options.apply_lag = lag;
         Some(Backend::new(options, listener).expect("a new server"))
     };
     (listeners.into_iter().enumerate().map(start).collect(), addresses)
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -464,20 +464,23 @@
 }
 
 #[test]
-fn replicas_serve_most_reads_between_writes() {
+fn replicas_serve_nine_reads_in_ten_and_none_is_stale() {
     run(async {
-        let (deployment, client) = with_table().await;
-        for i in 0..40 {
-            client
-                .simple_query(&format!("INSERT INTO t VALUES ({i}, 'a')"))
-                .await
-                .expect("the row");
-            for _ in 0..5 {
-                let count = values(&client, "SELECT count(*) FROM t").await;
-                assert_eq!(count, [(i + 1).to_string()]);
+        for lag_ms in [0, 45] {
+            let lag = Duration::from_millis(lag_ms);
+            let deployment = Deployment::start_lagging(&["a", "b"], lag).await;
+            let client = deployment.client(0, None).await;
+            client.simple_query("CREATE TABLE t (id int)").await.expect("the table is made");
+            for i in 0..40 {
+                let insert = format!("INSERT INTO t VALUES ({i})");
+                client.simple_query(&insert).await.expect("the row");
+                for _ in 0..5 {
+                    let count = values(&client, "SELECT count(*) FROM t").await;
+                    assert_eq!(count, [(i + 1).to_string()]);
+                }
             }
+            let share = deployment.replica_share(0).await;
+            assert!(share >= 0.9, "replicas served {share} at a lag of {lag_ms} ms");
         }
-        let share = deployment.replica_share(0).await;
-        assert!(share >= 0.9, "replicas served {share}");
     });
 }
