--- a/crates/proxy/src/peers/accept.rs
+++ b/crates/proxy/src/peers/accept.rs
@@ -1,6 +1,11 @@
 //! Connections that other VMs dial.
 
-use std::{collections::HashMap, io, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use chicoryhollow_core::Refusal;
 use chicoryhollow_peer::{
@@ -149,6 +154,10 @@
             self.reply(closed(open.stream, Some(Refusal::QueueFull.into())));
             return;
         }
+        if self.node.peers.closed.load(Ordering::Acquire) {
+            self.reply(closed(open.stream, Some(Refusal::HomeUnreachable.into())));
+            return;
+        }
         let (sender, receiver) = mpsc::channel(STREAM_MESSAGES);
         self.streams.insert(open.stream, sender);
         let entry = self.peer.incarnation;
--- a/crates/proxy/src/watch/mod.rs
+++ b/crates/proxy/src/watch/mod.rs
@@ -1,183 +1,207 @@
-//! Following the database groups, and watching some of them.
+//! Following and watching the database groups.
 //!
-//! The watchers of a group follow from the list of VMs. Every daemon subscribes
-//! to the views of the first watchers of each group, and keeps a task for each
-//! group that it watches itself.
+//! A few VMs watch each group: they ask its backend servers for their status
+//! and order promotions, as [`chicoryhollow_core::watch`] decides. All other VMs
+//! that use the group subscribe to the views of one of them.
 
 mod convert;
+mod group;
+mod places;
 mod server;
-mod watching;
+mod subscribers;
+mod subscription;
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
-use chicoryhollow_config::{Configuration, configuration::Service};
 use chicoryhollow_core::{
     prelude::*,
-    watch::{GroupPlan, ServerPlan, WatcherPlace, watchers},
+    watch::{Event, WatcherPlace},
 };
-use chicoryhollow_peer::{Body, group::Subscribe};
-use chicoryhollow_platform::VmState;
-use indexmap::IndexMap;
+use chicoryhollow_peer::{Body, group as message};
 use slog::o;
-use tokio::{
-    sync::mpsc,
-    time::{MissedTickBehavior, interval},
-};
+use tokio::time::{MissedTickBehavior, interval};
 
-use self::watching::{Assignment, Input};
-use crate::{events::Event, node::Node, peers::Reply};
+use self::{
+    group::{GroupTask, Input},
+    places::Places,
+    subscription::Subscriptions,
+};
+use crate::{events, node::Node, peers::Reply};
 
-/// Time between two looks at the configuration and the list of VMs, and between
-/// two subscriptions to the same watcher.
-const REVIEW: Duration = Duration::from_millis(250);
+/// Time between two looks at the watched and the followed groups.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Watchers of a group that a VM subscribes to.
-const SUBSCRIPTIONS: usize = 2;
+/// Least time between two reports of one group's failing primary.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The groups that this VM watches.
+/// The groups that this VM watches and those that it follows.
 #[derive(Debug, Default)]
 pub struct Watches {
-    inputs: Mutex<HashMap<GroupId, Watch>>,
+    state: Mutex<State>,
 }
 
-#[derive(Debug)]
-struct Watch {
-    inputs: mpsc::Sender<Input>,
-    assignment: Assignment,
+#[derive(Debug, Default)]
+struct State {
+    watched: HashMap<GroupId, GroupTask>,
+    subscriptions: Subscriptions,
+    places: Places,
+    suspected: HashMap<GroupId, Time>,
 }
 
 impl Watches {
-    /// Makes a set without watchers.
+    /// Makes the state of a daemon that watches nothing yet.
     pub fn new() -> Self {
         Watches::default()
     }
 
-    /// Gives a watcher its assignment, starting it when needed.
-    fn assign(&self, node: &Arc<Node>, group: &GroupId, assignment: Assignment) {
-        let mut watches = self.inputs.lock().expect("no thread panics with this lock");
-        let watch = watches.entry(group.clone()).or_insert_with(|| Watch {
-            inputs: watching::start(node, group),
-            assignment: Assignment::default(),
-        });
-        let input = Input::Assign(Box::new(assignment.clone()));
-        if watch.assignment != assignment && watch.inputs.try_send(input).is_ok() {
-            watch.assignment = assignment;
-        }
-    }
-
-    /// Ends the watchers of all other groups.
-    fn retain(&self, keep: impl Fn(&GroupId) -> bool) {
-        let mut watches = self.inputs.lock().expect("no thread panics with this lock");
-        watches.retain(|group, _| keep(group));
-    }
-
-    /// Hands an input to the watcher of `group`, if there is one here.
-    fn send(&self, group: &GroupId, input: Input) {
-        let watches = self.inputs.lock().expect("no thread panics with this lock");
-        if let Some(watch) = watches.get(group) {
-            // A watcher that is behind is told again soon.
-            drop(watch.inputs.try_send(input));
-        }
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with this lock")
     }
 }
 
-/// Follows all configured groups for as long as the daemon runs.
+/// Watches and follows groups for as long as the daemon runs.
 pub async fn follow(node: Arc<Node>) {
-    let mut ticks = interval(REVIEW);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut configurations = node.configuration.subscribe();
+    let mut sweeps = interval(SWEEP_INTERVAL);
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        review(&node);
+        tokio::select! {
+            _ = sweeps.tick() => {}
+            () = node.groups.wanted() => {}
+            // The daemon owns the sender.
+            _ = configurations.changed() => {}
+        }
+        assign(&node);
+        subscribe(&node);
     }
 }
 
-/// Takes up and gives up watchers, and renews the subscriptions.
-fn review(node: &Arc<Node>) {
+/// Starts and ends the watching of groups as the configuration and the VMs
+/// change.
+fn assign(node: &Arc<Node>) {
+    let mut state = node.watches.lock();
     let versioned = node.configuration();
-    let configuration = &versioned.configuration;
-    let vms = candidates(node);
-    let own = &node.settings.vm;
-    let mut watched = Vec::new();
-    for group in configuration.groups.keys() {
-        let places = watchers(group, &vms);
-        if places.iter().any(|place| place.vm == *own) {
-            watched.push(group.clone());
-            node.watches.assign(node, group, assignment(configuration, group, places));
-        } else {
-            subscribe(node, group, &places);
+    if !state.places.refresh(&versioned, &node.members.listed()) {
+        return;
+    }
+    let State { watched, places, .. } = &mut *state;
+    watched.retain(|group, _| places.is_watcher(group, &node.settings.vm));
+    let configuration = Arc::new(versioned.configuration.clone());
+    for (group, places) in places.iter() {
+        if !places.iter().any(|place| place.vm == node.settings.vm) {
+            continue;
+        }
+        let task = watched.entry(group.clone()).or_insert_with(|| GroupTask::new(node, group));
+        let input = Input::Configure(Arc::clone(&configuration), places.to_vec());
+        if !task.send(input) {
+            // A task that is overloaded starts again from its newest view.
+            watched.remove(group);
         }
     }
-    node.watches.retain(|group| watched.contains(group));
+    node.metrics.watched.set(i64::try_from(watched.len()).unwrap_or(i64::MAX));
 }
 
-/// Returns the live VMs by data centre.
-fn candidates(node: &Node) -> IndexMap<DataCentreId, Vec<VmId>> {
-    let mut vms: IndexMap<DataCentreId, Vec<VmId>> = IndexMap::new();
-    for listed in node.members.listed().iter().filter(|vm| vm.state == VmState::Live) {
-        vms.entry(listed.data_centre.clone()).or_default().push(listed.vm.clone());
+/// Subscribes to the groups in use that this VM does not watch.
+fn subscribe(node: &Arc<Node>) {
+    let now = node.clock.now();
+    let used = node.groups.take_used();
+    let due = {
+        let mut state = node.watches.lock();
+        let State { watched, subscriptions, places, .. } = &mut *state;
+        for group in &used {
+            subscriptions.used(group, now);
+        }
+        subscriptions.retain(now, |group| watched.contains_key(group));
+        let chosen = |group: &GroupId| -> Vec<WatcherPlace> { places.of(group).to_vec() };
+        subscriptions.due(now, chosen, &node.settings.data_centre)
+    };
+    for (group, vm) in due {
+        let body = Body::Subscribe(message::Subscribe { group: group.to_string() });
+        node.peers.send(node, &vm, body);
     }
-    vms
-}
-
-fn assignment(
-    configuration: &Configuration,
-    group: &GroupId,
-    places: Vec<WatcherPlace>,
-) -> Assignment {
-    let servers = &configuration.groups[group].servers;
-    let plans = servers.iter().map(|(name, server)| {
-        let leaving = server.service == Service::Out;
-        let serving = !leaving && configuration.is_in_service(&server.data_centre);
-        let data_centre = server.data_centre.clone();
-        (name.clone(), ServerPlan { data_centre, leaving, serving })
-    });
-    let addresses = servers.iter().map(|(name, server)| (name.clone(), server.address));
-    Assignment { plan: GroupPlan::new(plans), addresses: addresses.collect(), places }
 }
 
-fn subscribe(node: &Arc<Node>, group: &GroupId, places: &[WatcherPlace]) {
-    for place in places.iter().take(SUBSCRIPTIONS) {
-        let ask = Subscribe { group: group.to_string() };
-        // A watcher that cannot be reached is asked again at the next review.
-        node.peers.send(node, &place.vm, Body::Subscribe(ask));
+/// Tells the watchers of `group` that requests to its primary fail.
+///
+/// They ask the primary at once instead of at the next heartbeat; the rules of
+/// suspicion stay the same.
+pub fn suspect(node: &Arc<Node>, group: &GroupId) {
+    let now = node.clock.now();
+    let term = node.groups.view(group).term;
+    let places = {
+        let mut state = node.watches.lock();
+        let last = state.suspected.insert(group.clone(), now);
+        if last.is_some_and(|last| now.since(last) < SUSPECT_INTERVAL) {
+            state.suspected.extend(last.map(|last| (group.clone(), last)));
+            return;
+        }
+        state.subscriptions.hurry(group);
+        state.places.of(group).to_vec()
+    };
+    for place in places {
+        let body = Body::Suspect(message::Suspect { group: group.to_string(), term: term.get() });
+        if place.vm == node.settings.vm {
+            suspected(node, group, term);
+        } else {
+            node.peers.send(node, &place.vm, body);
+        }
     }
 }
 
-/// Takes over a view and logs a change of the primary.
-fn publish(node: &Node, view: GroupView) {
-    let known = node.groups.view(&view.group);
-    let moved = view.term > known.term || known.primary.is_none();
-    let (group, term, primary) = (view.group.clone(), view.term, view.primary.clone());
-    if node.groups.publish(view) && moved {
-        let primary = primary.map(|server| server.to_string()).unwrap_or_default();
-        let fields = o!("group" => group.to_string(), "term" => term.get(), "primary" => primary);
-        Event::PrimaryChanged.record(&node.log, fields);
+fn suspected(node: &Arc<Node>, group: &GroupId, term: Term) {
+    if term >= node.groups.view(group).term {
+        to_task(node, group, Input::Event(Event::Suspected));
     }
 }
 
 /// Receives a control message of another VM.
 pub(crate) fn receive(node: &Arc<Node>, from: &VmId, body: Body, reply: &Reply) {
     match body {
-        Body::View(message) => {
-            if let Some(view) = convert::view(&message) {
+        Body::Subscribe(ask) => {
+            if let Ok(group) = GroupId::new(&ask.group) {
+                to_task(node, &group, Input::Subscribe(from.clone(), reply.clone()));
+            }
+        }
+        Body::View(view) => {
+            if let Some(view) = convert::view_of(&view) {
+                let now = node.clock.now();
+                node.watches.lock().subscriptions.heard(&view.group, from, now);
                 publish(node, view);
             }
         }
-        Body::Observation(message) => {
-            if let Some(observation) = convert::observation(&message) {
+        Body::Observation(observation) => {
+            if let Some(observation) = convert::observation_of(&observation) {
                 let group = observation.view.group.clone();
-                node.watches.send(&group, Input::Heard(from.clone(), Box::new(observation)));
+                to_task(node, &group, Input::Event(Event::Heard(from.clone(), observation)));
             }
         }
-        Body::Subscribe(ask) => {
-            if let Ok(group) = GroupId::new(&ask.group) {
-                node.watches.send(&group, Input::Subscribe(from.clone(), reply.clone()));
+        Body::Suspect(suspect) => {
+            if let Ok(group) = GroupId::new(&suspect.group) {
+                suspected(node, &group, Term::new(suspect.term));
             }
         }
         _ => {}
     }
 }
+
+fn to_task(node: &Arc<Node>, group: &GroupId, input: Input) {
+    if let Some(task) = node.watches.lock().watched.get(group) {
+        task.send(input);
+    }
+}
+
+/// Makes a view known to this VM's entries and homes.
+fn publish(node: &Node, view: GroupView) {
+    let before = node.groups.peek(&view.group);
+    let (group, term, primary) = (view.group.clone(), view.term, view.primary.clone());
+    let moved = before.is_none_or(|known| known.primary != primary || known.term != term);
+    if node.groups.publish(view) && moved {
+        let primary = primary.map(|server| server.to_string()).unwrap_or_default();
+        let fields = o!("group" => group.to_string(), "term" => term.get(), "primary" => primary);
+        events::Event::PrimaryChanged.record(&node.log, fields);
+    }
+}
--- a/crates/testkit/src/cluster/start.rs
+++ b/crates/testkit/src/cluster/start.rs
@@ -24,6 +24,10 @@
 CREATE INDEX writes_by_id ON writes (id); \
 CREATE INDEX writes_by_session ON writes (session, seq)";
 
+/// Ports on which the processes of a cluster listen.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// Ports that are tried before giving up.
+const MAX_PORT_ATTEMPTS: usize = 10_000;
 /// Listeners of one VM.
 const VM_PORTS: usize = 3;
 
@@ -143,7 +147,7 @@
         let members = self.servers.iter().filter(|server| server.group == group);
         let members: Vec<_> = members.map(|s| (s.name.clone(), s.data_centre, s.address)).collect();
         for (name, data_centre, mut address) in members {
-            if data_centre != own {
+            if data_centre != own && self.deployment.linked {
                 let from = End::Server { group, data_centre: own };
                 let to = End::Server { group, data_centre };
                 let delay = self.trip_delay(own, data_centre);
@@ -156,6 +160,17 @@
 
     async fn make_daemons(&mut self, ports: &[SocketAddr]) -> Result<(), ClusterError> {
         let listens: Vec<Listen> = ports.chunks_exact(VM_PORTS).map(listen).collect();
+        if self.deployment.linked {
+            self.link_daemons(&listens).await?;
+        }
+        for index in 0..listens.len() {
+            let daemon = self.make_daemon(index, &listens)?;
+            self.daemons.push(daemon);
+        }
+        Ok(())
+    }
+
+    async fn link_daemons(&mut self, listens: &[Listen]) -> Result<(), ClusterError> {
         for data_centre in 0..DATA_CENTRES {
             let from = End::Vms { data_centre };
             self.links.add(from, End::Platform, self.platform, Duration::ZERO).await?;
@@ -175,8 +190,6 @@
             let to = End::Vm { index, data_centre: index % DATA_CENTRES };
             let delay = self.deployment.client_trip / 2;
             self.links.add(End::Clients, to, listen.callers, delay).await?;
-            let daemon = self.make_daemon(index, &listens)?;
-            self.daemons.push(daemon);
         }
         Ok(())
     }
@@ -245,8 +258,20 @@
 }
 
 /// Finds addresses on which nobody listens.
+///
+/// They lie below the ports that the system gives to outgoing connections, so
+/// that none is taken before the process that it is meant for listens.
 fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, ClusterError> {
-    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0"));
-    let listeners: Vec<_> = listeners.collect::<Result<_, _>>()?;
+    let mut listeners = Vec::with_capacity(count);
+    for _ in 0..MAX_PORT_ATTEMPTS {
+        if listeners.len() == count {
+            break;
+        }
+        let port = rand::random_range(PORTS);
+        listeners.extend(TcpListener::bind(("127.0.0.1", port)));
+    }
+    if listeners.len() < count {
+        return Err(ClusterError::Request("too few free ports".to_owned()));
+    }
     Ok(listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?)
 }
