--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -1,5 +1,7 @@
 //! The one message type on the wire.
 
+use prost::Message as _;
+
 use crate::{configuration, group, member, share, stream};
 
 /// A message between two VMs.
@@ -18,6 +20,15 @@
     pub fn new(body: Body) -> Self {
         Envelope { body: Some(body) }
     }
+
+    /// Returns the encoded bytes of a control message, and 0 for a message that
+    /// belongs to a caller's stream.
+    pub fn control_bytes(&self) -> usize {
+        match &self.body {
+            Some(body) if body.is_control() => self.encoded_len(),
+            _ => 0,
+        }
+    }
 }
 
 /// What a message is about.
@@ -99,3 +110,22 @@
     #[prost(message, tag = "41")]
     ConfigurationAnswer(configuration::ConfigurationAnswer),
 }
+
+impl Body {
+    /// Tells whether the message belongs to no caller's stream.
+    pub fn is_control(&self) -> bool {
+        !matches!(
+            self,
+            Body::Open(_)
+                | Body::Batch(_)
+                | Body::Answer(_)
+                | Body::Ready(_)
+                | Body::Credit(_)
+                | Body::Close(_)
+                | Body::Interrupt(_)
+                | Body::Noted(_)
+                | Body::Inquiry(_)
+                | Body::Finding(_)
+        )
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,6 +1,10 @@
 //! The platform over HTTP and JSON.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use awc::{
     Client,
@@ -11,6 +15,9 @@
 
 use crate::{Platform, PlatformError, Row, Swap, Vm};
 
+/// Bytes of the headers of a request and its answer.
+const HEADER_BYTES: u64 = 250;
+
 /// Longest answer in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
@@ -21,6 +28,8 @@
     base: String,
     /// The last list of VMs with its tag.
     listed: Rc<RefCell<(String, Vec<Vm>)>>,
+    /// Bytes moved since they were last asked for.
+    moved: Rc<Cell<u64>>,
 }
 
 impl HttpPlatform {
@@ -28,7 +37,18 @@
     /// that waits at most `timeout` for an answer.
     pub fn new(base: impl Into<String>, timeout: Duration) -> Self {
         let client = Client::builder().timeout(timeout).finish();
-        HttpPlatform { client, base: base.into(), listed: Rc::default() }
+        HttpPlatform { client, base: base.into(), listed: Rc::default(), moved: Rc::default() }
+    }
+
+    /// Returns the bytes of answers, with an estimate for headers, since the
+    /// last call.
+    pub fn take_moved(&self) -> u64 {
+        self.moved.take()
+    }
+
+    fn count(&self, body: &[u8]) {
+        let bytes = u64::try_from(body.len()).unwrap_or(u64::MAX);
+        self.moved.set(self.moved.get().saturating_add(HEADER_BYTES + bytes));
     }
 
     fn url(&self, path: &str) -> String {
@@ -38,6 +58,7 @@
     async fn read(&self, path: &str) -> Result<(StatusCode, Vec<u8>), PlatformError> {
         let mut answer = self.client.get(self.url(path)).send().await.map_err(unavailable)?;
         let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+        self.count(&body);
         Ok((answer.status(), body.to_vec()))
     }
 }
@@ -86,9 +107,13 @@
         let request = request.insert_header((header::IF_NONE_MATCH, tag));
         let mut answer = request.send().await.map_err(unavailable)?;
         match answer.status() {
-            StatusCode::NOT_MODIFIED => Ok(self.listed.borrow().1.clone()),
+            StatusCode::NOT_MODIFIED => {
+                self.count(&[]);
+                Ok(self.listed.borrow().1.clone())
+            }
             StatusCode::OK => {
                 let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+                self.count(&body);
                 let vms: Vec<Vm> = decode(&body)?;
                 let tag = answer.headers().get(header::ETAG);
                 let tag = tag.and_then(|tag| tag.to_str().ok()).unwrap_or_default().to_owned();
--- a/crates/proxy/src/home/control.rs
+++ b/crates/proxy/src/home/control.rs
@@ -16,6 +16,7 @@
 /// A control connection to a backend server.
 pub struct Control {
     backend: Backend,
+    moved: u64,
 }
 
 /// The one row that a control function answers, by column name.
@@ -28,7 +29,8 @@
     ///
     /// Returns an error when the server cannot be reached or refuses.
     pub async fn connect(address: SocketAddr, role: &BackendRole) -> Result<Self, BackendError> {
-        Ok(Control { backend: Backend::connect(address, CONTROL_USER, role).await? })
+        let backend = Backend::connect(address, CONTROL_USER, role).await?;
+        Ok(Control { backend, moved: 0 })
     }
 
     /// Tells whether an idle connection can no longer be used.
@@ -36,6 +38,11 @@
         self.backend.is_stale()
     }
 
+    /// Returns the bytes of questions and answers since the last call.
+    pub(crate) fn take_moved(&mut self) -> u64 {
+        std::mem::take(&mut self.moved)
+    }
+
     /// Calls `chicoryhollow.FUNCTION`, given with its arguments.
     ///
     /// # Errors
@@ -52,11 +59,15 @@
     ///
     /// As for [`Control::call`].
     pub async fn query(&mut self, sql: String) -> Result<ControlRow, BackendError> {
-        self.backend.send(wire::encode(&Query::new(sql)))?;
+        let question = wire::encode(&Query::new(sql));
+        self.moved += count(&question);
+        self.backend.send(question)?;
         let mut names = Vec::new();
         let mut row = ControlRow::new();
         loop {
-            match self.backend.receive().await?.backend()? {
+            let frame = self.backend.receive().await?;
+            self.moved += count(frame.bytes());
+            match frame.backend()? {
                 PgWireBackendMessage::RowDescription(description) => {
                     names = description.fields.into_iter().map(|field| field.name).collect();
                 }
@@ -73,6 +84,10 @@
     }
 }
 
+fn count(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
+
 /// Returns the text of each column; a null becomes the empty text.
 fn values(row: &DataRow) -> Vec<String> {
     let mut rest = &row.data[..];
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -35,6 +35,8 @@
     pub heartbeats: IntCounter,
     /// Groups that this VM watches.
     pub watched: IntGauge,
+    /// Bytes of control traffic, by channel: `peers`, `backend` or `platform`.
+    pub control: IntCounterVec,
     /// Malformed messages that closed a connection.
     pub malformed: IntCounter,
 }
@@ -66,6 +68,12 @@
             promotions: family(&registry, "promotions_total", "Primaries promoted.", "kind"),
             heartbeats: counter(&registry, "heartbeats_total", "Calls to watched servers."),
             watched: gauge(&registry, "watched_groups", "Groups that this VM watches."),
+            control: family(
+                &registry,
+                "control_bytes_total",
+                "Bytes of control traffic.",
+                "channel",
+            ),
             malformed: counter(&registry, "malformed_total", "Malformed messages."),
             registry,
         };
--- a/crates/proxy/src/peers/accept.rs
+++ b/crates/proxy/src/peers/accept.rs
@@ -23,7 +23,7 @@
 use tokio_util::codec::Framed;
 
 use super::{
-    QUEUE_MESSAGES,
+    QUEUE_MESSAGES, count_control,
     dispatch::{Peer, Reply, dispatch},
     link::{hello, introduced},
     serve::{Served, closed},
@@ -74,7 +74,7 @@
     let connection = Connection { node: Arc::clone(node), peer, outgoing, streams: HashMap::new() };
     tokio::select! {
         ended = connection.read(source) => ended,
-        ended = write_queue(sink, &mut queue) => ended,
+        ended = write_queue(node, sink, &mut queue) => ended,
     }
 }
 
@@ -100,7 +100,10 @@
                 message = source.next() => {
                     heard = Instant::now();
                     match message.transpose()? {
-                        Some(message) => message.body.into_iter().for_each(|b| self.handle(b)),
+                        Some(message) => {
+                            count_control(&self.node, &message);
+                            message.body.into_iter().for_each(|b| self.handle(b));
+                        }
                         None => return Ok(()),
                     }
                 }
--- a/crates/proxy/src/peers/link.rs
+++ b/crates/proxy/src/peers/link.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use chicoryhollow_core::{Incarnation, Time};
+use chicoryhollow_core::{
+    Incarnation, Time,
+    pace::{ByteRate, Pace},
+};
 use chicoryhollow_peer::{
     Body, CodecError, Envelope, EnvelopeCodec,
     member::{Hello, Ping},
@@ -26,7 +29,7 @@
 use tokio_util::codec::Framed;
 
 use super::{
-    QUEUE_MESSAGES,
+    QUEUE_MESSAGES, count_control,
     dispatch::{Peer, Reply, dispatch},
     write_queue,
 };
@@ -38,6 +41,13 @@
 /// Time between two heartbeats on a link in use.
 const HEARTBEAT: Duration = Duration::from_millis(250);
 
+/// Pace of heartbeats on links that carry only control messages.
+const IDLE_HEARTBEAT: Pace =
+    Pace::new(HEARTBEAT, Duration::from_secs(10)).with_cost(HEARTBEAT_BYTES, ByteRate::new(200));
+
+/// Bytes of a heartbeat and its answer, with their frames.
+const HEARTBEAT_BYTES: u32 = 40;
+
 /// Silence after a heartbeat at which the link counts as dead.
 const LINK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -146,9 +156,18 @@
         self.streams.lock().expect("no thread panics with this lock")
     }
 
-    fn is_used(&self) -> bool {
+    /// Returns the silence after which a heartbeat asks for a sign of life.
+    ///
+    /// Passing messages are signs of life, so that a busy link needs no
+    /// heartbeats. A link that carries only control messages can wait, and the
+    /// longer the more links there are.
+    fn patience(&self, node: &Node) -> Duration {
         let streaming = self.lock().as_ref().is_some_and(|streams| !streams.is_empty());
-        streaming || self.controlled.load(Ordering::Relaxed)
+        match (streaming, self.controlled.load(Ordering::Relaxed)) {
+            (true, _) => HEARTBEAT,
+            (false, true) => IDLE_HEARTBEAT.interval(node.peers.count()),
+            (false, false) => Duration::MAX,
+        }
     }
 
     fn receive(&self, node: &Arc<Node>, peer: &Peer, body: Body) {
@@ -202,7 +221,7 @@
     let (sink, source) = framed.split();
     tokio::select! {
         ended = read(node, link, &peer, source) => ended,
-        ended = write_queue(sink, queue) => ended,
+        ended = write_queue(node, sink, queue) => ended,
     }
 }
 
@@ -216,12 +235,15 @@
     let mut heartbeats = interval(HEARTBEAT);
     heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut unanswered: Option<Instant> = None;
+    let mut heard = Instant::now();
     let mut number = 0;
     loop {
         tokio::select! {
             message = source.next() => {
                 unanswered = None;
+                heard = Instant::now();
                 let message = message.ok_or(io::Error::from(io::ErrorKind::ConnectionReset))??;
+                count_control(node, &message);
                 if let Some(body) = message.body {
                     link.receive(node, peer, body);
                 }
@@ -231,7 +253,7 @@
                     link.silent.store(true, Ordering::Release);
                     return Err(io::Error::from(io::ErrorKind::TimedOut).into());
                 }
-                if link.is_used() {
+                if now.duration_since(heard) >= link.patience(node) {
                     unanswered.get_or_insert(now);
                     number += 1;
                     let version = node.configuration().version;
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -78,6 +78,11 @@
 }
 
 impl Peers {
+    /// Returns the number of VMs that this one has dialled.
+    pub(crate) fn count(&self) -> usize {
+        self.lock().len()
+    }
+
     /// Makes a set without links.
     pub fn new() -> Self {
         Peers::default()
@@ -188,16 +193,30 @@
 }
 
 /// Writes queued messages, as many at once as there are.
-async fn write_queue<S>(mut sink: S, queue: &mut mpsc::Receiver<Envelope>) -> Result<(), S::Error>
+async fn write_queue<S>(
+    node: &Node,
+    mut sink: S,
+    queue: &mut mpsc::Receiver<Envelope>,
+) -> Result<(), S::Error>
 where
     S: Sink<Envelope> + Unpin,
 {
     while let Some(message) = queue.recv().await {
+        count_control(node, &message);
         sink.feed(message).await?;
         while let Ok(message) = queue.try_recv() {
+            count_control(node, &message);
             sink.feed(message).await?;
         }
         sink.flush().await?;
     }
     Ok(())
 }
+
+/// Counts the bytes of a control message, in either direction.
+fn count_control(node: &Node, message: &Envelope) {
+    let bytes = u64::try_from(message.control_bytes()).unwrap_or(u64::MAX);
+    if bytes > 0 {
+        node.metrics.control.with_label_values(&["peers"]).inc_by(bytes);
+    }
+}
