--- a/crates/testkit/src/checker/report.rs
+++ b/crates/testkit/src/checker/report.rs
@@ -94,6 +94,8 @@
     pub requests: u64,
     /// Share of them that got their result.
     pub success: f64,
+    /// Requests that clients sent again because a VM was ending.
+    pub retried: u64,
     /// Share of the reads served by replicas, as the daemons count them.
     pub replica_share: Option<f64>,
     /// Time from the fault to the first acknowledged write after it, in
@@ -140,6 +142,7 @@
         let mut report = Report {
             requests: requests.len() as u64,
             success: share(requests.iter()),
+            retried: requests.iter().filter(|request| request.retries > 0).count() as u64,
             replica_share: None,
             failover_gap_ms: gaps.iter().flatten().copied().reduce(f64::max),
             groups_without_write: gaps.iter().filter(|gap| gap.is_none()).count() as u64,
@@ -264,6 +267,7 @@
             self.requests,
             self.success * 100.0
         )?;
+        writeln!(f, "retried by clients  {}", self.retried)?;
         match self.replica_share {
             Some(share) => writeln!(f, "replica share       {:.3} of the reads", share)?,
             None => writeln!(f, "replica share       not measured")?,
--- a/crates/testkit/src/load/mod.rs
+++ b/crates/testkit/src/load/mod.rs
@@ -94,6 +94,9 @@
     pub vm: usize,
     /// How the session came there.
     pub arrival: Arrival,
+    /// Times that it was sent again after a VM that refused it to end its
+    /// connections.
+    pub retries: u32,
     /// When it was sent, since the load began.
     pub started: Duration,
     /// When its answer had arrived.
--- a/crates/testkit/tests/checker.rs
+++ b/crates/testkit/tests/checker.rs
@@ -18,6 +18,7 @@
         account: 0,
         vm: 0,
         arrival: Arrival::New,
+        retries: 0,
         started: at(started),
         ended: at(ended),
         outcome,
