--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -1,6 +1,9 @@
 //! Start and end of a daemon.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use chicoryhollow_config::Settings;
 use chicoryhollow_core::Incarnation;
@@ -18,6 +21,10 @@
 /// Longest wait for the platform, in milliseconds.
 const PLATFORM_MS: u64 = 1_000;
 
+/// Time in which other VMs learn that this one leaves; it serves their streams
+/// meanwhile.
+const LEAVING_NOTICE: Duration = Duration::from_secs(1);
+
 /// Runs a daemon until it is told to end.
 ///
 /// # Errors
@@ -70,11 +77,14 @@
     terminate.recv().await;
     Event::Draining.record(&node.log, o!("callers" => node.metrics.callers.get()));
     node.start_drain();
+    let begun = Instant::now();
     let limit = Duration::from_millis(node.settings.limits.drain_ms);
     let finished = async {
         while node.metrics.callers.get() > 0 {
             sleep(Duration::from_millis(20)).await;
         }
+        sleep(LEAVING_NOTICE.saturating_sub(begun.elapsed())).await;
+        node.peers.finish().await;
     };
     tokio::select! {
         _ = timeout(limit, finished) => {}
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use chicoryhollow_core::prelude::*;
-use chicoryhollow_proxy::stream::Access;
+use chicoryhollow_proxy::stream::{Access, StreamEvent};
 use fleet::{Fleet, query, rows};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn statements_of_many_streams_keep_to_the_limits() {
@@ -233,3 +234,91 @@
         task.expect("no stream fails");
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn garbage_closes_only_its_own_connection() {
+    let fleet = Fleet::start(1, 2, |_, _| {}).await;
+    let mut open = fleet.open(1, Access::Write).await.expect("a stream");
+    query(&mut open, "BEGIN", true).await.expect("it begins");
+    for garbage in [&[0xff; 64][..], b"GET / HTTP/1.1\r\n\r\n", &[0, 0, 0, 2, 0x0a, 0x7f]] {
+        let address = fleet.node(0).settings.listen.peers;
+        let mut socket = tokio::net::TcpStream::connect(address).await.expect("a connection");
+        socket.write_all(garbage).await.expect("it is sent");
+        let mut answer = Vec::new();
+        let closed = tokio::time::timeout(Duration::from_secs(5), socket.read_to_end(&mut answer));
+        // A reset is as good an end as an orderly one.
+        drop(closed.await.expect("the connection is closed"));
+    }
+    assert_eq!(query(&mut open, "SELECT 3", false).await.expect("a row"), ["3"]);
+    query(&mut open, "COMMIT", true).await.expect("it commits");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leaving_home_finishes_what_it_began() {
+    let fleet = Fleet::start(1, 2, |_, _| {}).await;
+    fleet.write(1, "CREATE TABLE t (id int)").await.expect("the table is made");
+    let mut open = fleet.open(1, Access::Write).await.expect("a stream");
+    query(&mut open, "BEGIN", true).await.expect("it begins");
+    let finishing = {
+        let node = std::sync::Arc::clone(fleet.node(0));
+        tokio::spawn(async move { node.peers.finish().await })
+    };
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let refused = fleet.write(1, "INSERT INTO t (id) VALUES (1)").await;
+    assert_eq!(refused, Err(Refusal::HomeUnreachable));
+    query(&mut open, "INSERT INTO t (id) VALUES (2)", true).await.expect("it goes on");
+    assert!(!finishing.is_finished());
+    query(&mut open, "COMMIT", true).await.expect("it commits");
+    drop(open);
+    let finished = tokio::time::timeout(Duration::from_secs(5), finishing).await;
+    finished.expect("the home finishes").expect("the task ends");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn another_vm_stands_in_for_a_home_that_is_down() {
+    let fleet = Fleet::start(1, 3, |_, _| {}).await;
+    let home = fleet.join_data_centres();
+    let entry = (home + 1) % 3;
+    assert_eq!(fleet.read(entry, "SELECT 1").await.expect("a row"), ["1"]);
+    fleet.hold_node(home, true);
+    let begun = std::time::Instant::now();
+    while fleet.read(entry, "SELECT 2").await.is_err() {}
+    assert!(begun.elapsed() < Duration::from_secs(3), "after {:?}", begun.elapsed());
+    for _ in 0..20 {
+        assert_eq!(fleet.read(entry, "SELECT 3").await.expect("a row"), ["3"]);
+    }
+    fleet.hold_node(home, false);
+    for _ in 0..100 {
+        assert_eq!(fleet.read(entry, "SELECT 4").await.expect("a row"), ["4"]);
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replica_answers_only_with_what_is_needed() {
+    let fleet = Fleet::start(3, 2, |_, _| {}).await;
+    fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+    fleet.control(1, "set_lag(0, 400)").await;
+    let mut stream = fleet.open(0, Access::Write).await.expect("a stream");
+    stream.send(fleet.batch("INSERT INTO t (id) VALUES (1)", true)).await.expect("it is sent");
+    let written = loop {
+        if let StreamEvent::Ready(ready) = stream.next().await.expect("an answer") {
+            break ready.position.expect("a position");
+        }
+    };
+    let replica = fleet::server_name(1);
+    for vm in [0, 1] {
+        let early = fleet.open_at(vm, &replica, Access::Read, Some(written)).await;
+        let refused = match early {
+            Ok(mut stream) => query(&mut stream, "SELECT id FROM t", false).await.map(drop),
+            Err(refused) => Err(refused.refusal),
+        };
+        assert_eq!(refused, Err(Refusal::TooStale), "vm {vm}");
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for vm in [0, 1] {
+        let opened = fleet.open_at(vm, &replica, Access::Read, Some(written)).await;
+        let seen = query(&mut opened.expect("a stream"), "SELECT id FROM t", false).await;
+        assert_eq!(seen.expect("a row"), ["1"], "vm {vm}");
+    }
+}
