Ask servers rarely while nothing is amiss and often once a question fails

Cause: three watchers asked every server five times a second, which breaks the budget of 2 KB/s as soon as a daemon watches more than one group. Change: the intervals are set from the number of watched groups; silence counts only after a question has failed for 0.5 s; a failed question, or a report of failed requests by a home, makes a watcher ask all servers every 0.2 s. An observation of a watcher without failed questions no longer supports a suspicion by its age alone.

--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -14,6 +14,7 @@
 * [`election`] decides from the granted fences which server is promoted,
 * [`attempt`] runs one promotion from the first fence to the new primary,
 * [`members`] changes the member list one server at a time,
+* [`pace`] is how often servers are asked,
 * [`message`] is what reaches a watcher and what it wants done,
 * [`watcher`] joins these into the state machine.
 */
@@ -22,6 +23,7 @@
 pub mod election;
 pub mod members;
 pub mod message;
+pub mod pace;
 pub mod place;
 pub mod plan;
 pub mod status;
@@ -31,6 +33,7 @@
 pub use self::{
     members::MemberList,
     message::{Action, Event, Promotion},
+    pace::Intervals,
     place::{WatcherPlace, watchers},
     plan::{GroupPlan, ServerPlan},
     status::{Owner, ServerRole, ServerStatus},
--- /dev/null
+++ b/crates/core/src/watch/pace.rs
@@ -0,0 +1,22 @@
+//! How often a watcher asks the servers of its group.
+
+use std::time::Duration;
+
+/// Times between two status requests to one server while nothing is amiss.
+///
+/// A watcher that sees a question fail asks all servers often, whatever these
+/// are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Intervals {
+    /// Between two requests to the primary.
+    pub primary: Duration,
+    /// Between two requests to any other server.
+    pub replica: Duration,
+}
+
+impl Default for Intervals {
+    fn default() -> Self {
+        let interval = Duration::from_millis(200);
+        Intervals { primary: interval, replica: interval }
+    }
+}
--- a/crates/core/src/watch/suspicion.rs
+++ b/crates/core/src/watch/suspicion.rs
@@ -23,7 +23,8 @@
 pub struct Observation {
     /// What the watcher believes of the group.
     pub view: GroupView,
-    /// Time since it last reached the primary, or since it began to look for one.
+    /// Time since it last reached the primary, or since it began to look for one;
+    /// zero while no question to the primary has failed.
     pub silence: Duration,
     /// Whether the primary last said that it reaches a majority.
     pub majority: bool,
@@ -76,7 +77,8 @@
         let age = now.since(heard.at);
         let seen = &heard.observation;
         let same = seen.view.term == view.term && seen.view.primary == view.primary;
-        let failed = seen.silence + age >= SUSPECT || !seen.majority;
+        let silent = !seen.silence.is_zero() && seen.silence + age >= SUSPECT;
+        let failed = silent || !seen.majority;
         same && failed && age <= FRESH_OBSERVATION
     }
 }
--- a/crates/core/src/watch/watcher.rs
+++ b/crates/core/src/watch/watcher.rs
@@ -17,6 +17,7 @@
         election::Ballot,
         members::{MemberList, newest},
         message::{Action, Event, Promotion},
+        pace::Intervals,
         place::WatcherPlace,
         plan::GroupPlan,
         status::{Owner, ServerRole, ServerStatus},
@@ -26,6 +27,8 @@
 
 /// Time between two status requests while a promotion waits for the answer.
 const HASTY_POLL: Duration = Duration::from_millis(15);
+/// Time for which a primary must go on missing questions to count as silent.
+const CONFIRM: Duration = Duration::from_millis(500);
 /// Head start of each watcher over the next in rank.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 /// Head start in a planned move, which takes longer than a failover's fences.
@@ -43,6 +46,8 @@
 struct Link {
     reached: Option<Time>,
     asked: Option<Time>,
+    /// When the first request since the last answer was sent that failed.
+    missed: Option<Time>,
     polled: Option<Time>,
     previous: Option<Position>,
 }
@@ -83,7 +88,9 @@
     highest: Term,
     started: Time,
     primary_since: Time,
-    fit: Time,
+    /// Since when the primary said that it cannot confirm writes.
+    unfit: Option<Time>,
+    intervals: Intervals,
     last_call: Time,
     intent_due: Option<Time>,
     not_before: Time,
@@ -109,7 +116,8 @@
             highest: Term::default(),
             started: now,
             primary_since: now,
-            fit: now,
+            unfit: None,
+            intervals: Intervals::default(),
             last_call: now,
             intent_due: None,
             not_before: now,
@@ -120,6 +128,11 @@
         }
     }
 
+    /// Sets how often servers are asked while nothing is amiss.
+    pub fn set_intervals(&mut self, intervals: Intervals) {
+        self.intervals = intervals;
+    }
+
     /// Takes over the configured servers and the VMs that watch the group, best
     /// first.
     pub fn configure(&mut self, plan: GroupPlan, places: Vec<WatcherPlace>) {
@@ -170,8 +183,9 @@
     fn note_pause(&mut self, now: Time) {
         if now.since(self.last_call) >= PAUSE {
             self.primary_since = now;
-            self.fit = now;
+            self.unfit = None;
             self.started = now;
+            self.links.values_mut().for_each(|link| link.missed = None);
             self.heard.clear();
         }
         self.last_call = now;
@@ -181,7 +195,7 @@
         match event {
             Event::Tick => {}
             Event::Status(server, status) => self.reached(now, server, status),
-            Event::Failed(server) => self.link(server).asked = None,
+            Event::Failed(server) => self.failed(now, server),
             Event::Fenced(server, term, granted, status) => {
                 self.reached(now, server.clone(), status.clone());
                 if let Some(attempt) = self.attempt.as_mut().filter(|a| a.term() == term) {
@@ -206,14 +220,30 @@
         let link = self.link(server.clone());
         link.reached = Some(now);
         link.asked = None;
+        link.missed = None;
         link.previous = previous;
         if status.role == ServerRole::Primary {
             self.meet_primary(now, &server, &status);
         }
+        if self.view.primary.as_ref() == Some(&server) {
+            let fit = self.is_fit(&status);
+            self.unfit = if fit { None } else { self.unfit.or(Some(now)) };
+        }
         self.known.insert(server, status);
         self.drop_unlisted();
     }
 
+    fn is_fit(&self, status: &ServerStatus) -> bool {
+        let open = status.role == ServerRole::Primary && status.term == self.view.term;
+        open && status.majority_age.is_some_and(|age| age < SUSPECT)
+    }
+
+    fn failed(&mut self, now: Time, server: ServerId) {
+        let link = self.link(server);
+        let asked = link.asked.take().unwrap_or(now);
+        link.missed.get_or_insert(asked);
+    }
+
     fn meet_primary(&mut self, now: Time, server: &ServerId, status: &ServerStatus) {
         let vacant = status.term == self.view.term && self.view.primary.is_none();
         if status.term > self.view.term || vacant {
@@ -225,9 +255,6 @@
             if self.view.history.is_empty() {
                 self.view.history.clone_from(&status.history);
             }
-            if status.majority_age.is_some_and(|age| age < SUSPECT) {
-                self.fit = now;
-            }
         }
     }
 
@@ -248,7 +275,7 @@
         self.view.primary = primary;
         self.view.history.clone_from(&from.history);
         self.primary_since = now;
-        self.fit = now;
+        self.unfit = None;
         self.tries = 0;
         self.intent_due = None;
         if self.attempt.as_ref().is_some_and(|attempt| attempt.term() <= term) {
@@ -282,15 +309,29 @@
                 && status.term == self.view.term
                 && status.majority_age.is_none_or(|age| age >= SUSPECT)
         });
-        if self.view.primary.is_some() && (lost || now.since(self.fit) >= SUSPECT) {
+        let unfit = self.unfit.is_some_and(|since| now.since(since) >= SUSPECT);
+        if self.view.primary.is_some() && (lost || unfit) {
             return Judgement::Unfit;
         }
         Judgement::Healthy
     }
 
+    /// Returns for how long the primary has not answered although it was asked.
+    ///
+    /// A primary that is asked rarely is silent for long without having missed
+    /// a question, so the silence counts only once one has failed, and some
+    /// time later than that.
     fn silence(&self, now: Time) -> Duration {
-        let reached = self.view.primary.as_ref().and_then(|p| self.links.get(p)?.reached);
-        now.since(reached.map_or(self.primary_since, |at| at.max(self.primary_since)))
+        let Some(primary) = &self.view.primary else {
+            return now.since(self.primary_since);
+        };
+        let link = self.links.get(primary);
+        let missed = link.and_then(|link| link.missed);
+        if missed.is_none_or(|at| now.since(at) < CONFIRM) {
+            return Duration::ZERO;
+        }
+        let reached = link.and_then(|link| link.reached).unwrap_or(self.primary_since);
+        now.since(reached.max(self.primary_since))
     }
 
     fn primary_status(&self) -> Option<&ServerStatus> {
@@ -298,7 +339,10 @@
     }
 
     fn is_reachable(&self, server: &ServerId, now: Time) -> bool {
-        self.links.get(server).and_then(|l| l.reached).is_some_and(|at| now.since(at) < SUSPECT)
+        let Some(link) = self.links.get(server) else { return false };
+        let asked_rarely = link.missed.is_none() && !self.is_hasty(now);
+        let limit = if asked_rarely { SUSPECT + self.intervals.replica } else { SUSPECT };
+        link.reached.is_some_and(|at| now.since(at) < limit)
     }
 
     /// Tells whether all servers of the group were reached and none ever had a
--- a/crates/core/src/watch/watcher/duties.rs
+++ b/crates/core/src/watch/watcher/duties.rs
@@ -17,25 +17,42 @@
     },
 };
 
-/// Time between two status requests to one server.
-const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two status requests to one server while something is amiss.
+const HASTY_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which an unanswered status request is given up.
 const POLL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two observations to the other watchers.
 const TELL_INTERVAL: Duration = Duration::from_millis(250);
 /// Least time between two views that differ only in details.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which a new primary is asked often.
+const SETTLE: Duration = Duration::from_millis(1_000);
 /// Least time between two changes of the member list.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(1_000);
 
 impl Watcher {
     pub(super) fn poll(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let hasty = self.is_hasty(now);
         let servers: Vec<ServerId> = self.links.keys().cloned().collect();
         for server in servers {
-            self.poll_one(server, POLL_INTERVAL, now, actions);
+            let every = match () {
+                () if hasty => HASTY_INTERVAL,
+                () if self.view.primary.as_ref() == Some(&server) => self.intervals.primary,
+                () => self.intervals.replica,
+            };
+            self.poll_one(server, every, now, actions);
         }
     }
 
+    /// Tells whether something is amiss or about to change, so that all servers
+    /// are asked often.
+    pub(super) fn is_hasty(&self, now: Time) -> bool {
+        let Some(primary) = &self.view.primary else { return true };
+        let missed = self.links.get(primary).is_none_or(|link| link.missed.is_some());
+        let moving = self.attempt.is_some() || !self.plan.serves(primary);
+        missed || moving || self.unfit.is_some() || now.since(self.primary_since) < SETTLE
+    }
+
     /// Makes the next status request to the primary due at once.
     pub(super) fn hurry_poll(&mut self) {
         if let Some(primary) = self.view.primary.clone() {
@@ -52,6 +69,9 @@
     ) {
         let link = self.link(server.clone());
         let waiting = link.asked.is_some_and(|at| now.since(at) < POLL_TIMEOUT);
+        if let Some(asked) = link.asked.filter(|_| !waiting) {
+            link.missed.get_or_insert(asked);
+        }
         let recent = link.polled.is_some_and(|at| now.since(at) < every);
         if waiting || recent {
             return;
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -114,6 +114,13 @@
         self.cut.extend([(a, b), (b, a)]);
     }
 
+    /// Tells all watchers that requests to the primary fail.
+    pub(crate) fn report(&mut self) {
+        for i in 0..self.watchers.len() {
+            self.feed(i, Event::Suspected);
+        }
+    }
+
     pub(crate) fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use chicoryhollow_core::{prelude::*, watch::watchers};
+use chicoryhollow_core::{
+    prelude::*,
+    watch::{Intervals, watchers},
+};
 use indexmap::IndexMap;
 use model::{Model, centre, name, vm};
 use rand::RngExt;
@@ -158,6 +161,44 @@
     }
 }
 
+/// Makes a settled group whose servers are asked rarely.
+fn rarely_asked(seed: u64) -> Model {
+    let mut model = Model::new(seed, &[0, 1, 2], &[0, 1, 2]);
+    let intervals = Intervals { primary: SETTLE, replica: SETTLE * 10 };
+    model.watchers.iter_mut().for_each(|watcher| watcher.set_intervals(intervals));
+    model.run(SETTLE);
+    model.longest_gap = Duration::ZERO;
+    model
+}
+
+#[test]
+fn a_primary_that_is_asked_rarely_keeps_its_place() {
+    let mut model = rarely_asked(1);
+    let before = model.promotions.len();
+    model.run(Duration::from_secs(30));
+    assert_eq!(model.promotions.len(), before);
+    assert!(model.longest_gap < Duration::from_millis(100), "{:?}", model.longest_gap);
+}
+
+#[test]
+fn reports_of_failed_requests_make_up_for_rare_questions() {
+    for seed in 0..8 {
+        for (reported, target) in [(true, KILL_TARGET), (false, PARTITION_TARGET)] {
+            let mut model = rarely_asked(seed);
+            model.run(Duration::from_millis(700 * seed));
+            kill(&mut model);
+            model.run(Duration::from_millis(50));
+            if reported {
+                model.report();
+            }
+            model.run(PARTITION_TARGET + SETTLE);
+            let gap = model.longest_gap;
+            println!("asked rarely, reported {reported}: longest gap {gap:?}");
+            assert!(gap <= target, "seed {seed} reported {reported}: no write for {gap:?}");
+        }
+    }
+}
+
 #[test]
 fn a_primary_seen_by_one_watcher_keeps_its_place() {
     let mut model = Model::new(1, &[0, 1, 2], &[0, 1, 2]);
--- a/crates/proxy/src/watch/group.rs
+++ b/crates/proxy/src/watch/group.rs
@@ -6,7 +6,7 @@
 use chicoryhollow_config::configuration::{Configuration, Service};
 use chicoryhollow_core::{
     prelude::*,
-    watch::{Action, Event, GroupPlan, Promotion, ServerPlan, Watcher, WatcherPlace},
+    watch::{Action, Event, GroupPlan, Intervals, Promotion, ServerPlan, Watcher, WatcherPlace},
 };
 use chicoryhollow_peer::Body;
 use indexmap::IndexMap;
@@ -33,6 +33,8 @@
 pub(super) enum Input {
     /// The configuration or the VMs that watch the group changed.
     Configure(Arc<Configuration>, Vec<WatcherPlace>),
+    /// This VM watches more groups or fewer.
+    Pace(Intervals),
     /// Something for the decision.
     Event(Event),
     /// A VM asks for the views of the group.
@@ -115,6 +117,7 @@
     fn take_in(&mut self, input: Input) {
         match input {
             Input::Configure(configuration, places) => self.configure(&configuration, places),
+            Input::Pace(intervals) => self.watcher.set_intervals(intervals),
             Input::Event(event) => self.handle(event),
             Input::Subscribe(vm, reply) => {
                 let view = self.watcher.view();
--- a/crates/proxy/src/watch/mod.rs
+++ b/crates/proxy/src/watch/mod.rs
@@ -6,6 +6,7 @@
 
 mod convert;
 mod group;
+mod pace;
 mod places;
 mod server;
 mod subscribers;
@@ -102,6 +103,10 @@
             watched.remove(group);
         }
     }
+    let intervals = pace::intervals(watched.len());
+    for task in watched.values() {
+        task.send(Input::Pace(intervals));
+    }
     node.metrics.watched.set(i64::try_from(watched.len()).unwrap_or(i64::MAX));
 }
 
--- /dev/null
+++ b/crates/proxy/src/watch/pace.rs
@@ -0,0 +1,31 @@
+//! How often this VM asks the servers of the groups that it watches.
+
+use std::time::Duration;
+
+use chicoryhollow_core::{
+    pace::{ByteRate, Pace},
+    watch::Intervals,
+};
+
+/// Bytes of a status request and its answer on the network.
+const STATUS_BYTES: u32 = 700;
+
+/// Requests to primaries: by far most of the budget.
+const PRIMARIES: Pace = Pace::new(Duration::from_millis(250), Duration::from_secs(3))
+    .with_cost(STATUS_BYTES, ByteRate::new(900));
+
+/// Requests to other servers, whose state matters only once a primary fails;
+/// they are all asked again then.
+const REPLICAS: Pace = Pace::new(Duration::from_secs(1), Duration::from_secs(30))
+    .with_cost(STATUS_BYTES, ByteRate::new(300));
+
+/// Other servers of a usual group.
+const REPLICAS_PER_GROUP: usize = 2;
+
+/// Returns the intervals for a VM that watches `groups` groups.
+pub(super) fn intervals(groups: usize) -> Intervals {
+    Intervals {
+        primary: PRIMARIES.interval(groups),
+        replica: REPLICAS.interval(groups * REPLICAS_PER_GROUP),
+    }
+}
