--- a/crates/proxy/src/peers/serve.rs
+++ b/crates/proxy/src/peers/serve.rs
@@ -1,6 +1,10 @@
 //! The home's end of a stream from another VM.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use chicoryhollow_core::{ledger::BatchId, prelude::*};
@@ -62,6 +66,7 @@
         incoming: mpsc::Receiver<Body>,
         outgoing: mpsc::Sender<Envelope>,
     ) -> Self {
+        node.peers.serving.fetch_add(1, Ordering::AcqRel);
         Served {
             node: Arc::clone(node),
             entry,
@@ -240,6 +245,12 @@
     }
 }
 
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.node.peers.serving.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Makes the message that ends a stream.
 pub(crate) fn closed(stream: u64, refused: Option<Refused>) -> Body {
     Body::Close(stream::Close {
