--- a/crates/core/src/watch/watcher.rs
+++ b/crates/core/src/watch/watcher.rs
@@ -251,10 +251,9 @@
             view.history = status.history.clone();
             self.adopt(status.term, Some(server.clone()), &view, now);
         }
-        if status.term == self.view.term && self.view.primary.as_ref() == Some(server) {
-            if self.view.history.is_empty() {
-                self.view.history.clone_from(&status.history);
-            }
+        let is_primary = self.view.primary.as_ref() == Some(server);
+        if status.term == self.view.term && is_primary && self.view.history.is_empty() {
+            self.view.history.clone_from(&status.history);
         }
     }
 
--- a/crates/testkit/src/cluster/mod.rs
+++ b/crates/testkit/src/cluster/mod.rs
@@ -307,6 +307,16 @@
         http::put(&self.vm_url(vm), &listed).await
     }
 
+    /// Lists a VM that the cluster does not run.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn list_other(&self, listed: &ListedVm) -> Result<(), ClusterError> {
+        let url = format!("{}/control/vms/{}", self.platform_url(), listed.vm.vm);
+        http::put(&url, listed).await
+    }
+
     fn vm_url(&self, vm: usize) -> String {
         format!("{}/control/vms/{}", self.platform_url(), Deployment::vm(vm))
     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 * [`checker`] compares what clients were told with what the databases hold.
 * [`scenario`] puts faults and load together into named runs.
 * [`bench`] compares reads through the proxy with direct ones.
+* [`slopes`] measures how a daemon's costs grow with one count at a time.
 */
 
 pub mod backend;
@@ -24,5 +25,6 @@
 pub mod platform;
 mod runtime;
 pub mod scenario;
+pub mod slopes;
 
 pub use crate::runtime::run;
--- /dev/null
+++ b/crates/testkit/src/slopes/sample.rs
@@ -0,0 +1,69 @@
+//! What one daemon has used so far.
+
+use std::{fs, io};
+
+use indexmap::IndexMap;
+
+use crate::{
+    bench::resident_bytes,
+    cluster::{Cluster, ClusterError},
+};
+
+/// Clock ticks a second in `/proc`.
+const TICKS: f64 = 100.0;
+/// Places of user and system time after the name of the process in
+/// `/proc/PID/stat`.
+const TIME_FIELDS: [usize; 2] = [11, 12];
+/// Metric that counts control traffic.
+const CONTROL_METRIC: &str = "chicoryhollow_control_bytes_total{channel=\"";
+
+/// What one daemon has used since it started.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// Resident memory in bytes.
+    pub memory: f64,
+    /// Processor time in seconds.
+    pub processor: f64,
+    /// Bytes of control traffic by channel.
+    pub control: IndexMap<String, f64>,
+}
+
+impl Sample {
+    /// Reads what the daemon of a VM has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the daemon does not run or does not answer.
+    pub async fn new(cluster: &Cluster, vm: usize) -> Result<Self, ClusterError> {
+        let process = cluster.daemon_id(vm).ok_or(io::Error::from(io::ErrorKind::NotFound))?;
+        let text = cluster.metrics(vm).await?;
+        let control = text.lines().filter_map(|line| {
+            let (channel, rest) = line.strip_prefix(CONTROL_METRIC)?.split_once('"')?;
+            Some((channel.to_owned(), rest.rsplit(' ').next()?.parse().ok()?))
+        });
+        Ok(Sample {
+            memory: resident_bytes(process)? as f64,
+            processor: processor_seconds(process)?,
+            control: control.collect(),
+        })
+    }
+
+    /// Returns the bytes of control traffic over all channels.
+    pub fn control_bytes(&self) -> f64 {
+        self.control.values().sum()
+    }
+
+    /// Returns the bytes of control traffic on one channel.
+    pub fn channel_bytes(&self, channel: &str) -> f64 {
+        self.control.get(channel).copied().unwrap_or(0.0)
+    }
+}
+
+fn processor_seconds(process: u32) -> io::Result<f64> {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat"))?;
+    // The name of the process stands in parentheses and may hold spaces.
+    let fields: Vec<&str> =
+        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = TIME_FIELDS.iter().filter_map(|field| fields.get(*field)?.parse::<f64>().ok());
+    Ok(ticks.sum::<f64>() / TICKS)
+}
