--- a/crates/core/src/watch/pace.rs
+++ b/crates/core/src/watch/pace.rs
@@ -2,21 +2,23 @@
 
 use std::time::Duration;
 
-/// Times between two status requests to one server while nothing is amiss.
+/// Times between two messages of a kind while nothing is amiss.
 ///
-/// A watcher that sees a question fail asks all servers often, whatever these
-/// are.
+/// A watcher that sees a question fail, or hears of one, asks all servers and
+/// tells the other watchers often, whatever these are.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Intervals {
     /// Between two requests to the primary.
     pub primary: Duration,
     /// Between two requests to any other server.
     pub replica: Duration,
+    /// Between two observations to the other watchers.
+    pub tell: Duration,
 }
 
 impl Default for Intervals {
     fn default() -> Self {
         let interval = Duration::from_millis(200);
-        Intervals { primary: interval, replica: interval }
+        Intervals { primary: interval, replica: interval, tell: Duration::from_secs(10) }
     }
 }
--- a/crates/core/src/watch/suspicion.rs
+++ b/crates/core/src/watch/suspicion.rs
@@ -63,7 +63,7 @@
     }
 
     fn is_present(&self, vm: &VmId, now: Time) -> bool {
-        let last = self.heard.get(vm).map_or(self.started, |heard| heard.at);
+        let last = self.heard.get(vm).map_or(self.started, |heard| heard.at.max(self.started));
         vm == self.own || now.since(last) < LOST_WATCHER
     }
 
--- a/crates/core/src/watch/watcher.rs
+++ b/crates/core/src/watch/watcher.rs
@@ -98,6 +98,10 @@
     members_due: Time,
     published: Option<(GroupView, Time)>,
     told: Option<Told>,
+    /// When another watcher last told that it finds something amiss.
+    alerted: Option<Time>,
+    /// Since when something has been amiss.
+    alarm: Option<Time>,
 }
 
 impl Watcher {
@@ -125,6 +129,8 @@
             members_due: now,
             published: None,
             told: None,
+            alerted: None,
+            alarm: None,
         }
     }
 
@@ -168,6 +174,7 @@
     pub fn handle(&mut self, now: Time, event: Event, rng: &mut impl Rng) -> Vec<Action> {
         self.note_pause(now);
         self.absorb(now, event);
+        self.alarm = self.is_hasty(now).then(|| self.alarm.unwrap_or(now));
         let mut actions = Vec::new();
         self.advance_attempt(now, rng, &mut actions);
         self.consider(now, rng, &mut actions);
@@ -264,6 +271,9 @@
             self.adopt(seen.term, seen.primary.clone(), seen, now);
         }
         if self.places.iter().any(|place| place.vm == vm) {
+            if !observation.silence.is_zero() || !observation.majority {
+                self.alerted = Some(now);
+            }
             self.heard.insert(vm, Heard { observation, at: now });
         }
     }
@@ -372,7 +382,9 @@
             own: &self.vm,
             places: &self.places,
             heard: &self.heard,
-            started: self.started,
+            // While nothing is amiss the watchers tell each other little, so
+            // silence counts only from the alarm on.
+            started: self.started.max(self.alarm.unwrap_or(now)),
         };
         let agreed = judgement == Judgement::Unfit || panel.agrees(&self.view, now);
         let able = list.has_majority(|server| self.is_reachable(server, now));
--- a/crates/core/src/watch/watcher/duties.rs
+++ b/crates/core/src/watch/watcher/duties.rs
@@ -21,8 +21,11 @@
 const HASTY_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which an unanswered status request is given up.
 const POLL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time between two observations to the other watchers.
+/// Time between two observations to the other watchers while something is
+/// amiss.
 const TELL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which another watcher's alarm keeps this one asking often.
+const ALERT: Duration = Duration::from_secs(2);
 /// Least time between two views that differ only in details.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a new primary is asked often.
@@ -50,7 +53,12 @@
         let Some(primary) = &self.view.primary else { return true };
         let missed = self.links.get(primary).is_none_or(|link| link.missed.is_some());
         let moving = self.attempt.is_some() || !self.plan.serves(primary);
-        missed || moving || self.unfit.is_some() || now.since(self.primary_since) < SETTLE
+        let alerted = self.alerted.is_some_and(|at| now.since(at) < ALERT);
+        missed
+            || moving
+            || alerted
+            || self.unfit.is_some()
+            || now.since(self.primary_since) < SETTLE
     }
 
     /// Makes the next status request to the primary due at once.
@@ -128,10 +136,11 @@
 
     pub(super) fn tell(&mut self, now: Time, actions: &mut Vec<Action>) {
         let judgement = self.judge(now);
+        let every = if self.is_hasty(now) { TELL_INTERVAL } else { self.intervals.tell };
         let primary = (self.view.term, self.view.primary.clone());
         let quiet = self.told.as_ref().is_some_and(|told| {
             let same = told.judgement == judgement && told.primary == primary;
-            same && now.since(told.at) < TELL_INTERVAL
+            same && now.since(told.at) < every
         });
         if quiet {
             return;
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -164,7 +164,7 @@
 /// Makes a settled group whose servers are asked rarely.
 fn rarely_asked(seed: u64) -> Model {
     let mut model = Model::new(seed, &[0, 1, 2], &[0, 1, 2]);
-    let intervals = Intervals { primary: SETTLE, replica: SETTLE * 10 };
+    let intervals = Intervals { primary: SETTLE, replica: SETTLE * 10, tell: SETTLE * 10 };
     model.watchers.iter_mut().for_each(|watcher| watcher.set_intervals(intervals));
     model.run(SETTLE);
     model.longest_gap = Duration::ZERO;
