--- a/crates/core/src/share/holder.rs
+++ b/crates/core/src/share/holder.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Tells whether a keeper is known.
+    pub fn is_assigned(&self) -> bool {
+        !self.leases.is_empty()
+    }
+
     /// Counts a request and decides on it; `ahead` requests already wait.
     pub fn arrive(&mut self, ahead: usize, now: Time) -> Admission {
         self.demand.count(now);
@@ -147,11 +152,18 @@
         held
     }
 
-    /// Returns the requests to be sent now, each with the keeper it is for.
-    pub fn asks(&mut self, now: Time) -> Vec<(KeeperId, Ask)> {
+    /// Returns the requests to be sent now, each with the data centre whose
+    /// part it asks for and the keeper of that part.
+    pub fn asks(&mut self, now: Time) -> Vec<(DataCentreId, KeeperId, Ask)> {
         let held = self.settle(now);
         let centres: Vec<DataCentreId> = self.leases.keys().cloned().collect();
-        centres.iter().filter_map(|centre| self.ask(centre, held, now)).collect()
+        centres
+            .into_iter()
+            .filter_map(|centre| {
+                let (keeper, ask) = self.ask(&centre, held, now)?;
+                Some((centre, keeper, ask))
+            })
+            .collect()
     }
 
     fn ask(&mut self, centre: &DataCentreId, held: Slice, now: Time) -> Option<(KeeperId, Ask)> {
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -220,7 +220,7 @@
         for _ in 0..admitted {
             self.admit();
         }
-        for (keeper, ask) in asks {
+        for (_, keeper, ask) in asks {
             if let Some(k) = self.keepers.iter().position(|(_, id, _)| *id == keeper) {
                 self.send(Message::Ask(i, k, keeper, ask));
             }
--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -8,7 +8,7 @@
     /// What the message is about; none for a body of a later version.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 32, 40, 41"
+        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -89,9 +89,6 @@
     /// Grants a share under a lease.
     #[prost(message, tag = "31")]
     ShareGrant(share::ShareGrant),
-    /// Gives a share back.
-    #[prost(message, tag = "32")]
-    ShareReturn(share::ShareReturn),
     /// Asks for a configuration newer than the one held.
     #[prost(message, tag = "40")]
     ConfigurationAsk(configuration::ConfigurationAsk),
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -16,7 +16,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{admin, configuration, entry, events::Event, node::Node, peers, watch};
+use crate::{admin, configuration, entry, events::Event, node::Node, peers, shares, watch};
 
 /// Longest wait for the platform, in milliseconds.
 const PLATFORM_MS: u64 = 1_000;
@@ -56,7 +56,8 @@
     actix::spawn(admin);
     let patience = Duration::from_millis(PLATFORM_MS);
     let platform = HttpPlatform::new(node.settings.platform.clone(), patience);
-    configuration::follow(&node, platform);
+    configuration::follow(&node, platform.clone());
+    actix::spawn(shares::follow(Arc::clone(&node), platform));
     tokio::spawn(watch::follow(Arc::clone(&node)));
     tokio::spawn(peers::listen(Arc::clone(&node), peers));
     tokio::spawn(entry::listen(Arc::clone(&node), callers));
--- /dev/null
+++ b/crates/proxy/src/shares/mod.rs
@@ -0,0 +1,296 @@
+//! Admission of requests within the rates of their accounts.
+//!
+//! Each VM holds slices of the accounts that its callers use, and keeps the
+//! parts that the platform's table assigns to it. The table is read when a
+//! keeper may have changed; nothing else here needs it.
+
+mod convert;
+mod slots;
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use chicoryhollow_core::{
+    prelude::*,
+    share::{
+        Admission, Ask, Grant, Holder, Keeper, KeeperId, Quota, holder::MAX_WAIT, record::slot,
+    },
+};
+use chicoryhollow_peer::Body;
+use chicoryhollow_platform::HttpPlatform;
+use tokio::{
+    sync::oneshot,
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+
+use self::{
+    convert::Part,
+    slots::{Slots, Tenure},
+};
+use crate::{node::Node, peers::Reply};
+
+/// Time between two looks at the waiting requests and the slices held.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Time between two reads of a row while its part has no keeper.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time between two reads of the rows otherwise.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Pause of a request that waits for the first keeper of its account.
+const UNASSIGNED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Admits requests by account.
+#[derive(Debug, Default)]
+pub struct Shares {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    accounts: HashMap<AccountId, Account>,
+    keepers: HashMap<AccountId, Keeper>,
+    slots: Slots,
+}
+
+/// One account as callers of this VM use it.
+#[derive(Debug)]
+struct Account {
+    holder: Holder,
+    waiting: VecDeque<oneshot::Sender<()>>,
+}
+
+impl Shares {
+    /// Makes an admission that holds no shares.
+    pub fn new() -> Self {
+        Shares::default()
+    }
+
+    /// Waits for a token of `account` until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal::RateExceeded`] when none comes in time.
+    pub async fn admit(
+        &self,
+        node: &Arc<Node>,
+        account: &AccountId,
+        deadline: Time,
+    ) -> Result<(), Refusal> {
+        while !self.is_assigned(account) {
+            if node.clock.now() >= deadline {
+                return Err(Refusal::RateExceeded);
+            }
+            sleep(UNASSIGNED_PAUSE).await;
+        }
+        let now = node.clock.now();
+        let granted = match self.arrive(account, now) {
+            Ok(()) => return Ok(()),
+            Err(granted) => granted.ok_or(Refusal::RateExceeded)?,
+        };
+        let patience = MAX_WAIT.min(deadline.since(now));
+        match timeout(patience, granted).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(Refusal::RateExceeded),
+        }
+    }
+
+    fn is_assigned(&self, account: &AccountId) -> bool {
+        self.lock().accounts.get(account).is_some_and(|known| known.holder.is_assigned())
+    }
+
+    /// Counts a request; when it is not admitted at once, returns what tells
+    /// when it is, or nothing when it is refused.
+    fn arrive(&self, account: &AccountId, now: Time) -> Result<(), Option<oneshot::Receiver<()>>> {
+        let mut state = self.lock();
+        let known = state.accounts.get_mut(account).ok_or(None)?;
+        known.waiting.retain(|waiter| !waiter.is_closed());
+        match known.holder.arrive(known.waiting.len(), now) {
+            Admission::Admitted => Ok(()),
+            Admission::Refused => Err(None),
+            Admission::Wait(_) => {
+                let (grant, granted) = oneshot::channel();
+                known.waiting.push_back(grant);
+                Err(Some(granted))
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with this lock")
+    }
+}
+
+impl Account {
+    /// Admits as many waiting requests as there are tokens for.
+    fn release(&mut self, now: Time) {
+        self.waiting.retain(|waiter| !waiter.is_closed());
+        while !self.waiting.is_empty() && self.holder.admit(0, now) == Admission::Admitted {
+            if let Some(waiter) = self.waiting.pop_front() {
+                // A request that gave up just now loses its token.
+                waiter.send(()).ok();
+            }
+        }
+    }
+}
+
+impl State {
+    /// Takes over the configured accounts and who keeps their parts.
+    fn configure(&mut self, node: &Node) {
+        let versioned = node.configuration();
+        let configured = &versioned.configuration.accounts;
+        self.accounts.retain(|account, _| configured.contains_key(account));
+        let slots = &self.slots;
+        self.keepers.retain(|account, _| {
+            slots.get(&slot(account)).is_some_and(|slot| slot.tenure.is_some())
+        });
+        for (name, account) in configured {
+            let quota = quota(account);
+            let known = self.accounts.entry(name.clone()).or_insert_with(|| Account {
+                holder: Holder::new(
+                    quota,
+                    node.settings.data_centre.clone(),
+                    node.incarnation,
+                    node.clock.now(),
+                ),
+                waiting: VecDeque::new(),
+            });
+            known.holder.set_quota(quota);
+            if let Some(slot) = self.slots.get(&slot(name)) {
+                known.holder.set_keepers(slot.record.keepers());
+            }
+            if let Some(keeper) = self.keepers.get_mut(name) {
+                keeper.set_quota(quota);
+            }
+        }
+    }
+
+    /// Answers a request for a slice of a part that this run keeps.
+    fn lend(&mut self, node: &Node, vm: &VmId, part: &Part, ask: &Ask) -> Option<Grant> {
+        let own = part.keeper == node.incarnation && part.data_centre == node.settings.data_centre;
+        if !own {
+            return None;
+        }
+        if !self.keepers.contains_key(&part.account) {
+            let keeper = self.keeper(node, &part.account)?;
+            self.keepers.insert(part.account.clone(), keeper);
+        }
+        self.keepers.get_mut(&part.account)?.lend(vm, ask, node.clock.now())
+    }
+
+    fn keeper(&self, node: &Node, account: &AccountId) -> Option<Keeper> {
+        let versioned = node.configuration();
+        let quota = quota(versioned.configuration.accounts.get(account)?);
+        let slot = self.slots.get(&slot(account))?;
+        let share = slot.record.parts.get(&node.settings.data_centre)?.share;
+        match slot.tenure? {
+            Tenure::First => Some(Keeper::new(quota, share, node.clock.now())),
+            Tenure::Since(since) => {
+                let listed = node.members.listed();
+                let vms = listed.iter().map(|vm| vm.vm.clone());
+                Some(Keeper::with_takeover(quota, share, vms, since))
+            }
+        }
+    }
+
+    fn accept(&mut self, from: &VmId, part: &Part, grant: &Grant, now: Time) {
+        let keeper = KeeperId { vm: from.clone(), incarnation: part.keeper };
+        if let Some(known) = self.accounts.get_mut(&part.account) {
+            known.holder.accept(&part.data_centre, &keeper, grant, now);
+            known.release(now);
+        }
+    }
+
+    /// Collects the requests to be sent now.
+    fn asks(&mut self, now: Time) -> Vec<(VmId, Part, Ask)> {
+        let mut asks = Vec::new();
+        for (name, known) in &mut self.accounts {
+            known.release(now);
+            for (data_centre, keeper, ask) in known.holder.asks(now) {
+                let account = name.clone();
+                let part = Part { account, data_centre, keeper: keeper.incarnation };
+                asks.push((keeper.vm, part, ask));
+            }
+        }
+        asks
+    }
+}
+
+fn quota(account: &chicoryhollow_config::Account) -> Quota {
+    Quota { rate: account.rate.per_second(), burst: account.burst.requests() }
+}
+
+/// Keeps slices and parts up to date for as long as the daemon runs.
+pub async fn follow(node: Arc<Node>, platform: HttpPlatform) {
+    actix::spawn(follow_slots(Arc::clone(&node), platform));
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let asks = node.shares.lock().asks(node.clock.now());
+        for (vm, part, ask) in asks {
+            send(&node, &vm, &part, &ask);
+        }
+    }
+}
+
+/// Sends a request to its keeper, which may be this VM.
+fn send(node: &Arc<Node>, vm: &VmId, part: &Part, ask: &Ask) {
+    if *vm != node.settings.vm {
+        // A keeper that cannot be reached is asked again soon.
+        node.peers.send(node, vm, Body::ShareAsk(convert::ask_message(part, ask)));
+        return;
+    }
+    let mut state = node.shares.lock();
+    if let Some(grant) = state.lend(node, vm, part, ask) {
+        state.accept(vm, part, &grant, node.clock.now());
+    }
+}
+
+/// Reads the rows of the slots in use and claims parts.
+async fn follow_slots(node: Arc<Node>, platform: HttpPlatform) {
+    let mut reviewed: HashMap<u64, Time> = HashMap::new();
+    let mut ticks = interval(CLAIM_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for slot in slots::in_use(&node) {
+            let known = node.shares.lock().slots.get(&slot).cloned();
+            let kept = known.as_ref().is_some_and(|known| known.is_kept(&node));
+            let now = node.clock.now();
+            let recent = reviewed.get(&slot).is_some_and(|at| now.since(*at) < REVIEW_INTERVAL);
+            if kept && recent {
+                continue;
+            }
+            reviewed.insert(slot, now);
+            if let Some(found) = slots::review(&node, &platform, slot, known).await {
+                node.shares.lock().slots.insert(slot, found);
+            }
+        }
+        node.shares.lock().configure(&node);
+    }
+}
+
+/// Receives a control message of another VM.
+pub(crate) fn receive(node: &Arc<Node>, from: &VmId, body: Body, reply: &Reply) {
+    match body {
+        Body::ShareAsk(message) => {
+            let Some((part, ask)) = convert::ask(&message) else { return };
+            let grant = node.shares.lock().lend(node, from, &part, &ask);
+            if let Some(grant) = grant {
+                // A lost answer makes the holder ask again.
+                reply.send(Body::ShareGrant(convert::grant_message(&part, &grant)));
+            }
+        }
+        Body::ShareGrant(message) => {
+            if let Some((part, grant)) = convert::grant(&message) {
+                node.shares.lock().accept(from, &part, &grant, node.clock.now());
+            }
+        }
+        _ => {}
+    }
+}
