--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -98,7 +98,6 @@
     async fn until_ready(&mut self) -> String {
         let mut tags = String::new();
         while let Some(tag) = self.next().await {
-            if tag == 'E' {}
             if tag != 'S' {
                 tags.push(tag);
             }
