--- a/crates/core/src/watch/attempt.rs
+++ b/crates/core/src/watch/attempt.rs
@@ -15,6 +15,17 @@
     },
 };
 
+/// Longest time for which a planned move waits until no transaction that has
+/// written is open on the old primary.
+pub const PLANNED_LIMIT: Duration = Duration::from_millis(3_500);
+/// Longest time for which the old primary holds new writes in one try.
+const QUIESCE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which an unanswered request to hold writes is sent again.
+const QUIESCE_RESEND: Duration = Duration::from_millis(600);
+/// Pause after the first try to hold writes that failed; doubles with each one.
+const QUIESCE_PAUSE: Duration = Duration::from_millis(100);
+/// Most doublings of [`QUIESCE_PAUSE`].
+const QUIESCE_DOUBLINGS: u32 = 2;
 /// Longest time for which a planned move lets its target catch up.
 pub const DRAIN: Duration = Duration::from_millis(400);
 /// Time for which an election waits for further grants once a majority is in.
@@ -29,6 +40,8 @@
 /// What an attempt asks of the servers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Order {
+    /// Let the primary hold new writes, at most this long.
+    Quiesce(ServerId, Duration),
     /// Fence a server at the attempt's term.
     Fence(ServerId),
     /// Ask a server for its status, soon.
@@ -53,8 +66,19 @@
     target: ServerId,
 }
 
+/// Tries to find a moment without an open write transaction.
+#[derive(Clone, Debug)]
+struct Quiescing {
+    drain: Drain,
+    due: Time,
+    tries: u32,
+    quiet: bool,
+}
+
 #[derive(Clone, Debug)]
 enum Stage {
+    /// The old primary of a planned move is to end its open writes.
+    Quiescing(Quiescing),
     /// The old primary of a planned move is fenced and its target catches up.
     Draining(Drain),
     /// Servers are being fenced; holds since when a majority is.
@@ -84,7 +108,8 @@
 
     /// Starts a planned move from `primary` to `target`.
     pub(crate) fn with_drain(term: Term, primary: ServerId, target: ServerId, now: Time) -> Self {
-        let stage = Stage::Draining(Drain { primary, target });
+        let drain = Drain { primary, target };
+        let stage = Stage::Quiescing(Quiescing { drain, due: now, tries: 0, quiet: false });
         Attempt { planned: true, ..Attempt::with_stage(term, now, stage) }
     }
 
@@ -116,6 +141,22 @@
         self.failed.as_ref()
     }
 
+    /// Tells whether no server was fenced yet because writes are open.
+    pub(crate) fn is_quiescing(&self) -> bool {
+        matches!(self.stage, Stage::Quiescing(_))
+    }
+
+    /// Records the answer of the old primary to the request to hold writes.
+    pub(crate) fn quiesced(&mut self, server: &ServerId, quiet: bool, now: Time) {
+        let Stage::Quiescing(state) = &mut self.stage else { return };
+        if state.drain.primary != *server {
+            return;
+        }
+        state.quiet = quiet;
+        state.due = now + QUIESCE_PAUSE * 2_u32.pow(state.tries.min(QUIESCE_DOUBLINGS));
+        state.tries += 1;
+    }
+
     /// Returns what was granted so far.
     pub(crate) fn granted(&self) -> &IndexMap<ServerId, ServerStatus> {
         &self.granted
@@ -138,12 +179,29 @@
     /// Returns what comes next. `ballot` holds this attempt's grants.
     pub(crate) fn step(&mut self, ballot: &Ballot<'_>, now: Time) -> Step {
         match self.stage.clone() {
+            Stage::Quiescing(state) => self.step_quiesce(state, ballot, now),
             Stage::Draining(drain) => self.step_drain(&drain, ballot, now),
             Stage::Fencing(majority) => self.step_fence(majority, ballot, now),
             Stage::Promoting(target, members) => self.step_promote(target, members, now),
         }
     }
 
+    fn step_quiesce(&mut self, state: Quiescing, ballot: &Ballot<'_>, now: Time) -> Step {
+        let primary = state.drain.primary.clone();
+        if ballot.plan.serves(&primary) {
+            return Step::Abandon;
+        }
+        if state.quiet || now.since(self.since) >= PLANNED_LIMIT {
+            self.enter(Stage::Draining(state.drain.clone()), now);
+            return self.step_drain(&state.drain, ballot, now);
+        }
+        if now < state.due {
+            return Step::Continue(Vec::new());
+        }
+        self.stage = Stage::Quiescing(Quiescing { due: now + QUIESCE_RESEND, ..state });
+        Step::Continue(vec![Order::Quiesce(primary, QUIESCE_TIMEOUT)])
+    }
+
     fn step_drain(&mut self, drain: &Drain, ballot: &Ballot<'_>, now: Time) -> Step {
         if self.refused.contains(&drain.primary) {
             return Step::Abandon;
--- a/crates/core/src/watch/message.rs
+++ b/crates/core/src/watch/message.rs
@@ -1,5 +1,7 @@
 //! What reaches a watcher and what it wants done.
 
+use std::time::Duration;
+
 use crate::{
     id::{ServerId, VmId},
     position::Term,
@@ -22,6 +24,9 @@
     Failed(ServerId),
     /// A server answered a fence at this term, granting it or not.
     Fenced(ServerId, Term, bool, ServerStatus),
+    /// A server answered a request to hold new writes: whether no transaction
+    /// that has written is open.
+    Quiesced(ServerId, bool),
     /// A server answered an order to become primary at this term.
     Promoted(ServerId, Term, bool),
     /// Another watcher told what it sees.
@@ -44,6 +49,13 @@
 pub enum Action {
     /// Ask a server for its status.
     Poll(ServerId),
+    /// Let a primary hold new writes until its open ones have ended.
+    Quiesce {
+        /// The primary.
+        server: ServerId,
+        /// Longest time for which it waits for them.
+        timeout: Duration,
+    },
     /// Fence a server.
     Fence {
         /// Server to fence.
--- a/crates/core/src/watch/watcher.rs
+++ b/crates/core/src/watch/watcher.rs
@@ -209,6 +209,11 @@
                     attempt.fenced(server, granted, status);
                 }
             }
+            Event::Quiesced(server, quiet) => {
+                if let Some(attempt) = self.attempt.as_mut() {
+                    attempt.quiesced(&server, quiet, now);
+                }
+            }
             Event::Promoted(server, term, granted) => {
                 if let Some(attempt) =
                     self.attempt.as_mut().filter(|a| a.term() == term && !granted)
@@ -445,6 +450,10 @@
         let Some(mut attempt) = self.attempt.take() else {
             return;
         };
+        if attempt.is_quiescing() && self.judge(now) != Judgement::Healthy {
+            // The primary failed before it was fenced: a failover is quicker.
+            return;
+        }
         let (granted, failed) = (attempt.granted().clone(), attempt.failed().cloned());
         let ballot = Ballot {
             granted: &granted,
@@ -467,6 +476,7 @@
     fn carry_out(&mut self, order: Order, term: Term, now: Time, actions: &mut Vec<Action>) {
         let owner = self.owner.clone();
         match order {
+            Order::Quiesce(server, timeout) => actions.push(Action::Quiesce { server, timeout }),
             Order::Fence(server) => actions.push(Action::Fence { server, term, owner }),
             Order::Promote(server, members) => {
                 actions.push(Action::Promote { server, term, owner, members });
--- a/crates/core/tests/model/mod.rs
+++ b/crates/core/tests/model/mod.rs
@@ -208,6 +208,7 @@
                 server
             }
             Action::Poll(server)
+            | Action::Quiesce { server, .. }
             | Action::Fence { server, .. }
             | Action::SetMembers { server, .. } => server,
         };
@@ -217,7 +218,7 @@
     }
 
     fn write(&mut self, i: usize) {
-        if self.servers[i].is_open() {
+        if self.servers[i].takes_writes(self.now) {
             self.writes += 1;
             self.servers[i].log.push(self.writes);
         }
--- a/crates/core/tests/model/server.rs
+++ b/crates/core/tests/model/server.rs
@@ -11,6 +11,9 @@
 /// Most records that one shipment brings.
 const SHIPPED_RECORDS: usize = 3;
 
+/// Longest hold after the answer that the server is quiet.
+const QUIET_HOLD: Duration = Duration::from_millis(500);
+
 #[derive(Clone)]
 pub(crate) struct Shipment {
     term: Term,
@@ -30,6 +33,11 @@
     pub(crate) term: Term,
     pub(crate) log: Vec<u64>,
     pub(crate) members: MemberList,
+    /// Until when a transaction that has written is open.
+    pub(crate) busy_until: Time,
+    /// Whether a fence cut it.
+    pub(crate) cut: bool,
+    held_until: Time,
     role: ServerRole,
     fence: (Term, Owner),
     history: Vec<TermStart>,
@@ -43,6 +51,9 @@
             term: Term::default(),
             log: Vec::new(),
             members: MemberList::default(),
+            busy_until: Time::default(),
+            cut: false,
+            held_until: Time::default(),
             role: ServerRole::Replica,
             fence: (Term::default(), Owner::default()),
             history: Vec::new(),
@@ -54,11 +65,23 @@
         self.role == ServerRole::Primary && self.fence.0 <= self.term
     }
 
+    pub(crate) fn takes_writes(&self, now: Time) -> bool {
+        self.is_open() && now >= self.held_until
+    }
+
     pub(crate) fn obey(&mut self, action: Action, now: Time) -> Option<Event> {
         let server = self.name.clone();
         match action {
             Action::Poll(_) => Some(Event::Status(server, self.status(now))),
+            Action::Quiesce { .. } => {
+                let quiet = now >= self.busy_until;
+                if quiet {
+                    self.held_until = now + QUIET_HOLD;
+                }
+                Some(Event::Quiesced(server, quiet))
+            }
             Action::Fence { term, owner, .. } => {
+                self.cut |= self.is_open() && now < self.busy_until;
                 let granted = self.fence(term, owner);
                 Some(Event::Fenced(server, term, granted, self.status(now)))
             }
--- a/crates/proxy/src/watch/convert.rs
+++ b/crates/proxy/src/watch/convert.rs
@@ -79,6 +79,9 @@
 pub(super) fn function(action: &Action) -> Option<(&ServerId, String)> {
     match action {
         Action::Poll(server) => Some((server, "status()".to_owned())),
+        Action::Quiesce { server, timeout } => {
+            Some((server, format!("quiesce({})", timeout.as_millis())))
+        }
         Action::Fence { server, term, owner } => {
             Some((server, format!("fence({term}, '{owner}')")))
         }
@@ -104,6 +107,11 @@
     text(row, "granted") == "t"
 }
 
+/// Tells whether no transaction that has written is open.
+pub(super) fn is_quiet(row: &ControlRow) -> bool {
+    text(row, "quiet") == "t"
+}
+
 /// Reads the columns of a status.
 pub(super) fn status_of(row: &ControlRow) -> Option<ServerStatus> {
     let role = match text(row, "role") {
--- a/crates/proxy/src/watch/group.rs
+++ b/crates/proxy/src/watch/group.rs
@@ -165,6 +165,7 @@
                 }
             }
             Action::Poll(ref server)
+            | Action::Quiesce { ref server, .. }
             | Action::Fence { ref server, .. }
             | Action::Promote { ref server, .. }
             | Action::SetMembers { ref server, .. } => {
--- a/crates/proxy/src/watch/server.rs
+++ b/crates/proxy/src/watch/server.rs
@@ -7,7 +7,7 @@
 use chicoryhollow_core::watch::{Action, Event};
 use tokio::{sync::mpsc, time::timeout};
 
-use super::convert::{function, is_granted, status_of};
+use super::convert::{function, is_granted, is_quiet, status_of};
 use crate::{
     home::control::{BackendError, Control, ControlRow},
     node::Node,
@@ -119,6 +119,7 @@
             Some(status) => Event::Status(server.clone(), status),
             None => Event::Failed(server.clone()),
         }),
+        Action::Quiesce { server, .. } => Some(Event::Quiesced(server.clone(), is_quiet(row))),
         Action::Fence { server, term, .. } => {
             Some(Event::Fenced(server.clone(), *term, is_granted(row), status_of(row)?))
         }
--- a/crates/testkit/src/backend/control.rs
+++ b/crates/testkit/src/backend/control.rs
@@ -1,6 +1,6 @@
 //! The functions of the control schema.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::backend::{
     core::{Core, Role},
@@ -24,6 +24,7 @@
         "status" => node.with(status),
         "barrier" => barrier(node, &arguments).await?,
         "await_confirmed" => await_confirmed(node, &arguments).await?,
+        "quiesce" => quiesce(node, &arguments).await?,
         "fence" => fence(node, &arguments)?,
         "promote" => promote(node, &arguments)?,
         "set_members" => set_members(node, &arguments)?,
@@ -135,6 +136,27 @@
     Ok(vec![("term", term.to_string()), ("confirmed", confirmed.to_string())])
 }
 
+async fn quiesce(node: &Node, arguments: &Arguments) -> Result<Fields, SqlError> {
+    let timeout = arguments.millis(0)?;
+    let begin = |core: &mut Core| {
+        let begun = core.role == Role::Primary && core.hold.begin(timeout, Instant::now());
+        begun.then_some(core.epoch)
+    };
+    let Some(epoch) = node.update(begin) else {
+        return Ok(vec![("quiet", boolean(false))]);
+    };
+    let ended = |core: &mut Core| (core.epoch != epoch || core.hold.is_quiet()).then_some(());
+    node.wait_for(timeout, ended).await;
+    let quiet = node.update(|core| {
+        let quiet = core.epoch == epoch && core.hold.is_quiet();
+        if core.epoch == epoch {
+            core.hold.answer(quiet, Instant::now());
+        }
+        quiet
+    });
+    Ok(vec![("quiet", boolean(quiet))])
+}
+
 fn fence(node: &Node, arguments: &Arguments) -> Result<Fields, SqlError> {
     let (term, owner) = (arguments.number(0)?, arguments.text(1)?);
     Ok(node.update(|core| {
--- a/crates/testkit/src/backend/core.rs
+++ b/crates/testkit/src/backend/core.rs
@@ -13,6 +13,7 @@
     BackendOptions,
     engine::{Engine, OpenWrite},
     error::SqlError,
+    hold::Hold,
     log::{Log, Record},
 };
 
@@ -89,6 +90,7 @@
     pub(crate) apply_lag: Duration,
     /// Grows whenever the server begins or stops being the primary.
     pub(crate) epoch: u64,
+    pub(crate) hold: Hold,
     owner: String,
     pending: VecDeque<(u64, Instant)>,
     acks: IndexMap<String, Ack>,
@@ -113,6 +115,7 @@
             ship_delay: options.ship_delay,
             apply_lag: options.apply_lag,
             epoch: 0,
+            hold: Hold::default(),
             owner: String::new(),
             pending: VecDeque::new(),
             acks: IndexMap::new(),
@@ -322,6 +325,7 @@
         if self.role == Role::Primary {
             self.engine.release();
             self.epoch += 1;
+            self.hold = Hold::default();
         }
         self.role = role;
     }
--- a/crates/testkit/src/backend/mod.rs
+++ b/crates/testkit/src/backend/mod.rs
@@ -17,6 +17,7 @@
 mod engine;
 mod error;
 mod extended;
+mod hold;
 mod log;
 mod node;
 mod options;
--- a/crates/testkit/src/backend/transaction.rs
+++ b/crates/testkit/src/backend/transaction.rs
@@ -1,12 +1,15 @@
 //! Runs statements inside a session's transactions.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use pgwire::messages::response::TransactionStatus;
 use tokio::sync::Notify;
 
 use crate::backend::{
-    core::Role,
+    core::{Core, Role},
     datum::{Datum, oid},
     engine::{Answer, Column, OpenWrite},
     error::SqlError,
@@ -65,9 +68,10 @@
 impl Drop for Write {
     fn drop(&mut self) {
         let Some(open) = &self.open else { return };
-        self.node.with(|core| {
+        self.node.update(|core| {
             if core.epoch == self.epoch {
                 core.engine.rollback(open);
+                core.hold.close();
             }
         });
     }
@@ -203,6 +207,7 @@
                 core.engine.xacts(|xacts| xacts.end(xid, false));
                 return Err(SqlError::not_primary());
             }
+            core.hold.close();
             core.commit(xid, open).map(drop)
         })
     }
@@ -238,7 +243,7 @@
     ) -> Result<Outcome, SqlError> {
         let reads = self.node.with(|core| core.engine.is_read(&statement.sql))?;
         if !reads {
-            self.open_write()?;
+            self.open_write().await?;
         }
         if statement.uses_xid || !reads {
             self.take_xid()?;
@@ -261,8 +266,8 @@
         Ok(Outcome { answer, tag })
     }
 
-    /// Opens the database's transaction.
-    fn open_write(&mut self) -> Result<(), SqlError> {
+    /// Opens the database's transaction, once new writes are not held back.
+    async fn open_write(&mut self) -> Result<(), SqlError> {
         let node = Arc::clone(&self.node);
         let block = self.block();
         if block.read_only {
@@ -271,12 +276,25 @@
         if block.write.is_some() {
             return Ok(());
         }
-        let (epoch, open) = node.with(|core| match core.role {
-            Role::Primary => Ok((core.epoch, core.engine.begin())),
-            Role::Replica | Role::Fenced => Err(SqlError::not_primary()),
-        })?;
-        block.write = Some(Write { node, epoch, open: Some(open) });
-        Ok(())
+        loop {
+            match node.with(|core| begin_write(core))? {
+                Opening::Held(until) => self.wait_until(until).await?,
+                Opening::Open(epoch, open) => {
+                    self.block().write = Some(Write { node, epoch, open: Some(open) });
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// Waits until held writes may go on or the server's state has changed.
+    async fn wait_until(&self, until: Instant) -> Result<(), SqlError> {
+        let ended = |core: &mut Core| core.hold.held_until(Instant::now()).is_none().then_some(());
+        let time = until.saturating_duration_since(Instant::now());
+        tokio::select! {
+            _ = self.node.wait_for(time, ended) => Ok(()),
+            () = self.cancel.notified() => Err(SqlError::cancelled()),
+        }
     }
 
     fn take_xid(&mut self) -> Result<(), SqlError> {
@@ -318,6 +336,25 @@
     }
 }
 
+/// What becomes of a transaction's first write.
+enum Opening {
+    /// New writes are held back until then.
+    Held(Instant),
+    /// The write may run in this epoch.
+    Open(u64, OpenWrite),
+}
+
+fn begin_write(core: &mut Core) -> Result<Opening, SqlError> {
+    if core.role != Role::Primary {
+        return Err(SqlError::not_primary());
+    }
+    if let Some(until) = core.hold.held_until(Instant::now()) {
+        return Ok(Opening::Held(until));
+    }
+    core.hold.open();
+    Ok(Opening::Open(core.epoch, core.engine.begin()))
+}
+
 /// Answers `SHOW` with an empty value: the stand-in has no settings.
 fn show(name: &str) -> Outcome {
     let columns = vec![Column { name: name.to_owned(), type_id: oid::TEXT }];
