--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -31,6 +31,7 @@
 pub mod watcher;
 
 pub use self::{
+    attempt::PLANNED_LIMIT,
     members::MemberList,
     message::{Action, Event, Promotion},
     pace::Intervals,
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -6,7 +6,7 @@
 
 use chicoryhollow_core::{
     prelude::*,
-    watch::{Intervals, watchers},
+    watch::{Intervals, PLANNED_LIMIT, watchers},
 };
 use indexmap::IndexMap;
 use model::{Model, centre, name, vm};
@@ -161,6 +161,60 @@
     }
 }
 
+/// Takes out the primary while a transaction that has written is open on it for
+/// `open`; returns the server and the time until another one is primary.
+fn move_with_transaction(seed: u64, open: Duration) -> (Model, usize, Duration) {
+    let mut model = Model::new(seed, &[0, 1, 2], &[0, 1, 2]);
+    model.run(SETTLE);
+    let (old, begun) = (model.primary(), model.now);
+    model.servers[old].busy_until = begun + open;
+    take_out(&mut model);
+    while model.servers[old].is_open() || model.primary() == old {
+        model.run(Duration::from_millis(5));
+        assert!(model.now.since(begun) < PARTITION_TARGET, "seed {seed}: nothing moved");
+        if !model.servers.iter().any(|server| server.is_open()) {
+            model.run(Duration::from_millis(100));
+        }
+    }
+    let elapsed = model.now.since(begun);
+    (model, old, elapsed)
+}
+
+#[test]
+fn a_planned_move_waits_for_open_write_transactions() {
+    for seed in 0..8 {
+        let (model, old, elapsed) = move_with_transaction(seed, Duration::from_secs(2));
+        assert!(!model.servers[old].cut, "seed {seed}: the transaction was cut");
+        assert!(elapsed < SETTLE, "seed {seed}: moved after {elapsed:?}");
+        assert!(model.longest_gap <= MOVE_TARGET, "seed {seed}: {:?}", model.longest_gap);
+    }
+}
+
+#[test]
+fn a_planned_move_waits_no_longer_than_its_limit() {
+    for seed in 0..8 {
+        let (model, old, elapsed) = move_with_transaction(seed, PARTITION_TARGET);
+        assert!(model.servers[old].cut, "seed {seed}: the transaction is still open");
+        assert!(elapsed >= PLANNED_LIMIT, "seed {seed}: moved after {elapsed:?}");
+        assert!(elapsed < Duration::from_secs(5), "seed {seed}: moved after {elapsed:?}");
+    }
+}
+
+#[test]
+fn a_primary_that_dies_before_a_planned_move_is_replaced_in_time() {
+    for seed in 0..8 {
+        let mut model = Model::new(seed, &[0, 1, 2], &[0, 1, 2]);
+        model.run(SETTLE);
+        let old = model.primary();
+        model.servers[old].busy_until = model.now + PARTITION_TARGET;
+        take_out(&mut model);
+        model.run(Duration::from_millis(300));
+        model.down.push(old);
+        model.run(PARTITION_TARGET);
+        assert!(model.longest_gap <= KILL_TARGET, "seed {seed}: {:?}", model.longest_gap);
+    }
+}
+
 /// Makes a settled group whose servers are asked rarely.
 fn rarely_asked(seed: u64) -> Model {
     let mut model = Model::new(seed, &[0, 1, 2], &[0, 1, 2]);
