--- a/crates/testkit/src/backend/transaction.rs
+++ b/crates/testkit/src/backend/transaction.rs
@@ -277,7 +277,7 @@
             return Ok(());
         }
         loop {
-            match node.with(|core| begin_write(core))? {
+            match node.with(begin_write)? {
                 Opening::Held(until) => self.wait_until(until).await?,
                 Opening::Open(epoch, open) => {
                     self.block().write = Some(Write { node, epoch, open: Some(open) });
