--- a/crates/proxy/src/watch/convert.rs
+++ b/crates/proxy/src/watch/convert.rs
@@ -112,14 +112,19 @@
     text(row, "quiet") == "t"
 }
 
+/// Reads the name of a role.
+pub(super) fn role_of(name: &str) -> Option<ServerRole> {
+    match name {
+        "primary" => Some(ServerRole::Primary),
+        "replica" => Some(ServerRole::Replica),
+        "fenced" => Some(ServerRole::Fenced),
+        _ => None,
+    }
+}
+
 /// Reads the columns of a status.
 pub(super) fn status_of(row: &ControlRow) -> Option<ServerStatus> {
-    let role = match text(row, "role") {
-        "primary" => ServerRole::Primary,
-        "replica" => ServerRole::Replica,
-        "fenced" => ServerRole::Fenced,
-        _ => return None,
-    };
+    let role = role_of(text(row, "role"))?;
     let members: Result<Vec<ServerId>, _> = text(row, "members")
         .split(',')
         .filter(|name| !name.is_empty())
--- a/crates/proxy/src/watch/mod.rs
+++ b/crates/proxy/src/watch/mod.rs
@@ -8,6 +8,7 @@
 mod group;
 mod pace;
 mod places;
+mod pulse;
 mod server;
 mod subscribers;
 mod subscription;
--- a/crates/proxy/src/watch/pace.rs
+++ b/crates/proxy/src/watch/pace.rs
@@ -7,8 +7,8 @@
     watch::Intervals,
 };
 
-/// Bytes of a status request and its answer on the network.
-const STATUS_BYTES: u32 = 700;
+/// Bytes of a short status request and its answer on the network.
+const STATUS_BYTES: u32 = 350;
 
 /// Requests to primaries: by far most of the budget.
 const PRIMARIES: Pace = Pace::new(Duration::from_millis(250), Duration::from_secs(3))
--- a/crates/proxy/src/watch/server.rs
+++ b/crates/proxy/src/watch/server.rs
@@ -4,10 +4,16 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use chicoryhollow_core::watch::{Action, Event};
+use chicoryhollow_core::{
+    prelude::*,
+    watch::{Action, Event, ServerStatus},
+};
 use tokio::{sync::mpsc, time::timeout};
 
-use super::convert::{function, is_granted, is_quiet, status_of};
+use super::{
+    convert::{function, is_granted, is_quiet, status_of},
+    pulse::Pulse,
+};
 use crate::{
     home::control::{BackendError, Control, ControlRow},
     node::Node,
@@ -23,6 +29,9 @@
 /// milliseconds.
 const PROMOTE_MS: u64 = 1_000;
 
+/// Short answers after which the whole status is asked for again.
+const PULSES: u32 = 60;
+
 /// Actions that may wait for one server. The decision repeats what was dropped.
 const QUEUED_ACTIONS: usize = 8;
 
@@ -42,7 +51,8 @@
         events: mpsc::Sender<Event>,
     ) -> Self {
         let (actions, queue) = mpsc::channel(QUEUED_ACTIONS);
-        let worker = Worker { node: Arc::clone(node), address, control: None };
+        let worker =
+            Worker { node: Arc::clone(node), address, control: None, last: None, pulses: 0 };
         tokio::spawn(worker.run(queue, events));
         ServerTask { address, actions }
     }
@@ -62,20 +72,16 @@
     node: Arc<Node>,
     address: std::net::SocketAddr,
     control: Option<Control>,
+    last: Option<ServerStatus>,
+    /// Short answers since the last whole one.
+    pulses: u32,
 }
 
 impl Worker {
     async fn run(mut self, mut queue: mpsc::Receiver<Action>, events: mpsc::Sender<Event>) {
         while let Some(action) = queue.recv().await {
             let Some((server, function)) = function(&action) else { continue };
-            let limit_ms = match action {
-                Action::Promote { .. } => PROMOTE_MS,
-                _ => ANSWER_MS,
-            };
-            let event = match self.call(&function, limit_ms).await {
-                Ok(row) => answered(&action, &row),
-                Err(_) => Some(Event::Failed(server.clone())),
-            };
+            let event = self.carry_out(&action, server, &function).await;
             if let Some(event) = event
                 && events.send(event).await.is_err()
             {
@@ -84,6 +90,49 @@
         }
     }
 
+    async fn carry_out(
+        &mut self,
+        action: &Action,
+        server: &ServerId,
+        function: &str,
+    ) -> Option<Event> {
+        if let Action::Poll(_) = action {
+            match self.pulse().await {
+                Ok(Some(status)) => return Some(Event::Status(server.clone(), status)),
+                Ok(None) => {}
+                Err(_) => return Some(Event::Failed(server.clone())),
+            }
+        }
+        let limit_ms = match action {
+            Action::Promote { .. } => PROMOTE_MS,
+            _ => ANSWER_MS,
+        };
+        let event = match self.call(function, limit_ms).await {
+            Ok(row) => answered(action, &row),
+            Err(_) => Some(Event::Failed(server.clone())),
+        };
+        self.note(event.as_ref());
+        event
+    }
+
+    /// Asks for the short status; `None` when the whole one is needed.
+    async fn pulse(&mut self) -> Result<Option<ServerStatus>, BackendError> {
+        let Some(last) = self.last.take().filter(|_| self.pulses < PULSES) else { return Ok(None) };
+        let row = self.call("pulse()", ANSWER_MS).await?;
+        self.last = Pulse::from_row(&row).and_then(|pulse| pulse.merge(&last));
+        self.pulses += 1;
+        Ok(self.last.clone())
+    }
+
+    /// Keeps the whole status, as far as the answer told it.
+    fn note(&mut self, event: Option<&Event>) {
+        self.last = match event {
+            Some(Event::Status(_, status) | Event::Fenced(_, _, _, status)) => Some(status.clone()),
+            _ => None,
+        };
+        self.pulses = 0;
+    }
+
     async fn call(&mut self, function: &str, limit_ms: u64) -> Result<ControlRow, BackendError> {
         self.node.metrics.heartbeats.inc();
         let idle = self.control.take().filter(|control| !control.is_stale());
--- a/crates/testkit/src/backend/control.rs
+++ b/crates/testkit/src/backend/control.rs
@@ -22,6 +22,7 @@
     let arguments = Arguments::new(arguments);
     let fields = match name.trim().to_ascii_lowercase().as_str() {
         "status" => node.with(status),
+        "pulse" => node.with(pulse),
         "barrier" => barrier(node, &arguments).await?,
         "await_confirmed" => await_confirmed(node, &arguments).await?,
         "quiesce" => quiesce(node, &arguments).await?,
@@ -81,8 +82,20 @@
     if value { "t" } else { "f" }.to_owned()
 }
 
+fn age_ms(core: &Core) -> i64 {
+    core.majority_age().map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1))
+}
+
+fn pulse(core: &mut Core) -> Fields {
+    let (role, term, fence_term) = (core.role.as_str(), core.term, core.fence_term);
+    let (version, received, applied) = (core.members.version, core.log.end(), core.applied);
+    let age = age_ms(core);
+    let text = format!("{role} {term} {fence_term} {version} {received} {applied} {age}");
+    vec![("pulse", text)]
+}
+
 fn status(core: &mut Core) -> Fields {
-    let age = core.majority_age().map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1));
+    let age = age_ms(core);
     let history = serde_json::to_string(core.log.history()).unwrap_or_default();
     vec![
         ("server", core.server.clone()),
--- a/crates/testkit/tests/backend_group.rs
+++ b/crates/testkit/tests/backend_group.rs
@@ -131,3 +131,24 @@
     let status = row(&control, "status()").await;
     assert_eq!((status.get("members"), number(&status, "members_version")), (Some("s0,s1"), 2));
 }
+
+#[tokio::test]
+async fn a_pulse_agrees_with_the_status() {
+    let group = Group::start(3, |_, _| {}).await;
+    let client = group.client(0).await;
+    client.batch_execute("CREATE TABLE t (a INT8)").await.expect("DDL");
+    group.wait_for(1, "applied", 1).await;
+    let control = group.control(1).await;
+    for fence in [false, true] {
+        if fence {
+            row(&control, "fence(2, 'vm-1')").await;
+        }
+        let status = row(&control, "status()").await;
+        let columns = ["role", "term", "fence_term", "members_version", "received", "applied"];
+        let mut expected: Vec<&str> =
+            columns.iter().map(|name| status.get(*name).expect("a column")).collect();
+        expected.push("-1");
+        let pulse = row(&control, "pulse()").await;
+        assert_eq!(pulse.get("pulse"), Some(expected.join(" ").as_str()));
+    }
+}
