--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -1,5 +1,7 @@
 //! The one message type on the wire.
 
+use prost::Message as _;
+
 use crate::{configuration, group, member, share, stream};
 
 /// A message between two VMs.
@@ -8,7 +10,7 @@
     /// What the message is about; none for a body of a later version.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 32, 40, 41"
+        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -18,6 +20,15 @@
     pub fn new(body: Body) -> Self {
         Envelope { body: Some(body) }
     }
+
+    /// Returns the encoded bytes of a control message, and 0 for a message that
+    /// belongs to a caller's stream.
+    pub fn control_bytes(&self) -> usize {
+        match &self.body {
+            Some(body) if body.is_control() => self.encoded_len(),
+            _ => 0,
+        }
+    }
 }
 
 /// What a message is about.
@@ -89,9 +100,6 @@
     /// Grants a share under a lease.
     #[prost(message, tag = "31")]
     ShareGrant(share::ShareGrant),
-    /// Gives a share back.
-    #[prost(message, tag = "32")]
-    ShareReturn(share::ShareReturn),
     /// Asks for a configuration newer than the one held.
     #[prost(message, tag = "40")]
     ConfigurationAsk(configuration::ConfigurationAsk),
@@ -99,3 +107,22 @@
     #[prost(message, tag = "41")]
     ConfigurationAnswer(configuration::ConfigurationAnswer),
 }
+
+impl Body {
+    /// Tells whether the message belongs to no caller's stream.
+    pub fn is_control(&self) -> bool {
+        !matches!(
+            self,
+            Body::Open(_)
+                | Body::Batch(_)
+                | Body::Answer(_)
+                | Body::Ready(_)
+                | Body::Credit(_)
+                | Body::Close(_)
+                | Body::Interrupt(_)
+                | Body::Noted(_)
+                | Body::Inquiry(_)
+                | Body::Finding(_)
+        )
+    }
+}
