--- a/crates/proxy/src/shares/mod.rs
+++ b/crates/proxy/src/shares/mod.rs
@@ -41,6 +41,10 @@
 /// Time between two reads of the rows otherwise.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time after the start of the daemon in which all keepers are looked for
+/// eagerly, since all data centres may be starting.
+const SETTLING: Duration = Duration::from_secs(10);
+
 /// Pause of a request that waits for the first keeper of its account.
 const UNASSIGNED_PAUSE: Duration = Duration::from_millis(20);
 
@@ -254,14 +258,18 @@
 /// Reads the rows of the slots in use and claims parts.
 async fn follow_slots(node: Arc<Node>, platform: HttpPlatform) {
     let mut reviewed: HashMap<u64, Time> = HashMap::new();
+    let started = node.clock.now();
     let mut ticks = interval(CLAIM_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         for slot in slots::in_use(&node) {
             let known = node.shares.lock().slots.get(&slot).cloned();
-            let kept = known.as_ref().is_some_and(|known| known.is_kept(&node));
             let now = node.clock.now();
+            let settling = now.since(started) < SETTLING;
+            let kept = known
+                .as_ref()
+                .is_some_and(|known| known.is_kept(&node) && (known.is_complete() || !settling));
             let recent = reviewed.get(&slot).is_some_and(|at| now.since(*at) < REVIEW_INTERVAL);
             if kept && recent {
                 continue;
--- a/crates/proxy/src/shares/slots.rs
+++ b/crates/proxy/src/shares/slots.rs
@@ -37,6 +37,11 @@
         let keeper = part.and_then(|part| part.keeper.as_ref());
         part.is_none() || keeper.is_some_and(|keeper| node.members.get(&keeper.vm).is_some())
     }
+
+    /// Tells whether every part has had a keeper.
+    pub(super) fn is_complete(&self) -> bool {
+        self.record.parts.values().all(|part| part.keeper.is_some())
+    }
 }
 
 /// Returns the slots of all configured accounts.
