Start all clients of a benchmark at once; remove the files of a killed cluster

Cause: each client read for the full length from its own connect on, so that the first of 1,000 had the daemon nearly for themselves and the sum was too high (56,391/s beside 10,000 idle connections, a figure to be dropped).

--- a/crates/testkit/src/bench/mod.rs
+++ b/crates/testkit/src/bench/mod.rs
@@ -54,10 +54,15 @@
     clients: usize,
     length: Duration,
 ) -> Result<Measured, ClientError> {
+    let mut connected = Vec::with_capacity(clients);
+    for _ in 0..clients {
+        connected.push(Client::new(target.address, &target.identity, None).await?);
+    }
+    // All read at the same time, so that none has the target for itself.
+    let until = Instant::now() + length;
     let mut loops = JoinSet::new();
-    for number in 0..clients {
-        let client = Client::new(target.address, &target.identity, None).await?;
-        loops.spawn(read(client, number as i64, Instant::now() + length));
+    for (number, client) in connected.into_iter().enumerate() {
+        loops.spawn(read(client, number as i64, until));
     }
     let mut all = new_histogram();
     while let Some(joined) = loops.join_next().await {
--- a/crates/testkit/src/cluster/child.rs
+++ b/crates/testkit/src/cluster/child.rs
@@ -63,7 +63,8 @@
     actix_web::rt::System::new().block_on(async { crate::platform::serve(listener)?.await })
 }
 
-/// Reads `+PID` and `-PID` lines and kills the rest when the input ends.
+/// Reads `+PID` and `-PID` lines; when the input ends, kills the rest and removes
+/// the cluster's directory, which a cluster that ended in good order has done.
 fn run_guard() -> io::Result<()> {
     let mut alive = std::collections::HashSet::new();
     for line in io::stdin().lock().lines() {
@@ -74,11 +75,12 @@
             false => alive.remove(&process),
         };
     }
+    let directory = std::env::args_os().nth(2).filter(|_| !alive.is_empty());
     for process in alive {
         // One that has ended by itself cannot be killed.
         let _ = kill(Pid::from_raw(process), Signal::SIGKILL);
     }
-    Ok(())
+    directory.map_or(Ok(()), std::fs::remove_dir_all)
 }
 
 /// The guard process.
@@ -89,9 +91,10 @@
 }
 
 impl Guard {
-    pub(super) fn new() -> io::Result<Self> {
+    pub(super) fn new(directory: &Path) -> io::Result<Self> {
         let mut command = Command::new(std::env::current_exe()?);
-        let mut child = command.arg(GUARD_ROLE).stdin(Stdio::piped()).spawn()?;
+        command.arg(GUARD_ROLE).arg(directory).stdin(Stdio::piped());
+        let mut child = command.spawn()?;
         let input = child.stdin.take();
         Ok(Guard { child, input })
     }
--- a/crates/testkit/src/cluster/start.rs
+++ b/crates/testkit/src/cluster/start.rs
@@ -53,7 +53,7 @@
             servers: make_servers(&deployment, &addresses),
             platform: ports[0],
             platform_process: None,
-            guard: Guard::new()?,
+            guard: Guard::new(&directory)?,
             deployment,
             directory,
             binaries,
