Learn the keepers of accounts from few readers and from other VMs

Cause: every VM read the row of every slot in use every 2 s, and every 200 ms while a part had no keeper; with the platform down a VM that had no row yet refused all requests as above their rate. Change: the two VMs of a data centre that rank first for a slot read its row, at a pace; the others ask them, and a VM without a row asks others in turn. A daemon is ready once it knows a keeper of each account. Conclusion: admission needs the platform only when keepers change.

--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -10,7 +10,7 @@
     /// What the message is about; none for a body of a later version.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 40, 41"
+        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 33, 34, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -100,6 +100,12 @@
     /// Grants a share under a lease.
     #[prost(message, tag = "31")]
     ShareGrant(share::ShareGrant),
+    /// Asks who keeps the parts of the accounts of one slot.
+    #[prost(message, tag = "33")]
+    SlotAsk(share::SlotAsk),
+    /// Answers who keeps the parts of the accounts of one slot.
+    #[prost(message, tag = "34")]
+    SlotAnswer(share::SlotAnswer),
     /// Asks for a configuration newer than the one held.
     #[prost(message, tag = "40")]
     ConfigurationAsk(configuration::ConfigurationAsk),
--- a/crates/peer/src/share.rs
+++ b/crates/peer/src/share.rs
@@ -69,3 +69,28 @@
     #[prost(string, tag = "9")]
     pub data_centre: String,
 }
+
+/// Asks who keeps the parts of the accounts of one slot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotAsk {
+    /// Number of the slot.
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    /// Version of the row that the asking VM knows, or 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
+/// Answers with a newer row of a slot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotAnswer {
+    /// Number of the slot.
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    /// Version of the row.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// What the row holds, as JSON.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub json: bytes::Bytes,
+}
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -36,7 +36,8 @@
 }
 
 async fn readyz(node: Data<Node>) -> HttpResponse {
-    if !node.takes_work() {
+    // Without a keeper, requests would be refused as above their rate.
+    if !node.takes_work() || !node.shares.is_settled(&node) {
         return HttpResponse::ServiceUnavailable().body("not ready\n");
     }
     HttpResponse::Ok().body("ready\n")
--- a/crates/proxy/src/peers/dispatch.rs
+++ b/crates/proxy/src/peers/dispatch.rs
@@ -80,7 +80,7 @@
         Body::Subscribe(_) | Body::View(_) | Body::Observation(_) | Body::Suspect(_) => {
             watch::receive(node, &from.vm, body, reply);
         }
-        Body::ShareAsk(_) | Body::ShareGrant(_) => {
+        Body::ShareAsk(_) | Body::ShareGrant(_) | Body::SlotAsk(_) | Body::SlotAnswer(_) => {
             shares::receive(node, &from.vm, body, reply);
         }
         Body::ConfigurationAsk(_)
--- a/crates/proxy/src/shares/mod.rs
+++ b/crates/proxy/src/shares/mod.rs
@@ -19,7 +19,7 @@
         Admission, Ask, Grant, Holder, Keeper, KeeperId, Quota, holder::MAX_WAIT, record::slot,
     },
 };
-use chicoryhollow_peer::Body;
+use chicoryhollow_peer::{Body, share::SlotAsk};
 use chicoryhollow_platform::HttpPlatform;
 use tokio::{
     sync::oneshot,
@@ -28,22 +28,15 @@
 
 use self::{
     convert::Part,
-    slots::{Slots, Tenure},
+    slots::{Reviews, Slots, Source, Tenure},
 };
 use crate::{node::Node, peers::Reply};
 
 /// Time between two looks at the waiting requests and the slices held.
 const TICK: Duration = Duration::from_millis(5);
 
-/// Time between two reads of a row while its part has no keeper.
-const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Time between two reads of the rows otherwise.
-const REVIEW_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Time after the start of the daemon in which all keepers are looked for
-/// eagerly, since all data centres may be starting.
-const SETTLING: Duration = Duration::from_secs(10);
+/// Time between two looks at whether a row is due.
+const SLOT_TICK: Duration = Duration::from_millis(200);
 
 /// Pause of a request that waits for the first keeper of its account.
 const UNASSIGNED_PAUSE: Duration = Duration::from_millis(20);
@@ -103,6 +96,16 @@
         }
     }
 
+    /// Tells whether a keeper of each configured account is known.
+    pub(crate) fn is_settled(&self, node: &Node) -> bool {
+        let state = self.lock();
+        let kept = |slot: &u64| {
+            let parts = state.slots.get(slot).map(|slot| slot.record.parts.values());
+            parts.is_some_and(|mut parts| parts.any(|part| part.keeper.is_some()))
+        };
+        slots::in_use(node).iter().all(kept)
+    }
+
     fn is_assigned(&self, account: &AccountId) -> bool {
         self.lock().accounts.get(account).is_some_and(|known| known.holder.is_assigned())
     }
@@ -255,28 +258,28 @@
     }
 }
 
-/// Reads the rows of the slots in use and claims parts.
+/// Follows the rows of the slots in use and claims parts.
 async fn follow_slots(node: Arc<Node>, platform: HttpPlatform) {
-    let mut reviewed: HashMap<u64, Time> = HashMap::new();
-    let started = node.clock.now();
-    let mut ticks = interval(CLAIM_INTERVAL);
+    let mut reviews = Reviews::default();
+    let mut ticks = interval(SLOT_TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        for slot in slots::in_use(&node) {
-            let known = node.shares.lock().slots.get(&slot).cloned();
-            let now = node.clock.now();
-            let settling = now.since(started) < SETTLING;
-            let kept = known
-                .as_ref()
-                .is_some_and(|known| known.is_kept(&node) && (known.is_complete() || !settling));
-            let recent = reviewed.get(&slot).is_some_and(|at| now.since(*at) < REVIEW_INTERVAL);
-            if kept && recent {
-                continue;
-            }
-            reviewed.insert(slot, now);
-            if let Some(found) = slots::review(&node, &platform, slot, known).await {
-                node.shares.lock().slots.insert(slot, found);
+        let in_use = slots::in_use(&node);
+        for slot in &in_use {
+            let known = node.shares.lock().slots.get(slot).cloned();
+            match reviews.next(&node, *slot, known.as_ref(), in_use.len()) {
+                None => {}
+                Some(Source::Platform) => {
+                    if let Some(found) = slots::review(&node, &platform, *slot, known).await {
+                        node.shares.lock().slots.insert(*slot, found);
+                    }
+                }
+                Some(Source::Peer(vm)) => {
+                    let version = known.map_or(0, |known| known.version());
+                    // A VM that does not answer is asked again, or another one.
+                    node.peers.send(&node, &vm, Body::SlotAsk(SlotAsk { slot: *slot, version }));
+                }
             }
         }
         node.shares.lock().configure(&node);
@@ -299,6 +302,20 @@
                 node.shares.lock().accept(from, &part, &grant, node.clock.now());
             }
         }
+        Body::SlotAsk(ask) => {
+            let state = node.shares.lock();
+            let known = state.slots.get(&ask.slot);
+            if let Some(answer) = known.and_then(|k| slots::answer(ask.slot, k, ask.version)) {
+                // A lost answer makes the other VM ask again.
+                reply.send(Body::SlotAnswer(answer));
+            }
+        }
+        Body::SlotAnswer(answer) => {
+            let mut state = node.shares.lock();
+            if let Some(found) = slots::answered(node, state.slots.get(&answer.slot), &answer) {
+                state.slots.insert(answer.slot, found);
+            }
+        }
         _ => {}
     }
 }
--- a/crates/proxy/src/shares/slots.rs
+++ b/crates/proxy/src/shares/slots.rs
@@ -1,14 +1,17 @@
 //! Rows of the platform's table that say who keeps which part.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use chicoryhollow_core::{
+    pace::{ByteRate, Pace},
     prelude::*,
+    rank::rank,
     share::{
         KeeperId, SlotRecord,
         record::{Candidate, Claim, row_key, slot},
     },
 };
+use chicoryhollow_peer::share::SlotAnswer;
 use chicoryhollow_platform::{HttpPlatform, Platform, Row, Swap};
 
 use crate::node::Node;
@@ -31,6 +34,11 @@
 }
 
 impl Slot {
+    /// Returns the version of the row.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Tells whether the data centre's part has a listed keeper.
     pub(super) fn is_kept(&self, node: &Node) -> bool {
         let part = self.record.parts.get(&node.settings.data_centre);
@@ -44,6 +52,121 @@
     }
 }
 
+/// Time between two tries while a row is unknown or its part has no keeper.
+const SEARCH: Duration = Duration::from_millis(400);
+
+/// Time between two looks at a row some of whose parts have had no keeper yet.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Pace of looks at rows that are as they should be; the longest interval
+/// bounds how late a new keeper is noticed.
+const REVIEW: Pace = Pace::new(Duration::from_secs(5), Duration::from_secs(20))
+    .with_cost(REVIEW_BYTES, ByteRate::new(200));
+
+/// Bytes of a look at a row and its answer.
+const REVIEW_BYTES: u32 = 300;
+
+/// VMs of a data centre that read a row from the platform; the others ask them.
+const READERS: usize = 2;
+
+/// Where to look for the row of a slot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Source {
+    /// In the platform's table.
+    Platform,
+    /// At another VM.
+    Peer(VmId),
+}
+
+/// Decides when and where to look for the rows of slots.
+///
+/// The platform answers a few thousand reads a second for the whole fleet, so
+/// only the VMs that may have to claim a part read its row.
+#[derive(Debug, Default)]
+pub(super) struct Reviews {
+    looked: HashMap<u64, (Time, u32)>,
+}
+
+impl Reviews {
+    /// Returns where to look for the row of `slot` now, if a look is due;
+    /// `slots` are in use.
+    pub(super) fn next(
+        &mut self,
+        node: &Node,
+        slot: u64,
+        known: Option<&Slot>,
+        slots: usize,
+    ) -> Option<Source> {
+        let ranked = ranked_vms(node, slot);
+        let place = ranked.iter().position(|vm| *vm == node.settings.vm);
+        let every = match known {
+            Some(known) if known.is_kept(node) && known.is_complete() => REVIEW.interval(slots),
+            Some(known) if known.is_kept(node) && place == Some(0) => SETTLE,
+            Some(known) if known.is_kept(node) => REVIEW.interval(slots),
+            _ => SEARCH,
+        };
+        let now = node.clock.now();
+        let (looked, tries) = self.looked.get(&slot).copied().unwrap_or_default();
+        if tries > 0 && now.since(looked) < every {
+            return None;
+        }
+        self.looked.insert(slot, (now, tries.wrapping_add(1).max(1)));
+        let reads = place.is_none_or(|place| place < READERS);
+        // A VM that finds no row asks the others in turn, since the platform
+        // may be down or out of its reach.
+        let searching = known.is_none() && tries % 2 == 1;
+        if reads && !searching {
+            return Some(Source::Platform);
+        }
+        Some(source(node, &ranked, searching, tries))
+    }
+}
+
+fn source(node: &Node, ranked: &[VmId], searching: bool, tries: u32) -> Source {
+    let others = |vm: &&VmId| **vm != node.settings.vm;
+    let near = ranked.iter().find(others).filter(|_| !searching);
+    if let Some(vm) = near {
+        return Source::Peer(vm.clone());
+    }
+    let listed = node.members.listed();
+    let everywhere: Vec<&VmId> = listed.iter().map(|vm| &vm.vm).filter(others).collect();
+    match everywhere.len() {
+        0 => Source::Platform,
+        count => Source::Peer(everywhere[tries as usize / 2 % count].clone()),
+    }
+}
+
+/// Returns the VMs of this data centre by their rank for a slot.
+fn ranked_vms(node: &Node, slot: u64) -> Vec<VmId> {
+    let listed = node.members.listed();
+    let near = listed.iter().filter(|vm| vm.data_centre == node.settings.data_centre);
+    let names: Vec<&str> = near.map(|vm| vm.vm.as_str()).collect();
+    let ranked = rank(&row_key(slot), names, usize::MAX);
+    ranked.into_iter().filter_map(|name| VmId::new(name).ok()).collect()
+}
+
+/// Makes the answer to another VM that knows `version` of the row of `slot`.
+pub(super) fn answer(slot: u64, known: &Slot, version: u64) -> Option<SlotAnswer> {
+    if known.version <= version {
+        return None;
+    }
+    let json = serde_json::to_vec(&known.record).ok()?.into();
+    Some(SlotAnswer { slot, version: known.version, json })
+}
+
+/// Takes over another VM's answer if it is newer than what is known.
+pub(super) fn answered(node: &Node, known: Option<&Slot>, answer: &SlotAnswer) -> Option<Slot> {
+    if known.is_some_and(|known| known.version >= answer.version) {
+        return None;
+    }
+    let record: SlotRecord = serde_json::from_slice(&answer.json).ok()?;
+    let own = KeeperId { vm: node.settings.vm.clone(), incarnation: node.incarnation };
+    let part = record.parts.get(&node.settings.data_centre);
+    let kept = part.is_some_and(|part| part.keeper.as_ref() == Some(&own));
+    let tenure = known.and_then(|known| known.tenure).filter(|_| kept);
+    Some(Slot { record, tenure, version: answer.version })
+}
+
 /// Returns the slots of all configured accounts.
 pub(super) fn in_use(node: &Node) -> Vec<u64> {
     let versioned = node.configuration();
