Keep idle accounts out of the loop that renews slices

Cause: each daemon went through all configured accounts every 5 ms and applied all of them again every 200 ms; with 2,000 accounts an idle daemon used half a core in the slopes. Change: only accounts with requests in the last 15 s are looked at, and the configuration is applied to admission only when it or a keeper has changed. Conclusion: idle accounts cost memory only.

--- a/crates/proxy/src/shares/mod.rs
+++ b/crates/proxy/src/shares/mod.rs
@@ -28,13 +28,16 @@
 
 use self::{
     convert::Part,
-    slots::{Reviews, Slots, Source, Tenure},
+    slots::{Reviews, Slot, Slots, Source, Tenure},
 };
 use crate::{node::Node, peers::Reply};
 
 /// Time between two looks at the waiting requests and the slices held.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Time without requests after which an account asks for no more slices.
+const IDLE: Duration = Duration::from_secs(15);
+
 /// Time between two looks at whether a row is due.
 const SLOT_TICK: Duration = Duration::from_millis(200);
 
@@ -52,6 +55,12 @@
     accounts: HashMap<AccountId, Account>,
     keepers: HashMap<AccountId, Keeper>,
     slots: Slots,
+    /// Accounts with requests lately; only these need slices.
+    active: Vec<AccountId>,
+    /// Counts the changes of `slots`.
+    changes: u64,
+    /// Version of the configuration and changes of `slots` that are applied.
+    applied: (u64, u64),
 }
 
 /// One account as callers of this VM use it.
@@ -59,6 +68,8 @@
 struct Account {
     holder: Holder,
     waiting: VecDeque<oneshot::Sender<()>>,
+    /// When a request last came, if the account is active.
+    used: Option<Time>,
 }
 
 impl Shares {
@@ -114,7 +125,11 @@
     /// when it is, or nothing when it is refused.
     fn arrive(&self, account: &AccountId, now: Time) -> Result<(), Option<oneshot::Receiver<()>>> {
         let mut state = self.lock();
-        let known = state.accounts.get_mut(account).ok_or(None)?;
+        let State { accounts, active, .. } = &mut *state;
+        let known = accounts.get_mut(account).ok_or(None)?;
+        if known.used.replace(now).is_none() {
+            active.push(account.clone());
+        }
         known.waiting.retain(|waiter| !waiter.is_closed());
         match known.holder.arrive(known.waiting.len(), now) {
             Admission::Admitted => Ok(()),
@@ -133,6 +148,16 @@
 }
 
 impl Account {
+    /// Tells whether the account had requests lately; one that had none lets
+    /// its slices lapse.
+    fn is_active(&mut self, now: Time) -> bool {
+        let recent = self.used.is_some_and(|used| now.since(used) < IDLE);
+        if !recent && self.waiting.is_empty() {
+            self.used = None;
+        }
+        self.used.is_some()
+    }
+
     /// Admits as many waiting requests as there are tokens for.
     fn release(&mut self, now: Time) {
         self.waiting.retain(|waiter| !waiter.is_closed());
@@ -149,6 +174,11 @@
     /// Takes over the configured accounts and who keeps their parts.
     fn configure(&mut self, node: &Node) {
         let versioned = node.configuration();
+        let newest = (versioned.version, self.changes);
+        if self.applied == newest {
+            return;
+        }
+        self.applied = newest;
         let configured = &versioned.configuration.accounts;
         self.accounts.retain(|account, _| configured.contains_key(account));
         let slots = &self.slots;
@@ -165,6 +195,7 @@
                     node.clock.now(),
                 ),
                 waiting: VecDeque::new(),
+                used: None,
             });
             known.holder.set_quota(quota);
             if let Some(slot) = self.slots.get(&slot(name)) {
@@ -176,6 +207,14 @@
         }
     }
 
+    /// Takes over what is known of a slot.
+    fn learn(&mut self, slot: u64, found: Slot) {
+        if self.slots.get(&slot) != Some(&found) {
+            self.slots.insert(slot, found);
+            self.changes += 1;
+        }
+    }
+
     /// Answers a request for a slice of a part that this run keeps.
     fn lend(&mut self, node: &Node, vm: &VmId, part: &Part, ask: &Ask) -> Option<Grant> {
         let own = part.keeper == node.incarnation && part.data_centre == node.settings.data_centre;
@@ -215,7 +254,10 @@
     /// Collects the requests to be sent now.
     fn asks(&mut self, now: Time) -> Vec<(VmId, Part, Ask)> {
         let mut asks = Vec::new();
-        for (name, known) in &mut self.accounts {
+        let State { accounts, active, .. } = self;
+        active.retain(|name| accounts.get_mut(name).is_some_and(|known| known.is_active(now)));
+        for name in active.iter() {
+            let Some(known) = accounts.get_mut(name) else { continue };
             known.release(now);
             for (data_centre, keeper, ask) in known.holder.asks(now) {
                 let account = name.clone();
@@ -272,7 +314,7 @@
                 None => {}
                 Some(Source::Platform) => {
                     if let Some(found) = slots::review(&node, &platform, *slot, known).await {
-                        node.shares.lock().slots.insert(*slot, found);
+                        node.shares.lock().learn(*slot, found);
                     }
                 }
                 Some(Source::Peer(vm)) => {
@@ -313,7 +355,7 @@
         Body::SlotAnswer(answer) => {
             let mut state = node.shares.lock();
             if let Some(found) = slots::answered(node, state.slots.get(&answer.slot), &answer) {
-                state.slots.insert(answer.slot, found);
+                state.learn(answer.slot, found);
             }
         }
         _ => {}
--- a/crates/proxy/src/shares/slots.rs
+++ b/crates/proxy/src/shares/slots.rs
@@ -26,7 +26,7 @@
 }
 
 /// The known row of one slot.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Slot {
     pub(super) record: SlotRecord,
     pub(super) tenure: Option<Tenure>,
