Find the places of names in long files by their lines

Cause: each name counted the lines in front of it, so the time to check files grew with the square of their length. Change: the offsets of the lines are kept with the file.

--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -15,20 +15,6 @@
     pub column: usize,
 }
 
-impl Place {
-    /// Finds the place of byte `offset` in `text`, the content of `file`.
-    pub(crate) fn new(file: &str, text: &str, offset: usize) -> Self {
-        let end = (0..=offset.min(text.len())).rev().find(|i| text.is_char_boundary(*i));
-        let before = &text[..end.unwrap_or(0)];
-        let start = before.rfind('\n').map_or(0, |newline| newline + 1);
-        Place {
-            file: file.to_owned(),
-            line: before.matches('\n').count() + 1,
-            column: before[start..].chars().count() + 1,
-        }
-    }
-}
-
 impl fmt::Display for Place {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}:{}", self.file, self.line, self.column)
--- a/crates/config/src/text.rs
+++ b/crates/config/src/text.rs
@@ -27,12 +27,18 @@
 pub struct Text {
     name: String,
     content: String,
+    /// Byte offsets at which the lines begin; places are asked for so often
+    /// that counting lines each time would take longer than all else.
+    lines: Vec<usize>,
 }
 
 impl Text {
     /// Makes the content of the file called `name`.
     pub fn new(name: impl Into<String>, content: impl Into<String>) -> Self {
-        Text { name: name.into(), content: content.into() }
+        let content = content.into();
+        let ends = content.match_indices('\n').map(|(newline, _)| newline + 1);
+        let lines = std::iter::once(0).chain(ends).collect();
+        Text { name: name.into(), content, lines }
     }
 
     /// Returns the name of the file.
@@ -42,7 +48,15 @@
 
     /// Returns the place of a byte offset.
     pub(crate) fn place(&self, offset: usize) -> Place {
-        Place::new(&self.name, &self.content, offset)
+        let within = (0..=offset.min(self.content.len())).rev();
+        let end = within.into_iter().find(|i| self.content.is_char_boundary(*i)).unwrap_or(0);
+        let line = self.lines.partition_point(|start| *start <= end);
+        let start = self.lines[line - 1];
+        Place {
+            file: self.name.clone(),
+            line,
+            column: self.content[start..end].chars().count() + 1,
+        }
     }
 
     /// Parses the file, which must hold one object.
