Let the accounts of a slope come into force before their callers connect

Cause: the experiment of active accounts connected before the configuration was in force and was refused. Change: it waits. Conclusion: the experiment runs.

--- a/crates/testkit/src/slopes/experiments.rs
+++ b/crates/testkit/src/slopes/experiments.rs
@@ -231,6 +231,7 @@
 async fn active(cluster: &mut Cluster, setup: Setup) -> Result<Vec<Slope>, ClusterError> {
     let most = ACTIVE[ACTIVE.len() - 1];
     cluster.apply(|configuration| add_accounts(configuration, most)).await?;
+    tokio::time::sleep(setup.settle).await;
     let database = identity(cluster.deployment(), 0).database;
     let mut clients: Vec<Client> = Vec::new();
     let (mut bytes, mut processor) = (Vec::new(), Vec::new());
