--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -9,6 +9,10 @@
 //! A statement that begins a transaction needs a connection besides its slot; a
 //! statement that resumes one holds its connection already and needs a slot
 //! only. Both kinds share the account's virtual time.
+//!
+//! The statements that run may all wait for a row that an open transaction has
+//! locked. A statement that resumes a transaction therefore waits for a slot
+//! for [`RESUME_PATIENCE`] only, and then runs beyond their number.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -26,6 +30,10 @@
 /// Shift of the moving average of service times: each new one counts 1/16.
 const MEAN_SHIFT: u32 = 4;
 
+/// Longest time that a statement of an open transaction waits for a slot while
+/// others hold them all.
+pub const RESUME_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Whether a statement needs a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Lane {
@@ -73,12 +81,20 @@
     Expired(Ticket),
 }
 
+/// A waiting statement of an open transaction.
+#[derive(Clone, Copy, Debug)]
+struct Resume {
+    deadline: Time,
+    /// When it runs even if there is no slot.
+    overdue: Time,
+}
+
 #[derive(Debug, Default)]
 struct Account {
     weight: u64,
     virtual_time: u64,
     begins: BTreeMap<u64, Time>,
-    resumes: BTreeMap<u64, Time>,
+    resumes: BTreeMap<u64, Resume>,
     held: u32,
     running: u32,
 }
@@ -91,6 +107,11 @@
     fn is_active(&self) -> bool {
         self.running > 0 || self.waiting() > 0
     }
+
+    /// Returns when the first statement of an open transaction is overdue.
+    fn overdue(&self) -> Option<Time> {
+        self.resumes.first_key_value().map(|(_, resume)| resume.overdue)
+    }
 }
 
 /// Statements that wait for a backend server, and what those that run hold.
@@ -105,6 +126,8 @@
     eligible: BTreeSet<(u64, AccountId)>,
     /// Accounts with a statement that holds its connection.
     resumable: BTreeSet<(u64, AccountId)>,
+    /// The same accounts, by when their first such statement is overdue.
+    overdue: BTreeSet<(Time, AccountId)>,
     virtual_time: u64,
     running: u32,
     waiting: usize,
@@ -122,6 +145,7 @@
             accounts: HashMap::new(),
             eligible: BTreeSet::new(),
             resumable: BTreeSet::new(),
+            overdue: BTreeSet::new(),
             virtual_time: 0,
             running: 0,
             waiting: 0,
@@ -195,9 +219,12 @@
             }
             found.weight = u64::from(weight.max(1));
             match lane {
-                Lane::Begin => found.begins.insert(number, deadline),
-                Lane::Resume => found.resumes.insert(number, deadline),
-            };
+                Lane::Begin => drop(found.begins.insert(number, deadline)),
+                Lane::Resume => {
+                    let overdue = now + RESUME_PATIENCE;
+                    found.resumes.insert(number, Resume { deadline, overdue });
+                }
+            }
         });
         self.waiting += 1;
         self.begins += usize::from(lane == Lane::Begin);
@@ -205,16 +232,13 @@
     }
 
     /// Takes the statement that runs next, if a slot is free and, for one that
-    /// begins a transaction, also a connection.
+    /// begins a transaction, also a connection. Without a free slot it takes a
+    /// statement of an open transaction that is overdue.
     pub fn pop(&mut self, connection_free: bool, now: Time) -> Option<Popped> {
-        if self.running >= self.limits.slots {
-            return None;
-        }
-        let set = if connection_free { &self.eligible } else { &self.resumable };
-        let account = set.first()?.1.clone();
+        let account = self.next_account(connection_free, now)?;
         let service = self.service;
         let (ticket, deadline, start, charged) = self.change(&account, |found| {
-            let resumed = found.resumes.pop_first();
+            let resumed = found.resumes.pop_first().map(|(n, resume)| (n, resume.deadline));
             let resumes = resumed.is_some();
             let (number, deadline) = resumed.or_else(|| found.begins.pop_first())?;
             let start = found.virtual_time;
@@ -238,6 +262,16 @@
         Some(Popped::Run(ticket, Grant { account, charged, since: now }))
     }
 
+    /// Returns the account whose statement runs next.
+    fn next_account(&self, connection_free: bool, now: Time) -> Option<AccountId> {
+        if self.running >= self.limits.slots {
+            let (overdue, account) = self.overdue.first()?;
+            return (*overdue <= now).then(|| account.clone());
+        }
+        let set = if connection_free { &self.eligible } else { &self.resumable };
+        set.first().map(|(_, account)| account.clone())
+    }
+
     /// Removes a waiting statement; returns whether it was still waiting.
     pub fn cancel(&mut self, ticket: &Ticket) -> bool {
         if !self.accounts.contains_key(&ticket.account) {
@@ -307,12 +341,16 @@
         let key = (account.virtual_time, name.clone());
         self.eligible.remove(&key);
         self.resumable.remove(&key);
+        if let Some(overdue) = account.overdue() {
+            self.overdue.remove(&(overdue, name.clone()));
+        }
         self.active_weight -= if account.is_active() { account.weight } else { 0 };
         let result = change(&mut account);
         let key = (account.virtual_time, name.clone());
         let may_begin = !account.begins.is_empty() && account.held < self.limits.held;
-        if !account.resumes.is_empty() {
+        if let Some(overdue) = account.overdue() {
             self.resumable.insert(key.clone());
+            self.overdue.insert((overdue, name.clone()));
         }
         if may_begin || !account.resumes.is_empty() {
             self.eligible.insert(key);
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -4,7 +4,7 @@
 
 use chicoryhollow_core::{
     AccountId, Refusal, Time,
-    queue::{FairQueue, Grant, Lane, Limits, Popped},
+    queue::{FairQueue, Grant, Lane, Limits, Popped, RESUME_PATIENCE},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -221,3 +221,35 @@
         }
     }
 }
+
+#[test]
+fn an_open_transaction_runs_beyond_the_slots_once_it_is_overdue() {
+    let start = Time::from_millis(0);
+    let deadline = start + Duration::from_secs(10);
+    for holders in 0..3 {
+        let mut queue = FairQueue::new(LIMITS);
+        for number in 0..LIMITS.slots as usize {
+            let name = account(number % (holders + 1));
+            queue.push(&name, 1, Lane::Begin, start, deadline).expect("there is room");
+            assert!(matches!(queue.pop(true, start), Some(Popped::Run(..))));
+        }
+        queue.push(&account(0), 1, Lane::Begin, start, deadline).expect("there is room");
+        let first = queue.push(&account(0), 1, Lane::Resume, start, deadline);
+        let first = first.expect("there is room");
+        let gone = queue.push(&account(1), 1, Lane::Resume, start, deadline);
+        let later = start + Duration::from_millis(5);
+        let second = queue.push(&account(2), 1, Lane::Resume, later, deadline);
+        let second = second.expect("there is room");
+        assert!(queue.cancel(&gone.expect("there is room")));
+        assert_eq!(queue.pop(true, start + RESUME_PATIENCE / 2), None);
+        let run = |popped| match popped {
+            Some(Popped::Run(ticket, _)) => ticket,
+            other => panic!("nothing runs: {other:?}"),
+        };
+        assert_eq!(run(queue.pop(true, start + RESUME_PATIENCE)), first);
+        assert_eq!(queue.pop(true, start + RESUME_PATIENCE), None);
+        assert_eq!(run(queue.pop(false, later + RESUME_PATIENCE)), second);
+        assert_eq!(queue.pop(true, later + RESUME_PATIENCE * 9), None, "it holds no connection");
+        assert_eq!(queue.running(), LIMITS.slots + 2);
+    }
+}
--- a/crates/proxy/src/home/applied.rs
+++ b/crates/proxy/src/home/applied.rs
@@ -72,12 +72,13 @@
             return Ok(());
         }
         let mut newest = self.newest.subscribe();
-        if self.waiters.fetch_add(1, Ordering::AcqRel) == 0 {
+        let waiter = Waiter::new(&self.waiters);
+        if waiter.is_first {
             tokio::spawn(Arc::clone(self).probe(Arc::clone(tracker)));
         }
         let result = timeout(patience.max(SHORTEST_WAIT), newest.wait_for(reached)).await;
         let result = result.is_ok_and(|reached| reached.is_ok());
-        self.waiters.fetch_sub(1, Ordering::AcqRel);
+        drop(waiter);
         let behind = Refused { refusal: Refusal::TooStale, applied: Some(self.newest()) };
         if result { Ok(()) } else { Err(behind) }
     }
@@ -93,6 +94,25 @@
     }
 }
 
+/// Counts one waiter until it is dropped, as it is with a lost caller.
+struct Waiter<'a> {
+    waiters: &'a AtomicUsize,
+    is_first: bool,
+}
+
+impl<'a> Waiter<'a> {
+    fn new(waiters: &'a AtomicUsize) -> Self {
+        let is_first = waiters.fetch_add(1, Ordering::AcqRel) == 0;
+        Waiter { waiters, is_first }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.waiters.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Tells whether a server that has applied `applied` shows all that `needed`
 /// stands for and that survived.
 ///
--- a/crates/proxy/src/home/schedule.rs
+++ b/crates/proxy/src/home/schedule.rs
@@ -11,7 +11,7 @@
 use chicoryhollow_core::{
     pool::{OpenError, Pool},
     prelude::*,
-    queue::{FairQueue, Grant, Lane, Limits, Popped, Ticket},
+    queue::{FairQueue, Grant, Lane, Limits, Popped, RESUME_PATIENCE, Ticket},
 };
 use tokio::{sync::oneshot, time::timeout};
 
@@ -111,6 +111,14 @@
         if let Ok(given) = waiter.receiver.try_recv() {
             return given;
         }
+        if lane == Lane::Resume {
+            let left = deadline.since(self.clock.now());
+            if let Ok(given) = timeout(left.min(RESUME_PATIENCE), &mut waiter.receiver).await {
+                return given.unwrap_or(Err(Refusal::DeadlinePassed));
+            }
+            // It is overdue now, and the slots may be held for much longer.
+            self.change(|_, _| ());
+        }
         let left = deadline.since(self.clock.now());
         match timeout(left, &mut waiter.receiver).await {
             Ok(Ok(given)) => given,
--- a/crates/proxy/src/home/tracker.rs
+++ b/crates/proxy/src/home/tracker.rs
@@ -178,21 +178,26 @@
 
     fn learn(&self, asked: Position, confirmed: Position) {
         let now = self.clock.now();
-        if self.lock().rounds.answered(asked, confirmed, now) {
+        let mut state = self.lock();
+        if state.rounds.answered(asked, confirmed, now) {
+            // Published under the lock: of two answers, the later one stays.
             self.confirmed.send_replace(confirmed);
         }
-        self.give_up_unwanted();
+        self.give_up_unwanted(&mut state);
     }
 
     async fn pause_after_failure(&self) {
         sleep(FAILURE_PAUSE).await;
-        self.lock().rounds.failed();
-        self.give_up_unwanted();
+        let mut state = self.lock();
+        state.rounds.failed();
+        self.give_up_unwanted(&mut state);
     }
 
-    fn give_up_unwanted(&self) {
+    /// Forgets what nobody waits for. A waiter counts itself before it states
+    /// under the lock what it wants, so that nothing wanted is forgotten.
+    fn give_up_unwanted(&self, state: &mut State) {
         if self.waiters.load(Ordering::Acquire) == 0 {
-            self.lock().rounds.abandon();
+            state.rounds.abandon();
         }
     }
 
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -63,6 +63,28 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_transaction_goes_on_while_others_hold_all_slots() {
+    let fleet = Fleet::start(1, 2, |_, options| options.slots = 2).await;
+    fleet.write(0, "CREATE TABLE t (id int)").await.expect("the table is made");
+    for vm in [0, 1] {
+        let mut open = fleet.open(vm, Access::Write).await.expect("a stream");
+        query(&mut open, "BEGIN", true).await.expect("it begins");
+        query(&mut open, "INSERT INTO t (id) VALUES (1)", true).await.expect("it writes");
+        // As statements do that wait for a row which the transaction has locked.
+        let mut holding = Vec::new();
+        for _ in 0..2 {
+            let mut stream = fleet.open(vm, Access::Write).await.expect("a stream");
+            stream.send(fleet.batch("SELECT pg_sleep(4)", false)).await.expect("it is sent");
+            holding.push(stream);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let committing = query(&mut open, "COMMIT", true);
+        let committed = tokio::time::timeout(Duration::from_secs(1), committing).await;
+        committed.expect("it does not wait for the others").expect("it commits");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answers_larger_than_the_window_arrive_whole() {
     let fleet = Fleet::start(1, 2, |_, _| {}).await;
