Notice new keepers of other data centres within seconds

Cause: a row some of whose parts had no listed keeper was looked at only every 5 to 20 s by most VMs, so that after a VM died, or at the start, their holders asked too few keepers and refused requests within the rate. Change: the first VM of a data centre reads such a row every 2 s and the others ask it every 500 ms; up to 256 accounts get slices ahead of their first request.

--- a/crates/proxy/src/shares/mod.rs
+++ b/crates/proxy/src/shares/mod.rs
@@ -38,6 +38,9 @@
 /// Time without requests after which an account asks for no more slices.
 const IDLE: Duration = Duration::from_secs(15);
 
+/// Most accounts for which a daemon asks for slices before any request comes.
+const AHEAD_ACCOUNTS: usize = 256;
+
 /// Time between two looks at whether a row is due.
 const SLOT_TICK: Duration = Duration::from_millis(200);
 
@@ -185,8 +188,13 @@
         self.keepers.retain(|account, _| {
             slots.get(&slot(account)).is_some_and(|slot| slot.tenure.is_some())
         });
+        // Few accounts get their first slices ahead of their first request.
+        let ahead = configured.len() <= AHEAD_ACCOUNTS;
         for (name, account) in configured {
             let quota = quota(account);
+            if ahead && !self.accounts.contains_key(name) {
+                self.active.push(name.clone());
+            }
             let known = self.accounts.entry(name.clone()).or_insert_with(|| Account {
                 holder: Holder::new(
                     quota,
@@ -195,7 +203,7 @@
                     node.clock.now(),
                 ),
                 waiting: VecDeque::new(),
-                used: None,
+                used: ahead.then(|| node.clock.now()),
             });
             known.holder.set_quota(quota);
             if let Some(slot) = self.slots.get(&slot(name)) {
--- a/crates/proxy/src/shares/slots.rs
+++ b/crates/proxy/src/shares/slots.rs
@@ -46,18 +46,22 @@
         part.is_none() || keeper.is_some_and(|keeper| node.members.get(&keeper.vm).is_some())
     }
 
-    /// Tells whether every part has had a keeper.
-    pub(super) fn is_complete(&self) -> bool {
-        self.record.parts.values().all(|part| part.keeper.is_some())
+    /// Tells whether every part has a listed keeper.
+    fn is_settled(&self, node: &Node) -> bool {
+        let kept = |keeper: &KeeperId| node.members.get(&keeper.vm).is_some();
+        self.record.parts.values().all(|part| part.keeper.as_ref().is_some_and(kept))
     }
 }
 
 /// Time between two tries while a row is unknown or its part has no keeper.
 const SEARCH: Duration = Duration::from_millis(400);
 
-/// Time between two looks at a row some of whose parts have had no keeper yet.
+/// Time between two reads of a row some of whose parts have no keeper.
 const SETTLE: Duration = Duration::from_secs(2);
 
+/// Time between two questions to another VM about such a row.
+const FOLLOW: Duration = Duration::from_millis(500);
+
 /// Pace of looks at rows that are as they should be; the longest interval
 /// bounds how late a new keeper is noticed.
 const REVIEW: Pace = Pace::new(Duration::from_secs(5), Duration::from_secs(20))
@@ -99,10 +103,11 @@
     ) -> Option<Source> {
         let ranked = ranked_vms(node, slot);
         let place = ranked.iter().position(|vm| *vm == node.settings.vm);
+        let settled = known.is_some_and(|known| known.is_settled(node));
         let every = match known {
-            Some(known) if known.is_kept(node) && known.is_complete() => REVIEW.interval(slots),
+            Some(_) if settled => REVIEW.interval(slots),
             Some(known) if known.is_kept(node) && place == Some(0) => SETTLE,
-            Some(known) if known.is_kept(node) => REVIEW.interval(slots),
+            Some(known) if known.is_kept(node) => FOLLOW,
             _ => SEARCH,
         };
         let now = node.clock.now();
@@ -111,7 +116,11 @@
             return None;
         }
         self.looked.insert(slot, (now, tries.wrapping_add(1).max(1)));
-        let reads = place.is_none_or(|place| place < READERS);
+        // While a part has no keeper, the first VM looks often and the others
+        // learn from it.
+        let kept = known.is_some_and(|known| known.is_kept(node));
+        let readers = if kept && !settled { 1 } else { READERS };
+        let reads = place.is_none_or(|place| place < readers);
         // A VM that finds no row asks the others in turn, since the platform
         // may be down or out of its reach.
         let searching = known.is_none() && tries % 2 == 1;
