Hold the tests of wrongful refusals to their targets

Cause: a bound of 2% for small accounts was taken from a measurement, and the case of a burst of half a second was printed but not checked.

--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -91,8 +91,8 @@
     worst
 }
 
-#[test]
-fn an_account_within_its_rate_is_not_refused_wherever_it_lands() {
+/// Checks that an account at 0.9 of its rate is never refused.
+fn check_none_refused(quota: Quota) {
     type Place = fn(&mut StdRng) -> usize;
     let places: [(&str, Place); 4] = [
         ("all VMs alike", |rng| rng.random_range(0..6)),
@@ -101,14 +101,22 @@
         ("mostly one VM", |rng| if rng.random_bool(0.8) { 2 } else { rng.random_range(0..6) }),
     ];
     for (name, place) in places {
-        for (size, quota, most) in [("large", LARGE, 0.000_5), ("small", SMALL, 0.02)] {
-            let share = refused(quota, place, 6);
-            println!("{name}, {size}: refused {:.3}%", share * 100.0);
-            assert!(share <= most, "{name}, {size}: refused {share}");
-        }
+        let share = refused(quota, place, 6);
+        println!("{name}: refused {:.3}%", share * 100.0);
+        assert!(share <= 0.0, "{name}: refused {share}");
     }
 }
 
+#[test]
+fn a_large_account_within_its_rate_is_not_refused_wherever_it_lands() {
+    check_none_refused(LARGE);
+}
+
+#[test]
+fn a_small_account_within_its_rate_is_not_refused_wherever_it_lands() {
+    check_none_refused(SMALL);
+}
+
 /// Kills a VM of six under 0.9 of the rate and returns the wrongly refused
 /// share of the 10 s that follow, at most over some seeds.
 fn refused_after_death(quota: Quota, victim: usize, listed_for: Duration) -> f64 {
@@ -128,19 +136,27 @@
     worst
 }
 
-#[test]
-fn few_requests_are_refused_after_a_vm_dies() {
+/// Checks that fewer than 1% are refused in the 10 s after a VM dies.
+fn check_few_refused_after_death(quota: Quota) {
     for (name, victim) in [("keeper", 0), ("other", 3)] {
-        for (size, quota) in [("burst of 0.5 s", LARGE), ("burst of 1 s", ROOMY)] {
-            for listed in [2, 5] {
-                let share = refused_after_death(quota, victim, Duration::from_secs(listed));
-                println!("{name} dies, {size}, listed {listed} s: {:.2}%", share * 100.0);
-                assert!(size != "burst of 1 s" || share < 0.01, "{name}: refused {share}");
-            }
+        for listed in [2, 5] {
+            let share = refused_after_death(quota, victim, Duration::from_secs(listed));
+            println!("{name} dies, listed {listed} s: {:.2}%", share * 100.0);
+            assert!(share < 0.01, "{name}: refused {share}");
         }
     }
 }
 
+#[test]
+fn few_requests_are_refused_after_a_vm_dies_with_a_burst_of_a_second() {
+    check_few_refused_after_death(ROOMY);
+}
+
+#[test]
+fn few_requests_are_refused_after_a_vm_dies_with_a_burst_of_half_a_second() {
+    check_few_refused_after_death(LARGE);
+}
+
 #[test]
 fn a_data_centre_that_is_cut_off_keeps_its_part() {
     let mut fleet = Fleet::new(1, LARGE, 6);
