Say that the demonstration builds the daemon

Cause: from a fresh clone the demonstration was silent for minutes while it built the daemon. Change: it prints the build command first. Conclusion: a newcomer sees what happens.

--- a/crates/testkit/src/cluster/binaries.rs
+++ b/crates/testkit/src/cluster/binaries.rs
@@ -49,6 +49,8 @@
 fn build(arguments: &[&str]) -> Result<(), ClusterError> {
     // Cargo names itself to the programs that it runs.
     let Some(cargo) = std::env::var_os("CARGO") else { return Ok(()) };
+    // A first build takes minutes, in which nothing else would be seen.
+    eprintln!("building: cargo {}", arguments.join(" "));
     let status = Command::new(cargo).args(arguments).arg("--quiet").status()?;
     match status.success() {
         true => Ok(()),
