Be ready only once the keepers of all parts are known at the start

Change: in its first 6 s a daemon waits for a listed keeper of every part; later one is enough, so that it can start while the platform is down.

--- a/crates/proxy/src/shares/mod.rs
+++ b/crates/proxy/src/shares/mod.rs
@@ -38,6 +38,9 @@
 /// Time without requests after which an account asks for no more slices.
 const IDLE: Duration = Duration::from_secs(15);
 
+/// Time after the start of the daemon in which it waits for all keepers.
+const STARTING: Duration = Duration::from_secs(6);
+
 /// Most accounts for which a daemon asks for slices before any request comes.
 const AHEAD_ACCOUNTS: usize = 256;
 
@@ -110,12 +113,17 @@
         }
     }
 
-    /// Tells whether a keeper of each configured account is known.
+    /// Tells whether the keepers of each configured account are known.
+    ///
+    /// A daemon that has just started waits for the keepers of all parts, since
+    /// all data centres may be starting; later one is enough.
     pub(crate) fn is_settled(&self, node: &Node) -> bool {
+        let starting = node.clock.now() < Time::default() + STARTING;
         let state = self.lock();
-        let kept = |slot: &u64| {
-            let parts = state.slots.get(slot).map(|slot| slot.record.parts.values());
-            parts.is_some_and(|mut parts| parts.any(|part| part.keeper.is_some()))
+        let kept = |slot: &u64| match state.slots.get(slot) {
+            Some(slot) if starting => slot.is_settled(node),
+            Some(slot) => slot.record.parts.values().any(|part| part.keeper.is_some()),
+            None => false,
         };
         slots::in_use(node).iter().all(kept)
     }
--- a/crates/proxy/src/shares/slots.rs
+++ b/crates/proxy/src/shares/slots.rs
@@ -47,7 +47,7 @@
     }
 
     /// Tells whether every part has a listed keeper.
-    fn is_settled(&self, node: &Node) -> bool {
+    pub(super) fn is_settled(&self, node: &Node) -> bool {
         let kept = |keeper: &KeeperId| node.members.get(&keeper.vm).is_some();
         self.record.parts.values().all(|part| part.keeper.as_ref().is_some_and(kept))
     }
