Hand whole tokens over, and let few VMs read and repeat

Cause: with 91 VMs nearly all refusals of a calm second were wrongful. Besides, each VM measured who reads the store among its linked VMs only, so about 24 of 91 read; each reading gave documents a new version, which all VMs fetched again; and 12 neighbours told each other everything four times a second, most of them in other data centres.

Ruled out: the load (the sum of the rates is twice the load); the servers' slots (no `queue_full`); the waits (the refused ones had waited the full 40 ms).

Change: whole tokens only, asked for when an operation waits, ahead only for demand that uses them; a few tokens more when keepers start; no part of a rate before the list of VMs is known. `core::reader`: the first VM of a data centre reads, others one after the other when nobody else has shown to read. Documents carry digests, equal ones are not fetched. Rows of VMs are renewed within a budget. VMs that are needed are dialled at once.

--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -3,8 +3,12 @@
 //! The bucket of an account fills up in equal parts on a few VMs, its keepers.
 //! A VM whose callers ask for more than it has asks a keeper for some. A keeper
 //! subtracts before it sends, so that a lost message loses tokens and never
-//! doubles them; and a daemon starts with next to none, since it cannot know what
-//! was spent before. No clock is compared and nothing is stored.
+//! doubles them; and a daemon starts with few, since it cannot know what was spent
+//! before. No clock is compared and nothing is stored.
+//!
+//! Only whole tokens are handed over, and a VM holds some ahead only where its own
+//! callers will use them soon: the bucket of a small account would else lie in
+//! fractions on VMs that nobody asks.
 
 use std::time::Duration;
 
@@ -20,9 +24,6 @@
 /// rarely holds a whole token.
 const BURST_PER_KEEPER: f64 = 6.0;
 
-/// Least number of tokens that are handed over.
-const LEAST_LOAN: f64 = 0.2;
-
 /// Span of demand for which a VM holds tokens ahead.
 const AHEAD: Duration = Duration::from_millis(400);
 
@@ -30,6 +31,10 @@
 /// longer before it starts again, and spends nothing meanwhile.
 const OPENING: Duration = Duration::from_millis(250);
 
+/// Tokens that all keepers of an account together may spend beyond that when they
+/// start, so that callers that come back are not refused for want of a bucket.
+const OPENING_TOKENS: f64 = 6.0;
+
 /// Span of demand that a keeper does not give away.
 const RESERVE: Duration = Duration::from_millis(100);
 
@@ -42,9 +47,6 @@
 /// Time constant of the measured demand.
 const DEMAND_SPAN: Duration = Duration::from_millis(1_000);
 
-/// Least number of tokens asked for.
-const LEAST_ASK: f64 = 2.0;
-
 /// Returns on how many VMs the bucket of an account with this burst fills up.
 pub fn keepers(burst: f64) -> usize {
     ((burst / BURST_PER_KEEPER) as usize).clamp(LEAST_KEEPERS, MAX_KEEPERS)
@@ -59,7 +61,8 @@
 ///
 /// let mut purse = Purse::new(Time::default());
 /// purse.set_part(2.0, 50.0, 1, Time::default());
-/// assert!(!purse.take(Time::default()), "a new purse holds half a token");
+/// assert_eq!(purse.tokens(), 6.5, "a few tokens to start with");
+/// while purse.take(Time::default()) {}
 /// assert!(purse.take(Time::from_millis(300)));
 /// ```
 #[derive(Clone, Debug)]
@@ -105,8 +108,9 @@
         }
         self.gain = rate * part;
         self.room = room;
-        if !std::mem::replace(&mut self.opened, true) {
-            self.tokens = (self.gain * OPENING.as_secs_f64()).min(room);
+        if keepers > 0 && !std::mem::replace(&mut self.opened, true) {
+            let opening = self.gain * OPENING.as_secs_f64() + OPENING_TOKENS * part;
+            self.tokens = (self.tokens + opening).min(room);
         }
     }
 
@@ -131,26 +135,25 @@
         self.tokens
     }
 
-    /// Returns the tokens to ask a keeper for now, if any.
-    pub fn ask(&mut self, now: Time) -> Option<f64> {
+    /// Returns the tokens to ask a keeper for now, if any, while `waiting` requests
+    /// of callers have none.
+    pub fn ask(&mut self, waiting: usize, now: Time) -> Option<f64> {
         self.fill(now);
         let waits = self.asked.is_some_and(|asked| now.since(asked) < ASK_TIMEOUT);
-        let wanted = self.demand * AHEAD.as_secs_f64() + 1.0 - self.tokens;
-        if waits || now < self.quiet || self.demand < 0.05 || wanted < 1.0 {
+        let ahead = (self.demand * AHEAD.as_secs_f64()).floor();
+        let wanted = (waiting as f64 + ahead - self.tokens).ceil();
+        if waits || now < self.quiet || wanted < 1.0 {
             return None;
         }
         self.asked = Some(now);
-        Some(wanted.max(LEAST_ASK))
+        Some(wanted)
     }
 
-    /// Takes out up to `wanted` tokens for another VM.
+    /// Takes out up to `wanted` whole tokens for another VM.
     pub fn lend(&mut self, wanted: f64, now: Time) -> f64 {
         self.fill(now);
         let spare = self.tokens - self.demand.min(self.gain) * RESERVE.as_secs_f64();
-        let lent = wanted.min(spare);
-        if lent < LEAST_LOAN {
-            return 0.0;
-        }
+        let lent = wanted.min(spare).floor().max(0.0);
         self.tokens -= lent;
         lent
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,8 @@
 * [`succession`] replaces the primary of a group whose commits need the receipt
   of one replica.
 * [`tenure`] gives a duty to one VM at a time, by a row of the directory.
+* [`neighbour`] says which VMs tell each other what they believe, and [`reader`]
+  which of them read the directory for the others.
 * [`allowance`] hands tokens of an account's rate from VM to VM.
 * [`outcome`] finds out what became of a write whose answer was lost.
 * [`ledger`] remembers batches for entries that lost their connection.
@@ -56,6 +58,7 @@
 pub mod home;
 pub mod id;
 pub mod ledger;
+pub mod neighbour;
 pub mod outcome;
 pub mod pace;
 pub mod pool;
@@ -64,6 +67,7 @@
 pub mod prepared;
 pub mod queue;
 pub mod rank;
+pub mod reader;
 pub mod refusal;
 pub mod retry;
 pub mod route;
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -21,11 +21,31 @@
     /// VMs on which the account's bucket fills up, but this one.
     keepers: Vec<VmId>,
     next: usize,
+    /// Operations of callers that wait for a token.
+    waiting: usize,
+}
+
+impl Entry {
+    fn ask(&mut self, now: Time, linked: impl Fn(&VmId) -> bool) -> Option<(VmId, f64)> {
+        if !self.limited || self.keepers.is_empty() {
+            return None;
+        }
+        let wanted = self.purse.ask(self.waiting, now)?;
+        let linked: Vec<&VmId> = self.keepers.iter().filter(|vm| linked(vm)).collect();
+        self.next += 1;
+        match linked.get(self.next % linked.len().max(1)) {
+            Some(vm) => Some(((*vm).clone(), wanted)),
+            None => {
+                self.purse.unanswered();
+                None
+            }
+        }
+    }
 }
 
 impl Admission {
     /// Takes over the accounts of a configuration and the VMs among which their
-    /// rates are split.
+    /// rates are split; none while they are not known.
     pub(crate) fn configure(&mut self, catalog: &Catalog, me: &VmId, vms: &[VmId], now: Time) {
         self.purses.retain(|account, _| catalog.accounts.contains_key(account));
         for (name, account) in &catalog.accounts {
@@ -38,6 +58,7 @@
                 limited: true,
                 keepers: Vec::new(),
                 next: 0,
+                waiting: 0,
             });
             entry.limited = account.rate.is_some();
             entry.keepers = vms
@@ -56,6 +77,20 @@
         }
     }
 
+    /// Notes that an operation of `account` waits for a token.
+    pub(crate) fn begin_wait(&mut self, account: &AccountId) {
+        if let Some(entry) = self.purses.get_mut(account) {
+            entry.waiting += 1;
+        }
+    }
+
+    /// Notes that an operation of `account` no longer waits.
+    pub(crate) fn end_wait(&mut self, account: &AccountId) {
+        if let Some(entry) = self.purses.get_mut(account) {
+            entry.waiting = entry.waiting.saturating_sub(1);
+        }
+    }
+
     /// Admits one operation; accounts without a limit are always admitted.
     pub(crate) fn admit(&mut self, account: &AccountId, now: Time) -> bool {
         match self.purses.get_mut(account) {
@@ -69,24 +104,28 @@
         self.purses.get(account).map_or(0.0, |entry| entry.purse.tokens())
     }
 
-    /// Returns whom to ask now for how many tokens of which account.
+    /// Returns whom to ask now for how many tokens of which account, ahead of need.
     pub(crate) fn asks(
         &mut self,
         now: Time,
         linked: impl Fn(&VmId) -> bool,
     ) -> Vec<(VmId, AccountId, f64)> {
-        let mut asks = Vec::new();
-        for (account, entry) in self.purses.iter_mut().filter(|(_, entry)| entry.limited) {
-            let keepers: Vec<&VmId> = entry.keepers.iter().filter(|vm| linked(vm)).collect();
-            if keepers.is_empty() {
-                continue;
-            }
-            if let Some(wanted) = entry.purse.ask(now) {
-                entry.next += 1;
-                asks.push((keepers[entry.next % keepers.len()].clone(), account.clone(), wanted));
-            }
-        }
-        asks
+        let purses = self.purses.iter_mut();
+        let ask = |(account, entry): (&AccountId, &mut Entry)| {
+            let (vm, wanted) = entry.ask(now, &linked)?;
+            Some((vm, account.clone(), wanted))
+        };
+        purses.filter_map(ask).collect()
+    }
+
+    /// Returns whom to ask now for how many tokens of `account`.
+    pub(crate) fn ask_for(
+        &mut self,
+        account: &AccountId,
+        now: Time,
+        linked: impl Fn(&VmId) -> bool,
+    ) -> Option<(VmId, f64)> {
+        self.purses.get_mut(account)?.ask(now, linked)
     }
 
     /// Takes out up to `wanted` tokens for another VM.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -26,7 +26,7 @@
     log::{Event, Journal},
     metrics::Metrics,
     pool::Pool,
-    relay::{Kind, Relay},
+    relay::{Kept, Kind, Relay},
     seam::{Change, Directory, ServerProtocol},
     settings::Settings,
 };
@@ -82,6 +82,8 @@
     pub(crate) beliefs: Notify,
     /// Wakes the tasks that replace primaries.
     pub(crate) alarm: Notify,
+    /// Wakes operations that wait for a token.
+    pub(crate) tokens: Notify,
 }
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
@@ -115,6 +117,7 @@
             told: RefCell::default(),
             beliefs: Notify::new(),
             alarm: Notify::new(),
+            tokens: Notify::new(),
         }
     }
 
@@ -148,6 +151,7 @@
         self.phase() == Phase::Serving
             && !self.is_isolated(ISOLATION)
             && self.catalog.borrow().version > 0
+            && self.fleet.is_known()
             && self.groups.borrow().values().any(|group| !group.borrow().servers.is_empty())
     }
 
@@ -213,15 +217,17 @@
         match change {
             Change::Catalog(catalog) => self.adopt_catalog(*catalog, "directory"),
             Change::Evacuated(version, places) => {
-                self.relay.borrow_mut().keep(Kind::Evacuated, version, &places);
-                self.set_evacuated(places.into_iter().collect());
-                self.announce();
+                if self.relay.borrow_mut().keep(Kind::Evacuated, version, &places) == Kept::New {
+                    self.set_evacuated(places.into_iter().collect());
+                    self.announce();
+                }
             }
             Change::Servers(version, entries) => {
-                self.relay.borrow_mut().keep(Kind::Servers, version, &entries);
-                self.told.replace(entries);
-                self.refresh_servers();
-                self.announce();
+                if self.relay.borrow_mut().keep(Kind::Servers, version, &entries) == Kept::New {
+                    self.told.replace(entries);
+                    self.refresh_servers();
+                    self.announce();
+                }
             }
             Change::Reachable(works) => self.relay.borrow_mut().note_read(works, clock::now()),
             Change::Unreadable(key, reason) => {
@@ -240,14 +246,14 @@
             Kind::Catalog => self.adopt_catalog(serde_json::from_slice(&document.json)?, "peer"),
             Kind::Evacuated => {
                 let places: Vec<DataCentreId> = serde_json::from_slice(&document.json)?;
-                if self.relay.borrow_mut().keep(kind, document.version, &places) {
+                if self.relay.borrow_mut().keep(kind, document.version, &places) == Kept::New {
                     self.set_evacuated(places.into_iter().collect());
                     self.announce();
                 }
             }
             Kind::Servers => {
                 let entries: Vec<ServerEntry> = serde_json::from_slice(&document.json)?;
-                if self.relay.borrow_mut().keep(kind, document.version, &entries) {
+                if self.relay.borrow_mut().keep(kind, document.version, &entries) == Kept::New {
                     self.told.replace(entries);
                     self.refresh_servers();
                     self.announce();
@@ -278,7 +284,8 @@
     /// Splits rates and connections anew after the configuration or the list of
     /// VMs has changed.
     pub(crate) fn refresh_limits(&self) {
-        let vms = self.fleet.vms();
+        // Each VM that took itself for the only one would spend the whole rate.
+        let vms = if self.fleet.is_known() { self.fleet.vms() } else { Vec::new() };
         let catalog = self.catalog();
         let now = clock::now();
         self.admission.borrow_mut().configure(&catalog, &self.settings.vm, &vms, now);
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -2,21 +2,33 @@
 //!
 //! VMs find each other through rows of the directory ([`rows`]). Each VM is linked
 //! to a few neighbours, with whom it exchanges beliefs ([`beat`]), and to the homes
-//! of the servers that its callers need. Both sides of a [`link`] send beats; a link
-//! without beats is dropped and dialled anew when it is needed.
+//! of the servers and the keepers of the accounts that its callers need. Both sides
+//! of a [`link`] send beats; a link without beats is dropped and dialled anew when it
+//! is needed.
 
 mod beat;
 mod link;
 mod rows;
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
-use chicoryhollow_core::{DataCentreId, GroupId, Time, VmId, rank::rank};
+use chicoryhollow_core::{
+    DataCentreId, GroupId, Time, VmId,
+    neighbour::{Place, chosen, dialled},
+};
 use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec};
 use futures_util::StreamExt;
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::{Notify, mpsc},
     time::{interval, sleep, timeout},
 };
 use tokio_util::codec::Framed;
@@ -38,9 +50,6 @@
 /// Longest time to dial a VM.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// VMs that each VM chooses as neighbours.
-const NEIGHBOURS: usize = 6;
-
 /// Another VM.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Member {
@@ -49,12 +58,26 @@
     data_centre: DataCentreId,
 }
 
+impl Member {
+    fn place(&self) -> Place<'_> {
+        Place { vm: &self.vm, data_centre: &self.data_centre }
+    }
+}
+
 /// The other VMs.
 #[derive(Default)]
 pub(crate) struct Fleet {
     members: RefCell<HashMap<VmId, Member>>,
     links: RefCell<HashMap<VmId, Rc<Link>>>,
     me: RefCell<Option<Member>>,
+    /// Whether the list of VMs was read.
+    known: Cell<bool>,
+    /// Neighbours that this VM has chosen.
+    chosen: RefCell<IndexSet<VmId>>,
+    /// Those of them that this VM dials.
+    dialled: RefCell<IndexSet<VmId>>,
+    /// Wakes the task that dials.
+    dials: Notify,
     wanted: RefCell<HashMap<VmId, Time>>,
     /// Version and time of the last renewal of each row, as this VM read them.
     renewals: RefCell<HashMap<VmId, (u64, Time)>>,
@@ -97,6 +120,12 @@
     /// Has `vm` dialled soon.
     pub(crate) fn want(&self, vm: &VmId) {
         self.wanted.borrow_mut().insert(vm.clone(), clock::now());
+        self.dials.notify_one();
+    }
+
+    /// Tells whether the list of VMs was read.
+    pub(crate) fn is_known(&self) -> bool {
+        self.known.get()
     }
 
     /// Returns how many neighbours there are and how many of them have failed to
@@ -112,22 +141,33 @@
         self.links.borrow().get(vm).is_some_and(|link| link.send(body))
     }
 
-    /// Marks the links to neighbours: VMs that this one chose or that chose it.
-    fn mark_neighbours(&self) {
-        let vms = self.vms();
-        let Some(me) = self.me.borrow().as_ref().map(|me| me.vm.clone()) else { return };
+    fn new_link(&self, vm: &VmId, sender: mpsc::Sender<Envelope>) -> Link {
+        let (members, me) = (self.members.borrow(), self.me.borrow());
+        let centre = |member: Option<&Member>| member.map(|member| member.data_centre.clone());
+        let near = centre(members.get(vm)) == centre(me.as_ref());
+        Link::new(sender, self.chosen.borrow().contains(vm), near, clock::now())
+    }
+
+    /// Takes over the list of VMs and chooses neighbours among them.
+    fn set_members(&self, members: impl IntoIterator<Item = Member>) {
+        let Some(me) = self.me.borrow().clone() else { return };
+        let others = members.into_iter().filter(|member| member.vm != me.vm);
+        let members: HashMap<VmId, Member> =
+            others.map(|member| (member.vm.clone(), member)).collect();
+        let here = me.place();
+        let all: Vec<Place<'_>> = members.values().map(Member::place).chain([here]).collect();
+        let chosen = chosen(here, &all);
+        self.dialled.replace(dialled(here, &chosen, &all));
         for (vm, link) in self.links.borrow().iter() {
-            link.neighbour.set(chooses(&me, vm, &vms) || chooses(vm, &me, &vms));
+            link.chosen.set(chosen.contains(vm));
         }
+        self.chosen.replace(chosen);
+        self.members.replace(members);
+        self.known.set(true);
+        self.dials.notify_one();
     }
 }
 
-/// Tells whether `vm` has chosen `other` as a neighbour.
-fn chooses(vm: &VmId, other: &VmId, vms: &[VmId]) -> bool {
-    let others = vms.iter().filter(|candidate| *candidate != vm).map(VmId::as_str);
-    rank(vm.as_str(), others, NEIGHBOURS).contains(&other.as_str())
-}
-
 /// Listens for other VMs, dials them and keeps this VM's row, until dropped.
 pub(crate) async fn run<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
@@ -170,7 +210,10 @@
     let mut ticks = interval(REDIAL);
     let dialling: Rc<RefCell<Vec<VmId>>> = Rc::default();
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = engine.fleet.dials.notified() => {}
+        }
         for (vm, address) in wanted(&engine) {
             if engine.fleet.link(&vm).is_some() || dialling.borrow().contains(&vm) {
                 continue;
@@ -187,21 +230,15 @@
     }
 }
 
-/// Returns the VMs that this one dials: the neighbours whose names sort behind
-/// its own, and the homes that callers needed lately.
+/// Returns the VMs to dial now: neighbours and those that callers needed lately.
 fn wanted<S: ServerProtocol, D: Directory>(engine: &Engine<S, D>) -> Vec<(VmId, SocketAddr)> {
-    let me = &engine.settings.vm;
-    let vms = engine.fleet.vms();
+    let fleet = &engine.fleet;
     let now = clock::now();
-    let mut needed = engine.fleet.wanted.borrow_mut();
+    let mut needed = fleet.wanted.borrow_mut();
     needed.retain(|_, time| now.since(*time) < SILENCE);
-    let is_wanted = |vm: &VmId| {
-        needed.contains_key(vm) || (vm > me && (chooses(me, vm, &vms) || chooses(vm, me, &vms)))
-    };
-    let members = engine.fleet.members.borrow();
-    let unlinked = members.values().filter(|member| engine.fleet.link(&member.vm).is_none());
-    unlinked
-        .filter(|member| is_wanted(&member.vm))
-        .map(|member| (member.vm.clone(), member.address))
-        .collect()
+    let dialled = fleet.dialled.borrow();
+    let names = dialled.iter().chain(needed.keys());
+    let unlinked = names.filter(|vm| fleet.link(vm).is_none());
+    let members = fleet.members.borrow();
+    unlinked.filter_map(|vm| Some((vm.clone(), members.get(vm)?.address))).collect()
 }
--- a/crates/engine/src/fleet/beat.rs
+++ b/crates/engine/src/fleet/beat.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use chicoryhollow_core::{AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId};
+use chicoryhollow_core::{
+    AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId, reader::place,
+};
 use chicoryhollow_peer::{
     Body,
     fleet::{Beat, Belief, Document, DocumentAsk, TokenAsk, TokenGrant},
@@ -17,25 +19,40 @@
     group::{Group, Source},
     loan::FromHome,
     log::Event,
-    relay::{Kind, Word},
+    relay::{Kept, Kind, Word},
     seam::{Directory, ServerProtocol},
 };
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
-    /// Asks other VMs for tokens where this one runs short.
+    /// Asks other VMs for tokens of the accounts that this one will soon need.
     pub(crate) fn ask_for_tokens(&self) {
-        let now = clock::now();
-        let asks = self.admission.borrow_mut().asks(now, |vm| match self.fleet.link(vm) {
-            Some(_) => true,
-            None => {
-                self.fleet.want(vm);
-                false
-            }
-        });
+        let asks = self.admission.borrow_mut().asks(clock::now(), |vm| self.reaches(vm));
         for (vm, account, wanted) in asks {
-            let ask = TokenAsk { account: account.to_string(), wanted_milli: milli(wanted) };
-            self.fleet.send(&vm, Body::TokenAsk(ask));
+            self.send_token_ask(&vm, &account, wanted);
+        }
+    }
+
+    /// Asks another VM for tokens of `account`, for operations that wait.
+    pub(crate) fn ask_for_token(&self, account: &AccountId) {
+        let now = clock::now();
+        let ask = self.admission.borrow_mut().ask_for(account, now, |vm| self.reaches(vm));
+        if let Some((vm, wanted)) = ask {
+            self.send_token_ask(&vm, account, wanted);
+        }
+    }
+
+    /// Tells whether `vm` is linked; has it dialled if not.
+    fn reaches(&self, vm: &VmId) -> bool {
+        let linked = self.fleet.link(vm).is_some();
+        if !linked {
+            self.fleet.want(vm);
         }
+        linked
+    }
+
+    fn send_token_ask(&self, vm: &VmId, account: &AccountId, wanted: f64) {
+        let ask = TokenAsk { account: account.to_string(), wanted_milli: milli(wanted) };
+        self.fleet.send(vm, Body::TokenAsk(ask));
     }
 
     pub(super) fn beat(&self, link: &Link) -> Beat {
@@ -55,7 +72,9 @@
             fresh_ms: millis(now.since(self.fresh())),
             reads: self.relay.borrow().works(),
             leaving: self.phase() != Phase::Serving,
-            groups: if link.neighbour.get() {
+            chosen: link.chosen.get(),
+            digests: self.relay.borrow().digests(),
+            groups: if link.is_neighbour() {
                 self.beliefs_since(received, now)
             } else {
                 Vec::new()
@@ -105,6 +124,7 @@
                 let Ok(account) = AccountId::new(&grant.account) else { return };
                 let tokens = grant.tokens_milli as f64 / 1_000.0;
                 self.admission.borrow_mut().receive(&account, tokens, clock::now());
+                self.tokens.notify_waiters();
             }
             Body::LeaseOpen(open) => {
                 let (sender, orders) = mpsc::unbounded_channel();
@@ -130,14 +150,16 @@
     fn take_beat(&self, link: &Link, beat: Beat) {
         let now = clock::now();
         link.received.set((beat.number, now));
+        link.chosen_by.set(beat.chosen);
         let fresh = now - Duration::from_millis(beat.fresh_ms.into());
         link.word.set(Some(Word { fresh, reads: beat.reads }));
         let echoed = link.sent.borrow().iter().find(|(number, _)| *number == beat.echo).copied();
         for belief in beat.groups {
             self.take_belief(link, belief, echoed.map(|(_, sent)| sent), now);
         }
-        for (kind, version) in Kind::ALL.into_iter().zip(beat.versions) {
-            if self.relay.borrow_mut().needs(kind, version, now) {
+        let digests = beat.digests.into_iter().chain(std::iter::repeat(0));
+        for ((kind, version), digest) in Kind::ALL.into_iter().zip(beat.versions).zip(digests) {
+            if self.relay.borrow_mut().needs(kind, version, digest, now) {
                 link.send(Body::DocumentAsk(DocumentAsk { kind: kind.number() }));
             }
         }
@@ -153,19 +175,18 @@
     /// Tells all neighbours at once that a document has changed. They ask for it,
     /// so that each gets it once.
     pub(crate) fn announce(&self) {
-        for link in self.fleet.links.borrow().values().filter(|link| link.neighbour.get()) {
+        for link in self.fleet.links.borrow().values().filter(|link| link.is_neighbour()) {
             link.send(Body::Beat(self.beat(link)));
         }
     }
 
     /// Decides whether this VM is to read the directory.
     pub(crate) fn choose_reader(&self) {
-        let near = self.fleet.vms_in(&self.settings.data_centre);
+        let place = place(&self.settings.vm, &self.fleet.vms_in(&self.settings.data_centre));
         let links = self.fleet.links.borrow();
-        let words = links.iter().filter_map(|(vm, link)| Some((vm.clone(), link.word.get()?)));
-        let (here, all): (Vec<_>, Vec<_>) = words.map(|(vm, word)| ((vm, word), word)).unzip();
-        let here: Vec<_> = here.into_iter().filter(|(vm, _)| near.contains(vm)).collect();
-        self.relay.borrow().choose_reader(&self.settings.vm, &here, &all, clock::now());
+        let words = links.values().filter_map(|link| link.word.get());
+        let others = words.map(|word| word.fresh).max();
+        self.relay.borrow_mut().choose_reader(place, others, clock::now());
     }
 
     /// Tells whether neither this VM nor any that it hears gets answers from the
@@ -188,7 +209,9 @@
         let taken = match Kind::from_number(document.kind) {
             Some(Kind::Vms) => {
                 serde_json::from_slice(&document.json).map(|members: Vec<Member>| {
-                    if self.relay.borrow_mut().keep(Kind::Vms, document.version, &members) {
+                    if self.relay.borrow_mut().keep(Kind::Vms, document.version, &members)
+                        == Kept::New
+                    {
                         take_members(self, members);
                     }
                 })
--- a/crates/engine/src/fleet/link.rs
+++ b/crates/engine/src/fleet/link.rs
@@ -33,8 +33,9 @@
 /// Time without a beat after which a link is dropped.
 pub(super) const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// Beats between two that carry no beliefs, on links to other VMs.
-const PLAIN_BEATS: u64 = 2;
+/// Rounds for one beat on links to VMs that are no neighbours of the same data
+/// centre.
+const SLOW_BEATS: u64 = 2;
 
 /// Messages that wait for a link.
 const QUEUE: usize = 1_024;
@@ -51,7 +52,12 @@
     pub(super) failing: RefCell<HashMap<GroupId, Duration>>,
     /// What the other VM said about its documents.
     pub(super) word: Cell<Option<Word>>,
-    pub(super) neighbour: Cell<bool>,
+    /// Whether this VM has chosen the other one as a neighbour.
+    pub(super) chosen: Cell<bool>,
+    /// Whether the other VM has chosen this one.
+    pub(super) chosen_by: Cell<bool>,
+    /// Whether the other VM runs in this one's data centre.
+    near: bool,
     /// Connections borrowed over this link, by number.
     leases: RefCell<HashMap<u64, mpsc::UnboundedSender<FromHome>>>,
     /// Connections lent over this link, by number.
@@ -61,7 +67,7 @@
 }
 
 impl Link {
-    fn new(sender: mpsc::Sender<Envelope>, now: Time) -> Self {
+    pub(super) fn new(sender: mpsc::Sender<Envelope>, chosen: bool, near: bool, now: Time) -> Self {
         Link {
             sender,
             heard: Cell::new(now),
@@ -69,7 +75,9 @@
             sent: RefCell::default(),
             failing: RefCell::default(),
             word: Cell::new(None),
-            neighbour: Cell::new(false),
+            chosen: Cell::new(chosen),
+            chosen_by: Cell::new(false),
+            near,
             leases: RefCell::default(),
             loans: RefCell::default(),
             numbers: Cell::new(0),
@@ -77,6 +85,16 @@
         }
     }
 
+    /// Tells whether the VMs tell each other what they believe.
+    pub(super) fn is_neighbour(&self) -> bool {
+        self.chosen.get() || self.chosen_by.get()
+    }
+
+    /// Tells whether a beat is due in this round.
+    fn beats_in(&self, round: u64) -> bool {
+        (self.near && self.is_neighbour()) || round.is_multiple_of(SLOW_BEATS)
+    }
+
     /// Queues a message; returns whether the link takes it. A link whose queue
     /// is full is about to be dropped for its silence.
     pub(crate) fn send(&self, body: Body) -> bool {
@@ -139,9 +157,8 @@
         return;
     }
     let (sender, receiver) = mpsc::channel(QUEUE);
-    let link = Rc::new(Link::new(sender, clock::now()));
+    let link = Rc::new(engine.fleet.new_link(&vm, sender));
     engine.fleet.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
-    engine.fleet.mark_neighbours();
     engine.metrics.peers.inc();
     engine.journal.record(Event::PeerLinked, o!("vm" => vm.to_string()));
     let error = exchange(engine, &vm, &link, frames, receiver).await;
@@ -190,7 +207,7 @@
                     return LinkError::TimedOut;
                 }
                 round += 1;
-                if !link.neighbour.get() && !round.is_multiple_of(PLAIN_BEATS) {
+                if !link.beats_in(round) {
                     continue;
                 }
                 Envelope::new(Body::Beat(engine.beat(link)))
--- a/crates/engine/src/fleet/rows.rs
+++ b/crates/engine/src/fleet/rows.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use chicoryhollow_core::{DataCentreId, Time, VmId};
+use chicoryhollow_core::{
+    DataCentreId, Time, VmId,
+    pace::{ByteRate, Pace},
+};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -17,11 +20,20 @@
 /// Time between two looks at the rows of VMs.
 const ROWS_LOOK: Duration = Duration::from_millis(2_500);
 
-/// Time between two renewals of this VM's own row.
-const ROW_RENEWAL: Duration = Duration::from_millis(8_000);
+/// Shortest time between two renewals of this VM's own row.
+const SHORTEST_RENEWAL: Duration = Duration::from_millis(8_000);
+
+/// Longest time between two renewals of this VM's own row.
+const LONGEST_RENEWAL: Duration = Duration::from_secs(600);
+
+/// Bytes of one renewal.
+const RENEWAL_BYTES: u32 = 200;
 
-/// Time without a renewal after which a VM that is not linked counts as gone.
-const ROW_LIMIT: Duration = Duration::from_millis(20_000);
+/// What the renewals of all VMs together may cost the directory.
+const RENEWAL_BUDGET: ByteRate = ByteRate::new(1_200);
+
+/// Renewals without which a VM that is not linked counts as gone.
+const MISSED_RENEWALS: f64 = 2.5;
 
 /// Table of the VMs.
 const TABLE: &str = "vms";
@@ -40,7 +52,8 @@
     let mut renewed: Option<Time> = None;
     let mut renewal = 0;
     loop {
-        if renewed.is_none_or(|time| clock::now().since(time) >= ROW_RENEWAL) {
+        let due = renewal_interval(engine.fleet.vms().len());
+        if renewed.is_none_or(|time| clock::now().since(time) >= due) {
             renewal += 1;
             renewed = write_row(&engine, renewal).await.or(renewed);
         }
@@ -55,6 +68,13 @@
     }
 }
 
+/// Returns the time between two renewals of one VM's row among `vms`.
+fn renewal_interval(vms: usize) -> Duration {
+    Pace::new(SHORTEST_RENEWAL, LONGEST_RENEWAL)
+        .with_cost(RENEWAL_BYTES, RENEWAL_BUDGET)
+        .interval(vms)
+}
+
 async fn write_row<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     renewal: u64,
@@ -81,6 +101,7 @@
     rows: &[Row],
 ) {
     let now = clock::now();
+    let limit = renewal_interval(rows.len()).mul_f64(MISSED_RENEWALS);
     let mut members = Vec::new();
     let mut gone = Vec::new();
     for row in rows {
@@ -91,7 +112,7 @@
         if entry.0 != row.version {
             *entry = (row.version, now);
         }
-        if now.since(entry.1) > ROW_LIMIT && engine.fleet.link(&vm).is_none() {
+        if now.since(entry.1) > limit && engine.fleet.link(&vm).is_none() {
             gone.push((vm, row.version));
         } else {
             let VmRow { address, data_centre, .. } = content;
@@ -122,9 +143,6 @@
     engine: &Engine<S, D>,
     members: Vec<Member>,
 ) {
-    let me = &engine.settings.vm;
-    let others = members.into_iter().filter(|member| member.vm != *me);
-    engine.fleet.members.replace(others.map(|member| (member.vm.clone(), member)).collect());
-    engine.fleet.mark_neighbours();
+    engine.fleet.set_members(members);
     engine.refresh_limits();
 }
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -1,18 +1,18 @@
 //! Documents of the directory, and who reads them for whom.
 //!
-//! In each data centre one VM reads the directory; the others take what it has
-//! read over the links between VMs. A VM that has not heard for a while that its
-//! documents are the newest reads the directory itself.
+//! A few VMs read the directory (`core::reader`); the others take what they have read
+//! over the links between VMs. A document that was read anew and says the same is not
+//! passed on, only its newer version is.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicoryhollow_core::{Time, VmId, rank::rank};
+use chicoryhollow_core::{Time, reader::Readers};
 use serde::Serialize;
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
-/// Time after which documents that nobody confirmed are read anew.
-const CONFIRMATION: Duration = Duration::from_millis(3_200);
+use crate::clock;
 
 /// Time to wait for a document before another VM is asked for it.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -52,6 +52,19 @@
     pub(crate) version: u64,
     /// The document as JSON.
     pub(crate) json: Bytes,
+    /// Digest of the JSON; 0 when there is no document.
+    digest: u64,
+}
+
+/// What became of a document that was to be kept.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kept {
+    /// It says something new.
+    New,
+    /// It is newer and says what the one before said.
+    Same,
+    /// An equally new one is held.
+    Old,
 }
 
 /// What another VM said about its documents.
@@ -71,6 +84,7 @@
     /// When this VM last read the directory with success.
     read: Option<Time>,
     works: bool,
+    readers: Readers,
     gate: watch::Sender<bool>,
 }
 
@@ -82,6 +96,7 @@
             asked: Default::default(),
             read: None,
             works: false,
+            readers: Readers::new(clock::now()),
             gate: watch::Sender::new(true),
         }
     }
@@ -114,33 +129,47 @@
         self.held.iter().map(|held| held.version).collect()
     }
 
+    /// Returns the digests of the documents held, by kind.
+    pub(crate) fn digests(&self) -> Vec<u64> {
+        self.held.iter().map(|held| held.digest).collect()
+    }
+
     /// Returns a document.
     pub(crate) fn held(&self, kind: Kind) -> &Held {
         &self.held[kind.number() as usize]
     }
 
-    /// Tells whether a VM that holds `version` is to be asked for a document.
-    pub(crate) fn needs(&mut self, kind: Kind, version: u64, now: Time) -> bool {
+    /// Tells whether a VM that holds `version` of a document is to be asked for it; a
+    /// newer version with the same `digest` is taken over without asking.
+    pub(crate) fn needs(&mut self, kind: Kind, version: u64, digest: u64, now: Time) -> bool {
+        let held = &mut self.held[kind.number() as usize];
+        if version > held.version && held.digest != 0 && digest == held.digest {
+            held.version = version;
+        }
         let asked = &mut self.asked[kind.number() as usize];
         let waits = asked.is_some_and(|asked| now.since(asked) < ASK_TIMEOUT);
-        let needed = version > self.held[kind.number() as usize].version && !waits;
+        let needed = version > held.version && !waits;
         if needed {
             *asked = Some(now);
         }
         needed
     }
 
-    /// Keeps a document to pass it on, unless a newer one is held; returns
-    /// whether it was kept.
-    pub(crate) fn keep(&mut self, kind: Kind, version: u64, document: &impl Serialize) -> bool {
+    /// Keeps a document to pass it on, unless an equally new one is held.
+    pub(crate) fn keep(&mut self, kind: Kind, version: u64, document: &impl Serialize) -> Kept {
         let held = &mut self.held[kind.number() as usize];
         if version <= held.version {
-            return false;
+            return Kept::Old;
         }
-        let Ok(json) = serde_json::to_vec(document) else { return false };
-        *held = Held { version, json: json.into() };
+        let Ok(json) = serde_json::to_vec(document) else { return Kept::Old };
+        let digest = xxh3_64(&json);
         self.asked[kind.number() as usize] = None;
-        true
+        if digest == held.digest {
+            held.version = version;
+            return Kept::Same;
+        }
+        *held = Held { version, json: json.into(), digest };
+        Kept::New
     }
 
     /// Returns when the documents were last known to be the newest.
@@ -149,16 +178,12 @@
         heard.max(self.read).unwrap_or_default()
     }
 
-    /// Decides whether this VM is to read the directory: it ranks first among
-    /// the linked VMs of its data centre that get answers, or nobody confirms
-    /// its documents.
-    pub(crate) fn choose_reader(&self, me: &VmId, near: &[(VmId, Word)], all: &[Word], now: Time) {
-        let able =
-            near.iter().filter(|(_, word)| word.reads || now.since(word.fresh) < CONFIRMATION);
-        let names = able.map(|(vm, _)| vm.as_str()).chain([me.as_str()]);
-        let first = rank("reader", names, 1).first() == Some(&me.as_str());
-        let confirmed = all.iter().any(|word| now.since(word.fresh) < CONFIRMATION);
-        let reads = first || !confirmed;
+    /// Decides whether this VM is to read the directory: `place` is its place among
+    /// the VMs of its data centre, `others` is when the newest documents of linked
+    /// VMs were read.
+    pub(crate) fn choose_reader(&mut self, place: usize, others: Option<Time>, now: Time) {
+        self.readers.hear(others, self.read);
+        let reads = self.readers.reads(place, now);
         self.gate.send_if_modified(|gate| std::mem::replace(gate, reads) != reads);
     }
 }
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -1,16 +1,17 @@
 //! One caller's session.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{AccountId, GroupId, Position, Refusal, SessionToken, Time};
 use indexmap::IndexMap;
 use slog::o;
 use tokio::{
     sync::watch,
-    time::{sleep, sleep_until, timeout},
+    time::{sleep_until, timeout},
 };
 
 use crate::{
+    admission::Admission,
     attempt::{Attempt, Failure},
     catalog::{Catalog, Route},
     clock,
@@ -50,6 +51,25 @@
     used: Time,
 }
 
+/// Counts an operation that waits for a token, also when its caller leaves.
+struct Waiting<'a> {
+    admission: &'a RefCell<Admission>,
+    account: &'a AccountId,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(admission: &'a RefCell<Admission>, account: &'a AccountId) -> Self {
+        admission.borrow_mut().begin_wait(account);
+        Waiting { admission, account }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.admission.borrow_mut().end_wait(self.account);
+    }
+}
+
 /// What follows a request.
 enum Flow {
     /// The caller gets this reply and goes on.
@@ -438,8 +458,18 @@
     /// Admits one operation, waiting a moment for tokens of other VMs.
     async fn admit(&self, account: &AccountId) -> bool {
         let start = clock::now();
-        self.engine.admission.borrow_mut().note_demand(account, start);
+        {
+            let mut admission = self.engine.admission.borrow_mut();
+            admission.note_demand(account, start);
+            if admission.admit(account, start) {
+                return true;
+            }
+        }
+        let _waiting = Waiting::new(&self.engine.admission, account);
         loop {
+            self.engine.ask_for_token(account);
+            // Tokens also come in without a message, as time goes by.
+            let _ = timeout(TOKEN_LOOK, self.engine.tokens.notified()).await;
             let now = clock::now();
             if self.engine.admission.borrow_mut().admit(account, now) {
                 return true;
@@ -447,8 +477,6 @@
             if now.since(start) >= TOKEN_WAIT {
                 return false;
             }
-            self.engine.ask_for_tokens();
-            sleep(TOKEN_LOOK).await;
         }
     }
 
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -24,6 +24,12 @@
     /// Whether the VM reads the directory and gets answers.
     #[prost(bool, tag = "9")]
     pub reads: bool,
+    /// Whether the VM has chosen the receiver as a neighbour.
+    #[prost(bool, tag = "10")]
+    pub chosen: bool,
+    /// Digests of the documents that the VM holds, by kind.
+    #[prost(fixed64, repeated, tag = "11")]
+    pub digests: Vec<u64>,
     /// Whether the VM is about to stop.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
