Spread an account's keepers, leave a cut-off data centre when most is lost

The log shows 340 refusals a second for `rate_exceeded` outside of the cut-off data centre: two or three keepers of a small account were placed by chance, and the cut took half of the rate along. VMs inside stayed ready while one of eight primaries was among them.

Ruled out: the failovers (0.8 s each; one group waits for a server in the cut-off data centre that may hold a commit, as it must).

Change: keepers are taken from the data centres by turns, three at least where the burst allows; an operation waits a fifth of its objective for a token (30 ms at least, 40 ms before); `core::isolation` says that a VM without links to other data centres that has lost most primaries sends its callers away. What counts as a server that vanished moved from the engine to `core::succession`, with a test of a leaving one and of an address that was taken over (`only_a_server_whose_address_was_taken_over_is_not_missed`). A retried read logs the position that the server has and the one that it needs.

--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -10,9 +10,13 @@
 //! callers will use them soon: the bucket of a small account would else lie in
 //! fractions on VMs that nobody asks.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
-use crate::time::Time;
+use crate::{
+    id::{AccountId, VmId},
+    rank::{rank, score},
+    time::Time,
+};
 
 /// Most VMs on which the bucket of one account fills up.
 const MAX_KEEPERS: usize = 8;
@@ -20,6 +24,12 @@
 /// Least number of keepers, so that an account outlives one of them.
 const LEAST_KEEPERS: usize = 2;
 
+/// Data centres over which an account with a small burst is spread at most.
+const MOST_SPREAD: usize = 3;
+
+/// Least burst of one keeper for the sake of that.
+const LEAST_BURST: f64 = 4.0;
+
 /// Burst for which one keeper is worth its while: in smaller parts a bucket
 /// rarely holds a whole token.
 const BURST_PER_KEEPER: f64 = 6.0;
@@ -47,9 +57,38 @@
 /// Time constant of the measured demand.
 const DEMAND_SPAN: Duration = Duration::from_millis(1_000);
 
-/// Returns on how many VMs the bucket of an account with this burst fills up.
-pub fn keepers(burst: f64) -> usize {
-    ((burst / BURST_PER_KEEPER) as usize).clamp(LEAST_KEEPERS, MAX_KEEPERS)
+/// Returns the VMs on which the bucket of `account` fills up, among the VMs of each
+/// data centre.
+///
+/// They are spread over data centres, so that one that is cut off takes no more than
+/// its part of the rate along.
+///
+/// # Example
+///
+/// ```
+/// use chicoryhollow_core::{AccountId, VmId, allowance::keepers};
+///
+/// let vm = |name: &str| name.parse::<VmId>();
+/// let account: AccountId = "press-line".parse()?;
+/// let data_centres = [vec![vm("a1")?, vm("a2")?], vec![vm("b1")?, vm("b2")?]];
+/// let keepers = keepers(&account, 12.0, &data_centres);
+/// assert_eq!(keepers.len(), 2);
+/// assert_ne!(keepers[0].as_str()[..1], keepers[1].as_str()[..1]);
+/// # Ok::<(), chicoryhollow_core::id::NameError>(())
+/// ```
+pub fn keepers(account: &AccountId, burst: f64, data_centres: &[Vec<VmId>]) -> Vec<VmId> {
+    let wanted = |burst_each: f64| (burst / burst_each) as usize;
+    let spread = data_centres.len().min(MOST_SPREAD).min(wanted(LEAST_BURST));
+    let count = wanted(BURST_PER_KEEPER).max(spread).clamp(LEAST_KEEPERS, MAX_KEEPERS);
+    let ranked = |vms: &Vec<VmId>| -> Vec<VmId> {
+        rank(account.as_str(), vms, count).into_iter().cloned().collect()
+    };
+    let mut ranked: Vec<Vec<VmId>> = data_centres.iter().map(ranked).collect();
+    // The data centre of the VM that ranks first comes first.
+    let order = |vms: &Vec<VmId>| vms.first().map(|vm| score(account.as_str(), vm.as_str()));
+    ranked.sort_by_key(|vms| Reverse(order(vms)));
+    let turns = (0..count).flat_map(|turn| ranked.iter().filter_map(move |vms| vms.get(turn)));
+    turns.take(count).cloned().collect()
 }
 
 /// The tokens of one account on one VM.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 * [`tenure`] gives a duty to one VM at a time, by a row of the directory.
 * [`neighbour`] says which VMs tell each other what they believe, and [`reader`]
   which of them read the directory for the others.
+* [`isolation`] says when a partition leaves a VM with too little to serve.
 * [`allowance`] hands tokens of an account's rate from VM to VM.
 * [`outcome`] finds out what became of a write whose answer was lost.
 * [`ledger`] remembers batches for entries that lost their connection.
@@ -57,6 +58,7 @@
 pub mod freshness;
 pub mod home;
 pub mod id;
+pub mod isolation;
 pub mod ledger;
 pub mod neighbour;
 pub mod outcome;
--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -22,7 +22,8 @@
     scored.into_iter().take(count).map(|(_, name)| name).collect()
 }
 
-fn score(role: &str, name: &str) -> u64 {
+/// Returns how well a candidate called `name` suits `role`.
+pub(crate) fn score(role: &str, name: &str) -> u64 {
     let mut text = String::with_capacity(role.len() + name.len() + 1);
     text.push_str(role);
     // A separator that no name may hold keeps ("ab", "c") apart from ("a", "bc").
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -13,7 +13,7 @@
 //! In a planned move the old primary goes on until the promotion. The target is
 //! not stopped, so that whatever is still acknowledged is received by it.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -70,6 +70,15 @@
 /// Time for which a server that vanished is expected back with its log.
 const EXPECTED_BACK: Duration = Duration::from_secs(10);
 
+/// A server as it is registered.
+#[derive(Clone, Copy, Debug)]
+pub struct Registered<'a> {
+    /// Name of the server.
+    pub server: &'a ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// Servers that vanished.
 ///
 /// A crashed server loses its entry and comes back with its log, which may be the
@@ -86,18 +95,26 @@
         Absentees::default()
     }
 
-    /// Takes note of which servers are there, and of those that vanished.
+    /// Takes note of a change of the registered servers from `before` to `after`.
+    ///
+    /// A leaving server is missed like any other: that it was to leave does not say
+    /// why it vanished. Only one whose address another server has taken over, and its
+    /// log with it, is not.
     pub fn note<'a>(
         &mut self,
-        present: impl IntoIterator<Item = &'a ServerId>,
-        vanished: impl IntoIterator<Item = &'a ServerId>,
+        before: impl IntoIterator<Item = Registered<'a>>,
+        after: impl IntoIterator<Item = Registered<'a>>,
         now: Time,
     ) {
-        for server in vanished {
-            self.since.entry(server.clone()).or_insert(now);
+        let after: Vec<Registered<'_>> = after.into_iter().collect();
+        let is_there = |gone: &Registered<'_>| {
+            after.iter().any(|other| other.server == gone.server || other.address == gone.address)
+        };
+        for gone in before.into_iter().filter(|server| !is_there(server)) {
+            self.since.entry(gone.server.clone()).or_insert(now);
         }
-        for server in present {
-            self.since.shift_remove(server);
+        for present in after {
+            self.since.shift_remove(present.server);
         }
     }
 
--- a/crates/core/tests/allowance.rs
+++ b/crates/core/tests/allowance.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chicoryhollow_core::{
-    Time,
+    AccountId, Time, VmId,
     allowance::{Purse, keepers},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -80,6 +80,33 @@
     outcome
 }
 
+/// Returns how many of `vms` VMs in four data centres keep an account.
+fn keepers_among(vms: usize, burst: f64) -> usize {
+    keepers(&account(), burst, &data_centres(vms)).len()
+}
+
+fn account() -> AccountId {
+    "press-line".parse().expect("a valid name")
+}
+
+fn data_centres(vms: usize) -> Vec<Vec<VmId>> {
+    let vm = |i: usize| format!("vm-{i}").parse().expect("a valid name");
+    (0..4).map(|centre| (centre..vms).step_by(4).map(vm).collect()).collect()
+}
+
+#[test]
+fn a_data_centre_that_is_cut_off_takes_its_part_of_the_rate_along() {
+    for (burst, least, most) in [(8.0, 2, 1), (14.0, 3, 1), (22.0, 3, 1), (300.0, 8, 2)] {
+        let centres = data_centres(91);
+        let keepers = keepers(&account(), burst, &centres);
+        assert!(keepers.len() >= least, "{keepers:?}");
+        for centre in &centres {
+            let there = keepers.iter().filter(|vm| centre.contains(vm)).count();
+            assert!(there <= most, "{there} of {} at {burst}", keepers.len());
+        }
+    }
+}
+
 /// Sends `demand` requests a second evenly to `vms` VMs, of which the first few keep
 /// the account; returns how many were asked and how many were refused, each
 /// after `WAIT_MS`.
@@ -91,7 +118,7 @@
     seconds: u64,
 ) -> (u64, u64) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let keepers = keepers(burst);
+    let keepers = keepers_among(vms, burst);
     let mut purses: Vec<Purse> = (0..vms)
         .map(|i| {
             let mut purse = Purse::new(Time::default());
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -8,7 +8,7 @@
 
 use chicoryhollow_core::{
     Lsn, Position, ServerId, Term, Time,
-    succession::{Absentees, Cause, Member, Order, Progress, Standing, Succession},
+    succession::{Absentees, Cause, Member, Order, Progress, Registered, Standing, Succession},
 };
 
 fn at(term: u64, lsn: u64) -> Position {
@@ -232,15 +232,50 @@
     assert_eq!(succession.progress(Time::default() + Duration::from_secs(60)), done);
 }
 
+/// Servers by name and the last byte of their address.
+type Registry = [(&'static str, u8)];
+
+/// Takes note of a change of the registered servers.
+fn note(absentees: &mut Absentees, before: &Registry, after: &Registry, ms: u64) {
+    let names = |registry: &Registry| -> Vec<(ServerId, u8)> {
+        registry.iter().map(|(name, host)| (server(name), *host)).collect()
+    };
+    let (before, after) = (names(before), names(after));
+    absentees.note(registry(&before), registry(&after), Time::from_millis(ms));
+}
+
+fn registry(servers: &[(ServerId, u8)]) -> impl Iterator<Item = Registered<'_>> {
+    servers
+        .iter()
+        .map(|(server, host)| Registered { server, address: ([10, 0, 0, *host], 5_432).into() })
+}
+
 #[test]
 fn a_server_that_vanished_is_expected_back_for_a_while() {
     let mut absentees = Absentees::new();
-    let (a, b, p) = (server("a"), server("b"), server("p"));
-    absentees.note([&a], [&b, &p], Time::from_millis(100));
+    let p = server("p");
+    let all = [("a", 1), ("b", 2), ("p", 3)];
+    note(&mut absentees, &all, &[("a", 1)], 100);
     assert!(absentees.is_awaited(Some(&p), Time::from_millis(5_000)), "b may hold a commit");
-    absentees.note([&a, &b], [], Time::from_millis(6_000));
+    note(&mut absentees, &[("a", 1)], &[("a", 1), ("b", 2)], 6_000);
     assert!(!absentees.is_awaited(Some(&p), Time::from_millis(6_000)), "only the primary is away");
-    absentees.note([&a], [&b], Time::from_millis(7_000));
+    note(&mut absentees, &[("a", 1), ("b", 2)], &[("a", 1)], 7_000);
     assert!(absentees.is_awaited(Some(&p), Time::from_millis(16_900)));
     assert!(!absentees.is_awaited(Some(&p), Time::from_millis(17_100)), "it counts as lost");
 }
+
+#[test]
+fn only_a_server_whose_address_was_taken_over_is_not_missed() {
+    let p = server("p");
+    let all = [("a", 1), ("b", 2), ("p", 3)];
+    let mut absentees = Absentees::new();
+    // The next one at the address has the log of `b`.
+    note(&mut absentees, &all, &[("a", 1), ("c", 2), ("p", 3)], 100);
+    assert!(!absentees.is_awaited(Some(&p), Time::from_millis(200)));
+    // One that leaves, and vanishes since its data centre is cut off, is missed.
+    note(&mut absentees, &[("a", 1), ("c", 2), ("p", 3)], &[("a", 1), ("p", 3)], 300);
+    assert!(absentees.is_awaited(Some(&p), Time::from_millis(400)));
+    // A server elsewhere does not stand in for it.
+    note(&mut absentees, &[("a", 1), ("p", 3)], &[("a", 1), ("d", 4), ("p", 3)], 500);
+    assert!(absentees.is_awaited(Some(&p), Time::from_millis(600)));
+}
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -3,7 +3,6 @@
 use chicoryhollow_core::{
     AccountId, Time, VmId,
     allowance::{Purse, keepers},
-    rank::rank,
 };
 use indexmap::IndexMap;
 
@@ -44,15 +43,20 @@
 }
 
 impl Admission {
-    /// Takes over the accounts of a configuration and the VMs among which their
-    /// rates are split; none while they are not known.
-    pub(crate) fn configure(&mut self, catalog: &Catalog, me: &VmId, vms: &[VmId], now: Time) {
+    /// Takes over the accounts of a configuration and the VMs of each data centre,
+    /// among which their rates are split; none while they are not known.
+    pub(crate) fn configure(
+        &mut self,
+        catalog: &Catalog,
+        me: &VmId,
+        data_centres: &[Vec<VmId>],
+        now: Time,
+    ) {
         self.purses.retain(|account, _| catalog.accounts.contains_key(account));
         for (name, account) in &catalog.accounts {
-            let names = vms.iter().map(|vm| vm.as_str());
-            let ranked = rank(name.as_str(), names, keepers(account.burst));
-            let mine = ranked.contains(&me.as_str());
-            let part = if mine { ranked.len() } else { 0 };
+            let mut keepers = keepers(name, account.burst, data_centres);
+            let part = if keepers.contains(me) { keepers.len() } else { 0 };
+            keepers.retain(|vm| vm != me);
             let entry = self.purses.entry(name.clone()).or_insert_with(|| Entry {
                 purse: Purse::new(now),
                 limited: true,
@@ -61,11 +65,7 @@
                 waiting: 0,
             });
             entry.limited = account.rate.is_some();
-            entry.keepers = vms
-                .iter()
-                .filter(|vm| *vm != me && ranked.contains(&vm.as_str()))
-                .cloned()
-                .collect();
+            entry.keepers = keepers;
             entry.purse.set_part(account.rate.unwrap_or_default(), account.burst, part, now);
         }
     }
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -66,14 +66,6 @@
             Failure::Fault(fault) => Reply::Fault(fault),
         }
     }
-
-    /// Returns the label in counters and logs.
-    pub(crate) fn label(&self) -> &'static str {
-        match self {
-            Failure::Refused(refusal) => refusal.row().label,
-            Failure::Fault(fault) => fault.kind.label(),
-        }
-    }
 }
 
 /// What one statement needs to be run.
@@ -288,17 +280,15 @@
         let mut last = Failure::Refused(Refusal::TooStale);
         loop {
             let needed = self.needed().await?;
-            let choices = self.choices(needed);
+            let mut choices = self.choices(needed);
+            choices.retain(|choice| choice.wait <= CATCH_UP);
             for choice in &choices {
-                if !self.may_wait_for(choice).await {
+                if !self.may_send(choice).await {
                     continue;
                 }
                 match self.try_server(choice, &first, needed, shape).await {
                     Ok(done) => return Ok(done),
-                    Err(failure) => {
-                        self.retried(failure.label(), choice.server.as_str());
-                        last = failure;
-                    }
+                    Err(failure) => last = failure,
                 }
                 if !self.may_go_on() {
                     return Err(last);
@@ -317,9 +307,11 @@
         self.group.borrow().choose(home, needed, clock::now(), &mut *rng)
     }
 
-    async fn may_wait_for(&self, choice: &Choice) -> bool {
+    /// Waits until a replica is expected to be new enough; tells whether a request
+    /// may be sent to it.
+    async fn may_send(&self, choice: &Choice) -> bool {
         let permit = self.group.borrow_mut().estimates.permit(&choice.server, clock::now());
-        if permit != Permit::Send || choice.wait > CATCH_UP {
+        if permit != Permit::Send {
             return false;
         }
         if !choice.wait.is_zero() {
@@ -336,12 +328,14 @@
         shape: Option<&Shape>,
     ) -> Result<(Loan<S>, Answer), Failure> {
         let server = &choice.server;
-        let mut lease = self.borrow(server, ELSEWHERE, shape).await.map_err(|error| {
+        let taken = self.borrow(server, ELSEWHERE, shape).await;
+        let mut lease = taken.map_err(|error| {
             self.unconnected(server, &error);
             Failure::Refused(refusal_of(&error))
         })?;
-        let lost = |_| {
+        let lost = |error: LinkError| {
             self.group.borrow_mut().estimates.failed(server, clock::now());
+            self.retried("read_interrupted", &format!("{server}: {error}"));
             Failure::Refused(Refusal::ReadInterrupted)
         };
         let asked = clock::now();
@@ -352,6 +346,11 @@
             Ok(_) => Ok((lease, answer)),
             Err(fault) => {
                 lease.give_back();
+                let position = |position: Option<Position>| {
+                    position.map_or_else(|| "-".to_owned(), |position| position.to_string())
+                };
+                let (has, needs) = (position(answer.position), position(needed));
+                self.retried(fault.kind.label(), &format!("{server} has {has}, needs {needs}"));
                 Err(Failure::Fault(fault))
             }
         }
@@ -468,7 +467,7 @@
             group.missed_primary(server, clock::now());
             group.estimates.failed(server, clock::now());
         }
-        self.retried(refusal_of(error).row().label, &error.to_string());
+        self.retried(refusal_of(error).row().label, &format!("{server}: {error}"));
     }
 
     fn in_doubt(&self, server: &ServerId, error: &LinkError, sent: Time) -> Failure {
--- a/crates/engine/src/catalog.rs
+++ b/crates/engine/src/catalog.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use chicoryhollow_core::{AccountId, DataCentreId, GroupId, ServerId};
+use chicoryhollow_core::{AccountId, DataCentreId, GroupId, ServerId, succession::Registered};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -100,3 +100,10 @@
     /// life from the next.
     pub born: u64,
 }
+
+impl ServerEntry {
+    /// Returns what a succession needs to know of the entry.
+    pub(crate) fn registered(&self) -> Registered<'_> {
+        Registered { server: &self.server, address: self.address }
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,6 +10,7 @@
 use chicoryhollow_core::{
     AccountId, DataCentreId, GroupId, ServerId, Time,
     home::{FOREIGN_CONNECTIONS, homes, part, preference},
+    isolation::is_isolated,
 };
 use chicoryhollow_peer::fleet::Document;
 use indexmap::{IndexMap, IndexSet};
@@ -73,7 +74,7 @@
     evacuated: RefCell<IndexSet<DataCentreId>>,
     reachable: Cell<bool>,
     returned: Cell<Time>,
-    /// Since when no other data centre and no primary could be reached.
+    /// Since when no other data centre and few primaries could be reached.
     isolated: Cell<Option<Time>>,
     /// Whether callers are to look for another VM.
     shunned: watch::Sender<bool>,
@@ -155,17 +156,14 @@
             && self.groups.borrow().values().any(|group| !group.borrow().servers.is_empty())
     }
 
-    /// Notices whether a partition leaves this VM with nothing that its callers
-    /// need: no other data centre and no primary.
+    /// Notices whether a partition leaves this VM with too little of what its callers
+    /// need.
     pub(crate) fn check_isolation(&self) {
         let now = clock::now();
+        let here = &self.settings.data_centre;
         let groups = self.groups();
-        let fails = |group: &Rc<RefCell<Group>>| {
-            let group = group.borrow();
-            group.view.primary.is_none() || !group.failing(now).is_zero()
-        };
-        let cut = self.fleet.is_alone_in(&self.settings.data_centre);
-        let isolated = cut && !groups.is_empty() && groups.iter().all(fails);
+        let sights = groups.iter().map(|group| group.borrow().sight(here, now));
+        let isolated = self.fleet.is_alone_in(here) && is_isolated(sights);
         let since = isolated.then(|| self.isolated.get().unwrap_or(now));
         self.isolated.set(since);
         let shunned = self.is_isolated(ISOLATION + REDIRECTION);
@@ -285,7 +283,7 @@
     /// VMs has changed.
     pub(crate) fn refresh_limits(&self) {
         // Each VM that took itself for the only one would spend the whole rate.
-        let vms = if self.fleet.is_known() { self.fleet.vms() } else { Vec::new() };
+        let vms = if self.fleet.is_known() { self.fleet.by_data_centre() } else { Vec::new() };
         let catalog = self.catalog();
         let now = clock::now();
         self.admission.borrow_mut().configure(&catalog, &self.settings.vm, &vms, now);
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -103,6 +103,15 @@
         vms
     }
 
+    /// Returns the VMs of each data centre, this one included, in the order of names.
+    pub(crate) fn by_data_centre(&self) -> Vec<Vec<VmId>> {
+        let (members, me) = (self.members.borrow(), self.me.borrow());
+        let all = members.values().chain(me.as_ref());
+        let centres: BTreeSet<DataCentreId> =
+            all.map(|member| member.data_centre.clone()).collect();
+        centres.iter().map(|data_centre| self.vms_in(data_centre)).collect()
+    }
+
     /// Tells whether there are VMs in other data centres than this one and none
     /// of them is linked.
     pub(crate) fn is_alone_in(&self, data_centre: &DataCentreId) -> bool {
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -5,6 +5,7 @@
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
     freshness::Marks,
+    isolation::Sight,
     route::{Candidate, Choice, Estimates},
     succession::{Absentees, Member},
 };
@@ -112,14 +113,8 @@
     ) -> bool {
         let warming = servers.values().filter(|entry| !entry.cold.is_zero());
         self.cold = warming.map(|entry| (entry.server.clone(), now + entry.cold)).collect();
-        // A leaving server hands its log to the next one at its address, and may
-        // also have vanished for another reason, so it is missed like any other.
-        let succeeded =
-            |entry: &ServerEntry| servers.values().any(|other| other.address == entry.address);
-        let gone = |entry: &&ServerEntry| !servers.contains_key(&entry.server) && !succeeded(entry);
-        let vanished: Vec<ServerId> =
-            self.servers.values().filter(gone).map(|entry| entry.server.clone()).collect();
-        self.absentees.note(servers.keys(), &vanished, now);
+        let before = self.servers.values().map(ServerEntry::registered);
+        self.absentees.note(before, servers.values().map(ServerEntry::registered), now);
         self.servers = servers;
         let kept = self.view.primary.as_ref().and_then(|primary| self.servers.get(primary));
         match kept {
@@ -242,6 +237,17 @@
         self.heard
     }
 
+    /// Returns what a VM in `data_centre` sees of the primary.
+    pub(crate) fn sight(&self, data_centre: &DataCentreId, now: Time) -> Sight {
+        let entry = self.view.primary.as_ref().and_then(|primary| self.servers.get(primary));
+        Sight {
+            known: entry.is_some(),
+            near: entry.is_some_and(|entry| entry.data_centre == *data_centre),
+            failing: !self.failing(now).is_zero(),
+            quiet: now.since(self.heard),
+        }
+    }
+
     /// Returns the primary that may be used.
     pub(crate) fn primary(&self) -> Option<&ServerEntry> {
         let entry = self.servers.get(self.view.primary.as_ref()?)?;
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -30,8 +30,11 @@
 /// Time between two looks for tokens while an operation waits for one.
 const TOKEN_LOOK: Duration = Duration::from_millis(5);
 
-/// Longest wait for a token from another VM.
-const TOKEN_WAIT: Duration = Duration::from_millis(40);
+/// Shortest time that an operation may wait for a token.
+const TOKEN_WAIT: Duration = Duration::from_millis(30);
+
+/// Part of its objective that an operation may wait for a token.
+const TOKEN_PATIENCE: u32 = 5;
 
 /// Values and prepared names that a session may have.
 const MAX_NAMES: usize = 1_024;
@@ -321,7 +324,7 @@
             Ok(found) => found,
             Err(refusal) => return Flow::Dismiss(Reply::Refused(refusal)),
         };
-        if !self.admit(&account).await {
+        if !self.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
         }
         let used = clock::now();
@@ -350,7 +353,7 @@
             Ok(found) => found,
             Err(refusal) => return Flow::Dismiss(Reply::Refused(refusal)),
         };
-        if !self.admit(&account).await {
+        if !self.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
         }
         let attempt = self.attempt(&request.id, &route, &account);
@@ -456,8 +459,9 @@
     }
 
     /// Admits one operation, waiting a moment for tokens of other VMs.
-    async fn admit(&self, account: &AccountId) -> bool {
+    async fn admit(&self, route: &Route, account: &AccountId) -> bool {
         let start = clock::now();
+        let limit = TOKEN_WAIT.max(route.objective / TOKEN_PATIENCE);
         {
             let mut admission = self.engine.admission.borrow_mut();
             admission.note_demand(account, start);
@@ -474,7 +478,7 @@
             if self.engine.admission.borrow_mut().admit(account, now) {
                 return true;
             }
-            if now.since(start) >= TOKEN_WAIT {
+            if now.since(start) >= limit {
                 return false;
             }
         }
