Serve a flush that a sync follows, and name the statement that is refused

Cause: pg8000 sends Bind, Execute, Flush and Sync in one write. At the Flush the entry refused the execution with 0A000, since a Sync in its place would commit it before the caller says so.

Ruled out: Parse and Describe before a Flush; these were served already (`a_flush_is_answered_before_the_sync`).

Change: outside of a transaction an execution that was flushed is kept for 50 ms; when its Sync comes it is one batch. Without a Sync it is refused as before. The refusal's detail names the statement.

Test that failed first: `a_flush_before_the_sync_of_an_execution_is_served` ("EZ" for "2CZ").

No stock driver was run against it.

--- a/crates/proxy/src/entry/batch.rs
+++ b/crates/proxy/src/entry/batch.rs
@@ -29,6 +29,9 @@
 /// Tags of the messages that carry copied data.
 const COPY_TAGS: [u8; 3] = [b'd', b'c', b'f'];
 
+/// Characters of a refused statement that its refusal repeats.
+const MAX_EXCERPT: usize = 80;
+
 /// Prepared statements that one caller may keep.
 const MAX_STATEMENTS: usize = 4_096;
 
@@ -100,6 +103,8 @@
 pub(crate) enum Problem {
     /// The proxy refuses it.
     Refused(Refusal),
+    /// Pooled connections do not support this, which names it.
+    Unsupported(String),
     /// A name that it uses is unknown or taken.
     Name(Bytes),
 }
@@ -147,7 +152,7 @@
         shapes: &Shapes,
     ) -> Result<Next, WireError> {
         if frame.tag() == FUNCTION_CALL {
-            self.fail(Problem::Refused(Refusal::Unsupported));
+            self.fail(Problem::Unsupported("function call".to_owned()));
             return Ok(Next::Run);
         }
         if COPY_TAGS.contains(&frame.tag()) {
@@ -156,6 +161,7 @@
         match decode(frame)? {
             Message::Query(query) => {
                 let shape = shapes.get(&query.query);
+                self.check(&shape, &query.query);
                 self.push(Kind::Query, Some(shape), frame.bytes());
                 return Ok(Next::Run);
             }
@@ -186,6 +192,7 @@
             return self.fail(Problem::Name(problem("54000", text)));
         }
         let statement = Arc::new(Statement::new(parse, shapes));
+        self.check(&statement.shape, &parse.query);
         self.push(Kind::Parse, Some(Arc::clone(&statement.shape)), &statement.unnamed);
         if let Some(item) = self.items.last_mut() {
             item.effect = Some(Effect::Define(name.clone(), Arc::clone(&statement)));
@@ -238,6 +245,12 @@
         self.items.push(Item { kind, shown: true, effect: None, shape });
     }
 
+    fn check(&mut self, shape: &Shape, sql: &str) {
+        if shape.class == Class::Unsupported {
+            self.fail(Problem::Unsupported(sql.chars().take(MAX_EXCERPT).collect()));
+        }
+    }
+
     fn fail(&mut self, problem: Problem) {
         self.problem.get_or_insert(problem);
     }
--- a/crates/proxy/src/entry/execute.rs
+++ b/crates/proxy/src/entry/execute.rs
@@ -33,12 +33,16 @@
     Fail(Bytes),
     /// Refuse it.
     Refuse(Refusal),
+    /// Refuse it as something that pooled connections do not support.
+    RefuseUnsupported(String),
 }
 
 /// Why a batch was not answered in full.
 pub(super) enum Failed {
     /// It was refused.
     Refused(Refused),
+    /// Pooled connections do not support this, which names it.
+    Unsupported(String),
     /// It was answered with an error.
     Error(Bytes),
     /// The caller's connection failed.
@@ -79,11 +83,13 @@
     ///
     /// The server gets a `Sync` in its place. That changes nothing inside of a
     /// transaction, nor for messages without a portal. Elsewhere it would
-    /// commit too early, so it is refused.
+    /// commit too early, so it is refused unless the `Sync` follows.
     pub(super) async fn flush_batch(&mut self, gathered: Gathered) -> Result<(), WireError> {
         let splits = matches!(self.transaction, Transaction::Idle) && gathered.uses_portals();
         let answered = match splits {
-            true => Err(Failed::from(Refusal::Unsupported)),
+            true => Err(Failed::Unsupported(
+                "Flush of an execution outside of a transaction, without a Sync".to_owned(),
+            )),
             false => self.answer(&gathered, true).await,
         };
         match answered {
@@ -100,6 +106,7 @@
     async fn answer(&mut self, gathered: &Gathered, watched: bool) -> Result<bool, Failed> {
         match self.next_step(gathered) {
             Step::Refuse(refusal) => Err(refusal.into()),
+            Step::RefuseUnsupported(text) => Err(Failed::Unsupported(text)),
             Step::Fail(error) => Err(Failed::Error(error)),
             Step::Commands => self.run_commands(&gathered.items).map(|()| false),
             Step::Control(reply, next) => {
@@ -115,6 +122,7 @@
     fn next_step(&self, gathered: &Gathered) -> Step {
         match &gathered.problem {
             Some(Problem::Refused(refusal)) => return Step::Refuse(*refusal),
+            Some(Problem::Unsupported(text)) => return Step::RefuseUnsupported(text.clone()),
             Some(Problem::Name(error)) => return Step::Fail(error.clone()),
             None if !gathered.is_remote() => return Step::Commands,
             None if gathered.has_commands() => return Step::Refuse(Refusal::Unsupported),
@@ -211,6 +219,10 @@
         let error = match failed {
             Failed::Caller(error) => return Err(error),
             Failed::Error(error) => error,
+            Failed::Unsupported(text) => {
+                self.node.metrics.refused(Refusal::Unsupported);
+                wire::encode(&wire::refusal("ERROR", Refusal::Unsupported, Some(&text)))
+            }
             Failed::Refused(refused) => {
                 self.node.metrics.refused(refused.refusal);
                 wire::encode(&wire::refusal("ERROR", refused.refusal, None))
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -34,6 +34,10 @@
 /// while it goes on sending, in milliseconds.
 const LINGER_MS: u64 = 1_000;
 
+/// Time for which the `Sync` of a batch that was flushed is awaited, in milliseconds:
+/// some drivers flush each message and send the `Sync` right behind.
+const SYNC_WAIT_MS: u64 = 50;
+
 /// State of the caller's transaction.
 pub(super) enum Transaction {
     /// None is open.
@@ -92,6 +96,8 @@
     reported: String,
     leaving: Option<Leaving>,
     active: Instant,
+    /// When a batch that was flushed is answered even without its `Sync`.
+    flush_due: Option<Instant>,
 }
 
 /// What wakes a session.
@@ -120,6 +126,7 @@
             reported: String::new(),
             leaving: None,
             active: Instant::now(),
+            flush_due: None,
         }
     }
 
@@ -141,6 +148,9 @@
                     self.leave(Refusal::Draining, limit);
                     continue;
                 }
+                Ok(Wake::Limit) if self.flush_due.is_some_and(|due| Instant::now() >= due) => {
+                    Ok(Next::Flush)
+                }
                 Ok(Wake::Limit) => continue,
                 Err(error) => Err(error),
             };
@@ -157,6 +167,10 @@
     }
 
     async fn handle(&mut self, next: Next) -> Result<(), WireError> {
+        if next == Next::Flush && self.awaits_sync() {
+            return Ok(());
+        }
+        self.flush_due = None;
         let gathered = std::mem::take(&mut self.gathered);
         // The state of a running batch is large, and most callers are idle.
         let done = match next {
@@ -167,6 +181,19 @@
         done
     }
 
+    /// Tells whether a batch that was flushed is to be answered with its `Sync`.
+    ///
+    /// The server gets a `Sync` in place of a `Flush`, which would commit an execution
+    /// outside of a transaction before the caller says so.
+    fn awaits_sync(&mut self) -> bool {
+        if !matches!(self.transaction, Transaction::Idle) || !self.gathered.uses_portals() {
+            return false;
+        }
+        let now = Instant::now();
+        let due = *self.flush_due.get_or_insert(now + Duration::from_millis(SYNC_WAIT_MS));
+        now < due
+    }
+
     /// Tells the caller of its error and closes the connection.
     async fn end_with(self, error: WireError) -> Result<(), WireError> {
         let broken =
@@ -212,7 +239,7 @@
             Transaction::Open(_) => Some(self.active + self.idle_limit()),
             _ => None,
         };
-        leaving.into_iter().chain(idle).min()
+        leaving.into_iter().chain(idle).chain(self.flush_due).min()
     }
 
     fn idle_limit(&self) -> Duration {
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -206,6 +206,28 @@
     });
 }
 
+#[test]
+fn a_flush_before_the_sync_of_an_execution_is_served() {
+    run(async {
+        let (deployment, _client) = with_table().await;
+        let mut raw = Raw::connect(&deployment, 0).await;
+        let (flush, sync) = (Flush::new(), Sync::new());
+        // The order of messages of pg8000, which flushes after each of its steps.
+        let describe = Describe::new(b'S', Some(String::new()));
+        raw.send(&[&parse("", "INSERT INTO t VALUES (7, 'x')"), &flush]).await;
+        assert_eq!(raw.take(1).await, "1");
+        raw.send(&[&describe, &flush, &sync]).await;
+        assert_eq!(raw.until_ready().await, "tnZ");
+        raw.send(&[&bind(""), &execute(), &flush, &sync]).await;
+        assert_eq!(raw.until_ready().await, "2CZ");
+        raw.send(&[&parse("q", "SELECT id FROM t"), &flush, &bind("q"), &flush]).await;
+        raw.send(&[&execute(), &flush, &sync]).await;
+        assert_eq!(raw.until_ready().await, "12DCZ");
+        let check = deployment.client(0, None).await;
+        assert_eq!(values(&check, "SELECT count(*) FROM t").await, ["1"]);
+    });
+}
+
 #[test]
 fn transactions_stay_on_one_connection_and_end_as_in_postgresql() {
     run(async {
@@ -225,6 +247,10 @@
         client.simple_query("BEGIN").await.expect("a transaction");
         client.simple_query("INSERT INTO t VALUES (3, 'c')").await.expect("the row");
         assert_eq!(refused(&client, "LISTEN x").await, "0A000");
+        let error = client.simple_query("LISTEN y").await.expect_err("a refusal");
+        assert_eq!(error.code().map(|code| code.code()), Some("0A000"));
+        let named = error.as_db_error().and_then(|error| error.detail());
+        assert_eq!(named, Some("LISTEN y"), "the refusal names the statement");
         assert_eq!(refused(&client, "SELECT 1").await, "25P02");
         client.simple_query("COMMIT").await.expect("the end");
         assert_eq!(values(&client, "SELECT count(*) FROM t").await, ["1"]);
