--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 * [`tenure`] gives a duty to one VM at a time, by a row of the directory.
 * [`neighbour`] says which VMs tell each other what they believe, and [`reader`]
   which of them read the directory for the others.
+* [`document`] is a VM's copy of what the directory says, passed on by versions.
 * [`isolation`] says when a partition leaves a VM with too little to serve.
 * [`allowance`] hands tokens of an account's rate from VM to VM.
 * [`outcome`] finds out what became of a write whose answer was lost.
@@ -55,6 +56,7 @@
 pub mod allowance;
 pub mod average;
 pub mod confirm;
+pub mod document;
 pub mod freshness;
 pub mod home;
 pub mod id;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,6 +9,7 @@
 
 use chicoryhollow_core::{
     AccountId, DataCentreId, GroupId, ServerId, Time,
+    document::Kept,
     home::{FOREIGN_CONNECTIONS, homes, part, preference},
     isolation::is_isolated,
 };
@@ -27,7 +28,7 @@
     log::{Event, Journal},
     metrics::Metrics,
     pool::Pool,
-    relay::{Kept, Kind, Relay},
+    relay::{Kind, Relay},
     seam::{Change, Directory, ServerProtocol},
     settings::Settings,
 };
--- a/crates/engine/src/fleet/beat.rs
+++ b/crates/engine/src/fleet/beat.rs
@@ -2,8 +2,9 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use chicoryhollow_core::{
-    AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId, reader::place,
+    AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId, document::Kept, reader::place,
 };
 use chicoryhollow_peer::{
     Body,
@@ -19,7 +20,7 @@
     group::{Group, Source},
     loan::FromHome,
     log::Event,
-    relay::{Kept, Kind, Word},
+    relay::{Kind, Word},
     seam::{Directory, ServerProtocol},
 };
 
@@ -167,8 +168,10 @@
 
     fn send_document(&self, link: &Link, ask: &DocumentAsk) {
         let Some(kind) = Kind::from_number(ask.kind) else { return };
-        let held = self.relay.borrow().held(kind).clone();
-        let document = Document { kind: ask.kind, version: held.version, json: held.json };
+        let relay = self.relay.borrow();
+        let held = relay.held(kind);
+        let json = Bytes::copy_from_slice(held.json());
+        let document = Document { kind: ask.kind, version: held.version(), json };
         link.send(Body::Document(document));
     }
 
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -4,19 +4,16 @@
 //! over the links between VMs. A document that was read anew and says the same is not
 //! passed on, only its newer version is.
 
-use std::time::Duration;
-
-use bytes::Bytes;
-use chicoryhollow_core::{Time, reader::Readers};
+use chicoryhollow_core::{
+    Time,
+    document::{Held, Kept},
+    reader::Readers,
+};
 use serde::Serialize;
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock;
 
-/// Time to wait for a document before another VM is asked for it.
-const ASK_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// A kind of document.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Kind {
@@ -45,28 +42,6 @@
     }
 }
 
-/// A document as it is passed on.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Held {
-    /// Version; 0 when there is no document.
-    pub(crate) version: u64,
-    /// The document as JSON.
-    pub(crate) json: Bytes,
-    /// Digest of the JSON; 0 when there is no document.
-    digest: u64,
-}
-
-/// What became of a document that was to be kept.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Kept {
-    /// It says something new.
-    New,
-    /// It is newer and says what the one before said.
-    Same,
-    /// An equally new one is held.
-    Old,
-}
-
 /// What another VM said about its documents.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Word {
@@ -79,8 +54,6 @@
 /// The documents that this VM holds.
 pub(crate) struct Relay {
     held: [Held; 4],
-    /// When another VM was asked for a document.
-    asked: [Option<Time>; 4],
     /// When this VM last read the directory with success.
     read: Option<Time>,
     works: bool,
@@ -93,7 +66,6 @@
     pub(crate) fn new() -> Self {
         Relay {
             held: Default::default(),
-            asked: Default::default(),
             read: None,
             works: false,
             readers: Readers::new(clock::now()),
@@ -126,12 +98,12 @@
 
     /// Returns the versions held, by kind.
     pub(crate) fn versions(&self) -> Vec<u64> {
-        self.held.iter().map(|held| held.version).collect()
+        self.held.iter().map(Held::version).collect()
     }
 
     /// Returns the digests of the documents held, by kind.
     pub(crate) fn digests(&self) -> Vec<u64> {
-        self.held.iter().map(|held| held.digest).collect()
+        self.held.iter().map(Held::digest).collect()
     }
 
     /// Returns a document.
@@ -139,37 +111,18 @@
         &self.held[kind.number() as usize]
     }
 
-    /// Tells whether a VM that holds `version` of a document is to be asked for it; a
-    /// newer version with the same `digest` is taken over without asking.
+    /// Tells whether a VM that holds `version` of a document is to be asked for it.
     pub(crate) fn needs(&mut self, kind: Kind, version: u64, digest: u64, now: Time) -> bool {
-        let held = &mut self.held[kind.number() as usize];
-        if version > held.version && held.digest != 0 && digest == held.digest {
-            held.version = version;
-        }
-        let asked = &mut self.asked[kind.number() as usize];
-        let waits = asked.is_some_and(|asked| now.since(asked) < ASK_TIMEOUT);
-        let needed = version > held.version && !waits;
-        if needed {
-            *asked = Some(now);
-        }
-        needed
+        self.held[kind.number() as usize].needs(version, digest, now)
     }
 
     /// Keeps a document to pass it on, unless an equally new one is held.
     pub(crate) fn keep(&mut self, kind: Kind, version: u64, document: &impl Serialize) -> Kept {
-        let held = &mut self.held[kind.number() as usize];
-        if version <= held.version {
-            return Kept::Old;
-        }
-        let Ok(json) = serde_json::to_vec(document) else { return Kept::Old };
-        let digest = xxh3_64(&json);
-        self.asked[kind.number() as usize] = None;
-        if digest == held.digest {
-            held.version = version;
-            return Kept::Same;
+        match serde_json::to_vec(document) {
+            Ok(json) => self.held[kind.number() as usize].keep(version, json),
+            // Documents are plain data, which JSON can always hold.
+            Err(_) => Kept::Old,
         }
-        *held = Held { version, json: json.into(), digest };
-        Kept::New
     }
 
     /// Returns when the documents were last known to be the newest.
