Try servers in a dark data centre last

Change: a data centre that has VMs of which none is linked is dark; its servers are tried last. The keepers that may be asked are called a pool.

Test: `servers_in_a_dark_data_centre_are_tried_last` (core, route).

--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -25,13 +25,13 @@
 const LEAST_KEEPERS: usize = 2;
 
 /// VMs of a data centre for one that may be a keeper.
-const VMS_PER_BANKER: usize = 6;
+const VMS_PER_KEEPER: usize = 6;
 
 /// Least number of VMs of a data centre that may be keepers.
-const LEAST_BANKERS: usize = 3;
+const LEAST_POOL: usize = 3;
 
 /// Most VMs of a data centre that may be keepers.
-const MOST_BANKERS: usize = 36;
+const MOST_POOL: usize = 36;
 
 /// Data centres over which an account with a small burst is spread at most.
 const MOST_SPREAD: usize = 3;
@@ -68,9 +68,9 @@
 
 /// Returns the VMs of one data centre that may be keepers. They are few, so that each
 /// VM can stay linked to them and need not dial one when a request waits.
-pub fn bankers(vms: &[VmId]) -> Vec<VmId> {
-    let count = (vms.len() / VMS_PER_BANKER).clamp(LEAST_BANKERS, MOST_BANKERS);
-    rank("banker", vms, count).into_iter().cloned().collect()
+pub fn keeper_pool(vms: &[VmId]) -> Vec<VmId> {
+    let count = (vms.len() / VMS_PER_KEEPER).clamp(LEAST_POOL, MOST_POOL);
+    rank("keeper", vms, count).into_iter().cloned().collect()
 }
 
 /// Returns the VMs on which the bucket of `account` fills up, among the VMs of each
@@ -97,7 +97,7 @@
     let spread = data_centres.len().min(MOST_SPREAD).min(wanted(LEAST_BURST));
     let count = wanted(BURST_PER_KEEPER).max(spread).clamp(LEAST_KEEPERS, MAX_KEEPERS);
     let ranked = |vms: &Vec<VmId>| -> Vec<VmId> {
-        rank(account.as_str(), &bankers(vms), count).into_iter().cloned().collect()
+        rank(account.as_str(), &keeper_pool(vms), count).into_iter().cloned().collect()
     };
     let mut ranked: Vec<Vec<VmId>> = data_centres.iter().map(ranked).collect();
     // The data centre of the VM that ranks first comes first.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -62,6 +62,8 @@
     pub server: ServerId,
     /// Whether it runs in the data centre of the choosing VM.
     pub near: bool,
+    /// Whether nothing in its data centre can be reached; it is then tried last.
+    pub dark: bool,
 }
 
 /// A server to try.
@@ -255,7 +257,7 @@
             _ => 0,
         };
         let reserve = if primary { PRIMARY_RESERVE_US } else { 0 };
-        let suspended = estimate.is_some_and(|e| now < e.suspended);
+        let suspended = candidate.dark || estimate.is_some_and(|e| now < e.suspended);
         let lag = estimate.map_or(0, |estimate| micros(estimate.lag));
         let time = cost + wait + reserve;
         Score { suspended, time, near: candidate.near, primary, wait, lag }
@@ -345,7 +347,7 @@
 
     fn candidates() -> Vec<Candidate> {
         [("p", false), ("near", true), ("far", false)]
-            .map(|(name, near)| Candidate { server: server(name), near })
+            .map(|(name, near)| Candidate { server: server(name), near, dark: false })
             .to_vec()
     }
 
@@ -429,6 +431,16 @@
         assert_eq!(estimates.permit(&server("p"), Time::from_millis(1)), Permit::Send);
     }
 
+    #[test]
+    fn servers_in_a_dark_data_centre_are_tried_last() {
+        let mut candidates = candidates();
+        candidates[1].dark = true;
+        let mut rng = StdRng::seed_from_u64(1);
+        let order = Estimates::new().choose(&view(), &candidates, None, Time::default(), &mut rng);
+        let names: Vec<&str> = order.iter().map(|choice| choice.server.as_str()).collect();
+        assert_eq!(names, ["far", "p", "near"]);
+    }
+
     #[test]
     fn slow_replicas_lose_reads_to_quicker_ones() {
         let mut estimates = Estimates::new();
--- a/crates/core/tests/document.rs
+++ b/crates/core/tests/document.rs
@@ -93,10 +93,19 @@
     next
 }
 
+/// What tells one world from another.
+#[derive(Eq, Hash, PartialEq)]
+struct Key {
+    newest: usize,
+    held: Vec<(u64, Vec<u8>)>,
+    message: Option<(usize, usize, Message)>,
+    restarts: u8,
+}
+
 /// Forgets when questions were asked, which no step depends on here.
-fn key(world: &World) -> (usize, Vec<(u64, Vec<u8>)>, Option<(usize, usize, Message)>, u8) {
+fn key(world: &World) -> Key {
     let held = world.held.iter().map(|held| (held.version(), held.json().to_vec())).collect();
-    (world.newest, held, world.message.clone(), world.restarts)
+    Key { newest: world.newest, held, message: world.message.clone(), restarts: world.restarts }
 }
 
 #[test]
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -143,7 +143,7 @@
     now: Time,
     rng: &mut impl Rng,
 ) -> usize {
-    let candidates = [0, 1, 2].map(|s| Candidate { server: name(s), near: s == 0 });
+    let candidates = [0, 1, 2].map(|s| Candidate { server: name(s), near: s == 0, dark: false });
     for choice in estimates.choose(view, &candidates, session.token, now, rng) {
         let server = index(&choice.server);
         let applied = model.servers[server].position();
@@ -177,7 +177,7 @@
     let mut rng = StdRng::seed_from_u64(lag_ms);
     let mut estimates = Estimates::new();
     let view = Model::new().view();
-    let candidates = [0, 1, 2].map(|s| Candidate { server: name(s), near: s == 1 });
+    let candidates = [0, 1, 2].map(|s| Candidate { server: name(s), near: s == 1, dark: false });
     let mut writes: Vec<u64> = Vec::new();
     let at = |lsn: usize| Position::new(Term::new(1), Lsn::new(lsn as u64));
     let (mut reads, mut replicas) = (0, 0);
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -304,7 +304,8 @@
     fn choices(&self, needed: Option<Position>) -> Vec<Choice> {
         let mut rng = self.engine.rng.borrow_mut();
         let home = &self.engine.settings.data_centre;
-        self.group.borrow().choose(home, needed, clock::now(), &mut *rng)
+        let is_dark = |data_centre: &_| self.engine.fleet.is_dark(data_centre);
+        self.group.borrow().choose(home, is_dark, needed, clock::now(), &mut *rng)
     }
 
     /// Waits until a replica is expected to be new enough; tells whether a request
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -190,6 +190,7 @@
         health.ready.store(engine.is_ready(), Ordering::Relaxed);
         engine.choose_reader();
         engine.check_reach();
+        engine.fleet.look_for_dark();
         engine.check_isolation();
         engine.refresh_servers();
         engine.ask_for_tokens();
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -20,7 +20,7 @@
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, Time, VmId,
-    allowance::bankers,
+    allowance::keeper_pool,
     neighbour::{Place, chosen, dialled},
 };
 use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec};
@@ -52,7 +52,7 @@
 const DIAL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Keepers of accounts to which a VM stays linked; those of its own data centre first.
-const BANKERS: usize = 16;
+const LINKED_KEEPERS: usize = 16;
 
 /// Another VM.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -82,6 +82,8 @@
     dialled: RefCell<IndexSet<VmId>>,
     /// Wakes the task that dials.
     dials: Notify,
+    /// Data centres in which no VM was linked at the last look.
+    dark: RefCell<BTreeSet<DataCentreId>>,
     wanted: RefCell<HashMap<VmId, Time>>,
     /// Version and time of the last renewal of each row, as this VM read them.
     renewals: RefCell<HashMap<VmId, (u64, Time)>>,
@@ -125,6 +127,28 @@
         far.peek().is_some() && far.all(|member| !links.contains_key(&member.vm))
     }
 
+    /// Tells whether there are VMs in a data centre and none of them was linked at the
+    /// last look.
+    pub(crate) fn is_dark(&self, data_centre: &DataCentreId) -> bool {
+        self.dark.borrow().contains(data_centre)
+    }
+
+    /// Notes in which data centres no VM is linked.
+    pub(crate) fn look_for_dark(&self) {
+        let (members, links) = (self.members.borrow(), self.links.borrow());
+        let mut dark: BTreeSet<DataCentreId> =
+            members.values().map(|member| member.data_centre.clone()).collect();
+        for vm in links.keys() {
+            if let Some(member) = members.get(vm) {
+                dark.remove(&member.data_centre);
+            }
+        }
+        if let Some(me) = self.me.borrow().as_ref() {
+            dark.remove(&me.data_centre);
+        }
+        self.dark.replace(dark);
+    }
+
     /// Returns the link to `vm`.
     pub(crate) fn link(&self, vm: &VmId) -> Option<Rc<Link>> {
         self.links.borrow().get(vm).map(Rc::clone)
@@ -190,9 +214,9 @@
         centres.entry(&member.data_centre).or_default().push(member.vm.clone());
     }
     let near = centres.remove(&me.data_centre).unwrap_or_default();
-    let mut all = bankers(&near);
-    all.extend(centres.values().flat_map(|vms| bankers(vms)));
-    all.truncate(BANKERS);
+    let mut all = keeper_pool(&near);
+    all.extend(centres.values().flat_map(|vms| keeper_pool(vms)));
+    all.truncate(LINKED_KEEPERS);
     // Two keepers are linked by one of them.
     let keeps = all.contains(&me.vm);
     all.retain(|vm| *vm != me.vm && (!keeps || *vm > me.vm));
--- a/crates/engine/src/fleet/link.rs
+++ b/crates/engine/src/fleet/link.rs
@@ -168,6 +168,8 @@
     if links.get(&vm).is_some_and(|present| Rc::ptr_eq(present, &link)) {
         links.remove(&vm);
     }
+    drop(links);
+    engine.fleet.look_for_dark();
     let silent = clock::now().since(link.heard.get()).as_millis() as u64;
     engine.journal.record(
         Event::PeerLost,
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -283,6 +283,7 @@
     pub(crate) fn choose(
         &self,
         home: &DataCentreId,
+        is_dark: impl Fn(&DataCentreId) -> bool,
         needed: Option<Position>,
         now: Time,
         rng: &mut impl Rng,
@@ -294,6 +295,7 @@
             .map(|entry| Candidate {
                 server: entry.server.clone(),
                 near: entry.data_centre == *home,
+                dark: is_dark(&entry.data_centre),
             })
             .collect();
         self.estimates.choose(&self.view, &candidates, needed, now, rng)
--- a/crates/proxy/src/entry/attempt.rs
+++ b/crates/proxy/src/entry/attempt.rs
@@ -255,6 +255,8 @@
             .map(|(name, server)| Candidate {
                 server: name.clone(),
                 near: server.data_centre == self.node.settings.data_centre,
+                // Servers are known by their answers alone.
+                dark: false,
             })
             .collect();
         let now = self.node.clock.now();
