--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 * [`freshness`] says from which position on a read is new enough.
 * [`succession`] replaces the primary of a group whose commits need the receipt
   of one replica.
+* [`suspicion`] judges from evidence whether a primary is to be replaced.
 * [`tenure`] gives a duty to one VM at a time, by a row of the directory.
 * [`neighbour`] says which VMs tell each other what they believe, and [`reader`]
   which of them read the directory for the others.
@@ -78,6 +79,7 @@
 pub mod session;
 pub mod share;
 pub mod succession;
+pub mod suspicion;
 pub mod tenure;
 pub mod time;
 pub mod view;
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -1,12 +1,29 @@
 //! Admission of operations within the rate of their account.
 
+use std::{cell::RefCell, time::Duration};
+
 use chicoryhollow_core::{
     AccountId, Time, VmId,
     allowance::{Purse, keepers},
 };
 use indexmap::IndexMap;
+use tokio::time::timeout;
+
+use crate::{
+    catalog::{Catalog, Route},
+    clock,
+    engine::Engine,
+    seam::{Directory, ServerProtocol},
+};
 
-use crate::catalog::Catalog;
+/// Time between two looks for tokens while an operation waits for one.
+const TOKEN_LOOK: Duration = Duration::from_millis(5);
+
+/// Shortest time that an operation may wait for a token.
+const TOKEN_WAIT: Duration = Duration::from_millis(30);
+
+/// Part of its objective that an operation may wait for a token.
+const TOKEN_PATIENCE: u32 = 5;
 
 /// The purses of all accounts on this VM.
 #[derive(Default)]
@@ -140,3 +157,50 @@
         }
     }
 }
+
+/// Counts an operation that waits for a token, also when its caller leaves.
+struct Waiting<'a> {
+    admission: &'a RefCell<Admission>,
+    account: &'a AccountId,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(admission: &'a RefCell<Admission>, account: &'a AccountId) -> Self {
+        admission.borrow_mut().begin_wait(account);
+        Waiting { admission, account }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.admission.borrow_mut().end_wait(self.account);
+    }
+}
+
+impl<S: ServerProtocol, D: Directory> Engine<S, D> {
+    /// Admits one operation, waiting a moment for tokens of other VMs.
+    pub(crate) async fn admit(&self, route: &Route, account: &AccountId) -> bool {
+        let start = clock::now();
+        let limit = TOKEN_WAIT.max(route.objective / TOKEN_PATIENCE);
+        {
+            let mut admission = self.admission.borrow_mut();
+            admission.note_demand(account, start);
+            if admission.admit(account, start) {
+                return true;
+            }
+        }
+        let _waiting = Waiting::new(&self.admission, account);
+        loop {
+            self.ask_for_token(account);
+            // Tokens also come in without a message, as time goes by.
+            let _ = timeout(TOKEN_LOOK, self.tokens.notified()).await;
+            let now = clock::now();
+            if self.admission.borrow_mut().admit(account, now) {
+                return true;
+            }
+            if now.since(start) >= limit {
+                return false;
+            }
+        }
+    }
+}
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -22,6 +22,7 @@
     DataCentreId, GroupId, Time, VmId,
     allowance::keeper_pool,
     neighbour::{Place, chosen, dialled},
+    suspicion::Votes,
 };
 use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec};
 use futures_util::StreamExt;
@@ -165,13 +166,14 @@
         self.known.get()
     }
 
-    /// Returns how many neighbours there are and how many of them have failed to
-    /// reach the primary of `group` for at least `span`.
-    pub(crate) fn failing(&self, group: &GroupId, span: Duration) -> (usize, usize) {
+    /// Returns what neighbours say of the primary of `group`: whom it has failed for at
+    /// least `span`.
+    pub(crate) fn failing(&self, group: &GroupId, span: Duration) -> Votes {
         let links = self.links.borrow();
         let told: Vec<Duration> =
             links.values().filter_map(|link| link.failing.borrow().get(group).copied()).collect();
-        (told.len(), told.iter().filter(|time| **time >= span).count())
+        let failed = told.iter().filter(|time| **time >= span).count();
+        Votes { told: told.len(), failed }
     }
 
     fn send(&self, vm: &VmId, body: Body) -> bool {
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -1,6 +1,6 @@
 //! One caller's session.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use chicoryhollow_core::{AccountId, GroupId, Position, Refusal, SessionToken, Time};
 use indexmap::IndexMap;
@@ -11,7 +11,6 @@
 };
 
 use crate::{
-    admission::Admission,
     attempt::{Attempt, Failure},
     catalog::{Catalog, Route},
     clock,
@@ -27,15 +26,6 @@
 /// Longest time for the first message of a caller.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time between two looks for tokens while an operation waits for one.
-const TOKEN_LOOK: Duration = Duration::from_millis(5);
-
-/// Shortest time that an operation may wait for a token.
-const TOKEN_WAIT: Duration = Duration::from_millis(30);
-
-/// Part of its objective that an operation may wait for a token.
-const TOKEN_PATIENCE: u32 = 5;
-
 /// Values and prepared names that a session may have.
 const MAX_NAMES: usize = 1_024;
 
@@ -54,25 +44,6 @@
     used: Time,
 }
 
-/// Counts an operation that waits for a token, also when its caller leaves.
-struct Waiting<'a> {
-    admission: &'a RefCell<Admission>,
-    account: &'a AccountId,
-}
-
-impl<'a> Waiting<'a> {
-    fn new(admission: &'a RefCell<Admission>, account: &'a AccountId) -> Self {
-        admission.borrow_mut().begin_wait(account);
-        Waiting { admission, account }
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.admission.borrow_mut().end_wait(self.account);
-    }
-}
-
 /// What follows a request.
 enum Flow {
     /// The caller gets this reply and goes on.
@@ -324,7 +295,7 @@
             Ok(found) => found,
             Err(refusal) => return Flow::Dismiss(Reply::Refused(refusal)),
         };
-        if !self.admit(&route, &account).await {
+        if !self.engine.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
         }
         let used = clock::now();
@@ -353,7 +324,7 @@
             Ok(found) => found,
             Err(refusal) => return Flow::Dismiss(Reply::Refused(refusal)),
         };
-        if !self.admit(&route, &account).await {
+        if !self.engine.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
         }
         let attempt = self.attempt(&request.id, &route, &account);
@@ -458,32 +429,6 @@
         }
     }
 
-    /// Admits one operation, waiting a moment for tokens of other VMs.
-    async fn admit(&self, route: &Route, account: &AccountId) -> bool {
-        let start = clock::now();
-        let limit = TOKEN_WAIT.max(route.objective / TOKEN_PATIENCE);
-        {
-            let mut admission = self.engine.admission.borrow_mut();
-            admission.note_demand(account, start);
-            if admission.admit(account, start) {
-                return true;
-            }
-        }
-        let _waiting = Waiting::new(&self.engine.admission, account);
-        loop {
-            self.engine.ask_for_token(account);
-            // Tokens also come in without a message, as time goes by.
-            let _ = timeout(TOKEN_LOOK, self.engine.tokens.notified()).await;
-            let now = clock::now();
-            if self.engine.admission.borrow_mut().admit(account, now) {
-                return true;
-            }
-            if now.since(start) >= limit {
-                return false;
-            }
-        }
-    }
-
     fn saw(&mut self, group: &GroupId, position: Option<Position>) {
         if let Some(position) = position {
             self.seen.observe(group, position);
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -6,6 +6,7 @@
 use chicoryhollow_core::{
     GroupId, ServerId, Time,
     succession::{Cause, Order, Progress, Standing, Succession},
+    suspicion::{Evidence, FAILED_ELSEWHERE, Suspicion, UNCONFIRMED},
 };
 use slog::o;
 use tokio::time::timeout;
@@ -26,59 +27,12 @@
 /// Time without a sign that the primary leads after which it is asked.
 const QUIET: Duration = Duration::from_millis(250);
 
-/// Time for which the primary must fail before it is replaced.
-const FAILED: Duration = Duration::from_millis(700);
-
-/// Time for which most VMs must fail to reach the primary before it is replaced.
-const FAILED_ELSEWHERE: Duration = Duration::from_millis(1_200);
-
-/// Time for which writes must stay unconfirmed, here and on a third of the other
-/// VMs, before the primary is replaced.
-const UNCONFIRMED: Duration = Duration::from_millis(900);
-
-/// Time for which no server may claim to lead before one is promoted.
-const HEADLESS: Duration = Duration::from_millis(300);
-
 /// Time between two rounds of questions while no primary is known.
 const ROUND: Duration = Duration::from_millis(200);
 
 /// Pause after a succession that was given up.
 const BACKOFF: Duration = Duration::from_millis(1_000);
 
-/// Why a primary is to be replaced.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Suspicion {
-    /// It does not answer.
-    Silent,
-    /// It confirms no writes.
-    Unconfirming,
-    /// Most VMs cannot reach it, or get no writes confirmed.
-    Unreachable,
-    /// No server leads.
-    Headless,
-    /// It works but is to leave.
-    Leaving,
-}
-
-impl Suspicion {
-    fn cause(self) -> Cause {
-        match self {
-            Suspicion::Leaving => Cause::Planned,
-            _ => Cause::Failure,
-        }
-    }
-
-    fn label(self) -> &'static str {
-        match self {
-            Suspicion::Silent => "silent",
-            Suspicion::Unconfirming => "unconfirming",
-            Suspicion::Unreachable => "unreachable",
-            Suspicion::Headless => "headless",
-            Suspicion::Leaving => "leaving",
-        }
-    }
-}
-
 struct Running {
     machine: Rc<RefCell<Succession>>,
     suspicion: Suspicion,
@@ -151,24 +105,22 @@
         return None;
     }
     let entry = group.view.primary.as_ref().and_then(|primary| group.servers.get(primary));
-    let Some(entry) = entry else {
-        let since = *seat.headless.get_or_insert(now);
-        return (now.since(since) >= HEADLESS).then_some(Suspicion::Headless);
+    seat.headless = match entry {
+        Some(_) => None,
+        None => Some(seat.headless.unwrap_or(now)),
     };
-    seat.headless = None;
-    if !group.serves(entry) {
-        let fit = group.members().iter().any(|member| member.fit);
-        return fit.then_some(Suspicion::Leaving);
-    }
-    if group.failing(now) >= FAILED && now.since(group.heard()) >= FAILED {
-        return Some(Suspicion::Silent);
-    }
-    let (linked, failing) = engine.fleet.failing(&group.view.group, UNCONFIRMED);
-    if group.unconfirmed(now) >= UNCONFIRMED && failing * 3 >= linked {
-        return Some(Suspicion::Unconfirming);
-    }
-    let (linked, failing) = engine.fleet.failing(&group.view.group, FAILED_ELSEWHERE);
-    (failing * 2 > linked + 1).then_some(Suspicion::Unreachable)
+    let name = &group.view.group;
+    let evidence = Evidence {
+        headless: seat.headless.map(|since| now.since(since)),
+        leaving: entry.is_some_and(|entry| !group.serves(entry)),
+        successor: group.members().iter().any(|member| member.fit),
+        failing: group.failing(now),
+        quiet: now.since(group.heard()),
+        unconfirmed: group.unconfirmed(now),
+        unconfirmed_votes: engine.fleet.failing(name, UNCONFIRMED),
+        failed_votes: engine.fleet.failing(name, FAILED_ELSEWHERE),
+    };
+    evidence.judge()
 }
 
 fn begin<S: ServerProtocol, D: Directory>(
