Take back the sooner take-over of the duty after an outage

What would help is that beats carry the row's age; it stands under "Not done" of docs/design/platform.md.

--- a/crates/core/src/tenure.rs
+++ b/crates/core/src/tenure.rs
@@ -23,9 +23,6 @@
 /// Time between two looks at the row by a VM that waits.
 const LOOK: Duration = Duration::from_millis(900);
 
-/// Time that the holder of an unchanged row has to renew it after calls that failed.
-const RETURN: Duration = Duration::from_millis(900);
-
 /// Pause after a write that failed.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -177,15 +174,11 @@
     }
 
     /// Takes note of a call without an answer or that was turned away.
-    ///
-    /// After a write that may have been done the row is read again, since
-    /// [`Tenure::step`] forgets it with the write. A row that is found unchanged after
-    /// looks that failed was not renewed meanwhile; its holder, who could not either,
-    /// gets some time for it.
     pub fn failed(&mut self, now: Time) {
         self.due = now + PAUSE;
-        if let Some((_, since)) = &mut self.seen {
-            *since = (*since).max(now - (LEASE - RETURN));
+        // The write may have been done, so the row must be read again.
+        if self.held.is_none() {
+            self.seen = None;
         }
     }
 
