Tell others since when the duty's row is unchanged

Change: beats carry the row's version and the time since some VM first saw it (`tenure::Sight`); looks that fail no longer forget the row. In both cases the holder has 0.9 s to renew it. Ages only grow by the way, so that nobody takes over earlier than a lease after the row was written.

--- a/crates/core/src/tenure.rs
+++ b/crates/core/src/tenure.rs
@@ -7,7 +7,7 @@
 //! it over when it has not changed for [`LEASE`], measured on their own clock,
 //! and the holder stops earlier, counted from before it asked.
 
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 use crate::{id::VmId, time::Time};
 
@@ -23,6 +23,9 @@
 /// Time between two looks at the row by a VM that waits.
 const LOOK: Duration = Duration::from_millis(900);
 
+/// Time that the holder of an unchanged row has to renew it after calls that failed.
+const RETURN: Duration = Duration::from_millis(900);
+
 /// Pause after a write that failed.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -53,6 +56,29 @@
     pub version: u64,
 }
 
+/// Since when the duty's row is known not to have changed.
+///
+/// VMs tell each other what they saw, so that one that has just begun to look need not
+/// wait as if the row had just been written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sight {
+    /// Version of the row.
+    pub version: u64,
+    /// When some VM first saw it.
+    pub since: Time,
+}
+
+impl Sight {
+    /// Returns what both together show: the newer version, seen first.
+    pub fn merge(self, other: Sight) -> Sight {
+        match self.version.cmp(&other.version) {
+            Ordering::Less => other,
+            Ordering::Equal => Sight { since: self.since.min(other.since), ..self },
+            Ordering::Greater => self,
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -136,12 +162,17 @@
         }
     }
 
-    /// Takes note of the row, or of its absence.
+    /// Returns since when the row is known not to have changed.
+    pub fn sight(&self) -> Option<Sight> {
+        self.seen.map(|(version, since)| Sight { version, since })
+    }
+
+    /// Takes note of the row, or of its absence, and of what other VMs saw of it.
     ///
     /// A row that names this daemon was changed by its last write at the
     /// earliest, so the lease counts from when that was sent, and the row is
     /// renewed at once.
-    pub fn read(&mut self, row: Option<&DutyRow>, now: Time) {
+    pub fn read(&mut self, row: Option<&DutyRow>, heard: Option<Sight>, now: Time) {
         let version = row.map_or(0, |row| row.version);
         let mine = row.is_some_and(|row| {
             row.holder.as_ref() == Some(&self.vm) && row.incarnation == self.incarnation
@@ -155,7 +186,10 @@
         self.held = None;
         self.free = row.is_none_or(|row| row.holder.is_none());
         if self.seen.is_none_or(|(seen, _)| seen != version) {
-            self.seen = Some((version, now));
+            let heard = heard.filter(|heard| heard.version == version);
+            // The holder may have been unable to renew the row until now.
+            let since = heard.map_or(now, |heard| heard.since.max(now - (LEASE - RETURN)));
+            self.seen = Some((version, since));
         }
         self.due = if self.free { now } else { now + LOOK };
     }
@@ -174,11 +208,15 @@
     }
 
     /// Takes note of a call without an answer or that was turned away.
+    ///
+    /// After a write that may have been done the row is read again, since
+    /// [`Tenure::step`] forgets it with the write. A row that is found unchanged after
+    /// looks that failed was not renewed meanwhile; its holder, who could not either,
+    /// gets some time for it.
     pub fn failed(&mut self, now: Time) {
         self.due = now + PAUSE;
-        // The write may have been done, so the row must be read again.
-        if self.held.is_none() {
-            self.seen = None;
+        if let Some((_, since)) = &mut self.seen {
+            *since = (*since).max(now - (LEASE - RETURN));
         }
     }
 
--- a/crates/core/tests/tenure.rs
+++ b/crates/core/tests/tenure.rs
@@ -1,8 +1,10 @@
 //! A duty has one holder at a time, whatever becomes of calls and VMs.
 
+use std::time::Duration;
+
 use chicoryhollow_core::{
     Time, VmId,
-    tenure::{DutyRow, LEASE, Step, Tenure, Token},
+    tenure::{DutyRow, LEASE, Sight, Step, Tenure, Token},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -49,7 +51,7 @@
             match tenure.step(now) {
                 Step::Wait(_) => {}
                 _ if fails => tenure.failed(now),
-                Step::Look => tenure.read(store.row.as_ref(), now),
+                Step::Look => tenure.read(store.row.as_ref(), None, now),
                 Step::Write(expected) => {
                     let written = store.write(expected, Some(vm(i)), *incarnation);
                     match written {
@@ -93,7 +95,7 @@
 fn the_holder_stops_before_another_may_begin() {
     let mut tenure = Tenure::new(vm(0), 1, Time::default());
     assert_eq!(tenure.step(Time::default()), Step::Look);
-    tenure.read(None, Time::default());
+    tenure.read(None, None, Time::default());
     assert_eq!(tenure.step(Time::default()), Step::Write(0));
     // The answer is slow: the lease counts from when the call was sent.
     tenure.written(7, Time::from_millis(100), Time::from_millis(900));
@@ -101,16 +103,74 @@
     assert_eq!(tenure.token(Time::from_millis(100) + LEASE), None);
 }
 
+#[test]
+fn a_row_that_outlived_an_outage_unchanged_is_taken_over_soon_after_it() {
+    let row = DutyRow { holder: Some(vm(1)), incarnation: 7, version: 41 };
+    let mut tenure = Tenure::new(vm(0), 1, Time::default());
+    let mut ms = 0;
+    let mut step = |tenure: &mut Tenure, answers: bool| loop {
+        ms += 50;
+        let now = Time::from_millis(ms);
+        match tenure.step(now) {
+            Step::Wait(_) => {}
+            Step::Look if answers => tenure.read(Some(&row), None, now),
+            Step::Look => tenure.failed(now),
+            Step::Write(expected) => return (expected, ms),
+        }
+        if answers && ms > 20_000 || !answers && ms >= 6_000 {
+            return (0, ms);
+        }
+    };
+    // The holder was last seen at the start; then nothing answers for six seconds.
+    tenure.read(Some(&row), None, Time::default());
+    assert_eq!(step(&mut tenure, false), (0, 6_000));
+    let (expected, taken) = step(&mut tenure, true);
+    assert_eq!(expected, 41);
+    assert!(taken <= 7_500, "taken over at {taken} ms");
+    assert!(taken >= 6_700, "the holder had time to renew the row: {taken} ms");
+}
+
+#[test]
+fn a_vm_that_begins_to_look_goes_by_what_others_saw() {
+    let row = DutyRow { holder: Some(vm(1)), incarnation: 7, version: 41 };
+    let begun = Time::from_millis(10_000);
+    let taken = |heard: Option<Sight>| {
+        let mut tenure = Tenure::new(vm(0), 1, begun);
+        let mut now = begun;
+        loop {
+            match tenure.step(now) {
+                Step::Wait(_) => {}
+                Step::Look => tenure.read(Some(&row), heard, now),
+                Step::Write(expected) => return (expected, now.since(begun).as_millis()),
+            }
+            now = now + Duration::from_millis(50);
+        }
+    };
+    let long_ago = Sight { version: 41, since: Time::from_millis(5_000) };
+    assert_eq!(taken(Some(long_ago)), (41, 900), "the holder had time to renew the row");
+    assert_eq!(taken(None), (41, 2_700));
+    let older = Sight { version: 40, ..long_ago };
+    assert_eq!(taken(Some(older)), (41, 2_700), "the row has changed since");
+}
+
+#[test]
+fn what_vms_saw_is_merged_by_the_newer_version_and_the_earlier_time() {
+    let sight = |version, ms| Sight { version, since: Time::from_millis(ms) };
+    assert_eq!(sight(3, 100).merge(sight(3, 50)), sight(3, 50));
+    assert_eq!(sight(3, 100).merge(sight(4, 500)), sight(4, 500));
+    assert_eq!(sight(4, 500).merge(sight(3, 100)), sight(4, 500));
+}
+
 #[test]
 fn a_refused_holder_is_quiet_until_it_has_a_newer_token() {
     let mut tenure = Tenure::new(vm(0), 1, Time::default());
-    tenure.read(None, Time::default());
+    tenure.read(None, None, Time::default());
     tenure.written(7, Time::default(), Time::default());
     tenure.refused(Time::from_millis(10));
     assert_eq!(tenure.token(Time::from_millis(10)), None);
     let row = DutyRow { holder: Some(vm(0)), incarnation: 1, version: 9 };
     let later = Time::from_millis(1_000);
-    tenure.read(Some(&row), later);
+    tenure.read(Some(&row), None, later);
     assert_eq!(tenure.token(later), Some(Token::new(9)));
     assert_eq!(tenure.step(later), Step::Write(9), "reading renews nothing");
 }
--- a/crates/engine/src/duty.rs
+++ b/crates/engine/src/duty.rs
@@ -118,7 +118,10 @@
         match rows {
             Ok(rows) => {
                 let row = rows.rows.iter().find(|row| row.key == KEY).map(duty_row);
-                tenure.read(row.as_ref(), clock::now());
+                tenure.read(row.as_ref(), engine.duty_sight(), clock::now());
+                if let Some(sight) = tenure.sight() {
+                    engine.saw_duty(sight);
+                }
             }
             Err(_) => tenure.failed(clock::now()),
         }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,6 +12,7 @@
     document::Kept,
     home::{FOREIGN_CONNECTIONS, homes, part, preference},
     isolation::is_isolated,
+    tenure::Sight,
 };
 use chicoryhollow_peer::fleet::Document;
 use indexmap::{IndexMap, IndexSet};
@@ -80,6 +81,8 @@
     /// Whether callers are to look for another VM.
     shunned: watch::Sender<bool>,
     told: RefCell<Vec<ServerEntry>>,
+    /// Since when this VM, or one that it hears, knows the duty's row unchanged.
+    duty: Cell<Option<Sight>>,
     /// Wakes those who wait for a primary or a mark.
     pub(crate) beliefs: Notify,
     /// Wakes the tasks that replace primaries.
@@ -117,6 +120,7 @@
             isolated: Cell::new(None),
             shunned: watch::Sender::new(false),
             told: RefCell::default(),
+            duty: Cell::new(None),
             beliefs: Notify::new(),
             alarm: Notify::new(),
             tokens: Notify::new(),
@@ -322,6 +326,17 @@
         None
     }
 
+    /// Returns since when the duty's row is known not to have changed.
+    pub(crate) fn duty_sight(&self) -> Option<Sight> {
+        self.duty.get()
+    }
+
+    /// Takes note of what some VM saw of the duty's row.
+    pub(crate) fn saw_duty(&self, sight: Sight) {
+        let merged = self.duty.get().map_or(sight, |known| known.merge(sight));
+        self.duty.set(Some(merged));
+    }
+
     fn set_evacuated(&self, places: IndexSet<DataCentreId>) {
         if *self.evacuated.borrow() == places {
             return;
--- a/crates/engine/src/fleet/beat.rs
+++ b/crates/engine/src/fleet/beat.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use chicoryhollow_core::{
     AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId, document::Kept, reader::place,
+    tenure::Sight,
 };
 use chicoryhollow_peer::{
     Body,
@@ -74,6 +75,8 @@
             reads: self.relay.borrow().works(),
             leaving: self.phase() != Phase::Serving,
             chosen: link.chosen.get(),
+            duty_version: self.duty_sight().map_or(0, |sight| sight.version),
+            duty_ms: self.duty_sight().map_or(0, |sight| millis(now.since(sight.since))),
             digests: self.relay.borrow().digests(),
             groups: if link.is_neighbour() {
                 self.beliefs_since(received, now)
@@ -152,6 +155,10 @@
         let now = clock::now();
         link.received.set((beat.number, now));
         link.chosen_by.set(beat.chosen);
+        if beat.duty_version > 0 {
+            let since = now - Duration::from_millis(beat.duty_ms.into());
+            self.saw_duty(Sight { version: beat.duty_version, since });
+        }
         let fresh = now - Duration::from_millis(beat.fresh_ms.into());
         link.word.set(Some(Word { fresh, reads: beat.reads }));
         let echoed = link.sent.borrow().iter().find(|(number, _)| *number == beat.echo).copied();
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -30,6 +30,12 @@
     /// Digests of the documents that the VM holds, by kind.
     #[prost(fixed64, repeated, tag = "11")]
     pub digests: Vec<u64>,
+    /// Version of the duty's row that was seen last, 0 for none.
+    #[prost(uint64, tag = "12")]
+    pub duty_version: u64,
+    /// Milliseconds since some VM first saw that version.
+    #[prost(uint32, tag = "13")]
+    pub duty_ms: u32,
     /// Whether the VM is about to stop.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
