Know the list of VMs even when it names nobody else

Since a VM is ready only once it knows the list of VMs, and the first list was taken over only when it differed from the empty one: a fleet of one VM was never ready.

Ruled out: load (all seven failed alike, and fail alone).

Change: the first list counts even when it names nobody else.

Test that failed first: `platform/tests/whole_path.rs`, 0 of 7 before, 7 of 7 after.

--- a/crates/engine/src/fleet/rows.rs
+++ b/crates/engine/src/fleet/rows.rs
@@ -120,7 +120,8 @@
         }
     }
     members.sort_by(|a, b| a.vm.cmp(&b.vm));
-    let known = {
+    // The first list counts even when it names nobody else.
+    let known = engine.fleet.is_known() && {
         let known = engine.fleet.members.borrow();
         let others = members.iter().filter(|member| member.vm != engine.settings.vm);
         others.clone().count() == known.len()
