Exceed the term of a succession whose VM died

The next holder knows no term, begins at term 1, finds servers stopped at a higher one, and gives up; so does each succession after it, as long as no server leads.

Change: a succession that is given up leaves the highest term that servers showed, and the next one begins above it.

Test that failed first, for want of what it asks: `servers_that_a_dead_vm_stopped_are_promoted_by_the_next_succession` (terms 1 and 1 before).

Without a primary that comes back by itself the group was lost for good.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -217,6 +217,15 @@
         self.term
     }
 
+    /// Returns the highest term that any server showed, stopped ones included.
+    ///
+    /// Servers that a VM had stopped before it ended stay stopped at its term, which
+    /// the next succession must exceed.
+    pub fn highest(&self) -> Term {
+        let shown = self.seats.values().filter_map(|seat| seat.standing);
+        shown.map(|standing| standing.term.max(standing.held)).max().unwrap_or_default()
+    }
+
     /// Returns the server whose promotion was ordered.
     pub fn ordered(&self) -> Option<&ServerId> {
         self.ordered.and(self.target.as_ref())
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -232,6 +232,30 @@
     assert_eq!(succession.progress(Time::default() + Duration::from_secs(60)), done);
 }
 
+#[test]
+fn servers_that_a_dead_vm_stopped_are_promoted_by_the_next_succession() {
+    // The VM that stopped `a` and `b` at term 2 is gone, and this one knows no term.
+    let (a, b) = (server("a"), server("b"));
+    let begin = |highest: Term| {
+        let members = [member("a", true), member("b", true)];
+        Succession::new(Cause::Failure, members, highest, Position::default(), Time::default())
+    };
+    let mut first = begin(Term::default());
+    first.heard(&a, held(at(1, 9), 2), Time::default());
+    first.heard(&b, held(at(1, 7), 2), Time::default());
+    assert!(matches!(first.progress(Time::default()), Progress::Abandoned(_)));
+    let mut second = begin(first.highest());
+    assert_eq!(second.term(), Term::new(3));
+    second.heard(&a, held(at(1, 9), 2), Time::default());
+    second.heard(&b, held(at(1, 7), 2), Time::default());
+    assert_eq!(second.progress(Time::default()), Progress::Running);
+    let orders = second.orders(Time::default());
+    assert!(orders.contains(&Order::Hold(a.clone(), Term::new(3))), "{orders:?}");
+    second.heard(&a, held(at(1, 9), 3), Time::default());
+    second.heard(&b, held(at(1, 7), 3), Time::default());
+    assert_eq!(promoted(&second.orders(Time::from_millis(300))), Some(&a));
+}
+
 /// Servers by name and the last byte of their address.
 type Registry = [(&'static str, u8)];
 
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -4,7 +4,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
-    GroupId, ServerId, Time,
+    GroupId, ServerId, Term, Time,
     succession::{Cause, Order, Progress, Standing, Succession},
     suspicion::{Evidence, FAILED_ELSEWHERE, Suspicion, UNCONFIRMED},
 };
@@ -43,6 +43,8 @@
 #[derive(Default)]
 struct Seat {
     running: Option<Running>,
+    /// Highest term that servers showed in a succession that was given up.
+    highest: Term,
     not_before: Time,
     headless: Option<Time>,
     asked: Time,
@@ -79,8 +81,10 @@
     let now = clock::now();
     probe(engine, group, seat, now);
     if let Some(running) = seat.running.take() {
+        let machine = Rc::clone(&running.machine);
         seat.running = drive(engine, duty, group, running, now);
         if seat.running.is_none() {
+            seat.highest = seat.highest.max(machine.borrow().highest());
             seat.not_before = now + BACKOFF;
         }
         return;
@@ -90,7 +94,7 @@
     }
     let awaits = group.borrow().awaits_server(now);
     if let Some(suspicion) = judge(engine, &group.borrow(), seat, now).filter(|_| !awaits) {
-        seat.running = Some(begin(engine, &group.borrow(), suspicion, now));
+        seat.running = Some(begin(engine, &group.borrow(), suspicion, seat.highest, now));
     }
 }
 
@@ -127,9 +131,10 @@
     engine: &Engine<S, D>,
     group: &Group,
     suspicion: Suspicion,
+    shown: Term,
     now: Time,
 ) -> Running {
-    let highest = group.view.term.max(group.acknowledged.term());
+    let highest = group.view.term.max(group.acknowledged.term()).max(shown);
     let members = group.members();
     let names: Vec<String> = members.iter().map(|member| member.server.to_string()).collect();
     // A primary that is to leave still shows its log, all of which the next must hold.
