--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -51,6 +51,19 @@
     asked: Option<Time>,
     /// Since when a newer document is offered from another data centre.
     offered: Option<Time>,
+    /// Since when this VM knows that a newer document exists.
+    outdated: Option<Time>,
+    /// Number of requests for it.
+    requests: u32,
+}
+
+/// How a VM has tried to get a newer document.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Pursuit {
+    /// Time since the VM learnt that the document exists.
+    pub waited: Duration,
+    /// Number of requests to other VMs.
+    pub requests: u32,
 }
 
 impl DocumentCopy {
@@ -79,8 +92,10 @@
         }
         if self.digest != 0 && digest == self.digest {
             self.version = version;
+            self.outdated = None;
             return false;
         }
+        self.outdated.get_or_insert(now);
         if !near && now.since(*self.offered.get_or_insert(now)) < FAR_DELAY && self.digest != 0 {
             return false;
         }
@@ -88,9 +103,16 @@
             return false;
         }
         self.asked = Some(now);
+        self.requests += 1;
         true
     }
 
+    /// Returns how this VM has tried to get a document that is newer than its copy.
+    pub fn pursuit(&self, now: Time) -> Pursuit {
+        let waited = self.outdated.map_or(Duration::ZERO, |since| now.since(since));
+        Pursuit { waited, requests: self.requests }
+    }
+
     /// Replaces this copy by the document if `version` is newer.
     pub fn accept(&mut self, version: u64, json: Vec<u8>) -> Acceptance {
         if version <= self.version {
@@ -98,7 +120,7 @@
         }
         let digest = xxh3_64(&json);
         let same = self.digest == digest && self.json == json;
-        *self = DocumentCopy { version, json, digest, asked: None, offered: None };
+        *self = DocumentCopy { version, json, digest, ..DocumentCopy::default() };
         if same { Acceptance::Same } else { Acceptance::New }
     }
 }
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -264,7 +264,12 @@
         let links = self.fleet.links.borrow();
         let statuses = links.values().filter_map(|link| link.documents.get());
         let others = statuses.map(|status| status.fresh_at).max();
-        self.relay.borrow_mut().choose_reader(rank, others, clock::now());
+        let now = clock::now();
+        let changed = self.relay.borrow_mut().choose_reader(rank, others, now);
+        let Some(reads) = changed else { return };
+        let event = if reads { Event::ReaderRoleTaken } else { Event::ReaderRoleLost };
+        let heard = others.map(|others| now.since(others).as_millis() as u64);
+        self.event_log.record(event, o!("rank" => rank, "heard_ms" => heard));
     }
 
     /// Records that `link` was lost. If this VM has lost the last link to a VM that reads
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -44,6 +44,10 @@
     EvacuationChanged,
     /// An entry of the directory or a document of another VM cannot be used.
     Unreadable,
+    /// This VM reads the directory on behalf of others.
+    ReaderRoleTaken,
+    /// This VM no longer reads the directory on behalf of others.
+    ReaderRoleLost,
     /// This VM knows another primary of a group.
     PrimaryChanged,
     /// This VM started the replacement of a primary.
@@ -80,7 +84,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 26] = [
+    pub const ALL: [Event; 28] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -91,6 +95,8 @@
         Event::ServersChanged,
         Event::EvacuationChanged,
         Event::Unreadable,
+        Event::ReaderRoleTaken,
+        Event::ReaderRoleLost,
         Event::PrimaryChanged,
         Event::FailoverStarted,
         Event::PromotionOrdered,
@@ -122,6 +128,8 @@
             Event::ServersChanged => (613, Level::Info, "servers changed"),
             Event::EvacuationChanged => (614, Level::Info, "evacuation changed"),
             Event::Unreadable => (615, Level::Warning, "directory entry unreadable"),
+            Event::ReaderRoleTaken => (616, Level::Info, "reader role taken"),
+            Event::ReaderRoleLost => (617, Level::Info, "reader role lost"),
             Event::PrimaryChanged => (620, Level::Info, "primary changed"),
             Event::FailoverStarted => (621, Level::Warning, "failover started"),
             Event::PromotionOrdered => (622, Level::Warning, "promotion ordered"),
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -181,8 +181,15 @@
 
     /// Decides whether this VM should read the directory. `rank` is its rank among
     /// the VMs of its data centre. `others` is the newest time at which the documents
-    /// of a linked VM were known to be up to date.
-    pub(crate) fn choose_reader(&mut self, rank: usize, others: Option<Time>, now: Time) {
+    /// of a linked VM were known to be up to date. Returns whether this VM has begun or
+    /// ceased to read for others, or `None` if neither.
+    pub(crate) fn choose_reader(
+        &mut self,
+        rank: usize,
+        others: Option<Time>,
+        now: Time,
+    ) -> Option<bool> {
+        let was_reader = self.is_reader();
         self.readers.record_reads(others, self.last_read);
         let has_documents =
             [Kind::Catalog, Kind::Servers].iter().all(|kind| self.document(*kind).version() > 0);
@@ -192,5 +199,6 @@
             (false, false) => Reading::Once,
         };
         self.reading.send_if_modified(|last| std::mem::replace(last, mode) != mode);
+        (self.is_reader() != was_reader).then(|| self.is_reader())
     }
 }
