Send large documents in pieces, to few VMs at a time

What callers saw: on the grown sites requests were handled by a version whose successor was acknowledged more than five seconds before.

A VM that knew of a newer configuration asked a neighbour for it, and after 0.3 s the next one. On links of 10 Mbit/s a copy of a large configuration takes about as long, and each VM sent all copies that it was asked for at the same time, in full and also when the other VM had the document by then. The copies delayed each other, so that more of them were asked for. The class: a retry that repeats work before the first try can be done, while nothing limits the work that is taken on.

Ruled out: VMs for which nobody reads the store.

A document of more than 16 KiB is sent in pieces, to two VMs at a time that make progress. A request that has waited for 250 ms is dropped, since the VM that sent it asks elsewhere then; a piece that arrives counts as progress, so that nobody asks twice. Other messages on the link wait for one piece instead of a whole document. VMs of an earlier version are sent whole documents.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -11,7 +11,8 @@
 
 use crate::time::Time;
 
-/// Time to wait for a requested document before another VM is asked for it.
+/// Time to wait for a requested document, or for its next piece, before another VM is asked
+/// for it.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time for which a document that is offered from another data centre is not requested,
@@ -48,6 +49,7 @@
     version: u64,
     json: Vec<u8>,
     digest: u64,
+    /// When the document was last requested, or a piece of it last arrived.
     asked: Option<Time>,
     /// Since when a newer document is offered from another data centre.
     offered: Option<Time>,
@@ -107,6 +109,13 @@
         true
     }
 
+    /// Records that a piece of a document with `version` has arrived.
+    pub fn record_piece(&mut self, version: u64, now: Time) {
+        if version > self.version {
+            self.asked = Some(now);
+        }
+    }
+
     /// Returns how this VM has tried to get a document that is newer than its copy.
     pub fn pursuit(&self, now: Time) -> Pursuit {
         let waited = self.outdated.map_or(Duration::ZERO, |since| now.since(since));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,7 +46,8 @@
   they tell each other and when, and [`liveness`] when a connection between two VMs
   needs a heartbeat or counts as lost.
 * [`reader`] chooses the VMs that read the directory for the others.
-* [`document`] is a VM's copy of a document of the directory, with its version.
+* [`document`] is a VM's copy of a document of the directory, with its version, and
+  [`transfer`] decides to whom a large one is sent when.
 * [`isolation`] detects that a network partition leaves a VM unable to serve most
   groups.
 * [`allowance`] moves tokens of an account's rate from VM to VM.
@@ -97,6 +98,7 @@
 pub mod share;
 pub mod suspicion;
 pub mod time;
+pub mod transfer;
 pub mod view;
 pub mod waiting;
 pub mod watch;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -4,6 +4,7 @@
     DataCentreId, Time, VmId,
     document::{Acceptance, DocumentCopy},
     neighbour::{Location, choose_neighbours},
+    transfer::{PIECE_BYTES, Transfers},
 };
 
 const VMS: usize = 90;
@@ -38,6 +39,7 @@
     /// Neighbours of each VM and whether they are near.
     neighbours: Vec<Vec<(usize, bool)>>,
     copies: Vec<DocumentCopy>,
+    transfers: Vec<Transfers<usize>>,
     in_flight: Vec<Copy>,
     /// VMs that tell their neighbours of a new version in this step.
     news: Vec<usize>,
@@ -73,7 +75,9 @@
         for copy in &mut copies {
             copy.accept(1, content(1));
         }
-        Fleet { neighbours, copies, in_flight: Vec::new(), news: Vec::new(), sent: 0, now: 0 }
+        let transfers = vec![Transfers::new(); VMS];
+        let (in_flight, news) = (Vec::new(), Vec::new());
+        Fleet { neighbours, copies, transfers, in_flight, news, sent: 0, now: 0 }
     }
 
     fn accept(&mut self, vm: usize, version: u64) {
@@ -82,31 +86,54 @@
         }
     }
 
-    /// Tells the neighbours of `from` which version it has; those that request it are sent it.
+    /// Tells the neighbours of `from` which version it has, which some of them request.
     fn announce(&mut self, from: usize) {
         let (version, digest) = (self.copies[from].version(), self.copies[from].digest());
         for (to, near) in self.neighbours[from].clone() {
             let now = Time::from_millis(self.now);
             if self.copies[to].should_request(version, digest, near, now) {
+                self.transfers[from].request(to, now);
+            }
+        }
+    }
+
+    fn start_transfers(&mut self) {
+        let now = Time::from_millis(self.now);
+        for from in 0..VMS {
+            while let Some(to) = self.transfers[from].start_next(now) {
+                let version = self.copies[from].version();
                 self.sent += 1;
                 self.in_flight.push(Copy { from, to, version, left: DOCUMENT_BYTES });
             }
         }
     }
 
-    fn step(&mut self) {
-        self.now += STEP_MS;
+    /// Carries all copies for one step, each with its share of two links.
+    fn carry(&mut self) {
+        let now = Time::from_millis(self.now);
         let (mut up, mut down) = ([0.0; VMS], [0.0; VMS]);
         for copy in &self.in_flight {
             up[copy.from] += 1.0;
             down[copy.to] += 1.0;
         }
         for copy in &mut self.in_flight {
+            let pieces = |left: f64| (left / PIECE_BYTES as f64).ceil();
+            let before = pieces(copy.left);
             let share = 1.0 / f64::max(up[copy.from], down[copy.to]);
             copy.left -= BYTES_PER_MS * STEP_MS as f64 * share;
+            if pieces(copy.left) < before {
+                self.copies[copy.to].record_piece(copy.version, now);
+                self.transfers[copy.from].record_progress(&copy.to, now);
+            }
         }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        self.carry();
         let arrived: Vec<Copy> = self.in_flight.extract_if(.., |copy| copy.left <= 0.0).collect();
         for copy in arrived {
+            self.transfers[copy.from].finish(&copy.to);
             self.accept(copy.to, copy.version);
         }
         let due = (0..VMS).filter(|vm| (self.now + *vm as u64 * 35).is_multiple_of(HEARTBEAT_MS));
@@ -114,6 +141,7 @@
         for vm in telling {
             self.announce(vm);
         }
+        self.start_transfers();
     }
 
     /// Publishes `version` and returns the time in milliseconds until all VMs have it.
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -8,6 +8,7 @@
 //! heartbeats ([`upkeep`]) is ended, and dialled again when it is needed.
 
 mod contact;
+mod documents;
 mod heartbeat;
 mod link;
 mod rows;
@@ -28,6 +29,7 @@
     neighbour::{Location, choose_neighbours, neighbours_to_dial},
     reader::reader_rank,
     suspicion::Votes,
+    transfer::Transfers,
 };
 use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec};
 use futures_util::StreamExt;
@@ -42,6 +44,7 @@
 
 pub(crate) use self::link::Link;
 use self::{
+    documents::Recipient,
     link::{Origin, Place, run_link},
     rows::{Renewal, maintain_rows},
 };
@@ -122,6 +125,8 @@
     homes: RefCell<HashMap<ServerId, Homes>>,
     /// Rank of this VM among those that may read the directory.
     reader_rank: Cell<usize>,
+    /// Large documents that this VM sends to others.
+    transfers: RefCell<Transfers<Recipient>>,
 }
 
 impl Fleet {
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -1,23 +1,20 @@
-//! Messages between VMs: heartbeats, documents, tokens and forwarded connections.
+//! Messages between VMs: heartbeats, tokens and forwarded connections.
 //!
 //! A heartbeat reports which documents of the directory a VM holds and, between
 //! neighbours, what the VM knows of each database group. A VM that holds an older
-//! document asks for the newer one. VMs also send each other tokens of the rates
+//! document asks for the newer one ([`super::documents`]). VMs also send each other tokens of the rates
 //! of client accounts.
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use chicoryhollow_core::{
     AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId,
     coordinator::{Outage, RowObservation},
-    document::Acceptance,
     gossip::{Spacing, Update},
 };
 use chicoryhollow_peer::{
     Body, Envelope, Message,
-    fleet::{Beat, Document, DocumentAsk, GroupState, TokenAsk, TokenGrant},
-    packed::UnpackError,
+    fleet::{Beat, DocumentAsk, GroupState, TokenAsk, TokenGrant},
 };
 use slog::o;
 use tokio::sync::mpsc;
@@ -26,24 +23,13 @@
     clock,
     connection::HomeMessage,
     engine::{Engine, Phase},
-    fleet::{Member, link::Link, rows::apply_members},
+    fleet::link::Link,
     group::{Group, Source},
     log::Event,
     relay::{DocumentStatus, Kind},
     seam::{Directory, ServerProtocol},
 };
 
-/// Why a document of another VM cannot be used.
-#[derive(Debug, thiserror::Error)]
-enum DocumentError {
-    /// It cannot be decompressed.
-    #[error(transparent)]
-    Packed(#[from] UnpackError),
-    /// It is not valid JSON, or a field is missing or has another type.
-    #[error(transparent)]
-    Json(#[from] serde_json::Error),
-}
-
 /// Number of sent heartbeats whose times are remembered for each link.
 const MAX_SENT_HEARTBEATS: usize = 32;
 
@@ -165,8 +151,8 @@
         }
         match body {
             Body::Beat(heartbeat) => self.handle_heartbeat(link, heartbeat),
-            Body::Document(document) => self.handle_document(vm, &document),
-            Body::DocumentAsk(ask) => self.send_document(link, &ask),
+            Body::Document(document) => self.handle_document(vm, link, document),
+            Body::DocumentAsk(ask) => self.send_document(vm, link, &ask),
             Body::TokenAsk(ask) => {
                 let Ok(account) = AccountId::new(&ask.account) else { return };
                 let wanted = ask.wanted_milli as f64 / 1_000.0;
@@ -228,7 +214,8 @@
         for ((kind, version), digest) in Kind::ALL.into_iter().zip(heartbeat.versions).zip(digests)
         {
             if self.relay.borrow_mut().should_request(kind, version, digest, link.near, now) {
-                link.send(Body::DocumentAsk(DocumentAsk { kind: kind.number(), packed: true }));
+                let kind = kind.number();
+                link.send(Body::DocumentAsk(DocumentAsk { kind, packed: true, pieces: true }));
             }
         }
         if heartbeat.wants_reply && link.liveness.get().owes_reply(now) {
@@ -237,18 +224,6 @@
         }
     }
 
-    fn send_document(&self, link: &Link, ask: &DocumentAsk) {
-        let Some(kind) = Kind::from_number(ask.kind) else { return };
-        let mut relay = self.relay.borrow_mut();
-        let json = match ask.packed {
-            true => relay.packed_document(kind),
-            false => Bytes::copy_from_slice(relay.document(kind).json()),
-        };
-        let version = relay.document(kind).version();
-        let document = Document { kind: ask.kind, version, json, packed: ask.packed };
-        link.send(Body::Document(document));
-    }
-
     /// Notifies all neighbours at once that a document has changed. Only its version is
     /// sent: a neighbour that needs the document asks one VM at a time, and so receives it
     /// only once.
@@ -302,31 +277,6 @@
         self.relay.borrow().fresh_at(&statuses)
     }
 
-    fn handle_document(&self, vm: &VmId, document: &Document) {
-        if let Err(error) = self.accept_document(document) {
-            let reason = format!("document of {vm} unreadable: {error}");
-            self.event_log.record(Event::Unreadable, o!("reason" => reason));
-        }
-    }
-
-    fn accept_document(&self, document: &Document) -> Result<(), DocumentError> {
-        let json = document.content()?;
-        match Kind::from_number(document.kind) {
-            Some(Kind::Vms) => {
-                let members: Vec<Member> = serde_json::from_slice(&json)?;
-                let accepted =
-                    self.relay.borrow_mut().accept(Kind::Vms, document.version, &members);
-                if accepted == Acceptance::New {
-                    apply_members(self, members);
-                }
-            }
-            Some(kind) => self.apply_relayed(kind, document.version, &json)?,
-            // A kind that only a later version of the daemon knows is ignored.
-            None => {}
-        }
-        Ok(())
-    }
-
     fn handle_group_state(&self, link: &Link, state: GroupState, echoed: Option<Time>, now: Time) {
         let Ok(name) = GroupId::new(&state.group) else { return };
         match state.failing_ms {
--- a/crates/engine/src/fleet/link.rs
+++ b/crates/engine/src/fleet/link.rs
@@ -6,12 +6,14 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
 
-use chicoryhollow_core::{GroupId, Time, VmId, gossip::LastSent, liveness::Liveness};
+use chicoryhollow_core::{
+    GroupId, Time, VmId, gossip::LastSent, liveness::Liveness, transfer::Assembly,
+};
 use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec, fleet::Beat};
 use futures_util::{SinkExt, StreamExt, stream::SplitSink};
 use slog::o;
@@ -26,8 +28,9 @@
     clock,
     connection::{HomeMessage, MessageSender},
     engine::Engine,
+    fleet::documents::Outgoing,
     log::Event,
-    relay::DocumentStatus,
+    relay::{DocumentStatus, Kind},
     seam::{Directory, LinkError, ServerProtocol},
 };
 
@@ -93,6 +96,12 @@
     last_number: Cell<u64>,
     /// Number of the last heartbeat sent.
     heartbeats: Cell<u64>,
+    /// Documents that are sent in pieces, the present one first.
+    pub(super) outgoing: RefCell<VecDeque<Outgoing>>,
+    /// Whether a piece of a document is queued or being written.
+    pub(super) piece_queued: Cell<bool>,
+    /// Documents that arrive in pieces, by kind.
+    pub(super) incoming: RefCell<HashMap<Kind, Assembly>>,
 }
 
 impl Link {
@@ -116,6 +125,9 @@
             served: RefCell::default(),
             last_number: Cell::new(0),
             heartbeats: Cell::new(0),
+            outgoing: RefCell::default(),
+            piece_queued: Cell::new(false),
+            incoming: RefCell::default(),
         }
     }
 
@@ -267,6 +279,7 @@
     engine.metrics.peers.dec();
     link.close();
     engine.fleet.remove_link(&vm, &link);
+    engine.end_transfers(&vm, &link);
     engine.record_lost_link(&link);
     engine.fleet.refresh_unreachable();
     let silent = link.silence().as_millis() as u64;
@@ -323,26 +336,31 @@
             () = link.lost.notified() => return LinkError::TimedOut,
         };
         match timeout(WRITE_TIMEOUT, write(engine, link, &mut sink, first, &mut receiver)).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(true)) => engine.record_piece_written(vm, link),
+            Ok(Ok(false)) => {}
             Ok(Err(_)) => return LinkError::Closed,
             Err(_) => return LinkError::TimedOut,
         }
     }
 }
 
-/// Writes `first` and all messages that wait behind it.
+/// Writes `first` and all messages that wait behind it. Returns whether there was a piece of
+/// a document among them.
 async fn write<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     link: &Link,
     sink: &mut SplitSink<Framed<TcpStream, EnvelopeCodec>, Envelope>,
     first: Envelope,
     receiver: &mut mpsc::Receiver<Envelope>,
-) -> Result<(), chicoryhollow_peer::CodecError> {
+) -> Result<bool, chicoryhollow_peer::CodecError> {
     engine.count_sent(link, &first);
     sink.feed(first).await?;
     while let Ok(next) = receiver.try_recv() {
         engine.count_sent(link, &next);
         sink.feed(next).await?;
     }
-    sink.flush().await
+    // A piece that is queued during the flush is written by the next call.
+    let has_piece = link.piece_queued.get();
+    sink.flush().await?;
+    Ok(has_piece)
 }
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::{clock, seam::Reading};
 
 /// A kind of document.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Kind {
     /// The configuration.
     Catalog,
@@ -145,6 +145,11 @@
         self.documents[kind.number() as usize].should_request(version, digest, near, now)
     }
 
+    /// Records that a piece of a document has arrived.
+    pub(crate) fn record_piece(&mut self, kind: Kind, version: u64, now: Time) {
+        self.documents[kind.number() as usize].record_piece(version, now);
+    }
+
     /// Stores a document to pass it on, unless the present copy is at least as new.
     pub(crate) fn accept(
         &mut self,
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -224,9 +224,13 @@
     /// Whether the sender can restore a compressed document.
     #[prost(bool, tag = "2")]
     pub packed: bool,
+    /// Whether the sender can put a document together from pieces.
+    #[prost(bool, tag = "3")]
+    pub pieces: bool,
 }
 
-/// A document of the directory. It is sent to a VM that holds an older version.
+/// A document of the directory, or a piece of it. It is sent to a VM that holds an older
+/// version.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Document {
     /// Number of the document's kind: 0 for the configuration, 1 for evacuated data
@@ -237,10 +241,17 @@
     #[prost(uint64, tag = "2")]
     pub version: u64,
     /// The document as JSON, compressed if [`Document::packed`]; see
-    /// [`Document::content`].
+    /// [`Document::content`]. Only a part of it in a piece.
     #[prost(bytes = "bytes", tag = "3")]
     pub json: bytes::Bytes,
     /// Whether the document is compressed.
     #[prost(bool, tag = "4")]
     pub packed: bool,
+    /// Size of [`Document::json`] in bytes once all pieces are put together, or 0 if this
+    /// is no piece.
+    #[prost(uint32, tag = "5")]
+    pub size: u32,
+    /// Position of the piece in bytes.
+    #[prost(uint32, tag = "6")]
+    pub offset: u32,
 }
--- a/crates/peer/src/packed.rs
+++ b/crates/peer/src/packed.rs
@@ -33,7 +33,8 @@
     /// ```
     /// use chicoryhollow_peer::{fleet::Document, packed::pack};
     ///
-    /// let document = Document { kind: 0, version: 7, json: pack(b"[1,2]"), packed: true };
+    /// let json = pack(b"[1,2]");
+    /// let document = Document { version: 7, json, packed: true, ..Document::default() };
     /// assert_eq!(document.content().as_deref(), Ok(&b"[1,2]"[..]));
     /// ```
     pub fn content(&self) -> Result<Cow<'_, [u8]>, UnpackError> {
--- a/crates/peer/tests/packed.rs
+++ b/crates/peer/tests/packed.rs
@@ -6,7 +6,7 @@
 };
 
 fn document(json: impl Into<bytes::Bytes>) -> Document {
-    Document { kind: 0, version: 1, json: json.into(), packed: true }
+    Document { version: 1, json: json.into(), packed: true, ..Document::default() }
 }
 
 #[test]
