Order versions of the directory across its restores

What callers would have seen: the store comes back from a copy some seconds old, and two holders of the coordinator's lease order promotions with the same fencing token, of which the platform can refuse neither.

Versions of the store were taken for numbers that only rise. They go back with the store, and are given out again: as fencing tokens, as positions of a call that waits for changes, as versions of lists that VMs relay, as conditions of writes. The class: an order that another system lost is still trusted.

A write whose expected version is of an earlier era counts as a conflict, a call that waited through a restore reads the table again. Each era has a coordinator's row of its own, since the number of the old one may be given out again; it is created a lease after the restore, until when the last holder may act. Event 618 tells of a restore.

The model of tests/coordinator.rs runs 200 seeds with restores: one holder at a time, tokens rise.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -2,16 +2,24 @@
 //!
 //! A row of the directory names the holder of the lease. A VM takes the row over by a
 //! conditional write that succeeds only if the row has not changed. Its fencing token is
-//! the version that this write gives to the row. Versions come from one counter, so no
-//! two holders ever have the same token.
+//! the version that this write gives to the row. Versions come from one counter and never
+//! go back, so no two holders ever have the same token.
 //!
 //! The holder renews the row. Other VMs take it over if it has not changed for
 //! [`LEASE_DURATION`], measured on their own clocks. The holder stops earlier than that
 //! and counts from before it sent its last write.
+//!
+//! Each era of the directory has a row of its own ([`row_key`]): a row that came back from a
+//! copy names a holder of long ago, and its version may be given out again. After a restore
+//! the last holder may act until its lease expires, so the new row is created only then.
 
 use std::{cmp::Ordering, time::Duration};
 
-use crate::{id::VmId, time::Time};
+use crate::{
+    id::VmId,
+    time::Time,
+    version::{DirectoryVersion, Era},
+};
 
 /// Time without a renewal after which another VM may take over the lease.
 pub const LEASE_DURATION: Duration = Duration::from_millis(2_500);
@@ -39,16 +47,24 @@
 
 impl FencingToken {
     /// Creates a token from a version of the coordinator's row.
-    pub const fn new(version: u64) -> Self {
-        FencingToken(version)
+    pub const fn new(version: DirectoryVersion) -> Self {
+        FencingToken(version.pack())
     }
 
-    /// Returns the version of the row that the token was made from.
+    /// Returns the token as a number.
     pub const fn get(self) -> u64 {
         self.0
     }
 }
 
+/// Returns the key of the coordinator's row in an era of the directory.
+pub fn row_key(era: Era) -> String {
+    match era.get() {
+        0 => "succession".to_owned(),
+        era => format!("succession-{era}"),
+    }
+}
+
 /// The coordinator's row as it was read from the directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CoordinatorRow {
@@ -57,7 +73,7 @@
     /// Incarnation of the daemon on that VM.
     pub incarnation: u64,
     /// Version of the row.
-    pub version: u64,
+    pub version: DirectoryVersion,
 }
 
 /// Since when a version of the coordinator's row is known to be unchanged.
@@ -67,7 +83,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RowObservation {
     /// Version of the row.
-    pub version: u64,
+    pub version: DirectoryVersion,
     /// When a VM first read this version.
     pub since: Time,
 }
@@ -122,15 +138,16 @@
     Wait(Time),
     /// Read the row.
     Read,
-    /// Write the row if it still has this version; 0 means that the row does not exist.
-    Write(u64),
+    /// Write the row of this version's era if it still has the version. The row must not
+    /// exist if the version is the start of its era.
+    Write(DirectoryVersion),
 }
 
 #[derive(Clone, Copy, Debug)]
 struct HeldLease {
     token: FencingToken,
     until: Time,
-    version: u64,
+    version: DirectoryVersion,
 }
 
 /// A daemon's claim to be the failover coordinator.
@@ -138,7 +155,7 @@
 pub struct CoordinatorLease {
     vm: VmId,
     incarnation: u64,
-    seen: Option<(u64, Time)>,
+    seen: Option<(DirectoryVersion, Time)>,
     is_free: bool,
     held: Option<HeldLease>,
     /// Whether an order was refused since the row was last read.
@@ -146,7 +163,7 @@
     /// Whether a call failed since the row was last read.
     has_failed: bool,
     /// Version of the last write that is known to have succeeded, and when it was sent.
-    confirmed: Option<(u64, Time)>,
+    confirmed: Option<(DirectoryVersion, Time)>,
     /// When the first write after that one was sent.
     unconfirmed: Option<Time>,
     due: Time,
@@ -184,7 +201,7 @@
     }
 
     /// Returns the version of the row if this VM is its holder.
-    pub fn version(&self) -> Option<u64> {
+    pub fn version(&self) -> Option<DirectoryVersion> {
         self.held.map(|held| held.version)
     }
 
@@ -222,8 +239,8 @@
         self.seen.map(|(version, since)| RowObservation { version, since })
     }
 
-    /// Records the row that was read, `None` if it does not exist, and the observation
-    /// received from other VMs.
+    /// Records the row that was read in `era`, `None` if it does not exist, and the
+    /// observation received from other VMs.
     ///
     /// A row that names this daemon counts from the time at which the write of its version
     /// was sent. If that is not known, it may be any write after the last one that is known
@@ -231,16 +248,17 @@
     pub fn record_row(
         &mut self,
         row: Option<&CoordinatorRow>,
+        era: Era,
         received: Option<RowObservation>,
         now: Time,
     ) {
         self.is_disputed = false;
-        let version = row.map_or(0, |row| row.version);
+        let version = row.map_or(DirectoryVersion::start_of(era), |row| row.version);
         let mine = row.is_some_and(|row| {
             row.holder.as_ref() == Some(&self.vm) && row.incarnation == self.incarnation
         });
         if mine {
-            let token = self.held.map_or(FencingToken::new(version), |held| held.token);
+            let token = self.token_for(version);
             let confirmed = self.confirmed.filter(|(confirmed, _)| *confirmed == version);
             let sent = confirmed.map(|(_, sent)| sent).or(self.unconfirmed);
             self.hold(token, version, sent.unwrap_or_default(), now);
@@ -248,7 +266,11 @@
             return;
         }
         self.held = None;
-        self.is_free = row.is_none_or(|row| row.holder.is_none());
+        self.is_free = match row {
+            Some(row) => row.holder.is_none(),
+            // In a later era there may be a holder of the era before.
+            None => era == Era::default(),
+        };
         if self.seen.is_none_or(|(seen, _)| seen != version) {
             let received = received.filter(|received| received.version == version);
             // The holder may have been unable to renew the row until now, so it gets at least
@@ -266,12 +288,13 @@
     }
 
     /// Records a write that was sent at `asked` and succeeded with `version`.
-    pub fn record_write(&mut self, version: u64, asked: Time, now: Time) {
-        let token = self.held.map_or(FencingToken::new(version), |held| held.token);
+    pub fn record_write(&mut self, version: DirectoryVersion, asked: Time, now: Time) {
+        let token = self.token_for(version);
         self.hold(token, version, asked, now);
     }
 
-    /// Records a write that failed because the row had another version.
+    /// Records a write that failed because the row had another version, or because the
+    /// directory came back from a copy.
     pub fn record_conflict(&mut self, now: Time) {
         self.held = None;
         self.seen = None;
@@ -308,7 +331,14 @@
         self.is_disputed = true;
     }
 
-    fn hold(&mut self, token: FencingToken, version: u64, asked: Time, now: Time) {
+    /// Returns the token of a lease whose row now has `version`. It stays the same while the
+    /// lease is held, but not across a restore of the directory.
+    fn token_for(&self, version: DirectoryVersion) -> FencingToken {
+        let held = self.held.filter(|held| held.version.era() == version.era());
+        held.map_or(FencingToken::new(version), |held| held.token)
+    }
+
+    fn hold(&mut self, token: FencingToken, version: DirectoryVersion, asked: Time, now: Time) {
         self.confirmed = Some((version, asked));
         self.unconfirmed = None;
         self.held =
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,8 @@
 * [`reader`] chooses the VMs that read the directory for the others.
 * [`document`] is a VM's copy of a document of the directory, with its version, and
   [`transfer`] decides to whom a large one is sent when.
+* [`version`] orders the changes of the directory, also when it came back from a copy, and
+  [`evacuation`] keeps data centres out of use across such a restore.
 * [`isolation`] detects that a network partition leaves a VM unable to serve most
   groups.
 * [`allowance`] moves tokens of an account's rate from VM to VM.
@@ -74,6 +76,7 @@
 pub mod confirm;
 pub mod coordinator;
 pub mod document;
+pub mod evacuation;
 pub mod failover;
 pub mod freshness;
 pub mod gossip;
@@ -99,6 +102,7 @@
 pub mod suspicion;
 pub mod time;
 pub mod transfer;
+pub mod version;
 pub mod view;
 pub mod waiting;
 pub mod watch;
--- a/crates/core/tests/coordinator.rs
+++ b/crates/core/tests/coordinator.rs
@@ -1,14 +1,15 @@
 //! At most one VM is the failover coordinator at a time, even if calls to the directory
 //! fail and VMs restart.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use chicoryhollow_core::{
     Time, VmId,
     coordinator::{
         CoordinatorLease, CoordinatorRow, FencingToken, LEASE_DURATION, Outage, RowObservation,
-        Step,
+        Step, row_key,
     },
+    version::{DirectoryVersion, Era},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -16,36 +17,77 @@
     format!("vm-{i}").parse().expect("a valid name")
 }
 
-/// The coordinator's row, which is changed by conditional writes.
-#[derive(Default)]
+/// A version of the first era.
+fn version(number: u64) -> DirectoryVersion {
+    DirectoryVersion::new(Era::default(), number)
+}
+
+/// The coordinator's rows by key, which are changed by conditional writes.
+#[derive(Clone, Default)]
 struct Store {
-    row: Option<CoordinatorRow>,
-    version: u64,
+    rows: HashMap<String, CoordinatorRow>,
+    era: Era,
+    number: u64,
 }
 
 impl Store {
-    fn write(&mut self, expected: u64, holder: Option<VmId>, incarnation: u64) -> Option<u64> {
-        let present = self.row.as_ref().map_or(0, |row| row.version);
-        if present != expected {
+    fn row(&self) -> Option<&CoordinatorRow> {
+        self.rows.get(&row_key(self.era))
+    }
+
+    fn touch(&mut self) -> DirectoryVersion {
+        self.number += 1;
+        DirectoryVersion::new(self.era, self.number)
+    }
+
+    /// Writes the row of the expected version's era, as the platform does: it compares the
+    /// numbers only. Returns the new version, or `None` for a conflict.
+    fn write(
+        &mut self,
+        expected: DirectoryVersion,
+        holder: Option<VmId>,
+        incarnation: u64,
+    ) -> Option<DirectoryVersion> {
+        let key = row_key(expected.era());
+        let present = self.rows.get(&key).map_or(0, |row| row.version.number());
+        if present != expected.number() {
             return None;
         }
-        self.version += 1;
-        self.row = Some(CoordinatorRow { holder, incarnation, version: self.version });
-        Some(self.version)
+        let version = self.touch();
+        self.rows.insert(key, CoordinatorRow { holder, incarnation, version });
+        // The answer tells the era, so a write that found its number again does not count.
+        (version.era() == expected.era()).then_some(version)
+    }
+
+    /// Goes back to `copy`, in a new era.
+    fn restore(&mut self, copy: Store) {
+        *self = Store { era: Era::new(self.era.get() + 1), ..copy };
     }
 }
 
 /// Runs `steps` steps of three VMs. Calls fail, answers are lost, and VMs restart from
-/// time to time. Returns how often a VM became the coordinator.
-fn run(seed: u64, steps: u64) -> u64 {
+/// time to time. The store comes back from a copy with the probability `restores` at each
+/// step. Returns how often a VM became the coordinator.
+fn run(seed: u64, steps: u64, restores: f64) -> u64 {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut store = Store { row: None, version: 40 };
+    let mut store = Store { number: 40, ..Store::default() };
+    let mut copy = store.clone();
     let mut vms: Vec<(CoordinatorLease, u64)> = (0..3)
         .map(|i| (CoordinatorLease::new(vm(i), i as u64, Time::default()), i as u64))
         .collect();
     let mut holders: Vec<(FencingToken, usize, u64)> = Vec::new();
     for step in 1..steps {
         let now = Time::from_millis(step * 50);
+        if rng.random_bool(0.02) {
+            copy = store.clone();
+        }
+        if rng.random_bool(restores) {
+            store.restore(copy.clone());
+        }
+        // Others write to the store, too.
+        for _ in 0..rng.random_range(0..3) {
+            store.touch();
+        }
         for (i, (lease, incarnation)) in vms.iter_mut().enumerate() {
             if rng.random_bool(0.002) {
                 *incarnation += 10;
@@ -56,7 +98,7 @@
             match lease.next_step(now) {
                 Step::Wait(_) => {}
                 _ if fails => lease.record_failure(now),
-                Step::Read => lease.record_row(store.row.as_ref(), None, now),
+                Step::Read => lease.record_row(store.row(), store.era, None, now),
                 Step::Write(expected) => {
                     let written = store.write(expected, Some(vm(i)), *incarnation);
                     match written {
@@ -92,25 +134,44 @@
 
 #[test]
 fn there_is_at_most_one_coordinator_and_tokens_increase() {
-    let changes: u64 = (0..200).map(|seed| run(seed, 2_000)).sum();
+    let changes: u64 = (0..200).map(|seed| run(seed, 2_000, 0.0)).sum();
     assert!(changes > 200, "the coordinator changes: {changes}");
 }
 
+/// The token went back with the store, and two holders ordered promotions with the same one.
+#[test]
+fn tokens_increase_when_the_store_comes_back_from_a_copy() {
+    let changes: u64 = (0..200).map(|seed| run(seed, 2_000, 0.01)).sum();
+    assert!(changes > 1_000, "the coordinator changes: {changes}");
+}
+
+/// The holder of the era before may act until its lease expires.
+#[test]
+fn a_missing_row_is_created_only_a_lease_after_a_restore() {
+    let era = Era::new(1);
+    let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
+    lease.record_row(None, era, None, Time::default());
+    let early = Time::default() + LEASE_DURATION - Duration::from_millis(1);
+    assert!(!matches!(lease.next_step(early), Step::Write(_)));
+    let late = Time::default() + LEASE_DURATION;
+    assert_eq!(lease.next_step(late), Step::Write(DirectoryVersion::start_of(era)));
+}
+
 #[test]
 fn a_lease_expires_for_its_holder_before_another_vm_may_take_it() {
     let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
     assert_eq!(lease.next_step(Time::default()), Step::Read);
-    lease.record_row(None, None, Time::default());
-    assert_eq!(lease.next_step(Time::default()), Step::Write(0));
+    lease.record_row(None, Era::default(), None, Time::default());
+    assert_eq!(lease.next_step(Time::default()), Step::Write(version(0)));
     // The answer is slow, but the lease counts from when the call was sent.
-    lease.record_write(7, Time::from_millis(100), Time::from_millis(900));
-    assert_eq!(lease.token(Time::from_millis(900)), Some(FencingToken::new(7)));
+    lease.record_write(version(7), Time::from_millis(100), Time::from_millis(900));
+    assert_eq!(lease.token(Time::from_millis(900)), Some(FencingToken::new(version(7))));
     assert_eq!(lease.token(Time::from_millis(100) + LEASE_DURATION), None);
 }
 
 #[test]
 fn a_row_that_is_unchanged_after_an_outage_is_taken_over_soon() {
-    let row = CoordinatorRow { holder: Some(vm(1)), incarnation: 7, version: 41 };
+    let row = CoordinatorRow { holder: Some(vm(1)), incarnation: 7, version: version(41) };
     let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
     let mut ms = 0;
     let mut step = |lease: &mut CoordinatorLease, answers: bool| loop {
@@ -118,16 +179,16 @@
         let now = Time::from_millis(ms);
         match lease.next_step(now) {
             Step::Wait(_) => {}
-            Step::Read if answers => lease.record_row(Some(&row), None, now),
+            Step::Read if answers => lease.record_row(Some(&row), Era::default(), None, now),
             Step::Read => lease.record_failure(now),
-            Step::Write(expected) => return (expected, ms),
+            Step::Write(expected) => return (expected.number(), ms),
         }
         if answers && ms > 20_000 || !answers && ms >= 6_000 {
             return (0, ms);
         }
     };
     // The row is read at the start; then the directory does not answer for six seconds.
-    lease.record_row(Some(&row), None, Time::default());
+    lease.record_row(Some(&row), Era::default(), None, Time::default());
     assert_eq!(step(&mut lease, false), (0, 6_000));
     let (expected, taken) = step(&mut lease, true);
     assert_eq!(expected, 41);
@@ -137,7 +198,7 @@
 
 #[test]
 fn a_vm_that_starts_to_read_the_row_uses_observations_of_others() {
-    let row = CoordinatorRow { holder: Some(vm(1)), incarnation: 7, version: 41 };
+    let row = CoordinatorRow { holder: Some(vm(1)), incarnation: 7, version: version(41) };
     let started = Time::from_millis(10_000);
     let taken = |received: Option<RowObservation>| {
         let mut lease = CoordinatorLease::new(vm(0), 1, started);
@@ -145,22 +206,25 @@
         loop {
             match lease.next_step(now) {
                 Step::Wait(_) => {}
-                Step::Read => lease.record_row(Some(&row), received, now),
-                Step::Write(expected) => return (expected, now.since(started).as_millis()),
+                Step::Read => lease.record_row(Some(&row), Era::default(), received, now),
+                Step::Write(expected) => {
+                    return (expected.number(), now.since(started).as_millis());
+                }
             }
             now = now + Duration::from_millis(50);
         }
     };
-    let long_ago = RowObservation { version: 41, since: Time::from_millis(5_000) };
+    let long_ago = RowObservation { version: version(41), since: Time::from_millis(5_000) };
     assert_eq!(taken(Some(long_ago)), (41, 900), "the holder had time to renew the row");
     assert_eq!(taken(None), (41, 2_500), "as soon as the lease has lapsed");
-    let older = RowObservation { version: 40, ..long_ago };
+    let older = RowObservation { version: version(40), ..long_ago };
     assert_eq!(taken(Some(older)), (41, 2_500), "the row has changed since that observation");
 }
 
 #[test]
 fn observations_merge_to_the_newer_version_and_the_earlier_time() {
-    let observation = |version, ms| RowObservation { version, since: Time::from_millis(ms) };
+    let observation =
+        |number, ms| RowObservation { version: version(number), since: Time::from_millis(ms) };
     assert_eq!(observation(3, 100).merge(observation(3, 50)), observation(3, 50));
     assert_eq!(observation(3, 100).merge(observation(4, 500)), observation(4, 500));
     assert_eq!(observation(4, 500).merge(observation(3, 100)), observation(4, 500));
@@ -169,15 +233,19 @@
 #[test]
 fn a_holder_whose_order_was_refused_has_no_token_until_it_has_a_newer_one() {
     let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
-    lease.record_row(None, None, Time::default());
-    lease.record_write(7, Time::default(), Time::default());
+    lease.record_row(None, Era::default(), None, Time::default());
+    lease.record_write(version(7), Time::default(), Time::default());
     lease.record_refusal(Time::from_millis(10));
     assert_eq!(lease.token(Time::from_millis(10)), None);
-    let row = CoordinatorRow { holder: Some(vm(0)), incarnation: 1, version: 9 };
+    let row = CoordinatorRow { holder: Some(vm(0)), incarnation: 1, version: version(9) };
     let later = Time::from_millis(1_000);
-    lease.record_row(Some(&row), None, later);
-    assert_eq!(lease.token(later), Some(FencingToken::new(9)));
-    assert_eq!(lease.next_step(later), Step::Write(9), "reading the row does not renew the lease");
+    lease.record_row(Some(&row), Era::default(), None, later);
+    assert_eq!(lease.token(later), Some(FencingToken::new(version(9))));
+    assert_eq!(
+        lease.next_step(later),
+        Step::Write(version(9)),
+        "reading the row does not renew the lease"
+    );
 }
 
 /// The platform also refuses the promotion of a server that does not run. Other groups
@@ -185,19 +253,23 @@
 #[test]
 fn a_holder_whose_order_was_refused_reads_the_row_at_once() {
     let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
-    lease.record_row(None, None, Time::default());
-    assert_eq!(lease.next_step(Time::default()), Step::Write(0));
-    lease.record_write(7, Time::default(), Time::default());
+    lease.record_row(None, Era::default(), None, Time::default());
+    assert_eq!(lease.next_step(Time::default()), Step::Write(version(0)));
+    lease.record_write(version(7), Time::default(), Time::default());
     let now = Time::from_millis(10);
     lease.record_refusal(now);
     assert_eq!(lease.next_step(now), Step::Read);
     assert!(lease.is_disputed(), "the VM reads the row itself");
-    let own = CoordinatorRow { holder: Some(vm(0)), incarnation: 1, version: 7 };
-    lease.record_row(Some(&own), None, now);
-    assert_eq!(lease.token(now), Some(FencingToken::new(7)), "no other VM has taken the role");
+    let own = CoordinatorRow { holder: Some(vm(0)), incarnation: 1, version: version(7) };
+    lease.record_row(Some(&own), Era::default(), None, now);
+    assert_eq!(
+        lease.token(now),
+        Some(FencingToken::new(version(7))),
+        "no other VM has taken the role"
+    );
     lease.record_refusal(now);
-    let taken = CoordinatorRow { holder: Some(vm(1)), incarnation: 4, version: 12 };
-    lease.record_row(Some(&taken), None, now);
+    let taken = CoordinatorRow { holder: Some(vm(1)), incarnation: 4, version: version(12) };
+    lease.record_row(Some(&taken), Era::default(), None, now);
     assert_eq!(lease.token(now), None, "another VM has taken the role");
     assert!(!lease.is_disputed());
 }
@@ -206,14 +278,14 @@
 #[test]
 fn a_failed_renewal_does_not_lengthen_the_lease() {
     let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
-    lease.record_row(None, None, Time::default());
-    assert_eq!(lease.next_step(Time::default()), Step::Write(0));
-    lease.record_write(7, Time::default(), Time::default());
+    lease.record_row(None, Era::default(), None, Time::default());
+    assert_eq!(lease.next_step(Time::default()), Step::Write(version(0)));
+    lease.record_write(version(7), Time::default(), Time::default());
     let renewal = Time::from_millis(1_000);
-    assert_eq!(lease.next_step(renewal), Step::Write(7));
+    assert_eq!(lease.next_step(renewal), Step::Write(version(7)));
     lease.record_failure(renewal);
-    let own = CoordinatorRow { holder: Some(vm(0)), incarnation: 1, version: 7 };
-    lease.record_row(Some(&own), None, Time::from_millis(1_500));
+    let own = CoordinatorRow { holder: Some(vm(0)), incarnation: 1, version: version(7) };
+    lease.record_row(Some(&own), Era::default(), None, Time::from_millis(1_500));
     assert_eq!(lease.token(Time::default() + LEASE_DURATION), None);
 }
 
--- a/crates/engine/src/coordinator.rs
+++ b/crates/engine/src/coordinator.rs
@@ -13,7 +13,8 @@
 
 use chicoryhollow_core::{
     VmId,
-    coordinator::{CoordinatorLease, CoordinatorRow, FencingToken, RowObservation, Step},
+    coordinator::{CoordinatorLease, CoordinatorRow, FencingToken, RowObservation, Step, row_key},
+    version::DirectoryVersion,
 };
 use serde::{Deserialize, Serialize};
 use slog::o;
@@ -29,9 +30,6 @@
 /// Table of the coordinator's row.
 const COORDINATOR_TABLE: &str = "duties";
 
-/// Key of the coordinator's row.
-const COORDINATOR_KEY: &str = "succession";
-
 /// Pause between two checks of whether the row must be read or written.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -137,8 +135,11 @@
         let mut lease = self.lease.borrow_mut();
         match rows {
             Ok(rows) => {
-                let row = rows.rows.iter().find(|row| row.key == COORDINATOR_KEY).map(parse_row);
-                lease.record_row(row.as_ref(), engine.row_observation(), clock::now());
+                let era = rows.version.era();
+                engine.record_era(era);
+                let key = row_key(era);
+                let row = rows.rows.iter().find(|row| row.key == key).map(parse_row);
+                lease.record_row(row.as_ref(), era, engine.row_observation(), clock::now());
                 if let Some(observation) = lease.observation() {
                     engine.record_row_observation(observation);
                 }
@@ -163,13 +164,13 @@
 
 fn write<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
-    expected: u64,
+    expected: DirectoryVersion,
     holder: Option<String>,
 ) -> RowWrite {
     let content = Content { holder, incarnation: engine.settings.incarnation };
     RowWrite {
         table: COORDINATOR_TABLE,
-        key: COORDINATOR_KEY.to_owned(),
+        key: row_key(expected.era()),
         expected: Some(expected),
         value: serde_json::to_vec(&content).ok(),
     }
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -212,6 +212,7 @@
         engine.fleet.refresh_unreachable();
         engine.check_isolation();
         engine.drop_missing_servers();
+        engine.refresh_evacuated();
         engine.request_tokens();
         engine.event_log.report_dropped();
         let now = clock::now();
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -17,8 +17,10 @@
     AccountId, DataCentreId, GroupId, ServerId, Time,
     coordinator::RowObservation,
     document::Acceptance,
+    evacuation::Evacuations,
     home::{FALLBACK_CONNECTIONS, connection_limit, rank_homes},
     isolation::is_isolated,
+    version::{DirectoryVersion, Era},
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -76,7 +78,14 @@
     phase: watch::Sender<Phase>,
     groups: RefCell<IndexMap<GroupId, Rc<RefCell<Group>>>>,
     pools: RefCell<HashMap<ServerId, Rc<Pool<S>>>>,
+    /// Evacuated data centres as the directory lists them, and across restores.
+    evacuations: RefCell<Evacuations>,
+    /// Evacuated data centres that are in force.
     evacuated: RefCell<IndexSet<DataCentreId>>,
+    /// Era of the newest known version of the directory.
+    era: Cell<Era>,
+    /// When this VM learnt that the directory came back from a copy.
+    restored_at: Cell<Option<Time>>,
     /// Whether the directory answers this VM or a linked one.
     reachable: Cell<bool>,
     /// When the directory last became reachable again.
@@ -123,7 +132,10 @@
             phase: watch::Sender::new(Phase::Serving),
             groups: RefCell::default(),
             pools: RefCell::default(),
+            evacuations: RefCell::default(),
             evacuated: RefCell::default(),
+            era: Cell::default(),
+            restored_at: Cell::new(None),
             reachable: Cell::new(false),
             regained_at: Cell::new(Time::default()),
             isolated_since: Cell::new(None),
@@ -233,23 +245,8 @@
     pub(crate) fn apply(&self, change: Change) {
         match change {
             Change::Catalog(catalog) => self.activate_catalog(*catalog, "directory"),
-            Change::Evacuated(version, evacuated) => {
-                if self.relay.borrow_mut().accept(Kind::Evacuated, version, &evacuated)
-                    == Acceptance::New
-                {
-                    self.set_evacuated(evacuated.into_iter().collect());
-                    self.announce();
-                }
-            }
-            Change::Servers(version, entries) => {
-                if self.relay.borrow_mut().accept(Kind::Servers, version, &entries)
-                    == Acceptance::New
-                {
-                    self.registered.replace(entries);
-                    self.refresh_servers();
-                    self.announce();
-                }
-            }
+            Change::Evacuated(version, evacuated) => self.apply_evacuated(version, evacuated),
+            Change::Servers(version, entries) => self.apply_servers(version, entries),
             Change::Reachable(ok) => self.relay.borrow_mut().record_read(ok, clock::now()),
             Change::Unreadable(key, reason) => {
                 self.event_log.record(Event::Unreadable, o!("key" => key, "reason" => reason));
@@ -267,25 +264,41 @@
         match kind {
             Kind::Catalog => self.activate_catalog(serde_json::from_slice(json)?, "peer"),
             Kind::Evacuated => {
-                let evacuated: Vec<DataCentreId> = serde_json::from_slice(json)?;
-                if self.relay.borrow_mut().accept(kind, version, &evacuated) == Acceptance::New {
-                    self.set_evacuated(evacuated.into_iter().collect());
-                    self.announce();
-                }
+                let version = DirectoryVersion::unpack(version);
+                self.apply_evacuated(version, serde_json::from_slice(json)?);
             }
             Kind::Servers => {
-                let entries: Vec<ServerEntry> = serde_json::from_slice(json)?;
-                if self.relay.borrow_mut().accept(kind, version, &entries) == Acceptance::New {
-                    self.registered.replace(entries);
-                    self.refresh_servers();
-                    self.announce();
-                }
+                let version = DirectoryVersion::unpack(version);
+                self.apply_servers(version, serde_json::from_slice(json)?);
             }
             Kind::Vms => {}
         }
         Ok(())
     }
 
+    fn apply_evacuated(&self, version: DirectoryVersion, listed: Vec<DataCentreId>) {
+        self.record_era(version.era());
+        let accepted = self.relay.borrow_mut().accept(Kind::Evacuated, version.pack(), &listed);
+        if accepted == Acceptance::Old {
+            return;
+        }
+        self.evacuations.borrow_mut().update(version, listed, clock::now());
+        self.refresh_evacuated();
+        if accepted == Acceptance::New {
+            self.announce();
+        }
+    }
+
+    fn apply_servers(&self, version: DirectoryVersion, entries: Vec<ServerEntry>) {
+        self.record_era(version.era());
+        let accepted = self.relay.borrow_mut().accept(Kind::Servers, version.pack(), &entries);
+        if accepted == Acceptance::New {
+            self.registered.replace(entries);
+            self.refresh_servers();
+            self.announce();
+        }
+    }
+
     /// Activates a configuration if it is newer than the active one.
     pub(crate) fn activate_catalog(&self, catalog: Catalog, source: &'static str) {
         if catalog.version <= self.catalog.borrow().version {
@@ -362,10 +375,12 @@
     }
 
     /// Returns whether another VM has recently reported a newer version of the
-    /// coordinator's row.
+    /// coordinator's row. A row of an earlier era of the directory is renewed no more.
     pub(crate) fn is_row_renewed(&self) -> bool {
         let age = |row: RowObservation| clock::now().since(row.since);
-        self.coordinator_row.get().is_some_and(|row| age(row) < ROW_TRUST_SPAN)
+        self.coordinator_row
+            .get()
+            .is_some_and(|row| row.version.era() >= self.era.get() && age(row) < ROW_TRUST_SPAN)
     }
 
     /// Merges an observation of the coordinator's row by this or another VM.
@@ -374,7 +389,9 @@
         self.coordinator_row.set(Some(merged));
     }
 
-    fn set_evacuated(&self, evacuated: IndexSet<DataCentreId>) {
+    /// Applies the evacuated data centres that are in force now.
+    pub(crate) fn refresh_evacuated(&self) {
+        let evacuated = self.evacuations.borrow_mut().in_force(clock::now());
         if *self.evacuated.borrow() == evacuated {
             return;
         }
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -99,6 +99,10 @@
     me: RefCell<Option<Member>>,
     /// Whether the list of VMs has been read.
     list_known: Cell<bool>,
+    /// Whether the newest list of VMs contains this one.
+    listed: Cell<bool>,
+    /// Wakes the task that writes this VM's row if the list does not contain this VM.
+    unlisted: Notify,
     /// Neighbours that this VM has chosen.
     chosen: RefCell<IndexSet<VmId>>,
     /// VMs that this one dials in advance: neighbours and keepers of accounts.
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -11,6 +11,7 @@
     AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId,
     coordinator::{Outage, RowObservation},
     gossip::{Spacing, Update},
+    version::DirectoryVersion,
 };
 use chicoryhollow_peer::{
     Body, Envelope, Message,
@@ -111,7 +112,7 @@
         if link.is_neighbour() {
             beat.versions = self.relay.borrow().versions();
             beat.digests = self.relay.borrow().digests();
-            beat.duty_version = self.row_observation().map_or(0, |row| row.version);
+            beat.duty_version = self.row_observation().map_or(0, |row| row.version.pack());
             beat.duty_ms = self.row_observation().map_or(0, |row| millis(now.since(row.since)));
             beat.groups = self.group_updates(link, now);
         }
@@ -194,7 +195,8 @@
         link.chosen_by.set(heartbeat.chosen);
         if heartbeat.duty_version > 0 {
             let since = now - Duration::from_millis(heartbeat.duty_ms.into());
-            self.record_row_observation(RowObservation { version: heartbeat.duty_version, since });
+            let version = DirectoryVersion::unpack(heartbeat.duty_version);
+            self.record_row_observation(RowObservation { version, since });
         }
         let fresh_at = now - Duration::from_millis(heartbeat.fresh_ms.into());
         link.documents.set(Some(DocumentStatus { fresh_at, is_active_reader: heartbeat.reads }));
--- a/crates/engine/src/fleet/rows.rs
+++ b/crates/engine/src/fleet/rows.rs
@@ -9,9 +9,10 @@
 use chicoryhollow_core::{
     DataCentreId, Time, VmId,
     pace::{ByteRate, Pace},
+    version::DirectoryVersion,
 };
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::{
     clock,
@@ -66,7 +67,8 @@
     let mut renewal = 0;
     loop {
         let due = renewal_interval(engine.fleet.vms().len());
-        if renewed.is_none_or(|time| clock::now().since(time) >= due) {
+        let is_listed = engine.fleet.is_listed();
+        if !is_listed || renewed.is_none_or(|time| clock::now().since(time) >= due) {
             renewal += 1;
             renewed = write_row(&engine, renewal).await.or(renewed);
         }
@@ -78,7 +80,9 @@
             apply_rows(&engine, rows.version, &rows.rows).await;
         }
         let few = engine.fleet.vms().len() < 2;
-        sleep(if few { REDIAL_INTERVAL } else { ROWS_POLL_INTERVAL }).await;
+        let pause = if few { REDIAL_INTERVAL } else { ROWS_POLL_INTERVAL };
+        // A wakeup only ends the pause early.
+        let _ = timeout(pause, engine.fleet.unlisted.notified()).await;
     }
 }
 
@@ -112,7 +116,7 @@
 /// longer renew them.
 async fn apply_rows<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
-    version: u64,
+    version: DirectoryVersion,
     rows: &[Row],
 ) {
     let now = clock::now();
@@ -129,6 +133,10 @@
             false => members.push(member),
         }
     }
+    engine.record_era(version.era());
+    if engine.is_recently_restored() {
+        engine.fleet.retain_unlisted(&mut members);
+    }
     members.sort_by(|a, b| a.vm.cmp(&b.vm));
     // The first list is applied even if it names no other VM.
     let known = engine.fleet.has_member_list() && {
@@ -138,7 +146,7 @@
             && others.clone().all(|member| known.get(&member.vm) == Some(member))
     };
     if !known {
-        engine.relay.borrow_mut().accept(Kind::Vms, version, &members);
+        engine.relay.borrow_mut().accept(Kind::Vms, version.pack(), &members);
         apply_members(engine, members);
         engine.announce();
     }
@@ -154,7 +162,7 @@
 /// What a VM knows of how another one renews its row.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Renewal {
-    version: u64,
+    version: DirectoryVersion,
     /// When this VM first read that version, or was last linked to the other VM.
     alive_at: Time,
     /// Since when the other VM is dialled in vain.
@@ -162,9 +170,40 @@
 }
 
 impl Fleet {
+    /// Returns whether this VM is in the newest list of VMs, or no list is known yet.
+    fn is_listed(&self) -> bool {
+        self.listed.get() || !self.has_member_list()
+    }
+
+    /// Records whether a new list of VMs contains this one. If it does not, its row is
+    /// written at once: the directory may have come back from a copy without it.
+    fn record_listed(&self, members: &[Member]) {
+        let me = self.me.borrow();
+        let listed = me.as_ref().is_some_and(|me| members.iter().any(|other| other.vm == me.vm));
+        self.listed.set(listed);
+        if !listed {
+            self.unlisted.notify_one();
+        }
+    }
+
+    /// Adds known VMs that are missing in `members`.
+    fn retain_unlisted(&self, members: &mut Vec<Member>) {
+        for known in self.members.borrow().values() {
+            if members.iter().all(|member| member.vm != known.vm) {
+                members.push(known.clone());
+            }
+        }
+    }
+
     /// Returns whether a VM whose row has this `version` is gone: it cannot be dialled, or
     /// has not renewed its row within `limit`. Only VMs of the same data centre are dialled.
-    fn is_gone(&self, member: &Member, version: u64, limit: Duration, now: Time) -> bool {
+    fn is_gone(
+        &self,
+        member: &Member,
+        version: DirectoryVersion,
+        limit: Duration,
+        now: Time,
+    ) -> bool {
         let linked = self.link(&member.vm).is_some();
         let near = self
             .me
@@ -190,6 +229,7 @@
     engine: &Engine<S, D>,
     members: Vec<Member>,
 ) {
+    engine.fleet.record_listed(&members);
     engine.fleet.set_members(members);
     engine.refresh_limits();
     engine.choose_reader();
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -48,6 +48,8 @@
     ReaderRoleTaken,
     /// This VM no longer reads the directory on behalf of others.
     ReaderRoleLost,
+    /// The directory came back from a copy.
+    DirectoryRestored,
     /// This VM knows another primary of a group.
     PrimaryChanged,
     /// This VM started the replacement of a primary.
@@ -84,7 +86,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 28] = [
+    pub const ALL: [Event; 29] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -97,6 +99,7 @@
         Event::Unreadable,
         Event::ReaderRoleTaken,
         Event::ReaderRoleLost,
+        Event::DirectoryRestored,
         Event::PrimaryChanged,
         Event::FailoverStarted,
         Event::PromotionOrdered,
@@ -130,6 +133,7 @@
             Event::Unreadable => (615, Level::Warning, "directory entry unreadable"),
             Event::ReaderRoleTaken => (616, Level::Info, "reader role taken"),
             Event::ReaderRoleLost => (617, Level::Info, "reader role lost"),
+            Event::DirectoryRestored => (618, Level::Warning, "directory restored"),
             Event::PrimaryChanged => (620, Level::Info, "primary changed"),
             Event::FailoverStarted => (621, Level::Warning, "failover started"),
             Event::PromotionOrdered => (622, Level::Warning, "promotion ordered"),
--- a/crates/engine/src/seam.rs
+++ b/crates/engine/src/seam.rs
@@ -9,6 +9,7 @@
 
 use chicoryhollow_core::{
     AccountId, DataCentreId, GroupId, Position, ServerId, Term, VmId, coordinator::FencingToken,
+    version::DirectoryVersion,
 };
 use tokio::{
     net::TcpStream,
@@ -162,9 +163,9 @@
     /// A configuration, which contains its version.
     Catalog(Box<Catalog>),
     /// Version of the directory, and all data centres that are evacuated.
-    Evacuated(u64, Vec<DataCentreId>),
+    Evacuated(DirectoryVersion, Vec<DataCentreId>),
     /// Version of the directory, and all registered servers.
-    Servers(u64, Vec<ServerEntry>),
+    Servers(DirectoryVersion, Vec<ServerEntry>),
     /// Whether the directory answers.
     Reachable(bool),
     /// Key of an entry that cannot be used, and the reason.
@@ -179,14 +180,14 @@
     /// Content.
     pub value: Vec<u8>,
     /// Version of the directory at the last change of the row.
-    pub version: u64,
+    pub version: DirectoryVersion,
 }
 
 /// All rows of a table at one version of the directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Rows {
     /// Version of the directory when the rows were read.
-    pub version: u64,
+    pub version: DirectoryVersion,
     /// Rows of the table.
     pub rows: Vec<Row>,
 }
@@ -198,9 +199,10 @@
     pub table: &'static str,
     /// Key within the table.
     pub key: String,
-    /// Version that the row must have, 0 if it must not exist, or `None` for
-    /// no condition.
-    pub expected: Option<u64>,
+    /// Version that the row must have, or `None` for no condition. The row must not exist
+    /// if this is the start of an era. A version of an earlier era than the directory's
+    /// never matches.
+    pub expected: Option<DirectoryVersion>,
     /// New content, or `None` to remove the row.
     pub value: Option<Vec<u8>>,
 }
@@ -209,8 +211,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WriteOutcome {
     /// The row was written and has this version.
-    Done(u64),
-    /// The row has another version than expected; nothing was written.
+    Done(DirectoryVersion),
+    /// The row has another version than expected, or the directory came back from a copy,
+    /// so that the expected version may have been another one of the same number.
     Conflict,
 }
 
