Tell nearby VMs from far ones also when they linked before they were known

A VM that accepted a link before it had read the row of the other one took that one for far away as long as the link lasted.

Messages of such a VM also counted as heard from another data centre, so that a VM behind a cut could take itself for connected.

Where the other VM runs is looked up again whenever the list of VMs changes.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -259,8 +259,10 @@
         let mut dialled = neighbours_to_dial(here, &chosen, &all);
         dialled.extend(keepers_to_dial(&me, members.values()));
         self.dialled.replace(dialled);
+        let is_near = |member: &Member| member.data_centre == me.data_centre;
         for (vm, link) in self.links.borrow().iter() {
             link.chosen.set(chosen.contains(vm));
+            link.near.set(members.get(vm).is_some_and(is_near));
         }
         self.chosen.replace(chosen);
         self.missing.borrow_mut().retain(|vm| members.contains_key(vm));
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -25,7 +25,7 @@
     /// Records that a message arrived over `link`.
     pub(super) fn record_received(&self, link: &Link, now: Time) {
         link.update(|liveness| liveness.record_received(now));
-        if !link.near {
+        if !link.near.get() {
             self.far_heard.set(now);
         }
     }
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -81,7 +81,7 @@
     /// Counts a message that is sent over a link.
     pub(super) fn count_sent(&self, link: &Link, envelope: &Envelope) {
         let Some(body) = &envelope.body else { return };
-        let labels = [body.label(), if link.near { "near" } else { "far" }];
+        let labels = [body.label(), if link.near.get() { "near" } else { "far" }];
         self.metrics.peer_messages.with_label_values(&labels).inc();
         self.metrics.peer_bytes.with_label_values(&labels).inc_by(envelope.encoded_len() as u64);
     }
@@ -124,7 +124,7 @@
     /// arrival of the neighbour's newest heartbeat, because the clocks of two VMs differ.
     fn group_updates(&self, link: &Link, now: Time) -> Vec<GroupState> {
         let groups = self.groups();
-        let spacing = Spacing::new(link.near, groups.len());
+        let spacing = Spacing::new(link.near.get(), groups.len());
         let (echo, received) = link.last_heartbeat.get();
         let mut sent = link.last_sent.borrow_mut();
         let mut updates = Vec::new();
@@ -215,7 +215,7 @@
         let digests = heartbeat.digests.into_iter().chain(std::iter::repeat(0));
         for ((kind, version), digest) in Kind::ALL.into_iter().zip(heartbeat.versions).zip(digests)
         {
-            if self.relay.borrow_mut().should_request(kind, version, digest, link.near, now) {
+            if self.relay.borrow_mut().should_request(kind, version, digest, link.near.get(), now) {
                 let kind = kind.number();
                 link.send(Body::DocumentAsk(DocumentAsk { kind, packed: true, pieces: true }));
             }
--- a/crates/engine/src/fleet/link.rs
+++ b/crates/engine/src/fleet/link.rs
@@ -78,8 +78,9 @@
     pub(super) chosen: Cell<bool>,
     /// Whether the other VM has chosen this one.
     pub(super) chosen_by: Cell<bool>,
-    /// Whether the other VM runs in this one's data centre.
-    pub(super) near: bool,
+    /// Whether the other VM runs in this one's data centre. It is not known before the row
+    /// of the other VM was read.
+    pub(super) near: Cell<bool>,
     /// Whether this VM connected to the other one.
     dialled: bool,
     /// Incarnation of the other daemon, or 0 if it is not known yet.
@@ -116,7 +117,7 @@
             documents: Cell::new(None),
             chosen: Cell::new(place.chosen),
             chosen_by: Cell::new(false),
-            near: place.near,
+            near: Cell::new(place.near),
             dialled,
             incarnation: Cell::new(0),
             replaced: Cell::new(false),
--- a/crates/engine/src/fleet/upkeep.rs
+++ b/crates/engine/src/fleet/upkeep.rs
@@ -99,7 +99,7 @@
 /// Returns whether the neighbour does not know yet of a new primary or a failure.
 fn has_urgent_update(link: &Link, known: &HashMap<GroupId, GroupSummary>, now: Time) -> bool {
     let sent = link.last_sent.borrow();
-    let spacing = Spacing::new(link.near, known.len());
+    let spacing = Spacing::new(link.near.get(), known.len());
     known.iter().any(|(group, known)| {
         let last = sent.get(group).copied().unwrap_or_default();
         matches!(last.update(known, spacing, now), Update::Primary | Update::Failure)
