Record a restore of the directory on every VM as soon as it hears of it

Eras are now taken from the versions in heartbeats. An era or a number that does not fit into a packed version is limited, so that the order stays.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -57,7 +57,8 @@
     }
 }
 
-/// Returns the key of the coordinator's row in an era of the directory.
+/// Returns the key of the coordinator's row in an era of the directory, which is 0 if the
+/// directory counts none.
 pub fn row_key(era: Era) -> String {
     match era.get() {
         0 => "succession".to_owned(),
@@ -268,7 +269,7 @@
         self.held = None;
         self.is_free = match row {
             Some(row) => row.holder.is_none(),
-            // In a later era there may be a holder of the era before.
+            // There may be a holder of the era before, whose row this is not.
             None => era == Era::default(),
         };
         if self.seen.is_none_or(|(seen, _)| seen != version) {
--- a/crates/core/src/evacuation.rs
+++ b/crates/core/src/evacuation.rs
@@ -8,11 +8,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{
-    id::DataCentreId,
-    time::Time,
-    version::{DirectoryVersion, Era},
-};
+use crate::{id::DataCentreId, time::Time};
 
 /// Time after a restore of the directory within which what was written last is written
 /// again.
@@ -21,7 +17,6 @@
 /// The evacuated data centres, across restores of the directory.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
-    era: Era,
     /// Data centres in the newest list of the directory.
     listed: IndexSet<DataCentreId>,
     /// Data centres that were evacuated before the last restore and have not been listed
@@ -35,18 +30,15 @@
         Evacuations::default()
     }
 
-    /// Replaces the list of the directory by the one at `version`.
-    pub fn update(
-        &mut self,
-        version: DirectoryVersion,
-        listed: impl IntoIterator<Item = DataCentreId>,
-        now: Time,
-    ) {
-        if version.era() > self.era {
-            self.era = version.era();
-            let until = now + RESTORE_GRACE;
-            self.retained.extend(self.listed.drain(..).map(|data_centre| (data_centre, until)));
-        }
+    /// Records that the directory came back from a copy. The next list may lack data centres
+    /// of the last one.
+    pub fn record_restore(&mut self, now: Time) {
+        let until = now + RESTORE_GRACE;
+        self.retained.extend(self.listed.iter().map(|data_centre| (data_centre.clone(), until)));
+    }
+
+    /// Replaces the list of the directory.
+    pub fn set_listed(&mut self, listed: impl IntoIterator<Item = DataCentreId>) {
         self.listed = listed.into_iter().collect();
         self.retained.retain(|data_centre, _| !self.listed.contains(data_centre));
     }
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -13,14 +13,17 @@
 /// Greatest number that a packed version holds.
 const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
 
+/// Greatest era that a packed version holds.
+const MAX_ERA: u32 = (1 << (u64::BITS - NUMBER_BITS)) - 1;
+
 /// Counts how often the directory came back from a copy.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Era(u32);
 
 impl Era {
-    /// Creates an era from its number.
+    /// Creates an era from its number, which is limited to what a packed version holds.
     pub const fn new(number: u32) -> Self {
-        Era(number)
+        Era(if number > MAX_ERA { MAX_ERA } else { number })
     }
 
     /// Returns the number.
@@ -39,7 +42,7 @@
     type Err = ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        text.parse().map(Era)
+        text.parse().map(Era::new)
     }
 }
 
@@ -63,8 +66,7 @@
 }
 
 impl DirectoryVersion {
-    /// Creates a version. A `number` that is too large to be packed becomes the greatest
-    /// one that is not.
+    /// Creates a version. The number is limited to what a packed version holds.
     pub const fn new(era: Era, number: u64) -> Self {
         let number = if number > MAX_NUMBER { MAX_NUMBER } else { number };
         DirectoryVersion { era, number }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -282,7 +282,7 @@
         if accepted == Acceptance::Old {
             return;
         }
-        self.evacuations.borrow_mut().update(version, listed, clock::now());
+        self.evacuations.borrow_mut().set_listed(listed);
         self.refresh_evacuated();
         if accepted == Acceptance::New {
             self.announce();
--- a/crates/engine/src/engine/servers.rs
+++ b/crates/engine/src/engine/servers.rs
@@ -52,8 +52,10 @@
         self.era.set(era);
         // The first version that a daemon knows tells nothing of a restore.
         if self.has_versions() {
-            self.restored_at.set(Some(clock::now()));
-            self.regained_at.set(clock::now());
+            let now = clock::now();
+            self.restored_at.set(Some(now));
+            self.regained_at.set(now);
+            self.evacuations.borrow_mut().record_restore(now);
             self.event_log
                 .record(Event::DirectoryRestored, o!("era" => era.get(), "before" => before.get()));
         }
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -215,6 +215,10 @@
         let digests = heartbeat.digests.into_iter().chain(std::iter::repeat(0));
         for ((kind, version), digest) in Kind::ALL.into_iter().zip(heartbeat.versions).zip(digests)
         {
+            // The configuration has versions of its own.
+            if kind != Kind::Catalog {
+                self.record_era(DirectoryVersion::unpack(version).era());
+            }
             if self.relay.borrow_mut().should_request(kind, version, digest, link.near.get(), now) {
                 let kind = kind.number();
                 link.send(Body::DocumentAsk(DocumentAsk { kind, packed: true, pieces: true }));
