Write rows of VMs again that a copy of the store lacks

A VM renews its row every 8 s, in a fleet of 2,900 every ten minutes. If the store came back from a copy without the row, the VM was missing in the list of VMs until then, so that nobody used its connections or its part of the rates.

--- a/crates/engine/src/fleet/rows.rs
+++ b/crates/engine/src/fleet/rows.rs
@@ -57,7 +57,9 @@
 struct VmRow {
     address: SocketAddr,
     data_centre: DataCentreId,
+    /// Incarnation of the daemon, or 0 if another VM wrote the row.
     incarnation: u64,
+    /// Number of the renewal, which makes each one a change.
     renewal: u64,
 }
 
@@ -134,8 +136,11 @@
         }
     }
     engine.record_era(version.era());
+    engine.fleet.record_listed(&members);
     if engine.is_recently_restored() {
-        engine.fleet.retain_unlisted(&mut members);
+        let unlisted = engine.fleet.unlisted_members(&members);
+        write_missing_rows(engine, version, &unlisted).await;
+        members.extend(unlisted);
     }
     members.sort_by(|a, b| a.vm.cmp(&b.vm));
     // The first list is applied even if it names no other VM.
@@ -159,6 +164,31 @@
     }
 }
 
+/// Writes the rows of VMs that the directory at `version` lacks, because it came back from a
+/// copy. In a large fleet a VM renews its row too rarely to do so itself.
+async fn write_missing_rows<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    version: DirectoryVersion,
+    missing: &[Member],
+) {
+    for member in missing {
+        let row = VmRow {
+            address: member.address,
+            data_centre: member.data_centre.clone(),
+            incarnation: 0,
+            renewal: 0,
+        };
+        let write = RowWrite {
+            table: VM_TABLE,
+            key: member.vm.to_string(),
+            expected: Some(DirectoryVersion::start_of(version.era())),
+            value: serde_json::to_vec(&row).ok(),
+        };
+        // The write fails if the row was written meanwhile. The next read shows the result.
+        let _ = engine.directory.write(&write).await;
+    }
+}
+
 /// What a VM knows of how another one renews its row.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Renewal {
@@ -186,13 +216,11 @@
         }
     }
 
-    /// Adds known VMs that are missing in `members`.
-    fn retain_unlisted(&self, members: &mut Vec<Member>) {
-        for known in self.members.borrow().values() {
-            if members.iter().all(|member| member.vm != known.vm) {
-                members.push(known.clone());
-            }
-        }
+    /// Returns the known VMs that are missing in `listed`.
+    fn unlisted_members(&self, listed: &[Member]) -> Vec<Member> {
+        let is_listed = |known: &&Member| listed.iter().any(|member| member.vm == known.vm);
+        let members = self.members.borrow();
+        members.values().filter(|known| !is_listed(known)).cloned().collect()
     }
 
     /// Returns whether a VM whose row has this `version` is gone: it cannot be dialled, or
