--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -61,7 +61,7 @@
 
 /// How a VM has tried to get a newer document.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Pursuit {
+pub struct FetchStats {
     /// Time since the VM learnt that the document exists.
     pub waited: Duration,
     /// Number of requests to other VMs.
@@ -117,9 +117,9 @@
     }
 
     /// Returns how this VM has tried to get a document that is newer than its copy.
-    pub fn pursuit(&self, now: Time) -> Pursuit {
+    pub fn fetch_stats(&self, now: Time) -> FetchStats {
         let waited = self.outdated.map_or(Duration::ZERO, |since| now.since(since));
-        Pursuit { waited, requests: self.requests }
+        FetchStats { waited, requests: self.requests }
     }
 
     /// Replaces this copy by the document if `version` is newer.
--- a/crates/engine/src/engine/documents.rs
+++ b/crates/engine/src/engine/documents.rs
@@ -85,7 +85,7 @@
         }
         let (version, routes) = (catalog.version, catalog.routes.len());
         self.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
-        let pursuit = self.relay.borrow().document(Kind::Catalog).pursuit(clock::now());
+        let stats = self.relay.borrow().document(Kind::Catalog).fetch_stats(clock::now());
         self.relay.borrow_mut().accept(Kind::Catalog, version, &catalog);
         self.catalog.send_replace(Rc::new(catalog));
         self.event_log.record(
@@ -94,8 +94,8 @@
                 "version" => version,
                 "routes" => routes,
                 "source" => source,
-                "waited_ms" => pursuit.waited.as_millis() as u64,
-                "requests" => pursuit.requests,
+                "waited_ms" => stats.waited.as_millis() as u64,
+                "requests" => stats.requests,
             ),
         );
         self.announce();
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -7,6 +7,7 @@
 
 mod lifetime;
 mod record;
+mod transaction;
 
 use std::{rc::Rc, time::Duration};
 
@@ -14,11 +15,11 @@
 use indexmap::IndexMap;
 use tokio::time::timeout;
 
+use self::transaction::Transaction;
 use crate::{
-    attempt::{Attempt, Failure},
+    attempt::Attempt,
     catalog::Route,
     clock,
-    connection::Connection,
     engine::Engine,
     seam::{Caller, Directory, LinkError, ServerProtocol},
     statement::{
@@ -33,18 +34,6 @@
 /// Maximum number of variables, and of prepared statements, of one session.
 const MAX_NAMES: usize = 1_024;
 
-/// An open transaction of the caller.
-struct Transaction<S: ServerProtocol> {
-    access: Access,
-    route: Route,
-    account: AccountId,
-    /// Connection of the transaction, once its first statement has run.
-    connection: Option<Connection<S>>,
-    has_written: bool,
-    failed: bool,
-    last_used: Time,
-}
-
 /// Result of a request.
 enum Flow {
     /// The caller gets this reply and the session continues.
@@ -245,38 +234,6 @@
         }
     }
 
-    async fn begin(&mut self, access: Access) -> Flow {
-        if self.transaction.is_some() {
-            return Flow::Reply(Reply::Refused(Refusal::Malformed), None);
-        }
-        let (route, account) = match self.resolve() {
-            Ok(found) => found,
-            Err(refusal) => return Flow::Close(Reply::Refused(refusal)),
-        };
-        if !self.engine.admit(&route, &account).await {
-            return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
-        }
-        let last_used = clock::now();
-        let open = Transaction {
-            access,
-            route,
-            account,
-            connection: None,
-            has_written: false,
-            failed: false,
-            last_used,
-        };
-        self.transaction = Some(open);
-        local(true)
-    }
-
-    async fn roll_back(&mut self) -> Flow {
-        if let Some(connection) = self.transaction.take().and_then(|open| open.connection) {
-            connection.roll_back().await;
-        }
-        local(true)
-    }
-
     async fn run_statement(&mut self, request: &Request, access: Access, body: Body) -> Flow {
         match self.transaction.take() {
             Some(open) => self.run_in_transaction(request, open, access, body).await,
@@ -308,74 +265,6 @@
         }
     }
 
-    async fn run_in_transaction(
-        &mut self,
-        request: &Request,
-        mut open: Transaction<S>,
-        access: Access,
-        body: Body,
-    ) -> Flow {
-        if access == Access::Write && open.access == Access::Read {
-            open.failed = true;
-            self.transaction = Some(open);
-            let fault = Fault { kind: FaultKind::NotPrimary, text: "read transaction".to_owned() };
-            return Flow::Reply(Reply::Fault(fault), None);
-        }
-        open.has_written |= access == Access::Write;
-        let result = self.run_on_server(request, &mut open, &body, false).await;
-        open.last_used = clock::now();
-        open.failed = result.is_err();
-        self.transaction = Some(open);
-        match result {
-            Ok((served, position)) => Flow::Reply(served, position),
-            Err(failure) => Flow::Reply(failure.into_reply(), None),
-        }
-    }
-
-    async fn commit(&mut self, request: &Request) -> Flow {
-        let Some(mut open) = self.transaction.take() else {
-            return Flow::Reply(Reply::Refused(Refusal::Malformed), None);
-        };
-        let body = Body::Text(request.text.clone());
-        match self.run_on_server(request, &mut open, &body, true).await {
-            Ok((reply, position)) => {
-                if open.has_written {
-                    self.observe_position(&open.route.group, position);
-                }
-                Flow::Reply(reply, position)
-            }
-            Err(failure) => Flow::Reply(failure.into_reply(), None),
-        }
-    }
-
-    /// Runs a statement or the commit of a transaction. The first one begins the
-    /// transaction on a server.
-    async fn run_on_server(
-        &mut self,
-        request: &Request,
-        open: &mut Transaction<S>,
-        body: &Body,
-        is_commit: bool,
-    ) -> Result<(Reply, Option<Position>), Failure> {
-        let attempt = self.attempt(&request.id, &open.route, &open.account);
-        let mut connection = match open.connection.take() {
-            Some(connection) => connection,
-            None => attempt.begin(open.access).await?,
-        };
-        match attempt.run_in_transaction(&mut connection, body, is_commit, open.has_written).await {
-            Ok(answer) => {
-                if !is_commit {
-                    open.connection = Some(connection);
-                } else if answer.state == TransactionState::Idle {
-                    connection.give_back();
-                }
-                let served = answer.result.map_err(Failure::Fault)?;
-                Ok((Reply::Served(served), answer.position))
-            }
-            Err(failure) => Err(failure),
-        }
-    }
-
     fn attempt<'a>(
         &'a self,
         id: &'a str,
