Write the own row again only when this VM was listed before

Found in review: a reader that was missing in the list and whose write was refused read and wrote the rows in a loop without pause, and at the start of a fleet each VM wrote its row twice. The row is now written once the VM has dropped out of the list, and at most 100 rows of others between two reads.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -101,8 +101,10 @@
     list_known: Cell<bool>,
     /// Whether the newest list of VMs contains this one.
     listed: Cell<bool>,
-    /// Wakes the task that writes this VM's row if the list does not contain this VM.
-    unlisted: Notify,
+    /// Whether this VM was listed and is no longer, so that its row must be written.
+    row_lost: Cell<bool>,
+    /// Wakes the task that writes this VM's row.
+    row_wakeup: Notify,
     /// Neighbours that this VM has chosen.
     chosen: RefCell<IndexSet<VmId>>,
     /// VMs that this one dials in advance: neighbours and keepers of accounts.
--- a/crates/engine/src/fleet/rows.rs
+++ b/crates/engine/src/fleet/rows.rs
@@ -49,6 +49,10 @@
 /// is removed, even if no VM of its data centre could dial it.
 const MAX_MISSED_RENEWALS: f64 = 2.5;
 
+/// Maximum number of missing rows that are written between two reads of the rows, which
+/// leaves the directory time for other calls.
+const MAX_ROWS_REWRITTEN: usize = 100;
+
 /// Table of the VMs.
 const VM_TABLE: &str = "vms";
 
@@ -69,10 +73,12 @@
     let mut renewal = 0;
     loop {
         let due = renewal_interval(engine.fleet.vms().len());
-        let is_listed = engine.fleet.is_listed();
-        if !is_listed || renewed.is_none_or(|time| clock::now().since(time) >= due) {
+        let is_due = renewed.is_none_or(|time| clock::now().since(time) >= due);
+        if is_due || engine.fleet.row_lost.get() {
             renewal += 1;
-            renewed = write_row(&engine, renewal).await.or(renewed);
+            let written = write_row(&engine, renewal).await;
+            engine.fleet.row_lost.set(engine.fleet.row_lost.get() && written.is_none());
+            renewed = written.or(renewed);
         }
         // A VM that knows no other one yet reads by itself, and more often.
         let few = engine.fleet.vms().len() < 2;
@@ -84,7 +90,7 @@
         let few = engine.fleet.vms().len() < 2;
         let pause = if few { REDIAL_INTERVAL } else { ROWS_POLL_INTERVAL };
         // A wakeup only ends the pause early.
-        let _ = timeout(pause, engine.fleet.unlisted.notified()).await;
+        let _ = timeout(pause, engine.fleet.row_wakeup.notified()).await;
     }
 }
 
@@ -171,7 +177,7 @@
     version: DirectoryVersion,
     missing: &[Member],
 ) {
-    for member in missing {
+    for member in missing.iter().take(MAX_ROWS_REWRITTEN) {
         let row = VmRow {
             address: member.address,
             data_centre: member.data_centre.clone(),
@@ -200,19 +206,14 @@
 }
 
 impl Fleet {
-    /// Returns whether this VM is in the newest list of VMs, or no list is known yet.
-    fn is_listed(&self) -> bool {
-        self.listed.get() || !self.has_member_list()
-    }
-
-    /// Records whether a new list of VMs contains this one. If it does not, its row is
+    /// Records whether a new list of VMs contains this one. If it does no longer, the row is
     /// written at once: the directory may have come back from a copy without it.
     fn record_listed(&self, members: &[Member]) {
         let me = self.me.borrow();
         let listed = me.as_ref().is_some_and(|me| members.iter().any(|other| other.vm == me.vm));
-        self.listed.set(listed);
-        if !listed {
-            self.unlisted.notify_one();
+        if self.listed.replace(listed) && !listed {
+            self.row_lost.set(true);
+            self.row_wakeup.notify_one();
         }
     }
 
