Give up answers of the store that stop midway

What it does: the time limit of a call ended with the head of the answer. If the connection went dark before its end, the call was awaited for ever: a reader no longer heard of changes and went on telling other VMs that it reads, a coordinator no longer renewed its lease, and no VM's row was read.

Cause. awc applies the timeout of a request to the head only. The class: a time limit that does not cover all of what is awaited.

The parts of a body must follow each other within 1.5 s; the whole may take as long as its size needs, so that a large table is not given up on a narrow link. The client of the product's own platform and chicoryctl had the same fault and are mended too.

--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -85,8 +85,9 @@
     let failure = |error: String| Failure::new(Code::Unavailable, format!("{admin}: {error}"));
     let client = Client::builder().timeout(STATUS_TIMEOUT).finish();
     let request = client.get(format!("http://{admin}/vms"));
-    let mut answer = request.send().await.map_err(|error| failure(error.to_string()))?;
-    let vms: Vec<Vm> = answer.json().await.map_err(|error| failure(error.to_string()))?;
+    let answer = request.send().await.map_err(|error| failure(error.to_string()))?;
+    let vms: Vec<Vm> =
+        answer.timeout(STATUS_TIMEOUT).json().await.map_err(|error| failure(error.to_string()))?;
     let vms = query_vms(vms).await;
     let newest = vms.iter().filter_map(|vm| vm.version).max().unwrap_or(0);
     let (reached, live) = count_reached(&vms, newest);
@@ -171,7 +172,7 @@
 async fn query_vm(client: &Client, vm: Vm) -> VmReport {
     let url = format!("http://{}/status", vm.admin);
     let status = match client.get(url).send().await {
-        Ok(mut answer) => answer.json::<Status>().await.ok(),
+        Ok(answer) => answer.timeout(STATUS_TIMEOUT).json::<Status>().await.ok(),
         Err(_) => None,
     };
     let Vm { vm, data_centre, state, .. } = vm;
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -17,7 +17,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
-use crate::{Platform, PlatformError, Row, Swap, Vm};
+use crate::{Platform, PlatformError, Row, Swap, Vm, body::read_body};
 
 /// Estimated size in bytes of the headers of a request and its answer.
 const HEADER_BYTES: u64 = 250;
@@ -39,7 +39,7 @@
 
 impl HttpPlatform {
     /// Creates a client of the platform at `base`, such as `http://10.0.0.1:80`,
-    /// which waits at most `timeout` for an answer.
+    /// which waits at most `timeout` for an answer to begin.
     pub fn new(base: impl Into<String>, timeout: Duration) -> Self {
         let client = Client::builder().timeout(timeout).finish();
         HttpPlatform {
@@ -67,7 +67,7 @@
 
     async fn read(&self, path: &str) -> Result<(StatusCode, Vec<u8>), PlatformError> {
         let mut answer = self.client.get(self.url(path)).send().await.map_err(unavailable)?;
-        let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+        let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.map_err(unavailable)?;
         self.count_bytes(&body);
         Ok((answer.status(), body.to_vec()))
     }
@@ -86,7 +86,7 @@
         let url = self.url(&format!("/table/{key}"));
         let request = json!({ "expect": expect, "value": value });
         let mut answer = self.client.put(url).send_json(&request).await.map_err(unavailable)?;
-        let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+        let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.map_err(unavailable)?;
         match answer.status() {
             StatusCode::OK => decode(&body).map(Swap::Done),
             StatusCode::CONFLICT => decode(&body).map(Swap::Conflict),
@@ -122,7 +122,7 @@
                 Ok(self.last_list.borrow().1.clone())
             }
             StatusCode::OK => {
-                let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(unavailable)?;
+                let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.map_err(unavailable)?;
                 self.count_bytes(&body);
                 let vms: Vec<Vm> = decode(&body)?;
                 let tag = answer.headers().get(header::ETAG);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,6 +22,7 @@
 out.
 */
 
+pub mod body;
 mod http;
 mod roster;
 
