Name groups once on a link, and tell which documents a VM holds when that changes

A heartbeat repeated the name of each group of which it told a position, the same term three times, and versions and digests of all documents.

A name is sent once on a link, with a number (core::naming); a term that equals the group's is left out (Position::relative_term); versions and digests are sent when they differ from those last sent, and the receiver goes on asking for what it lacks as before. A message that a full queue drops makes the link forget what it has told, so that all is told again. What groups are told moves to a module of its own, since heartbeat.rs had grown.

Ruled out as not worth it: a binary form of forwarded answers.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod id;
 pub mod isolation;
 pub mod liveness;
+pub mod naming;
 pub mod neighbour;
 pub mod outcome;
 pub mod pace;
--- a/crates/core/src/position.rs
+++ b/crates/core/src/position.rs
@@ -88,6 +88,30 @@
     pub fn lsn(self) -> Lsn {
         self.lsn
     }
+
+    /// Returns the number of the term for a message that also contains `term`: 0 if both are
+    /// the same, so that the encoding can leave it out.
+    pub fn relative_term(self, term: Term) -> u64 {
+        let is_implied = self.term == term && self.lsn > Lsn::default();
+        if is_implied { 0 } else { self.term.get() }
+    }
+
+    /// Creates a position from the number that [`Position::relative_term`] returned.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use chicoryhollow_core::{Lsn, Position, Term};
+    ///
+    /// let (term, position) = (Term::new(3), Position::new(Term::new(3), Lsn::new(1_207)));
+    /// let number = position.relative_term(term);
+    /// assert_eq!(number, 0);
+    /// assert_eq!(Position::from_relative_term(number, position.lsn(), term), position);
+    /// ```
+    pub fn from_relative_term(number: u64, lsn: Lsn, term: Term) -> Self {
+        let is_implied = number == 0 && lsn > Lsn::default();
+        Position::new(if is_implied { term } else { Term::new(number) }, lsn)
+    }
 }
 
 impl fmt::Display for Position {
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -2,13 +2,14 @@
 //!
 //! VMs find each other through rows of the directory ([`rows`]). Each VM is linked
 //! to a few neighbours, with whom it exchanges what it knows of database groups
-//! ([`heartbeat`]). It is also linked to the homes of the servers and the keepers
+//! ([`heartbeat`], [`groups`]). It is also linked to the homes of the servers and the keepers
 //! of the accounts that its callers need. A keeper is a VM on which a part of an
 //! account's token bucket refills. A [`link`] whose other side does not reply to
 //! heartbeats ([`upkeep`]) is ended, and dialled again when it is needed.
 
 mod contact;
 mod documents;
+mod groups;
 mod heartbeat;
 mod link;
 mod rows;
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -1,21 +1,20 @@
 //! Messages between VMs: heartbeats, tokens and forwarded connections.
 //!
 //! A heartbeat reports which documents of the directory a VM holds and, between
-//! neighbours, what the VM knows of each database group. A VM that holds an older
-//! document asks for the newer one ([`super::documents`]). VMs also send each other tokens of the rates
-//! of client accounts.
+//! neighbours, what the VM knows of each database group ([`super::groups`]). A VM that
+//! holds an older document asks for the newer one ([`super::documents`]). VMs also send
+//! each other tokens of the rates of client accounts.
 
 use std::{rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
-    AccountId, GroupId, Lsn, Position, ServerId, Term, Time, VmId,
+    AccountId, Time, VmId,
     coordinator::{Outage, RowObservation},
-    gossip::{Spacing, Update},
     version::DirectoryVersion,
 };
 use chicoryhollow_peer::{
     Body, Envelope, Message,
-    fleet::{Beat, DocumentAsk, GroupState, TokenAsk, TokenGrant},
+    fleet::{Beat, DocumentAsk, TokenAsk, TokenGrant},
 };
 use slog::o;
 use tokio::sync::mpsc;
@@ -25,9 +24,8 @@
     connection::HomeMessage,
     engine::{Engine, Phase},
     fleet::link::Link,
-    group::{Group, Source},
     log::Event,
-    relay::{DocumentStatus, Kind},
+    relay::{DocumentStatus, Kind, Offer},
     seam::{Directory, ServerProtocol},
 };
 
@@ -110,8 +108,10 @@
             beat.incarnation = self.settings.incarnation;
         }
         if link.is_neighbour() {
-            beat.versions = self.relay.borrow().versions();
-            beat.digests = self.relay.borrow().digests();
+            if let Some(offer) = self.changed_offer(link) {
+                beat.versions = offer.versions;
+                beat.digests = offer.digests;
+            }
             beat.duty_version = self.row_observation().map_or(0, |row| row.version.pack());
             beat.duty_ms = self.row_observation().map_or(0, |row| millis(now.since(row.since)));
             beat.groups = self.group_updates(link, now);
@@ -119,33 +119,6 @@
         beat
     }
 
-    /// Returns what the neighbour was not told yet about each group, and records that it
-    /// is told now. The time at which a position was requested is given relative to the
-    /// arrival of the neighbour's newest heartbeat, because the clocks of two VMs differ.
-    fn group_updates(&self, link: &Link, now: Time) -> Vec<GroupState> {
-        let groups = self.groups();
-        let spacing = Spacing::new(link.near.get(), groups.len());
-        let (echo, received) = link.last_heartbeat.get();
-        let mut sent = link.last_sent.borrow_mut();
-        let mut updates = Vec::new();
-        for group in &groups {
-            let group = group.borrow();
-            let (name, mut known) = group.summary();
-            if echo == 0 {
-                // No time can be given relative to a heartbeat yet.
-                known.asked = None;
-            }
-            let last = sent.entry(name).or_default();
-            let kind = last.update(&known, spacing, now);
-            if kind == Update::None {
-                continue;
-            }
-            last.record(known, now);
-            updates.push(group_state(&group, kind, known.asked.map(|_| received), now));
-        }
-        updates
-    }
-
     pub(super) fn handle_message(self: &Rc<Self>, vm: &VmId, link: &Rc<Link>, body: Body) {
         if !matches!(body, Body::Beat(_) | Body::Document(_) | Body::DocumentAsk(_)) {
             link.record_use();
@@ -212,22 +185,43 @@
         for state in heartbeat.groups {
             self.handle_group_state(link, state, echoed.map(|(_, sent)| sent), now);
         }
-        let digests = heartbeat.digests.into_iter().chain(std::iter::repeat(0));
-        for ((kind, version), digest) in Kind::ALL.into_iter().zip(heartbeat.versions).zip(digests)
-        {
+        if !heartbeat.versions.is_empty() {
+            let Beat { versions, digests, .. } = heartbeat;
+            link.offered.replace(Offer { versions, digests });
+        }
+        self.request_documents(link, now);
+        if heartbeat.wants_reply && link.liveness.get().owes_reply(now) {
+            let reply = Beat { wants_reply: false, ..self.heartbeat(link) };
+            link.send(Body::Beat(reply));
+        }
+    }
+
+    /// Returns the documents that this VM holds, if the neighbour was last told others, and
+    /// records that it is told now.
+    fn changed_offer(&self, link: &Link) -> Option<Offer> {
+        let offer = self.relay.borrow().offer();
+        if *link.sent_offer.borrow() == offer {
+            return None;
+        }
+        link.sent_offer.replace(offer.clone());
+        Some(offer)
+    }
+
+    /// Requests the documents of which the other VM holds a newer version.
+    fn request_documents(&self, link: &Link, now: Time) {
+        let offered = link.offered.borrow();
+        let digests = offered.digests.iter().copied().chain(std::iter::repeat(0));
+        for ((kind, version), digest) in Kind::ALL.into_iter().zip(&offered.versions).zip(digests) {
             // The configuration has versions of its own.
             if kind != Kind::Catalog {
-                self.record_era(DirectoryVersion::unpack(version).era());
+                self.record_era(DirectoryVersion::unpack(*version).era());
             }
-            if self.relay.borrow_mut().should_request(kind, version, digest, link.near.get(), now) {
+            if self.relay.borrow_mut().should_request(kind, *version, digest, link.near.get(), now)
+            {
                 let kind = kind.number();
                 link.send(Body::DocumentAsk(DocumentAsk { kind, packed: true, pieces: true }));
             }
         }
-        if heartbeat.wants_reply && link.liveness.get().owes_reply(now) {
-            let reply = Beat { wants_reply: false, ..self.heartbeat(link) };
-            link.send(Body::Beat(reply));
-        }
     }
 
     /// Notifies all neighbours at once that a document has changed. Only its version is
@@ -282,71 +276,12 @@
             links.values().filter_map(|link| link.documents.get()).collect();
         self.relay.borrow().fresh_at(&statuses)
     }
-
-    fn handle_group_state(&self, link: &Link, state: GroupState, echoed: Option<Time>, now: Time) {
-        let Ok(name) = GroupId::new(&state.group) else { return };
-        match state.failing_ms {
-            0 => drop(link.failing.borrow_mut().remove(&name)),
-            failing => {
-                let since = now - Duration::from_millis(failing.into());
-                link.failing.borrow_mut().insert(name.clone(), since);
-            }
-        }
-        let group = self.group(&name);
-        let changed = {
-            let mut group = group.borrow_mut();
-            let at = |term, lsn| Position::new(Term::new(term), Lsn::new(lsn));
-            let acknowledged = at(state.acknowledged_term, state.acknowledged_lsn);
-            group.acknowledged = group.acknowledged.max(acknowledged);
-            let term = Term::new(state.term);
-            let newer = term > group.view.term;
-            let changed = newer
-                && ServerId::new(&state.primary).is_ok_and(|primary| group.adopt(&primary, term));
-            if let (Some(after), Some(echoed)) = (state.mark_after_us, echoed) {
-                let span = Duration::from_micros(after.unsigned_abs());
-                let asked = if after >= 0 { echoed + span } else { echoed - span };
-                group.record_position(at(state.mark_term, state.mark_lsn), asked.min(now), now);
-            }
-            changed
-        };
-        if changed {
-            self.record_primary_change(&group.borrow(), Source::Peer);
-        }
-    }
-}
-
-/// Returns the part of a group's state that a neighbour needs, with the time of the
-/// observed position relative to `received`, or without a position if that is `None`.
-fn group_state(group: &Group, update: Update, received: Option<Time>, now: Time) -> GroupState {
-    let primary = group.view.primary.as_ref().filter(|_| update == Update::Primary);
-    let latest = group.observed.latest().zip(received);
-    GroupState {
-        group: group.view.group.to_string(),
-        primary: primary.map(ToString::to_string).unwrap_or_default(),
-        term: group.view.term.get(),
-        acknowledged_term: group.acknowledged.term().get(),
-        acknowledged_lsn: group.acknowledged.lsn().get(),
-        // 0 would mean that requests succeed.
-        failing_ms: group.failing_since().map_or(0, |since| millis(now.since(since)).max(1)),
-        mark_term: latest.map_or(0, |(latest, _)| latest.position.term().get()),
-        mark_lsn: latest.map_or(0, |(latest, _)| latest.position.lsn().get()),
-        mark_after_us: latest.map(|(latest, received)| micros_after(latest.asked, received)),
-    }
-}
-
-/// Returns the microseconds from `start` to `time`, negative if `time` is earlier.
-fn micros_after(time: Time, start: Time) -> i64 {
-    if time >= start { micros(time.since(start)) } else { -micros(start.since(time)) }
 }
 
 fn milli(tokens: f64) -> u64 {
     (tokens * 1_000.0).max(0.0) as u64
 }
 
-fn micros(span: Duration) -> i64 {
-    i64::try_from(span.as_micros()).unwrap_or(i64::MAX)
-}
-
-fn millis(span: Duration) -> u32 {
+pub(super) fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/engine/src/fleet/link.rs
+++ b/crates/engine/src/fleet/link.rs
@@ -12,7 +12,11 @@
 };
 
 use chicoryhollow_core::{
-    GroupId, Time, VmId, gossip::LastSent, liveness::Liveness, transfer::Assembly,
+    GroupId, Time, VmId,
+    gossip::LastSent,
+    liveness::Liveness,
+    naming::{ReceivedNames, SentNames},
+    transfer::Assembly,
 };
 use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec, fleet::Beat};
 use futures_util::{SinkExt, StreamExt, stream::SplitSink};
@@ -30,7 +34,7 @@
     engine::Engine,
     fleet::documents::Outgoing,
     log::Event,
-    relay::{DocumentStatus, Kind},
+    relay::{DocumentStatus, Kind, Offer},
     seam::{Directory, LinkError, ServerProtocol},
 };
 
@@ -72,7 +76,15 @@
     pub(super) failing: RefCell<HashMap<GroupId, Time>>,
     /// What the other VM was last told about each group.
     pub(super) last_sent: RefCell<HashMap<GroupId, LastSent>>,
-    /// What the other VM last reported about its documents.
+    /// Names of groups that the other VM was sent.
+    pub(super) sent_names: RefCell<SentNames<GroupId>>,
+    /// Names of groups that the other VM has sent.
+    pub(super) received_names: RefCell<ReceivedNames<GroupId>>,
+    /// Documents of which the other VM was last told that this one holds them.
+    pub(super) sent_offer: RefCell<Offer>,
+    /// Documents that the other VM holds.
+    pub(super) offered: RefCell<Offer>,
+    /// How up to date the documents of the other VM are, as it last reported.
     pub(super) documents: Cell<Option<DocumentStatus>>,
     /// Whether this VM has chosen the other one as a neighbour.
     pub(super) chosen: Cell<bool>,
@@ -114,6 +126,10 @@
             sent_heartbeats: RefCell::default(),
             failing: RefCell::default(),
             last_sent: RefCell::default(),
+            sent_names: RefCell::default(),
+            received_names: RefCell::default(),
+            sent_offer: RefCell::default(),
+            offered: RefCell::default(),
             documents: Cell::new(None),
             chosen: Cell::new(place.chosen),
             chosen_by: Cell::new(false),
@@ -182,7 +198,18 @@
             }
             _ => self.update(|liveness| liveness.record_sent(now)),
         }
-        self.sender.try_send(Envelope::new(body)).is_ok()
+        let queued = self.sender.try_send(Envelope::new(body)).is_ok();
+        if !queued {
+            self.forget_sent();
+        }
+        queued
+    }
+
+    /// Forgets what the other VM was told, because a message to it was dropped.
+    fn forget_sent(&self) {
+        self.last_sent.take();
+        self.sent_names.take();
+        self.sent_offer.take();
     }
 
     /// Returns the number of the next heartbeat.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -44,6 +44,15 @@
     }
 }
 
+/// The documents that a VM holds, in the order of the numbers of their kinds.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Offer {
+    /// Version of each document.
+    pub(crate) versions: Vec<u64>,
+    /// Digest of each document.
+    pub(crate) digests: Vec<u64>,
+}
+
 /// What another VM reported about its documents.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DocumentStatus {
@@ -103,14 +112,12 @@
         }
     }
 
-    /// Returns the versions of the documents, by kind.
-    pub(crate) fn versions(&self) -> Vec<u64> {
-        self.documents.iter().map(DocumentCopy::version).collect()
-    }
-
-    /// Returns the digests of the documents, by kind.
-    pub(crate) fn digests(&self) -> Vec<u64> {
-        self.documents.iter().map(DocumentCopy::digest).collect()
+    /// Returns the documents that this VM holds.
+    pub(crate) fn offer(&self) -> Offer {
+        Offer {
+            versions: self.documents.iter().map(DocumentCopy::version).collect(),
+            digests: self.documents.iter().map(DocumentCopy::digest).collect(),
+        }
     }
 
     /// Returns this VM's copy of a document.
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -25,7 +25,8 @@
     #[prost(uint64, tag = "4")]
     pub echo: u64,
     /// Versions of the directory's documents that the sender holds, in the order
-    /// of the numbers of their kinds. Empty if the receiver is no neighbour.
+    /// of the numbers of their kinds. Empty if the receiver is no neighbour, or if neither
+    /// versions nor digests have changed since they were last sent on this connection.
     #[prost(uint64, repeated, tag = "5")]
     pub versions: Vec<u64>,
     /// Milliseconds since the sender last knew that its documents were the newest.
@@ -64,16 +65,20 @@
 /// What a VM knows of one group.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct GroupState {
-    /// Name of the group.
+    /// Name of the group; empty if [`GroupState::number`] was sent with it before.
     #[prost(string, tag = "1")]
     pub group: String,
+    /// Number that stands for the name on this connection, or 0 for none.
+    #[prost(uint32, tag = "10")]
+    pub number: u32,
     /// Name of the primary; empty if the receiver was told of this term before.
     #[prost(string, tag = "2")]
     pub primary: String,
     /// Term of the primary.
     #[prost(uint64, tag = "3")]
     pub term: u64,
-    /// Term of the newest acknowledged commit.
+    /// Term of the newest acknowledged commit; 0 for [`GroupState::term`] if there is a log
+    /// position.
     #[prost(uint64, tag = "4")]
     pub acknowledged_term: u64,
     /// Log position of the newest acknowledged commit.
@@ -83,7 +88,8 @@
     /// succeed.
     #[prost(uint32, tag = "6")]
     pub failing_ms: u32,
-    /// Term of the newest observed position. The fields that begin with `mark_`
+    /// Term of the newest observed position; 0 for [`GroupState::term`] if there is a log
+    /// position. The fields that begin with `mark_`
     /// describe a position that a backend server reported and the time at which it
     /// was requested.
     #[prost(uint64, tag = "7")]
