Hear from another VM before the configuration that was read at the start is used

What callers would have seen: after the store came back from a copy, a daemon that started accepted a key that had been withdrawn, until a neighbour sent it the newer configuration.

What a VM reads at its start was taken for the newest that there is. The class is that of: what the directory acknowledged is taken to last.

The first configuration is held until a linked VM has said which version it holds; if that one is newer it is awaited. If those that answer are starting too, the VM waits for 0.25 s, if nobody answers for a second (core::startup, with a model of ten VMs of which one to all start). The first heartbeat on a link therefore tells the documents that the VM holds. The coordinator's row says whether its holder has known the present era of the directory for 10 s; then nothing is missing, and nothing is awaited.

Ruled out: waiting only while VMs' rows are of an earlier era. In a large fleet a VM writes its row every ten minutes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,7 +49,8 @@
 * [`document`] is a VM's copy of a document of the directory, with its version, and
   [`transfer`] decides to whom a large one is sent when.
 * [`version`] orders the changes of the directory, also when it came back from a copy, and
-  [`evacuation`] keeps data centres out of use across such a restore.
+  [`evacuation`] keeps data centres out of use across such a restore. [`startup`] decides
+  whether what a VM reads at its start may be used before other VMs have been heard.
 * [`isolation`] detects that a network partition leaves a VM unable to serve most
   groups.
 * [`allowance`] moves tokens of an account's rate from VM to VM.
@@ -100,6 +101,7 @@
 pub mod route;
 pub mod session;
 pub mod share;
+pub mod startup;
 pub mod suspicion;
 pub mod time;
 pub mod transfer;
--- a/crates/engine/src/coordinator.rs
+++ b/crates/engine/src/coordinator.rs
@@ -41,6 +41,10 @@
 struct Content {
     holder: Option<String>,
     incarnation: u64,
+    /// Whether the holder has known the era of the directory for so long that all that was
+    /// missing after its restore has been written again.
+    #[serde(default)]
+    settled: bool,
 }
 
 /// This VM's claim to the role of failover coordinator.
@@ -167,7 +171,11 @@
     expected: DirectoryVersion,
     holder: Option<String>,
 ) -> RowWrite {
-    let content = Content { holder, incarnation: engine.settings.incarnation };
+    let content = Content {
+        holder,
+        incarnation: engine.settings.incarnation,
+        settled: engine.is_era_settled(),
+    };
     RowWrite {
         table: COORDINATOR_TABLE,
         key: row_key(expected.era()),
@@ -176,6 +184,17 @@
     }
 }
 
+/// Reads whether the last coordinator found the directory complete, in its present era.
+pub(crate) async fn reads_settled_era<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+) -> bool {
+    let Ok(rows) = engine.directory.rows(COORDINATOR_TABLE).await else { return false };
+    let key = row_key(rows.version.era());
+    let row = rows.rows.iter().find(|row| row.key == key);
+    let content = row.and_then(|row| serde_json::from_slice::<Content>(&row.value).ok());
+    content.is_some_and(|content| content.settled)
+}
+
 /// Parses the row. A row that cannot be parsed has no holder.
 fn parse_row(row: &Row) -> CoordinatorRow {
     let content = serde_json::from_slice::<Content>(&row.value).ok();
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -26,6 +26,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, watch};
 
+use self::documents::HeldCatalog;
 use crate::{
     admission::Admission,
     catalog::{Catalog, ServerEntry},
@@ -74,6 +75,8 @@
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) relay: RefCell<Relay>,
     catalog: watch::Sender<Rc<Catalog>>,
+    /// Configuration that was read at the start and is not used yet.
+    held_catalog: RefCell<Option<HeldCatalog>>,
     phase: watch::Sender<Phase>,
     groups: RefCell<IndexMap<GroupId, Rc<RefCell<Group>>>>,
     pools: RefCell<HashMap<ServerId, Rc<Pool<S>>>>,
@@ -83,6 +86,8 @@
     evacuated: RefCell<IndexSet<DataCentreId>>,
     /// Era of the newest known version of the directory.
     era: Cell<Era>,
+    /// When this VM learnt of that era.
+    era_known_at: Cell<Time>,
     /// When this VM learnt that the directory came back from a copy.
     restored_at: Cell<Option<Time>>,
     /// Whether the directory answers this VM or a linked one.
@@ -128,12 +133,14 @@
             relay: RefCell::new(Relay::new()),
             fleet: Fleet::default(),
             catalog: watch::Sender::new(Rc::default()),
+            held_catalog: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             groups: RefCell::default(),
             pools: RefCell::default(),
             evacuations: RefCell::default(),
             evacuated: RefCell::default(),
             era: Cell::default(),
+            era_known_at: Cell::new(clock::now()),
             restored_at: Cell::new(None),
             reachable: Cell::new(false),
             regained_at: Cell::new(Time::default()),
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -206,6 +206,11 @@
         self.list_known.get()
     }
 
+    /// Returns the number of other VMs, or `None` if the list of VMs has not been read.
+    pub(crate) fn known_others(&self) -> Option<usize> {
+        self.has_member_list().then(|| self.members.borrow().len())
+    }
+
     /// Returns how many neighbours there are, and how many of them could not reach the
     /// primary of `group` for at least `span`.
     pub(crate) fn failure_votes(&self, group: &GroupId, span: Duration, now: Time) -> Votes {
--- a/crates/engine/src/fleet/documents.rs
+++ b/crates/engine/src/fleet/documents.rs
@@ -4,6 +4,8 @@
 //! link need not wait for all of it. `chicoryhollow_core::transfer` decides which VMs are
 //! sent one at the same time.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use chicoryhollow_core::{
     VmId,
@@ -21,7 +23,7 @@
 use crate::{
     clock,
     engine::Engine,
-    fleet::{Member, link::Link, rows::apply_members},
+    fleet::{Fleet, Member, link::Link, rows::apply_members},
     log::Event,
     relay::Kind,
     seam::{Directory, ServerProtocol},
@@ -203,6 +205,15 @@
     }
 }
 
+impl Fleet {
+    /// Returns the version of the configuration that each linked VM holds, 0 for none.
+    pub(crate) fn offered_catalogs(&self) -> Vec<u64> {
+        let links = self.links.borrow();
+        let version = |link: &Rc<Link>| link.offered.borrow().version(Kind::Catalog);
+        links.values().filter_map(version).collect()
+    }
+}
+
 impl Link {
     /// Queues the next piece of the oldest outgoing document, unless one is queued.
     fn send_next_piece(&self) {
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -107,11 +107,14 @@
             beat.vm = self.settings.vm.to_string();
             beat.incarnation = self.settings.incarnation;
         }
+        // A VM that starts waits for the first offers of others.
+        if (link.is_neighbour() || number == 1)
+            && let Some(offer) = self.changed_offer(link)
+        {
+            beat.versions = offer.versions;
+            beat.digests = offer.digests;
+        }
         if link.is_neighbour() {
-            if let Some(offer) = self.changed_offer(link) {
-                beat.versions = offer.versions;
-                beat.digests = offer.digests;
-            }
             beat.duty_version = self.row_observation().map_or(0, |row| row.version.pack());
             beat.duty_ms = self.row_observation().map_or(0, |row| millis(now.since(row.since)));
             beat.groups = self.group_updates(link, now);
@@ -216,6 +219,9 @@
             if kind != Kind::Catalog {
                 self.record_era(DirectoryVersion::unpack(*version).era());
             }
+            if kind == Kind::Catalog && *version <= self.held_version() {
+                continue;
+            }
             if self.relay.borrow_mut().should_request(kind, *version, digest, link.near.get(), now)
             {
                 let kind = kind.number();
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -53,6 +53,13 @@
     pub(crate) digests: Vec<u64>,
 }
 
+impl Offer {
+    /// Returns the version of a document, 0 for none, or `None` if the offer is empty.
+    pub(crate) fn version(&self, kind: Kind) -> Option<u64> {
+        self.versions.get(kind.number() as usize).copied()
+    }
+}
+
 /// What another VM reported about its documents.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DocumentStatus {
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -25,8 +25,9 @@
     #[prost(uint64, tag = "4")]
     pub echo: u64,
     /// Versions of the directory's documents that the sender holds, in the order
-    /// of the numbers of their kinds. Empty if the receiver is no neighbour, or if neither
-    /// versions nor digests have changed since they were last sent on this connection.
+    /// of the numbers of their kinds. Empty if neither versions nor digests have changed
+    /// since they were last sent on this connection, or if the receiver is no neighbour and
+    /// this is not the first message.
     #[prost(uint64, repeated, tag = "5")]
     pub versions: Vec<u64>,
     /// Milliseconds since the sender last knew that its documents were the newest.
