Promote the server that started last when a primary leaves

What callers saw: one failover after the other, each of which leaves the group without a primary for 0.6 to 0.7 s.

Of servers that had received equally much, the last in the list was promoted, which was often the one to be replaced next.

In a planned failover the server that started last takes over, if it is not slow after its start and has received what was acknowledged when the failover began; it still has to receive all before it is promoted. Failovers after a failure are as before.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -11,7 +11,9 @@
 //! is abandoned and does not wait for the replica.
 //!
 //! In a planned failover the old primary works until the promotion. The server to promote
-//! is not fenced, so that it receives every commit that is still acknowledged.
+//! is not fenced, so that it receives every commit that is still acknowledged. When all
+//! servers are replaced one after the other, those that run for longest leave next. So the
+//! one that started last is promoted, and the group is not left without a primary again.
 
 mod missing;
 
@@ -57,6 +59,10 @@
     /// Whether it may stay primary: it is neither leaving nor in a data centre that was
     /// taken out of service.
     pub preferred: bool,
+    /// Whether it has only just started and is slow for a while.
+    pub cold: bool,
+    /// When it started, in milliseconds of its wall clock.
+    pub born: u64,
 }
 
 /// Replication status that a backend server reports.
@@ -105,9 +111,9 @@
     Abandoned(&'static str),
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Replica {
-    preferred: bool,
+    member: Member,
     status: Option<ReplicationStatus>,
     answered: Option<Time>,
     last_action: Option<Time>,
@@ -123,6 +129,8 @@
     replicas: IndexMap<ServerId, Replica>,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
+    /// Newest position with an acknowledged commit at the start.
+    first_acknowledged: Position,
     started: Time,
     /// When fencing began.
     fencing_since: Option<Time>,
@@ -143,13 +151,13 @@
         acknowledged: Position,
         now: Time,
     ) -> Self {
-        let replica =
-            |m: Member| (m.server, Replica { preferred: m.preferred, ..Replica::default() });
+        let replica = |member: Member| (member.server.clone(), Replica::new(member));
         Failover {
             cause,
             term: highest.next(),
             replicas: members.into_iter().map(replica).collect(),
             acknowledged,
+            first_acknowledged: acknowledged,
             started: now,
             fencing_since: None,
             target: None,
@@ -256,7 +264,7 @@
             return self.check_promotion(target, sent, now);
         }
         if self.cause == Cause::Planned && self.target.is_none() {
-            self.target = self.best_member(true);
+            self.target = self.successor();
         }
         let mut actions = self.prepare(now);
         if let Some(server) = self.promotable() {
@@ -328,7 +336,7 @@
                 if !self.replicas.values().all(is_fenced) {
                     return None;
                 }
-                self.best_member(false)?
+                self.most_advanced()?
             }
             Cause::Planned => {
                 let target = self.target.clone()?;
@@ -345,21 +353,44 @@
     }
 
     fn received(&self, server: &ServerId) -> Option<Position> {
-        Some(self.replicas.get(server)?.status?.received)
+        self.replicas.get(server)?.received()
     }
 
     /// Returns the server that received most, and a preferred one if several received
-    /// equally much. Returns `None` until all servers have answered. With `preferred_only`,
-    /// only preferred servers are considered.
-    fn best_member(&self, preferred_only: bool) -> Option<ServerId> {
+    /// equally much. Returns `None` until all servers have answered.
+    fn most_advanced(&self) -> Option<ServerId> {
+        self.best_member(|replica| Some((replica.received(), replica.member.preferred)))
+    }
+
+    /// Returns the server that takes over from a leaving primary: of those that will stay and
+    /// have received what was acknowledged at the start, one that is not slow, and of those
+    /// the one that started last. Returns `None` until all servers have answered.
+    fn successor(&self) -> Option<ServerId> {
+        self.best_member(|replica| {
+            let Member { preferred, cold, born, .. } = replica.member;
+            let received = replica.received();
+            let is_recent = received >= Some(self.first_acknowledged);
+            preferred.then_some((is_recent, !cold, is_recent.then_some(born), received))
+        })
+    }
+
+    /// Returns the server with the greatest `key`, among those that have one. Returns `None`
+    /// until all servers have answered.
+    fn best_member<K: Ord>(&self, key: impl Fn(&Replica) -> Option<K>) -> Option<ServerId> {
         if self.replicas.values().any(|replica| replica.status.is_none()) {
             return None;
         }
-        let key = |replica: &Replica| (replica.status.map(|s| s.received), replica.preferred);
-        self.replicas
-            .iter()
-            .filter(|(_, replica)| replica.preferred || !preferred_only)
-            .max_by_key(|(_, replica)| key(replica))
-            .map(|(server, _)| server.clone())
+        let keyed = self.replicas.iter().filter_map(|(server, r)| Some((key(r)?, server)));
+        keyed.max_by(|(a, _), (b, _)| a.cmp(b)).map(|(_, server)| server.clone())
+    }
+}
+
+impl Replica {
+    fn new(member: Member) -> Self {
+        Replica { member, status: None, answered: None, last_action: None }
+    }
+
+    fn received(&self) -> Option<Position> {
+        Some(self.status?.received)
     }
 }
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -23,7 +23,7 @@
 }
 
 fn member(name: &str, preferred: bool) -> Member {
-    Member { server: server(name), preferred }
+    Member { server: server(name), preferred, cold: false, born: 0 }
 }
 
 fn replica_status(received: Position, term: u64) -> ReplicationStatus {
@@ -375,3 +375,76 @@
         }
     }
 }
+
+/// Replaces a leaving primary at once and returns its successor.
+fn replace_leaving(members: &[Member], commits: u64) -> ServerId {
+    let (start, position) = (Time::from_millis(1_000), at(1, commits));
+    let members = members.to_vec();
+    let names: Vec<ServerId> = members.iter().map(|member| member.server.clone()).collect();
+    let mut failover = Failover::new(Cause::Planned, members, Term::new(1), position, start);
+    for ms in (1_000..2_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        for name in &names {
+            let fenced = if failover.promotion_target() == Some(name) { 0 } else { 2 };
+            failover.record_status(name, replica_status(position, fenced), now);
+        }
+        if let Some(target) = promoted(&failover.next_actions(now)) {
+            return target.clone();
+        }
+    }
+    panic!("no server is promoted");
+}
+
+/// Each of three servers is replaced by a new one, in turn. Another failover followed
+/// whenever the server that was promoted was to leave next.
+#[test]
+fn a_rolling_replacement_of_all_servers_needs_one_failover() {
+    let orders = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+    // The order in which the servers are listed must not matter.
+    for (order, reversed) in orders.into_iter().flat_map(|order| [(order, false), (order, true)]) {
+        let name = |slot: usize, round: u64| server(&format!("i-{slot}-{round}"));
+        let mut servers: Vec<Member> = (0..3)
+            .map(|slot| Member { server: name(slot, 0), preferred: true, cold: false, born: 5 })
+            .collect();
+        let (mut primary, mut failovers) = (name(0, 0), 0);
+        for (round, slot) in (1_u64..).zip(order) {
+            let new =
+                Member { server: name(slot, 1), preferred: true, cold: false, born: 5 + round };
+            servers.push(new);
+            for member in servers.iter_mut().filter(|member| member.server == name(slot, 0)) {
+                member.preferred = false;
+            }
+            if primary == name(slot, 0) {
+                let others = servers.iter().filter(|member| member.server != primary);
+                let mut others: Vec<Member> = others.cloned().collect();
+                if reversed {
+                    others.reverse();
+                }
+                primary = replace_leaving(&others, round);
+                failovers += 1;
+            }
+            servers.retain(|member| member.server != name(slot, 0));
+        }
+        assert_eq!(failovers, 1, "{order:?}, reversed: {reversed}");
+    }
+}
+
+#[test]
+fn a_server_that_lags_or_is_slow_is_no_successor_if_another_one_is_not() {
+    let newest = |cold| Member { born: 9, cold, ..member("new", true) };
+    let position = at(1, 4);
+    for (received, cold, expected) in
+        [(position, false, "new"), (position, true, "old"), (at(1, 3), false, "old")]
+    {
+        let members = [member("old", true), newest(cold)];
+        let now = Time::from_millis(1_000);
+        let mut failover = Failover::new(Cause::Planned, members, Term::new(1), position, now);
+        failover.record_status(&server("new"), replica_status(received, 0), now);
+        failover.record_status(&server("old"), replica_status(position, 0), now);
+        failover.next_actions(now);
+        failover.record_status(&server("new"), replica_status(position, 2), now);
+        failover.record_status(&server("old"), replica_status(position, 2), now);
+        let actions = failover.next_actions(now);
+        assert_eq!(promoted(&actions).map(ServerId::as_str), Some(expected), "{received} {cold}");
+    }
+}
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -315,13 +315,15 @@
     }
 
     /// Returns all servers except the primary, as candidates of a failover.
-    pub(crate) fn members(&self) -> Vec<Member> {
+    pub(crate) fn members(&self, now: Time) -> Vec<Member> {
         let others =
             self.servers.values().filter(|entry| Some(&entry.server) != self.view.primary.as_ref());
         others
             .map(|entry| Member {
                 server: entry.server.clone(),
                 preferred: self.accepts_work(entry),
+                cold: !self.is_warm(entry, now),
+                born: entry.born,
             })
             .collect()
     }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -143,7 +143,7 @@
     let evidence = Evidence {
         no_primary: watched.no_primary_since.map(|since| now.since(since)),
         leaving: entry.is_some_and(|entry| !group.accepts_work(entry)),
-        has_successor: group.members().iter().any(|member| member.preferred),
+        has_successor: group.members(now).iter().any(|member| member.preferred),
         failing: group.failing(now),
         silence: now.since(group.last_response()),
         unconfirmed: group.unconfirmed(now),
@@ -161,7 +161,7 @@
     now: Time,
 ) -> RunningFailover {
     let highest_term = group.view.term.max(group.acknowledged.term()).max(reported_term);
-    let members = group.members();
+    let members = group.members(now);
     let names: Vec<String> = members.iter().map(|member| member.server.to_string()).collect();
     // A leaving primary still reports its log. The next primary must hold all of it.
     let min_position = match suspicion.cause() {
