Wait for nobody at the first start of a fleet, and ask the directory only if nobody answers

A setting tells that the fleet starts for the first time, when no VM can know more than the directory. At other times a VM that restarts alone hears from a linked one within 30 ms, so the row is read only 50 ms after the configuration.

--- a/crates/engine/src/engine/documents.rs
+++ b/crates/engine/src/engine/documents.rs
@@ -25,6 +25,10 @@
 /// Interval at which a daemon that starts checks whether it may use a configuration.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time to wait for other VMs before the directory is asked whether it is complete. A VM
+/// that restarts alone need not ask.
+const SETTLED_READ_DELAY: Duration = Duration::from_millis(50);
+
 /// A configuration that was read at the start and is not used yet.
 pub(super) struct HeldCatalog {
     catalog: Catalog,
@@ -36,8 +40,7 @@
     /// Applies a change that the directory reported.
     pub(crate) fn apply(self: &Rc<Self>, change: Change) {
         match change {
-            Change::Catalog(catalog) if self.catalog().version == 0 => self.hold_catalog(*catalog),
-            Change::Catalog(catalog) => self.activate_catalog(*catalog, "directory"),
+            Change::Catalog(catalog) => self.accept_catalog(*catalog),
             Change::Evacuated(version, evacuated) => self.apply_evacuated(version, evacuated),
             Change::Servers(version, entries) => self.apply_servers(version, entries),
             Change::Reachable(ok) => self.relay.borrow_mut().record_read(ok, clock::now()),
@@ -69,6 +72,16 @@
         Ok(())
     }
 
+    /// Activates a configuration of the directory, or holds it if other VMs may know a newer
+    /// one.
+    fn accept_catalog(self: &Rc<Self>, catalog: Catalog) {
+        if self.catalog().version == 0 && !self.settings.first_start {
+            self.hold_catalog(catalog);
+        } else {
+            self.activate_catalog(catalog, "directory");
+        }
+    }
+
     /// Holds a configuration that was read at the start until it may be used.
     fn hold_catalog(self: &Rc<Self>, catalog: Catalog) {
         let mut held = self.held_catalog.borrow_mut();
@@ -84,6 +97,7 @@
     /// Waits until the held configuration may be used, or a newer one of another VM is.
     async fn use_held_catalog(self: Rc<Self>) {
         let settled = async {
+            sleep(SETTLED_READ_DELAY).await;
             if !reads_settled_era(&self).await {
                 pending::<()>().await;
             }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -19,6 +19,9 @@
     pub grace: Duration,
     /// Maximum number of connected callers.
     pub max_callers: usize,
+    /// Whether the whole fleet starts for the first time, so that no VM knows a newer
+    /// configuration than the directory.
+    pub first_start: bool,
     /// Number that distinguishes this run of the daemon from earlier ones.
     pub incarnation: u64,
 }
