--- a/crates/testkit/src/cluster/child.rs
+++ b/crates/testkit/src/cluster/child.rs
@@ -200,3 +200,28 @@
     let mut input = io::stdin().lock();
     while matches!(input.read(&mut buffer), Ok(1..)) {}
 }
+
+/// Waits until the process is asked to end: by SIGTERM, by SIGINT, or by the end
+/// of its standard input.
+///
+/// # Errors
+///
+/// Returns an error if signals cannot be received.
+pub async fn wait_for_shutdown() -> io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (mut term, mut interrupt) =
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let (ended, mut input) = tokio::sync::mpsc::channel::<()>(1);
+    // A separate thread, since the runtime would wait for the blocked read when it
+    // shuts down.
+    std::thread::spawn(move || {
+        wait_for_input_end();
+        drop(ended);
+    });
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = input.recv() => {}
+    }
+    Ok(())
+}
