--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,6 +6,7 @@
 
 mod documents;
 mod servers;
+mod startup;
 
 use std::{
     cell::{Cell, RefCell},
@@ -26,7 +27,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{Notify, watch};
 
-use self::documents::HeldCatalog;
+use self::startup::HeldCatalog;
 use crate::{
     admission::Admission,
     catalog::{Catalog, ServerEntry},
--- a/crates/engine/src/engine/documents.rs
+++ b/crates/engine/src/engine/documents.rs
@@ -1,41 +1,24 @@
 //! Documents of the directory that this VM applies, and restores of the directory.
 
-use std::{future::pending, rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use chicoryhollow_core::{
-    DataCentreId, Time,
+    DataCentreId,
     document::Acceptance,
     evacuation::RESTORE_GRACE,
-    startup::{ReadVersion, Verdict, judge},
     version::{DirectoryVersion, Era},
 };
 use slog::o;
-use tokio::time::sleep;
 
 use super::Engine;
 use crate::{
     catalog::{Catalog, ServerEntry},
     clock,
-    coordinator::reads_settled_era,
     log::Event,
     relay::Kind,
     seam::{Change, Directory, ServerProtocol},
 };
 
-/// Interval at which a daemon that starts checks whether it may use a configuration.
-const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Time to wait for other VMs before the directory is asked whether it is complete. A VM
-/// that restarts alone need not ask.
-const SETTLED_READ_DELAY: Duration = Duration::from_millis(50);
-
-/// A configuration that was read at the start and is not used yet.
-pub(super) struct HeldCatalog {
-    catalog: Catalog,
-    /// When the first configuration was read.
-    since: Time,
-}
-
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
     /// Applies a change that the directory reported.
     pub(crate) fn apply(self: &Rc<Self>, change: Change) {
@@ -72,63 +55,6 @@
         Ok(())
     }
 
-    /// Activates a configuration of the directory, or holds it if other VMs may know a newer
-    /// one.
-    fn accept_catalog(self: &Rc<Self>, catalog: Catalog) {
-        if self.catalog().version == 0 && !self.settings.first_start {
-            self.hold_catalog(catalog);
-        } else {
-            self.activate_catalog(catalog, "directory");
-        }
-    }
-
-    /// Holds a configuration that was read at the start until it may be used.
-    fn hold_catalog(self: &Rc<Self>, catalog: Catalog) {
-        let mut held = self.held_catalog.borrow_mut();
-        match &mut *held {
-            Some(held) => held.catalog = catalog,
-            None => {
-                *held = Some(HeldCatalog { catalog, since: clock::now() });
-                actix::spawn(Rc::clone(self).use_held_catalog());
-            }
-        }
-    }
-
-    /// Waits until the held configuration may be used, or a newer one of another VM is.
-    async fn use_held_catalog(self: Rc<Self>) {
-        let settled = async {
-            sleep(SETTLED_READ_DELAY).await;
-            if !reads_settled_era(&self).await {
-                pending::<()>().await;
-            }
-        };
-        tokio::select! {
-            () = settled => {}
-            () = self.wait_for_verdict() => {}
-        }
-        if let Some(held) = self.held_catalog.take() {
-            self.activate_catalog(held.catalog, "directory");
-        }
-    }
-
-    async fn wait_for_verdict(&self) {
-        while self.catalog().version == 0 && self.judge_held_catalog() == Verdict::Wait {
-            sleep(STARTUP_CHECK_INTERVAL).await;
-        }
-    }
-
-    /// Returns the version of the held configuration, or 0 if there is none.
-    pub(crate) fn held_version(&self) -> u64 {
-        self.held_catalog.borrow().as_ref().map_or(0, |held| held.catalog.version)
-    }
-
-    fn judge_held_catalog(&self) -> Verdict {
-        let held = self.held_catalog.borrow();
-        let Some(HeldCatalog { catalog, since }) = &*held else { return Verdict::Use };
-        let read = ReadVersion { version: catalog.version, since: *since };
-        judge(read, self.fleet.known_others(), self.fleet.offered_catalogs(), clock::now())
-    }
-
     fn apply_evacuated(&self, version: DirectoryVersion, listed: Vec<DataCentreId>) {
         self.record_era(version.era());
         let accepted = self.relay.borrow_mut().accept(Kind::Evacuated, version.pack(), &listed);
