Tell a neighbour of a position only if it is much newer than the one that it has

The near ones repeat 20 positions to each of eight neighbours twice a second, and these neighbours, who have the same from seven others, tell them back.

A VM now counts what a neighbour has told as told to it, and tells a position again only when it is 500 ms newer, or after a second if a newer commit was acknowledged. A new primary and failures are told as before.

what_a_neighbour_has_told_is_not_told_back fails without the change.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -5,7 +5,9 @@
 //! everything in each heartbeat would cost VMs times groups. A VM instead sends what has
 //! changed since it last told the same neighbour. A new primary or a failure is told at
 //! once. Positions grow with every commit and are told at a pace that depends on the
-//! number of groups, so that their cost for one neighbour is bounded.
+//! number of groups, so that their cost for one neighbour is bounded. Each VM has several
+//! neighbours that tell nearly the same, so a position is told only if it is much newer than
+//! the one that the neighbour was told or has told itself.
 
 use std::time::Duration;
 
@@ -18,6 +20,13 @@
 /// Assumed size of what is told about one group, in bytes.
 const GROUP_BYTES: u32 = 40;
 
+/// Time by which a position must be newer than the one that the neighbour has. Routes that
+/// allow reads of some age allow more than that.
+const MIN_GAIN: Duration = Duration::from_millis(500);
+
+/// Time after which a newer acknowledged position is told even if there is no such gain.
+const ACKNOWLEDGED_SPACING: Duration = Duration::from_millis(1_000);
+
 /// Shortest time between two positions of a group, told within a data centre.
 const NEAR_SPACING: Duration = Duration::from_millis(400);
 
@@ -59,7 +68,7 @@
     Primary,
 }
 
-/// What one neighbour was last told about one group.
+/// What one neighbour was last told about one group, or has told itself.
 ///
 /// # Example
 ///
@@ -89,8 +98,11 @@
         if known.failing.is_some() != self.last.failing.is_some() {
             return Update::Failure;
         }
-        let newer = known.acknowledged > self.last.acknowledged || known.asked > self.last.asked;
-        match newer && now.since(self.at) >= spacing.0 {
+        let waited = now.since(self.at);
+        let gain = known.asked.unwrap_or_default().since(self.last.asked.unwrap_or_default());
+        let is_acknowledged = known.acknowledged > self.last.acknowledged;
+        let is_needed = gain >= MIN_GAIN || (is_acknowledged && waited >= ACKNOWLEDGED_SPACING);
+        match is_needed && waited >= spacing.0 {
             true => Update::Positions,
             false => Update::None,
         }
@@ -100,6 +112,16 @@
     pub fn record(&mut self, known: GroupSummary, now: Time) {
         *self = LastSent { last: known, at: now };
     }
+
+    /// Records what the neighbour has told, which it need not be told.
+    ///
+    /// Whether requests to the primary fail is each VM's own experience, and is told all the
+    /// same.
+    pub fn record_received(&mut self, told: &GroupSummary) {
+        self.last.term = self.last.term.max(told.term);
+        self.last.acknowledged = self.last.acknowledged.max(told.acknowledged);
+        self.last.asked = self.last.asked.max(told.asked);
+    }
 }
 
 /// Minimum time between two positions of one group that are told to one neighbour.
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -86,17 +86,21 @@
         known.asked = known.asked.max(news.asked);
     }
 
+    /// Returns what `from` has told `to` about each group.
+    fn told_by(&mut self, from: usize, to: usize) -> &mut Vec<LastSent> {
+        self.told.entry((from, to)).or_insert_with(|| vec![LastSent::default(); GROUPS])
+    }
+
     fn tell(&mut self, from: usize, ms: u64) {
         for (to, near) in self.neighbours[from].clone() {
             let now = Time::from_millis(ms);
             let spacing = Spacing::new(near, GROUPS);
-            let told =
-                self.told.entry((from, to)).or_insert_with(|| vec![LastSent::default(); GROUPS]);
             let mut entries = Vec::new();
-            for (group, known) in self.known[from].iter().enumerate() {
-                if told[group].update(known, spacing, now) != Update::None {
-                    told[group].record(*known, now);
-                    entries.push((group, *known));
+            for (group, known) in self.known[from].clone().into_iter().enumerate() {
+                let told = &mut self.told_by(from, to)[group];
+                if told.update(&known, spacing, now) != Update::None {
+                    told.record(known, now);
+                    entries.push((group, known));
                 }
             }
             self.entries += entries.len();
@@ -110,8 +114,9 @@
     /// that carries a newer position.
     fn run(&mut self, start: u64, span: u64) {
         for ms in start..start + span {
-            for (to, _, entries) in self.in_flight.remove(&ms).unwrap_or_default() {
+            for (to, from, entries) in self.in_flight.remove(&ms).unwrap_or_default() {
                 for (group, news) in entries {
+                    self.told_by(to, from)[group].record_received(&news);
                     self.learn(to, group, news, ms);
                 }
             }
@@ -143,6 +148,26 @@
     assert!(fleet.entries * 3 < everything * 2, "{} of {everything}", fleet.entries);
 }
 
+#[test]
+fn what_a_neighbour_has_told_is_not_told_back() {
+    let spacing = Spacing::new(true, GROUPS);
+    let now = Time::from_millis(1_000);
+    let position = Position::new(Term::new(1), Lsn::new(7));
+    let known = GroupSummary {
+        term: Term::new(1),
+        acknowledged: position,
+        asked: Some(Time::from_millis(900)),
+        ..GroupSummary::default()
+    };
+    let mut last = LastSent::default();
+    last.record_received(&known);
+    assert_eq!(last.update(&known, spacing, now), Update::None);
+    let newer = GroupSummary { asked: Some(Time::from_millis(1_400)), ..known };
+    assert_eq!(last.update(&newer, spacing, Time::from_millis(1_500)), Update::Positions);
+    let failing = GroupSummary { failing: Some(now), ..known };
+    assert_eq!(last.update(&failing, spacing, now), Update::Failure);
+}
+
 #[test]
 fn positions_are_recent_on_all_vms() {
     let mut fleet = Fleet::new(2, 0.0);
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -8,7 +8,7 @@
 
 use chicoryhollow_core::{
     GroupId, Lsn, Position, ServerId, Term, Time,
-    gossip::{Spacing, Update},
+    gossip::{GroupSummary, Spacing, Update},
     naming::{NameNumber, Reference},
 };
 use chicoryhollow_peer::fleet::GroupState;
@@ -66,12 +66,17 @@
             }
         }
         let group = self.group(&name);
+        let mut told = GroupSummary::default();
         let changed = {
             let mut group = group.borrow_mut();
             let term = Term::new(state.term);
             let at = |number, lsn| Position::from_relative_term(number, Lsn::new(lsn), term);
             let acknowledged = at(state.acknowledged_term, state.acknowledged_lsn);
             group.acknowledged = group.acknowledged.max(acknowledged);
+            told.acknowledged = acknowledged;
+            if !state.primary.is_empty() {
+                told.term = term;
+            }
             let newer = term > group.view.term;
             let changed = newer
                 && ServerId::new(&state.primary).is_ok_and(|primary| group.adopt(&primary, term));
@@ -80,9 +85,11 @@
                 let asked = if after >= 0 { echoed + span } else { echoed - span };
                 let observed = at(state.mark_term, state.mark_lsn);
                 group.record_position(observed, asked.min(now), now);
+                told.asked = Some(asked.min(now));
             }
             changed
         };
+        link.last_sent.borrow_mut().entry(name).or_default().record_received(&told);
         if changed {
             self.record_primary_change(&group.borrow(), Source::Peer);
         }
