Watch two links to each data centre, and send no heartbeats after an answered request

A VM of the large fleet sent 79 heartbeats a second to other data centres. They went over links to up to 16 keepers of tokens, twice a second on each, and for two seconds over each link that had carried a request for tokens, though the answer had come after a millisecond.

Links to keepers are now checked when they are used. Two links to each data centre carry heartbeats steadily, neighbours included; when a data centre turns silent, the other links to it are checked at once. An answered request needs no heartbeats; forwarded work does for two seconds, as before.

an_answered_request_costs_no_heartbeats and two_connections_to_a_data_centre_show_whether_it_is_there fail without the change.

--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -5,6 +5,11 @@
 //! carry. A VM therefore sends heartbeats often on the connections that are in use, and
 //! rarely on the others. Each heartbeat requests a reply, so that it does not matter
 //! whether both sides consider the connection as in use.
+//!
+//! Connections that are kept for later use need no heartbeats of their own: their use checks
+//! them. A few to each data centre are checked steadily, and show when all of it is silent.
+//! A request whose answer comes at once, such as one for tokens, needs heartbeats only
+//! until then; work that goes on needs them for as long as the next message may be due.
 
 use std::time::Duration;
 
@@ -16,7 +21,7 @@
 /// Interval of heartbeats on any other connection.
 const IDLE_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Time since the last use for which a connection counts as in use.
+/// Time since the last work for which a connection counts as in use.
 const ACTIVE_SPAN: Duration = Duration::from_secs(2);
 
 /// Time without any message after a heartbeat was sent, until the connection counts as
@@ -32,6 +37,9 @@
 /// used.
 const UNCHECKED_SPAN: Duration = Duration::from_millis(600);
 
+/// Number of connections to each data centre that carry heartbeats steadily.
+const WATCHED_CONNECTIONS: usize = 2;
+
 /// What to do about a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Check {
@@ -48,12 +56,48 @@
 pub enum Purpose {
     /// Heartbeats carry what the VMs know of database groups.
     Gossip,
-    /// The connection is kept, so that work need not wait for it.
+    /// Heartbeats show whether the data centre of the other VM is there.
     Standby,
-    /// The connection was needed once.
+    /// The connection is checked when it is used.
     OnDemand,
 }
 
+/// Why a VM keeps a connection to another VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// The other VM is a neighbour.
+    Neighbour,
+    /// The other VM will be needed again.
+    Prepared,
+    /// The other VM was needed once.
+    Used,
+}
+
+/// Returns what to use each of a VM's connections to one data centre for.
+///
+/// # Example
+///
+/// ```
+/// use chicoryhollow_core::liveness::{Purpose, Reason, purposes};
+///
+/// let connections = [Reason::Prepared, Reason::Neighbour, Reason::Prepared, Reason::Used];
+/// let expected = [Purpose::Standby, Purpose::Gossip, Purpose::OnDemand, Purpose::OnDemand];
+/// assert_eq!(purposes(&connections), expected);
+/// ```
+pub fn purposes(connections: &[Reason]) -> Vec<Purpose> {
+    let neighbours = connections.iter().filter(|reason| **reason == Reason::Neighbour).count();
+    let mut unwatched = WATCHED_CONNECTIONS.saturating_sub(neighbours);
+    let purpose = |reason: &Reason| match reason {
+        Reason::Neighbour => Purpose::Gossip,
+        Reason::Prepared if unwatched > 0 => {
+            unwatched -= 1;
+            Purpose::Standby
+        }
+        Reason::Prepared | Reason::Used => Purpose::OnDemand,
+    };
+    connections.iter().map(purpose).collect()
+}
+
 /// One VM's view of whether a connection to another VM still works.
 ///
 /// # Example
@@ -73,7 +117,12 @@
     received: Time,
     sent: Time,
     heartbeat: Time,
+    /// When the connection last carried a request or work.
     used: Time,
+    /// When the connection last carried work.
+    worked: Option<Time>,
+    /// When a request was sent that nothing was received since.
+    requested: Option<Time>,
     /// When the oldest heartbeat was sent since the last received message.
     unanswered: Option<Time>,
 }
@@ -81,12 +130,21 @@
 impl Liveness {
     /// Creates the state of a connection that was established at `now`.
     pub fn new(now: Time) -> Self {
-        Liveness { received: now, sent: now, heartbeat: now, used: now, unanswered: None }
+        Liveness {
+            received: now,
+            sent: now,
+            heartbeat: now,
+            used: now,
+            worked: None,
+            requested: None,
+            unanswered: None,
+        }
     }
 
     /// Records a message of the other VM.
     pub fn record_received(&mut self, now: Time) {
         self.received = now;
+        self.requested = None;
         self.unanswered = None;
     }
 
@@ -107,9 +165,23 @@
     /// is there.
     pub fn record_use(&mut self, now: Time) -> bool {
         self.used = now;
+        self.worked = Some(now);
         self.needs_check(now)
     }
 
+    /// Records that the connection carries a request of this VM that is answered at once.
+    /// Returns whether to send a heartbeat too, as [`Liveness::record_use`] does.
+    pub fn record_request(&mut self, now: Time) -> bool {
+        self.used = now;
+        self.requested.get_or_insert(now);
+        self.needs_check(now)
+    }
+
+    /// Records that a request of the other VM was answered.
+    pub fn record_answer(&mut self, now: Time) {
+        self.used = now;
+    }
+
     /// Returns whether nothing has shown for a while that the other VM is there, and no
     /// heartbeat is under way that would.
     pub fn needs_check(&self, now: Time) -> bool {
@@ -121,9 +193,10 @@
         now.since(self.sent) >= REPLY_SPACING
     }
 
-    /// Returns whether the connection has carried work recently.
+    /// Returns whether the connection has carried work recently or a request has no answer.
     pub fn is_active(&self, now: Time) -> bool {
-        now.since(self.used) < ACTIVE_SPAN
+        let works = self.worked.is_some_and(|worked| now.since(worked) < ACTIVE_SPAN);
+        works || self.requested.is_some()
     }
 
     /// Returns for how long nothing was received.
@@ -131,7 +204,7 @@
         now.since(self.received)
     }
 
-    /// Returns when the connection last carried work.
+    /// Returns when the connection last carried a request or work.
     pub fn used(&self) -> Time {
         self.used
     }
--- a/crates/core/tests/liveness.rs
+++ b/crates/core/tests/liveness.rs
@@ -4,7 +4,7 @@
 
 use chicoryhollow_core::{
     Time,
-    liveness::{Check, Liveness, Purpose},
+    liveness::{Check, Liveness, Purpose, Reason, purposes},
 };
 
 /// Interval at which each VM checks its side of the connection, in milliseconds.
@@ -99,6 +99,19 @@
     assert!(connection.lost_at.is_some_and(|ms| ms <= 12_000), "{:?}", connection.lost_at);
 }
 
+/// A VM of a large fleet is connected to many others that hold tokens for it.
+#[test]
+fn two_connections_to_a_data_centre_show_whether_it_is_there() {
+    let watched = |connections: &[Reason]| {
+        let purposes = purposes(connections);
+        purposes.iter().filter(|purpose| **purpose != Purpose::OnDemand).count()
+    };
+    assert_eq!(watched(&[Reason::Prepared; 16]), 2);
+    assert_eq!(watched(&[Reason::Prepared]), 1);
+    assert_eq!(watched(&[[Reason::Neighbour; 3], [Reason::Prepared; 3]].concat()), 3);
+    assert_eq!(watched(&[Reason::Used; 4]), 0);
+}
+
 /// A VM whose data centre was cut off while the connection was idle.
 #[test]
 fn a_silent_vm_is_noticed_soon_after_the_first_use() {
@@ -113,6 +126,33 @@
     assert!(connection.lost_at.is_some_and(|ms| ms <= 12_300), "{:?}", connection.lost_at);
 }
 
+/// A VM asks many others for tokens, each of them a few times a minute.
+#[test]
+fn an_answered_request_costs_no_heartbeats() {
+    let mut liveness = Liveness::new(Time::default());
+    for second in 1..60 {
+        let ms = second * 1_000;
+        liveness.record_request(Time::from_millis(ms));
+        liveness.record_sent(Time::from_millis(ms));
+        liveness.record_received(Time::from_millis(ms + 3));
+        let later = Time::from_millis(ms + 600);
+        assert_eq!(liveness.check(Purpose::OnDemand, later), Check::Nothing, "second {second}");
+    }
+}
+
+#[test]
+fn an_unanswered_request_shows_that_the_other_vm_is_silent() {
+    let mut connection = Connection::new(2);
+    connection.run(Purpose::OnDemand, 0, 10_000);
+    connection.sides[0].record_received(Time::from_millis(10_000));
+    connection.alive[1] = false;
+    let asked = Time::from_millis(10_100);
+    assert!(!connection.sides[0].record_request(asked), "the other VM was just heard");
+    connection.sides[0].record_sent(asked);
+    connection.run(Purpose::OnDemand, 10_100, 3_000);
+    assert!(connection.lost_at.is_some_and(|ms| ms <= 12_100), "{:?}", connection.lost_at);
+}
+
 #[test]
 fn messages_in_both_directions_replace_heartbeats() {
     let mut liveness = Liveness::new(Time::default());
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -30,11 +30,12 @@
         }
     }
 
-    /// Records which data centres are silent. A VM that hears of no other data centre has
-    /// lost contact with its own servers as far as others can tell.
-    pub(super) fn record_silence(&self, now: Time) {
+    /// Records which data centres are silent, and returns those that were not before. A VM
+    /// that hears of no other data centre has lost contact with its own servers as far as
+    /// others can tell.
+    pub(super) fn record_silence(&self, now: Time) -> Vec<DataCentreId> {
         let (members, links) = (self.members.borrow(), self.links.borrow());
-        let Some(me) = self.me.borrow().clone() else { return };
+        let Some(me) = self.me.borrow().clone() else { return Vec::new() };
         let mut heard: HashMap<&DataCentreId, bool> = HashMap::new();
         for member in members.values() {
             let is_heard = links
@@ -50,7 +51,8 @@
         if !heard.is_empty() && silent.len() == heard.len() {
             silent_at.insert(me.data_centre.clone(), now);
         }
-        self.silent.replace(silent);
+        let before = self.silent.replace(silent.clone());
+        silent.difference(&before).cloned().collect()
     }
 
     /// Returns whether other data centres have VMs and nothing arrives from any of them.
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -63,7 +63,9 @@
 
     fn send_token_request(&self, vm: &VmId, account: &AccountId, wanted: f64) {
         let Some(link) = self.fleet.link(vm) else { return };
-        self.use_link(&link);
+        if link.update(|liveness| liveness.record_request(clock::now())) {
+            link.send(Body::Beat(self.heartbeat(&link)));
+        }
         let ask = TokenAsk { account: account.to_string(), wanted_milli: milli(wanted) };
         link.send(Body::TokenAsk(ask));
     }
@@ -123,8 +125,10 @@
     }
 
     pub(super) fn handle_message(self: &Rc<Self>, vm: &VmId, link: &Rc<Link>, body: Body) {
-        if !matches!(body, Body::Beat(_) | Body::Document(_) | Body::DocumentAsk(_)) {
-            link.record_use();
+        match body {
+            Body::Beat(_) | Body::Document(_) | Body::DocumentAsk(_) | Body::TokenGrant(_) => {}
+            Body::TokenAsk(_) => link.update(|liveness| liveness.record_answer(clock::now())),
+            _ => drop(link.record_use()),
         }
         match body {
             Body::Beat(heartbeat) => self.handle_heartbeat(link, heartbeat),
--- a/crates/engine/src/fleet/upkeep.rs
+++ b/crates/engine/src/fleet/upkeep.rs
@@ -3,12 +3,16 @@
 //! One task looks at all links, so that an idle link wakes nobody. Decisions are made by
 //! `chicoryhollow_core::liveness` and `chicoryhollow_core::gossip`.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
 
 use chicoryhollow_core::{
-    GroupId, Time, VmId,
+    DataCentreId, GroupId, Time, VmId,
     gossip::{GroupSummary, Spacing, Update},
-    liveness::{Check, Purpose},
+    liveness::{Check, Purpose, Reason, purposes},
 };
 use chicoryhollow_peer::Body;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -49,12 +53,9 @@
     fn check_links(&self) {
         let now = clock::now();
         let known = self.summaries();
-        for (vm, link) in self.fleet.all_links() {
-            match link.liveness.get().check(self.fleet.purpose(&vm, &link), now) {
-                Check::Lost => {
-                    self.fleet.missing.borrow_mut().insert(vm);
-                    self.end_silent(&link, now);
-                }
+        for (vm, link, purpose) in self.fleet.link_purposes() {
+            match link.liveness.get().check(purpose, now) {
+                Check::Lost => self.end_silent(vm, &link, now),
                 Check::Heartbeat => drop(link.send(Body::Beat(self.heartbeat(&link)))),
                 Check::Nothing if link.is_neighbour() && has_urgent_update(&link, &known, now) => {
                     link.send(Body::Beat(self.heartbeat(&link)));
@@ -64,7 +65,9 @@
         }
         self.fleet.end_replaced();
         self.fleet.end_unused(now);
-        self.fleet.record_silence(now);
+        for data_centre in self.fleet.record_silence(now) {
+            self.check_links_to(&data_centre, now);
+        }
     }
 
     /// Tells the neighbours of a new primary at once.
@@ -84,13 +87,23 @@
         groups.iter().map(|group| group.borrow().summary()).collect()
     }
 
-    /// Ends a silent link, and checks the other links to its data centre, which may be
-    /// cut off.
-    fn end_silent(&self, link: &Rc<Link>, now: Time) {
+    /// Ends a silent link to `vm`, and checks the other links to its data centre, which may
+    /// be cut off.
+    fn end_silent(&self, vm: VmId, link: &Link, now: Time) {
         link.end();
-        for (_, other) in self.fleet.other_links_near(link) {
-            if other.liveness.get().needs_check(now) {
-                other.send(Body::Beat(self.heartbeat(&other)));
+        let data_centre = self.fleet.data_centre(&vm);
+        self.fleet.missing.borrow_mut().insert(vm);
+        if let Some(data_centre) = data_centre {
+            self.check_links_to(&data_centre, now);
+        }
+    }
+
+    /// Sends a heartbeat on each link to a data centre over which nothing has arrived lately.
+    fn check_links_to(&self, data_centre: &DataCentreId, now: Time) {
+        for (vm, link) in self.fleet.all_links() {
+            let is_there = self.fleet.data_centre(&vm).as_ref() == Some(data_centre);
+            if is_there && link.liveness.get().needs_check(now) {
+                link.send(Body::Beat(self.heartbeat(&link)));
             }
         }
     }
@@ -112,23 +125,33 @@
         self.links.borrow().iter().map(|(vm, link)| (vm.clone(), Rc::clone(link))).collect()
     }
 
-    fn purpose(&self, vm: &VmId, link: &Link) -> Purpose {
+    /// Returns all links with what to use them for, in the order of the names of their VMs in
+    /// each data centre.
+    fn link_purposes(&self) -> Vec<(VmId, Rc<Link>, Purpose)> {
+        let mut centres: BTreeMap<Option<DataCentreId>, BTreeMap<VmId, Rc<Link>>> = BTreeMap::new();
+        for (vm, link) in self.all_links() {
+            centres.entry(self.data_centre(&vm)).or_default().insert(vm, link);
+        }
+        let with_purposes = |links: BTreeMap<VmId, Rc<Link>>| {
+            let reasons: Vec<Reason> =
+                links.iter().map(|(vm, link)| self.reason(vm, link)).collect();
+            let links = links.into_iter().zip(purposes(&reasons));
+            links.map(|((vm, link), purpose)| (vm, link, purpose))
+        };
+        centres.into_values().flat_map(with_purposes).collect()
+    }
+
+    fn reason(&self, vm: &VmId, link: &Link) -> Reason {
         match (link.is_neighbour(), self.is_dialled(vm)) {
-            (true, _) => Purpose::Gossip,
-            (false, true) => Purpose::Standby,
-            (false, false) => Purpose::OnDemand,
+            (true, _) => Reason::Neighbour,
+            (false, true) => Reason::Prepared,
+            (false, false) => Reason::Used,
         }
     }
 
-    /// Returns the links to other VMs in the data centre of `link`.
-    fn other_links_near(&self, link: &Rc<Link>) -> Vec<(VmId, Rc<Link>)> {
-        let members = self.members.borrow();
-        let links = self.all_links();
-        let centre = |vm: &VmId| members.get(vm).map(|member| member.data_centre.clone());
-        let lost = links.iter().find(|(_, other)| Rc::ptr_eq(other, link));
-        let Some(there) = lost.and_then(|(vm, _)| centre(vm)) else { return Vec::new() };
-        let others = links.into_iter().filter(|(_, other)| !Rc::ptr_eq(other, link));
-        others.filter(|(vm, _)| centre(vm).as_ref() == Some(&there)).collect()
+    /// Returns the data centre of another VM, or `None` if its row was not read yet.
+    fn data_centre(&self, vm: &VmId) -> Option<DataCentreId> {
+        self.members.borrow().get(vm).map(|member| member.data_centre.clone())
     }
 
     /// Ends replaced links that carry no forwarded connection any more.
