Read the store sooner when nobody shows to read it

Cause: one VM in each data centre reads the store for the others. All three were cut off from it in silence 66 ms after they had read a change. The others took that for an hour in which nothing changes and read by themselves 3.5 s later: 3.2 s, and 0.1 s for each VM that ranks before. Nothing had ever added these waits up against the promise.

Ruled out: that the store answered late, or that the new readers did not pass the version on.

Now a call for operators' documents is kept open for 1.2 s, VMs wait 2.0 s for a read by another one, and 0.05 s for each that ranks before them, at most 0.5 s: 2.1 to 2.6 s in the model. While nothing changes there is one reader in each data centre, as before; the same model shows it.

In tests/reader.rs the time between two reads is now the one that the code uses; it was a copy of the old one.

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -6,22 +6,32 @@
 //! one ranked before it, so that an outage of the directory does not make all VMs send
 //! requests. A VM that has lost its links to all VMs that read waits less long, because a
 //! network partition may have left it without any.
+//!
+//! The VMs that read may all lose the directory in silence, just after a change. The others
+//! then believe that they are up to date, and learn of nothing until they read themselves.
+//! All waits together therefore stay below the three seconds within which a configuration
+//! is in force.
 
 use std::time::Duration;
 
 use crate::{id::VmId, rank::rank, time::Time};
 
-/// Time without a known read by another VM after which a VM reads the directory itself.
-const READ_TIMEOUT: Duration = Duration::from_millis(3_200);
+/// Time for which the directory keeps a call open that waits for operators' documents. A
+/// reader shows at least this often that it reads.
+pub const READ_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// Time without a known read by another VM after which a VM reads the directory itself. It
+/// exceeds [`READ_INTERVAL`] by the time that heartbeats take to tell all VMs of a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Time to wait before reading after the links to all VMs that read were lost.
 const LOST_READER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Extra time that a VM waits for each VM that ranks before it.
-const WAIT_PER_RANK: Duration = Duration::from_millis(100);
+const WAIT_PER_RANK: Duration = Duration::from_millis(50);
 
 /// Maximum extra time that a VM waits because of its rank.
-const MAX_RANK_WAIT: Duration = Duration::from_millis(2_000);
+const MAX_RANK_WAIT: Duration = Duration::from_millis(500);
 
 /// Minimum time by which a reported read must be newer than this VM's own last read to
 /// prove that another VM reads the directory too.
@@ -37,9 +47,9 @@
 /// let mut readers = Readers::new(Time::default());
 /// assert!(readers.is_reader(0, Time::default()), "the first VM reads");
 /// assert!(!readers.is_reader(3, Time::default()));
-/// assert!(readers.is_reader(3, Time::from_millis(3_600)), "no other VM reads");
-/// readers.record_reads(Some(Time::from_millis(3_500)), None);
-/// assert!(!readers.is_reader(3, Time::from_millis(3_600)));
+/// assert!(readers.is_reader(3, Time::from_millis(2_200)), "no other VM reads");
+/// readers.record_reads(Some(Time::from_millis(2_100)), None);
+/// assert!(!readers.is_reader(3, Time::from_millis(2_200)));
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Readers {
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use chicoryhollow_core::{Time, reader::Readers};
+use chicoryhollow_core::{
+    Time,
+    reader::{READ_INTERVAL, Readers},
+};
 
 const STEP_MS: u64 = 50;
 
-/// Maximum time that a read takes, in milliseconds.
-const READ_MS: u64 = 2_000;
+/// Time from one read to the next, in milliseconds.
+const READ_MS: u64 = READ_INTERVAL.as_millis() as u64;
 
 /// Simulates `vms` VMs of one data centre that all receive each other's reports. A VM's
 /// reads succeed while `is_able` returns true for it and the time in milliseconds.
--- a/crates/core/tests/reading.rs
+++ b/crates/core/tests/reading.rs
@@ -7,15 +7,12 @@
 use chicoryhollow_core::{
     DataCentreId, Time, VmId,
     neighbour::{Location, choose_neighbours},
-    reader::{Readers, reader_rank},
+    reader::{READ_INTERVAL, Readers, reader_rank},
 };
 
 /// Time within which a configuration is in force on all VMs, in milliseconds.
 const IN_FORCE_MS: u64 = 3_000;
 
-/// Time for which the directory keeps a call open that waits for changes, in milliseconds.
-const CALL_MS: u64 = 2_000;
-
 /// Interval of heartbeats between neighbours, in milliseconds.
 const HEARTBEAT_MS: u64 = 500;
 
@@ -131,7 +128,8 @@
     /// Ends a call of a reader that waits for changes, of which there are none.
     fn read(&mut self, i: usize, ms: u64) {
         let vm = &self.vms[i];
-        if vm.reads && !vm.is_cut_off && (ms + i as u64 * 331).is_multiple_of(CALL_MS) {
+        let call_ms = READ_INTERVAL.as_millis() as u64;
+        if vm.reads && !vm.is_cut_off && (ms + i as u64 * 331).is_multiple_of(call_ms) {
             self.complete_read(i, ms);
         }
     }
