Tell every newer position in small fleets

The rule of, that a position must be 500 ms newer to be told, is meant for VMs with many neighbours.

The gain that a position needs now grows with the number of neighbours beyond six, by 60 ms each.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -5,9 +5,9 @@
 //! everything in each heartbeat would cost VMs times groups. A VM instead sends what has
 //! changed since it last told the same neighbour. A new primary or a failure is told at
 //! once. Positions grow with every commit and are told at a pace that depends on the
-//! number of groups, so that their cost for one neighbour is bounded. Each VM has several
-//! neighbours that tell nearly the same, so a position is told only if it is much newer than
-//! the one that the neighbour was told or has told itself.
+//! number of groups, so that their cost for one neighbour is bounded. A VM of a large fleet
+//! has many neighbours that tell nearly the same, so a position is told only if it is much
+//! newer than the one that the neighbour was told or has told itself.
 
 use std::time::Duration;
 
@@ -20,9 +20,12 @@
 /// Assumed size of what is told about one group, in bytes.
 const GROUP_BYTES: u32 = 40;
 
-/// Time by which a position must be newer than the one that the neighbour has. Routes that
-/// allow reads of some age allow more than that.
-const MIN_GAIN: Duration = Duration::from_millis(500);
+/// Number of neighbours up to which every newer position is told.
+const FEW_NEIGHBOURS: u32 = 6;
+
+/// Time, for each further neighbour, by which a position must be newer than the one that the
+/// neighbour has.
+const GAIN_PER_NEIGHBOUR: Duration = Duration::from_millis(60);
 
 /// Time after which a newer acknowledged position is told even if there is no such gain.
 const ACKNOWLEDGED_SPACING: Duration = Duration::from_millis(1_000);
@@ -98,16 +101,22 @@
         if known.failing.is_some() != self.last.failing.is_some() {
             return Update::Failure;
         }
-        let waited = now.since(self.at);
-        let gain = known.asked.unwrap_or_default().since(self.last.asked.unwrap_or_default());
-        let is_acknowledged = known.acknowledged > self.last.acknowledged;
-        let is_needed = gain >= MIN_GAIN || (is_acknowledged && waited >= ACKNOWLEDGED_SPACING);
-        match is_needed && waited >= spacing.0 {
+        match self.has_newer_position(known, spacing, now) {
             true => Update::Positions,
             false => Update::None,
         }
     }
 
+    fn has_newer_position(&self, known: &GroupSummary, spacing: Spacing, now: Time) -> bool {
+        let waited = now.since(self.at);
+        let gain = known.asked.unwrap_or_default().since(self.last.asked.unwrap_or_default());
+        let is_acknowledged = known.acknowledged > self.last.acknowledged;
+        let is_newer = is_acknowledged || known.asked > self.last.asked;
+        let is_much_newer = is_newer && gain >= spacing.min_gain;
+        let is_overdue = is_acknowledged && waited >= ACKNOWLEDGED_SPACING;
+        waited >= spacing.interval && (is_much_newer || is_overdue)
+    }
+
     /// Records that the neighbour was told `known`.
     pub fn record(&mut self, known: GroupSummary, now: Time) {
         *self = LastSent { last: known, at: now };
@@ -124,9 +133,14 @@
     }
 }
 
-/// Minimum time between two positions of one group that are told to one neighbour.
+/// How often the positions of one group are told to one neighbour.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Spacing(Duration);
+pub struct Spacing {
+    /// Minimum time between two positions.
+    interval: Duration,
+    /// Minimum time by which a position is newer than the one that the neighbour has.
+    min_gain: Duration,
+}
 
 impl Spacing {
     /// Returns the spacing for a neighbour in the same data centre, if `near`, or in
@@ -135,11 +149,17 @@
         let (shortest, budget) =
             if near { (NEAR_SPACING, NEAR_BUDGET) } else { (FAR_SPACING, FAR_BUDGET) };
         let pace = Pace::new(shortest, MAX_SPACING).with_cost(GROUP_BYTES, budget);
-        Spacing(pace.interval(groups))
+        Spacing { interval: pace.interval(groups), min_gain: Duration::ZERO }
+    }
+
+    /// Returns this spacing for a VM with so many neighbours.
+    pub fn with_neighbours(self, neighbours: usize) -> Self {
+        let further = u32::try_from(neighbours).unwrap_or(u32::MAX).saturating_sub(FEW_NEIGHBOURS);
+        Spacing { min_gain: GAIN_PER_NEIGHBOUR.saturating_mul(further), ..self }
     }
 
-    /// Returns the spacing as a duration.
-    pub fn get(self) -> Duration {
-        self.0
+    /// Returns the minimum time between two positions.
+    pub fn interval(self) -> Duration {
+        self.interval
     }
 }
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     engine::Engine,
-    fleet::{heartbeat::millis, link::Link},
+    fleet::{Fleet, heartbeat::millis, link::Link},
     group::{Group, Source},
     seam::{Directory, ServerProtocol},
 };
@@ -26,7 +26,7 @@
     /// arrival of the neighbour's newest heartbeat, because the clocks of two VMs differ.
     pub(super) fn group_updates(&self, link: &Link, now: Time) -> Vec<GroupState> {
         let groups = self.groups();
-        let spacing = Spacing::new(link.near.get(), groups.len());
+        let spacing = self.fleet.spacing(link, groups.len());
         let (echo, received) = link.last_heartbeat.get();
         let mut sent = link.last_sent.borrow_mut();
         let mut updates = Vec::new();
@@ -96,6 +96,14 @@
     }
 }
 
+impl Fleet {
+    /// Returns how often positions of `groups` groups are told over a link to a neighbour.
+    fn spacing(&self, link: &Link, groups: usize) -> Spacing {
+        let neighbours = self.links.borrow().values().filter(|link| link.is_neighbour()).count();
+        Spacing::new(link.near.get(), groups).with_neighbours(neighbours)
+    }
+}
+
 /// Returns the part of a group's state that a neighbour needs, without the group's name. The
 /// time of the observed position is relative to `received`; the position is left out if
 /// that is `None`.
