Add review case 2: a leaving replica behind a cut counts as gone

The cause: a failover does not wait for a replica that was leaving when its entry lapsed, though it may run behind a cut and confirm commits there. The change: a script with its claim, and partitions in the stand-in world.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [[ -x target/review/world && -x target/release/chicoryhollow-node ]] || exit 2
 set -m
-target/review/world late review/2/record.txt &
+target/review/world leaving review/2/record.txt &
 world=$!
 trap 'kill -KILL -- "-$world"; exit 2' INT TERM
 wait "$world"
--- a/review/world.rs
+++ b/review/world.rs
@@ -103,6 +103,10 @@
     instances: Vec<Instance>,
     /// A primary that is cut off from its replicas, and which these are.
     cut: Option<(String, Vec<String>)>,
+    /// Daemons and instances that are cut off from all others and from the store.
+    apart: Option<(Vec<usize>, Vec<String>)>,
+    /// Where the proxy of each daemon's peer address listens.
+    peers: HashMap<String, String>,
     runs: HashMap<String, Run>,
     acknowledged: Vec<Entry>,
     /// Highest fencing token seen.
@@ -124,6 +128,18 @@
         from + self.seed % (to - from + 1)
     }
 
+    /// Returns whether a partition lies between two daemons.
+    fn parts_daemons(&self, a: usize, b: usize) -> bool {
+        self.apart.as_ref().is_some_and(|(daemons, _)| daemons.contains(&a) != daemons.contains(&b))
+    }
+
+    /// Returns whether a partition lies between a daemon and an instance.
+    fn parts(&self, daemon: Option<usize>, id: &str) -> bool {
+        self.apart.as_ref().is_some_and(|(daemons, instances)| {
+            daemon.is_some_and(|d| daemons.contains(&d)) != instances.iter().any(|i| i == id)
+        })
+    }
+
     fn instance(&mut self, id: &str) -> &mut Instance {
         self.instances.iter_mut().find(|i| i.id == id).expect("a known instance")
     }
@@ -150,6 +166,8 @@
             primary: "i-1".into(),
             instances: Vec::new(),
             cut: None,
+            apart: None,
+            peers: HashMap::new(),
             runs: HashMap::new(),
             acknowledged: Vec::new(),
             token: 0,
@@ -199,20 +217,20 @@
     (listener, address)
 }
 
-/// Serves the store and the promotion service on one address.
-fn start_store(world: &Arc<World>) -> SocketAddr {
+/// Serves the store and the promotion service on an address of its own for each daemon.
+fn start_store(world: &Arc<World>, daemon: usize) -> SocketAddr {
     let (listener, address) = listen(Ipv4Addr::LOCALHOST);
     let world = Arc::clone(world);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let world = Arc::clone(&world);
-            thread::spawn(move || serve_http(&world, stream));
+            thread::spawn(move || serve_http(&world, stream, daemon));
         }
     });
     address
 }
 
-fn serve_http(world: &Arc<World>, stream: TcpStream) {
+fn serve_http(world: &Arc<World>, stream: TcpStream, daemon: usize) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -239,6 +257,16 @@
             return;
         }
         let body = String::from_utf8_lossy(&body).into_owned();
+        let is_apart = || {
+            let state = world.lock();
+            state.apart.as_ref().is_some_and(|(daemons, _)| daemons.contains(&daemon))
+        };
+        if is_apart() {
+            while is_apart() {
+                pause(20);
+            }
+            return;
+        }
         pause(4);
         let Some((status, text)) = answer_http(world, &path, &headers, &body) else {
             // No answer; the connection delivers nothing further.
@@ -329,7 +357,14 @@
     state.rows.version += 1;
     let version = state.rows.version;
     for put in json.get("puts").list() {
-        let value = put.get("value").text();
+        let mut value = put.get("value").text();
+        if put.get("table").text() == "vms" {
+            let text = String::from_utf8_lossy(&unbase64(&value)).into_owned();
+            let alias = state.peers.iter().find(|(own, _)| text.contains(own.as_str()));
+            if let Some((own, alias)) = alias {
+                value = base64(text.replace(own.as_str(), alias).as_bytes());
+            }
+        }
         state.rows.rows.insert(row(put), (Some(value), version));
     }
     for gone in json.get("remove").list() {
@@ -438,12 +473,14 @@
         let log = source.log.clone();
         let apart = state.cut.clone().filter(|(cut, _)| *cut == primary);
         let apart = apart.map(|(_, replicas)| replicas).unwrap_or_default();
+        let sides = state.apart.as_ref().map(|(_, side)| side.clone()).unwrap_or_default();
         let mut moved = false;
         for replica in state.instances.iter_mut() {
             let receives = replica.running
                 && replica.paused == 0
                 && !replica.deaf
-                && !apart.contains(&replica.id);
+                && !apart.contains(&replica.id)
+                && !(sides.contains(&replica.id) ^ sides.contains(&primary));
             if replica.id != primary && receives && replica.log != log {
                 replica.log = log.clone();
                 moved = true;
@@ -505,7 +542,17 @@
                 return;
             }
             // A change is reported at once, anything else with the next heartbeat.
-            if last != Some(now) || Instant::now() >= due {
+            let is_apart = {
+                let state = beating.lock();
+                state.apart.as_ref().is_some_and(|(_, side)| side.contains(&beat_name))
+            };
+            if is_apart {
+                // The entry is removed after three heartbeats of silence.
+                if Instant::now() >= due + HEARTBEAT * 2 && last.take().is_some() {
+                    put_row(&beating, "servers", &beat_name, None);
+                    beating.note(format!("the entry of {beat_name} is removed"));
+                }
+            } else if last != Some(now) || Instant::now() >= due {
                 last = Some(now);
                 due = Instant::now() + HEARTBEAT;
                 beat(&beating, &beat_name);
@@ -556,9 +603,16 @@
 
 fn serve_instance(world: &Arc<World>, id: &str, stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
+    let daemon = owner(world, &stream);
     let mut writer = stream.try_clone()?;
     let mut lines = Lines::new(stream);
     let Some(hello) = lines.next()? else { return Ok(()) };
+    let wait_for_path = || {
+        while world.lock().parts(daemon, id) {
+            pause(20);
+        }
+    };
+    wait_for_path();
     let fields: Vec<&str> = hello.split(' ').collect();
     thread::sleep(HANDSHAKE);
     let (service, full) = {
@@ -580,6 +634,7 @@
     let mut wrote = false;
     let mut prepared: HashMap<String, String> = HashMap::new();
     while let Some(line) = lines.next()? {
+        wait_for_path();
         if !world.lock().instance(id).running {
             return Ok(());
         }
@@ -701,11 +756,31 @@
             Some(code) => format!("ERROR {code} {id}\r\n"),
             None => format!("COMPLETE {signature}\r\n"),
         };
+        wait_for_path();
         send(&mut writer, &format!("{answer}{}", ready(world, id, letter)))?;
     }
     Ok(())
 }
 
+/// Returns which daemon has opened a connection to an instance.
+fn owner(world: &World, stream: &TcpStream) -> Option<usize> {
+    let (own, peer) = (stream.local_addr().ok()?.port(), stream.peer_addr().ok()?.port());
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    let (own, peer) = (format!(":{own:04X}"), format!(":{peer:04X}"));
+    let row = table.lines().find(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        fields.len() > 9 && fields[1].ends_with(&peer) && fields[2].ends_with(&own)
+    })?;
+    let socket = format!("socket:[{}]", row.split_whitespace().nth(9)?);
+    let children = world.children.lock().expect("ok").clone();
+    children.iter().position(|pid| {
+        let files = fs::read_dir(format!("/proc/{pid}/fd")).into_iter().flatten().flatten();
+        files
+            .map(|file| file.path())
+            .any(|path| fs::read_link(path).is_ok_and(|target| target.to_string_lossy() == socket))
+    })
+}
+
 fn ready(world: &World, id: &str, letter: &str) -> String {
     let at = world.lock().instance(id).received();
     format!("READY {letter} {}.{}", at.0, at.1)
@@ -749,6 +824,8 @@
     name: String,
     ip: Ipv4Addr,
     zone: String,
+    /// Where the daemon finds the store.
+    store: SocketAddr,
     child: Arc<Mutex<Child>>,
 }
 
@@ -797,7 +874,11 @@
 }
 
 /// Starts one daemon for each (name, zone) and waits until all are ready.
-fn start_daemons(world: &World, store: SocketAddr, places: &[(&str, &str)]) -> Vec<Daemon> {
+fn start_daemons(
+    world: &Arc<World>,
+    stores: Vec<SocketAddr>,
+    places: &[(&str, &str)],
+) -> Vec<Daemon> {
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let ip = |i: usize| Ipv4Addr::new(127, high | 128, low, i as u8 + 1);
     let free = |i: usize| {
@@ -807,6 +888,10 @@
         world.note("a port is in use");
         world.exit(2);
     }
+    let names: Arc<Vec<String>> = Arc::new(places.iter().map(|(name, _)| (*name).into()).collect());
+    for i in 0..places.len() {
+        start_peer_proxy(world, &names, i, SocketAddr::from((ip(i), PEERS)));
+    }
     let mut daemons: Vec<Daemon> = places
         .iter()
         .enumerate()
@@ -814,7 +899,8 @@
             name: (*name).into(),
             ip: ip(i),
             zone: (*zone).into(),
-            child: Arc::new(Mutex::new(spawn(world, name, zone, ip(i), store, true))),
+            store: stores[i],
+            child: Arc::new(Mutex::new(spawn(world, name, zone, ip(i), stores[i], true))),
         })
         .collect();
     let end = Instant::now() + Duration::from_secs(20);
@@ -830,6 +916,60 @@
     daemons
 }
 
+/// Passes on connections between daemons. The first message names the daemon that dials.
+fn start_peer_proxy(
+    world: &Arc<World>,
+    names: &Arc<Vec<String>>,
+    callee: usize,
+    target: SocketAddr,
+) {
+    let (listener, address) = listen(Ipv4Addr::LOCALHOST);
+    world.lock().peers.insert(target.to_string(), address.to_string());
+    let (world, names) = (Arc::clone(world), Arc::clone(names));
+    thread::spawn(move || {
+        for mut dialled in listener.incoming().flatten() {
+            let (world, names) = (Arc::clone(&world), Arc::clone(&names));
+            thread::spawn(move || {
+                let mut first = [0; 4_096];
+                let Ok(count) = dialled.read(&mut first) else { return };
+                let text = String::from_utf8_lossy(&first[..count]).into_owned();
+                let Some(caller) = names.iter().position(|name| text.contains(name.as_str()))
+                else {
+                    return;
+                };
+                let Ok(mut server) = TcpStream::connect_timeout(&target, ms(500)) else { return };
+                let (Ok(back), Ok(reply)) = (server.try_clone(), dialled.try_clone()) else {
+                    return;
+                };
+                let _ = (dialled.set_nodelay(true), server.set_nodelay(true));
+                let other = Arc::clone(&world);
+                thread::spawn(move || pass_on(&other, back, reply, (caller, callee)));
+                let wait = || world.lock().parts_daemons(caller, callee);
+                while wait() {
+                    pause(20);
+                }
+                if server.write_all(&first[..count]).is_ok() {
+                    pass_on(&world, dialled, server, (caller, callee));
+                }
+            });
+        }
+    });
+}
+
+/// Copies bytes until one side closes; a partition holds them up.
+fn pass_on(world: &World, mut from: TcpStream, mut to: TcpStream, ends: (usize, usize)) {
+    let mut bytes = [0; 16_384];
+    while let Ok(count) = from.read(&mut bytes) {
+        while world.lock().parts_daemons(ends.0, ends.1) {
+            pause(20);
+        }
+        if count == 0 || to.write_all(&bytes[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = (from.shutdown(std::net::Shutdown::Both), to.shutdown(std::net::Shutdown::Both));
+}
+
 fn is_ready(ip: Ipv4Addr) -> bool {
     let Ok(mut stream) = TcpStream::connect_timeout(&SocketAddr::from((ip, READY)), ms(500)) else {
         return false;
@@ -968,6 +1108,27 @@
     text
 }
 
+fn unbase64(text: &str) -> Vec<u8> {
+    let (mut bytes, mut bits, mut count) = (Vec::new(), 0_u32, 0);
+    for c in text.bytes().filter(|c| *c != b'=') {
+        let digit = match c {
+            b'A'..=b'Z' => c - b'A',
+            b'a'..=b'z' => c - b'a' + 26,
+            b'0'..=b'9' => c - b'0' + 52,
+            b'+' => 62,
+            _ => 63,
+        };
+        bits = bits << 6 | u32::from(digit);
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            bytes.push((bits >> count) as u8);
+            bits &= (1 << count) - 1;
+        }
+    }
+    bytes
+}
+
 enum Json {
     Null,
     Number(u64),
@@ -1094,6 +1255,7 @@
         "key" => key(&world, trouble),
         "late" => late(&world, trouble),
         "unseen" => unseen(&world, trouble),
+        "leaving" => leaving(&world, trouble),
         "pipeline" => pipeline(&world, trouble),
         _ => world.exit(2),
     };
@@ -1103,7 +1265,7 @@
 
 /// Starts the group, the store with a first configuration, and the daemons.
 fn start(world: &Arc<World>, places: &[(&str, &str)]) -> Vec<Daemon> {
-    let store = start_store(world);
+    let stores = (0..places.len()).map(|i| start_store(world, i)).collect();
     for (id, zone) in [("i-1", "press-hall"), ("i-2", "cold-dock"), ("i-3", "front-office")] {
         add_instance(world, id, zone);
         pause(10);
@@ -1112,12 +1274,9 @@
     let text = configuration(1, &service, &["u6wsjnba"], &["j8pjbvk9"]);
     put_row(world, "op", "config", Some(&text));
     pause(100);
-    *STORE.lock().expect("ok") = Some(store);
-    start_daemons(world, store, places)
+    start_daemons(world, stores, places)
 }
 
-static STORE: Mutex<Option<SocketAddr>> = Mutex::new(None);
-
 /// Daemons are stopped and started in turn while clients open sessions all the time.
 fn stop(world: &Arc<World>, trouble: bool) -> bool {
     let places = [
@@ -1218,7 +1377,7 @@
 fn restart_after_exit(world: &Arc<World>, daemon: &Daemon) {
     let (name, zone, ip) = (daemon.name.clone(), daemon.zone.clone(), daemon.ip);
     let (world, child) = (Arc::clone(world), Arc::clone(&daemon.child));
-    let store = STORE.lock().expect("ok").expect("a store");
+    let store = daemon.store;
     let start = Instant::now();
     thread::spawn(move || {
         loop {
@@ -1415,6 +1574,29 @@
     judge_commits(world, clients)
 }
 
+/// A replica drains, and a partition leaves it with the primary and one daemon.
+fn leaving(world: &Arc<World>, trouble: bool) -> bool {
+    let daemons = start(world, &THREE);
+    let clients = start_writers(world, &daemons, Duration::from_secs(20));
+    pause(2_000);
+    // One of the replicas is replaced: the new one first, then the old one drains.
+    add_instance(world, "i-4", "cold-dock");
+    pause(1_000);
+    drain_instance(world, "i-2");
+    pause(1_000);
+    if trouble {
+        world.note("i-1, i-2 and edge-press-hall-1 are cut off from all others for 7 s");
+        world.lock().apart = Some((vec![0], vec!["i-1".into(), "i-2".into()]));
+        let world = Arc::clone(world);
+        thread::spawn(move || {
+            pause(7_000);
+            world.lock().apart = None;
+            world.note("the cut ends");
+        });
+    }
+    judge_commits(world, clients)
+}
+
 /// Starts six clients that write one after the other; each returns how many commits were
 /// acknowledged to it.
 fn start_writers(
