Have a failed primary step down before another server is promoted

Cause: the members of a failover were fixed when it began, and nothing ended the old primary's acknowledgements. A replica that started while another one was being promoted was fenced by nobody, received the old primary's log, and so let it acknowledge commits that the promoted server lacked.

Ruled out: fencing the new server when it is seen is too late, as it holds the waiting commits from its first millisecond. Cancelling the order is not possible.

Change: a failed primary that answers is made a replica before any other is fenced; one that answers and does not step down is not replaced. Later servers join and are fenced. If the old primary's log goes beyond what any known server received, the servers are listed again after it stepped down. The request is repeated until the successor leads, for a primary that answers again after the order. A leaving primary stops if a server joins after the order.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -3,8 +3,13 @@
 //! The primary acknowledges a commit as soon as one replica has received it. After a
 //! failure, any single replica may therefore be the only one with an acknowledged commit. A
 //! failover *fences* every replica, which stops it from receiving, at a term above all
-//! others, and only then promotes the replica that has received most. Once all replicas
-//! are fenced, the old primary cannot acknowledge any more commits.
+//! others, and only then promotes the replica that has received most.
+//!
+//! A replica that starts in the course of the failover is not fenced yet, and the old primary
+//! could go on to acknowledge commits with it. So a failed primary that still answers is first
+//! made a replica itself (see [`Demotion`]), replicas that join are fenced too, and if the old
+//! primary has written more than any known replica received, the servers are listed once more
+//! before one is promoted.
 //!
 //! A group with fenced replicas acknowledges no commits. So no replica is fenced before
 //! all of them have answered recently. If a replica stops answering after that, the failover
@@ -15,6 +20,7 @@
 //! servers are replaced one after the other, those that run for longest leave next. So the
 //! one that started last is promoted, and the group is not left without a primary again.
 
+mod demotion;
 mod missing;
 
 use std::time::Duration;
@@ -27,6 +33,7 @@
     time::Time,
 };
 
+use self::demotion::Demotion;
 pub use self::missing::{MissingServers, RegisteredServer};
 
 /// Time after which another request to fence or poll a server is sent.
@@ -94,6 +101,10 @@
     Fence(ServerId, Term),
     /// Ask a server for its replication status.
     Poll(ServerId),
+    /// Make the old primary a replica if its term is lower than this one.
+    Demote(ServerId, Term),
+    /// Read from the directory which servers are registered now.
+    ListServers,
     /// Request the promotion of a server.
     Promote(ServerId),
     /// Lift the fence of a server, so that it receives again.
@@ -127,11 +138,19 @@
     cause: Cause,
     term: Term,
     replicas: IndexMap<ServerId, Replica>,
+    /// The primary to replace, if it is known.
+    primary: Option<Demotion>,
+    /// When the directory was last asked which servers are registered.
+    list_asked: Option<Time>,
+    /// When the last answer to that was asked for.
+    listed: Option<Time>,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
     first_acknowledged: Position,
     started: Time,
+    /// Whether a server joined after a promotion was requested.
+    joined_late: bool,
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
@@ -156,15 +175,25 @@
             cause,
             term: highest.next(),
             replicas: members.into_iter().map(replica).collect(),
+            primary: None,
+            list_asked: None,
+            listed: None,
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
+            joined_late: false,
             fencing_since: None,
             target: None,
             promotion_sent: None,
         }
     }
 
+    /// Sets the primary to replace and when it last answered as such.
+    pub fn with_primary(mut self, primary: ServerId, answered: Time) -> Self {
+        self.primary = Some(Demotion::new(primary, answered));
+        self
+    }
+
     /// Returns why the primary is replaced.
     pub fn cause(&self) -> Cause {
         self.cause
@@ -180,8 +209,13 @@
     /// If a VM stops during a failover, the servers that it fenced stay fenced at its term.
     /// The term of the next failover must be higher.
     pub fn highest_term(&self) -> Term {
-        let shown = self.replicas.values().filter_map(|replica| replica.status);
-        shown.map(|status| status.term.max(status.fenced_term)).max().unwrap_or_default()
+        let replicas = self.replicas.values().filter_map(|replica| replica.status);
+        let primary = self.primary.as_ref().and_then(Demotion::status);
+        replicas
+            .chain(primary)
+            .map(|status| status.term.max(status.fenced_term))
+            .max()
+            .unwrap_or_default()
     }
 
     /// Returns the server whose promotion was requested.
@@ -200,6 +234,31 @@
         if let Some(replica) = self.replicas.get_mut(server) {
             replica.status = Some(status);
             replica.answered = Some(now);
+        } else if let Some(primary) = self.primary.as_mut().filter(|it| it.server() == server) {
+            primary.record_status(status, now);
+        }
+    }
+
+    /// Records the answer to [`Action::ListServers`] that was asked for at `asked`, after the
+    /// new servers have joined.
+    pub fn record_list(&mut self, asked: Time) {
+        self.listed = self.listed.max(Some(asked));
+    }
+
+    /// Adds the servers that have been registered since the start.
+    ///
+    /// If one joins after the promotion of a successor was requested, a leaving primary must
+    /// not work any longer: the new server may receive a commit before the successor does.
+    pub fn join(&mut self, members: impl IntoIterator<Item = Member>) {
+        for member in members {
+            let is_primary = self.primary.as_ref().is_some_and(|it| *it.server() == member.server);
+            if is_primary || self.replicas.contains_key(&member.server) {
+                continue;
+            }
+            if self.promotion_sent.is_some() {
+                self.joined_late = true;
+            }
+            self.replicas.insert(member.server.clone(), Replica::new(member));
         }
     }
 
@@ -243,7 +302,15 @@
         if self.replicas.is_empty() {
             return Progress::Abandoned("no other backend server is left");
         }
-        let fencing_since = self.fencing_since.filter(|_| self.promotion_sent.is_none());
+        let is_unordered = self.promotion_sent.is_none();
+        let demoting_since = self.primary.as_ref().and_then(Demotion::since);
+        if is_unordered
+            && self.is_demotion_due(now)
+            && demoting_since.is_some_and(|since| now.since(since) > FENCED_TIMEOUT)
+        {
+            return Progress::Abandoned("the old primary answers and does not step down");
+        }
+        let fencing_since = self.fencing_since.filter(|_| is_unordered);
         if fencing_since.is_some_and(|since| now.since(since) > FENCED_TIMEOUT) {
             return Progress::Abandoned("a backend server no longer answers");
         }
@@ -261,13 +328,22 @@
     pub fn next_actions(&mut self, now: Time) -> Vec<Action> {
         if let (Some(target), Some(sent)) = (&self.target, self.promotion_sent) {
             let target = target.clone();
-            return self.check_promotion(target, sent, now);
+            let mut actions = self.check_promotion(target, sent, now);
+            actions.extend(self.fence(now));
+            if self.cause == Cause::Failure || self.joined_late {
+                actions.extend(self.demote(now));
+            }
+            return actions;
         }
         if self.cause == Cause::Planned && self.target.is_none() {
             self.target = self.successor();
         }
         let mut actions = self.prepare(now);
-        if let Some(server) = self.promotable() {
+        if self.lacks_list() && self.list_asked.is_none_or(|at| now.since(at) >= REPEAT_INTERVAL) {
+            self.list_asked = Some(now);
+            actions.push(Action::ListServers);
+        }
+        if let Some(server) = self.promotable(now) {
             self.target = Some(server.clone());
             self.promotion_sent = Some(now);
             actions.push(Action::Promote(server));
@@ -296,44 +372,100 @@
         vec![Action::Poll(target)]
     }
 
-    /// Polls every server until all have answered recently, then fences them. The target of a
-    /// planned failover is not fenced but polled further.
+    /// Polls every server until all have answered recently, then makes the old primary a
+    /// replica and fences the others. The target of a planned failover is not fenced but
+    /// polled further.
     fn prepare(&mut self, now: Time) -> Vec<Action> {
         let is_reachable =
             |r: &Replica| r.answered.is_some_and(|time| now.since(time) < MAX_ANSWER_AGE);
-        let fencing = self.fencing_since.is_some() || self.replicas.values().all(is_reachable);
-        if fencing
-            && self.fencing_since.is_none()
-            && (self.cause == Cause::Failure || self.target.is_some())
-        {
-            self.fencing_since = Some(now);
-            // The polls of the first phase must not delay the fencing.
-            self.replicas.values_mut().for_each(|replica| replica.last_action = None);
+        let is_failure = self.cause == Cause::Failure;
+        let mut actions = Vec::new();
+        if self.fencing_since.is_none() && self.replicas.values().all(is_reachable) {
+            if is_failure {
+                actions.extend(self.demote(now));
+            }
+            let may_fence = match self.cause {
+                Cause::Failure => !self.is_demotion_due(now),
+                Cause::Planned => self.target.is_some(),
+            };
+            if may_fence {
+                self.fencing_since = Some(now);
+                // The polls of the first phase must not delay the fencing.
+                self.replicas.values_mut().for_each(|replica| replica.last_action = None);
+            }
+        } else if self.fencing_since.is_some() && is_failure {
+            actions.extend(self.demote(now));
         }
+        match self.fencing_since {
+            Some(_) => actions.extend(self.fence(now)),
+            None => actions.extend(self.poll(now)),
+        }
+        actions
+    }
+
+    /// Returns whether the old primary still has to step down: it answers as a primary.
+    fn is_demotion_due(&self, now: Time) -> bool {
+        self.primary.as_ref().is_some_and(|primary| primary.is_due(now))
+    }
+
+    /// Makes the old primary a replica.
+    fn demote(&mut self, now: Time) -> Vec<Action> {
+        let term = self.term;
+        self.primary.as_mut().map(|primary| primary.next_actions(term, now)).unwrap_or_default()
+    }
+
+    /// Polls all servers.
+    fn poll(&mut self, now: Time) -> Vec<Action> {
+        let due = self.replicas.iter_mut().filter(|(_, replica)| replica.is_due(now));
+        due.map(|(server, replica)| {
+            replica.last_action = Some(now);
+            Action::Poll(server.clone())
+        })
+        .collect()
+    }
+
+    /// Fences the servers that are not fenced yet, and polls the target of a planned failover.
+    fn fence(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
+        let is_ordered = self.promotion_sent.is_some();
         for (server, replica) in &mut self.replicas {
-            if replica.last_action.is_some_and(|last| now.since(last) < REPEAT_INTERVAL) {
+            let is_target = self.target.as_ref() == Some(server);
+            if (is_target && is_ordered) || !replica.is_due(now) {
                 continue;
             }
-            let polled = self.fencing_since.is_none() || self.target.as_ref() == Some(server);
-            let fenced = replica.status.is_some_and(|status| status.fenced_term == self.term);
-            match (polled, fenced) {
-                (true, _) => actions.push(Action::Poll(server.clone())),
-                (false, false) => actions.push(Action::Fence(server.clone(), self.term)),
-                (false, true) => continue,
+            match is_target && self.cause == Cause::Planned {
+                true => actions.push(Action::Poll(server.clone())),
+                false if replica.is_fenced(self.term) => continue,
+                false => actions.push(Action::Fence(server.clone(), self.term)),
             }
             replica.last_action = Some(now);
         }
         actions
     }
 
+    /// Returns whether a server that nobody knows may hold acknowledged commits: the old
+    /// primary has written more than any known server received, and the servers were not
+    /// listed since it stepped down.
+    fn lacks_list(&self) -> bool {
+        let Some((written, since)) = self.primary.as_ref().and_then(Demotion::stepped_down) else {
+            return false;
+        };
+        let received = self.replicas.values().filter_map(Replica::received).max();
+        self.fencing_since.is_some()
+            && received < Some(written)
+            && self.listed.is_none_or(|listed| listed < since)
+    }
+
     /// Returns the server to promote, once every commit that is or may still be
     /// acknowledged is in its log.
-    fn promotable(&self) -> Option<ServerId> {
-        let is_fenced = |r: &Replica| r.status.is_some_and(|s| s.fenced_term == self.term);
+    fn promotable(&self, now: Time) -> Option<ServerId> {
+        let is_fenced = |replica: &Replica| replica.is_fenced(self.term);
         let target = match self.cause {
             Cause::Failure => {
-                if !self.replicas.values().all(is_fenced) {
+                let is_closed = self.fencing_since.is_some()
+                    && !self.is_demotion_due(now)
+                    && !self.lacks_list();
+                if !is_closed || !self.replicas.values().all(is_fenced) {
                     return None;
                 }
                 self.most_advanced()?
@@ -393,4 +525,13 @@
     fn received(&self) -> Option<Position> {
         Some(self.status?.received)
     }
+
+    fn is_fenced(&self, term: Term) -> bool {
+        self.status.is_some_and(|status| status.fenced_term == term)
+    }
+
+    /// Returns whether another request may be sent.
+    fn is_due(&self, now: Time) -> bool {
+        self.last_action.is_none_or(|last| now.since(last) >= REPEAT_INTERVAL)
+    }
 }
--- a/crates/engine/src/engine/documents.rs
+++ b/crates/engine/src/engine/documents.rs
@@ -68,7 +68,8 @@
         }
     }
 
-    fn apply_servers(&self, version: DirectoryVersion, entries: Vec<ServerEntry>) {
+    /// Applies the registered servers as the directory lists them.
+    pub(crate) fn apply_servers(&self, version: DirectoryVersion, entries: Vec<ServerEntry>) {
         self.record_era(version.era());
         let accepted = self.relay.borrow_mut().accept(Kind::Servers, version.pack(), &entries);
         if accepted == Acceptance::New {
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -60,6 +60,10 @@
     FailoverCompleted,
     /// A failover was abandoned before its promotion took effect.
     FailoverAbandoned,
+    /// This VM asked a failed primary to step down.
+    PrimaryDemoted,
+    /// The directory did not tell a failover which servers are registered.
+    ServersUnlisted,
     /// This VM became the failover coordinator.
     CoordinatorRoleTaken,
     /// This VM is no longer the failover coordinator.
@@ -86,7 +90,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 29] = [
+    pub const ALL: [Event; 31] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -107,6 +111,8 @@
         Event::FailoverAbandoned,
         Event::CoordinatorRoleTaken,
         Event::CoordinatorRoleLost,
+        Event::PrimaryDemoted,
+        Event::ServersUnlisted,
         Event::Refused,
         Event::Retried,
         Event::InDoubt,
@@ -141,6 +147,8 @@
             Event::FailoverAbandoned => (624, Level::Warning, "failover abandoned"),
             Event::CoordinatorRoleTaken => (625, Level::Info, "coordinator role taken"),
             Event::CoordinatorRoleLost => (626, Level::Info, "coordinator role lost"),
+            Event::PrimaryDemoted => (627, Level::Info, "primary asked to step down"),
+            Event::ServersUnlisted => (628, Level::Warning, "servers not listed"),
             Event::Refused => (630, Level::Info, "statement refused"),
             Event::Retried => (631, Level::Info, "statement retried"),
             Event::InDoubt => (632, Level::Warning, "write outcome unknown"),
--- a/crates/engine/src/seam.rs
+++ b/crates/engine/src/seam.rs
@@ -116,7 +116,7 @@
     fn is_open(&mut self) -> bool;
 
     /// Parses the status in the answer to [`Command::Status`],
-    /// [`Command::Hold`] or [`Command::Release`].
+    /// [`Command::Hold`], [`Command::Release`] or [`Command::StepDown`].
     fn parse_status(answer: &Answer) -> Option<ServerStatus>;
 }
 
@@ -172,6 +172,15 @@
     Unreadable(String, String),
 }
 
+/// All registered servers at one version of the directory.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Servers {
+    /// Version of the directory when the entries were read.
+    pub version: DirectoryVersion,
+    /// Entries that can be used.
+    pub entries: Vec<ServerEntry>,
+}
+
 /// A row of a table that the engine owns.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Row {
@@ -271,6 +280,13 @@
         reading: watch::Receiver<Reading>,
     ) -> impl Future<Output = ()> + 'static;
 
+    /// Reads which servers are registered now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no usable answer arrives.
+    fn servers(&self) -> impl Future<Output = Result<Servers, DirectoryError>>;
+
     /// Reads all rows of one of the engine's tables.
     ///
     /// # Errors
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -244,6 +244,8 @@
     Hold(Term),
     /// Removes the fence from a replica, which then receives again.
     Release,
+    /// Makes a primary of a lower term a replica.
+    StepDown(Term),
 }
 
 /// The answer of a backend server to one [`Command`].
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -168,7 +168,10 @@
         Cause::Planned => group.acknowledged.max(group.observed.newest()),
         Cause::Failure => group.acknowledged,
     };
-    let failover = Failover::new(suspicion.cause(), members, highest_term, min_position, now);
+    let mut failover = Failover::new(suspicion.cause(), members, highest_term, min_position, now);
+    if let Some(primary) = group.view.primary.clone() {
+        failover = failover.with_primary(primary, group.last_response());
+    }
     engine.event_log.record(
         Event::FailoverStarted,
         o!(
@@ -199,6 +202,7 @@
         let mut failover = running.failover.borrow_mut();
         failover.record_acknowledged(group.acknowledged);
         failover.retain(|server| group.servers.contains_key(server));
+        failover.join(group.members(now));
         let has_recovered = running.suspicion == Suspicion::Silent
             && failover.promotion_target().is_none()
             && group.last_response() > running.started;
@@ -260,29 +264,82 @@
             Action::Fence(server, term) => {
                 send(&engine, &failover, &server, Command::Hold(term)).await;
             }
-            Action::Poll(server) => send(&engine, &failover, &server, Command::Status).await,
-            Action::Release(server) => send(&engine, &failover, &server, Command::Release).await,
+            Action::Poll(server) => {
+                send(&engine, &failover, &server, Command::Status).await;
+            }
+            Action::Release(server) => {
+                send(&engine, &failover, &server, Command::Release).await;
+            }
+            Action::Demote(server, term) => {
+                demote(&engine, &failover, &group, &server, term).await;
+            }
+            Action::ListServers => list_servers(&engine, &failover, &group).await,
             Action::Promote(server) => promote(&engine, &role, &failover, group, server).await,
         }
     });
 }
 
+/// Sends a command to a server and records its status, which is returned if it answered.
 async fn send<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     failover: &RefCell<Failover>,
     server: &ServerId,
     command: Command,
+) -> Option<ReplicationStatus> {
+    let status = send_command(engine, server, command).await?;
+    let status = ReplicationStatus {
+        primary: status.is_primary,
+        term: status.term,
+        received: status.received,
+        fenced_term: status.fenced_term,
+    };
+    failover.borrow_mut().record_status(server, status, clock::now());
+    engine.watch_wakeup.notify_one();
+    Some(status)
+}
+
+/// Makes the old primary a replica.
+async fn demote<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    failover: &RefCell<Failover>,
+    group: &GroupId,
+    server: &ServerId,
+    term: Term,
 ) {
-    if let Some(status) = send_command(engine, server, command).await {
-        let status = ReplicationStatus {
-            primary: status.is_primary,
-            term: status.term,
-            received: status.received,
-            fenced_term: status.fenced_term,
-        };
-        failover.borrow_mut().record_status(server, status, clock::now());
-        engine.watch_wakeup.notify_one();
+    let status = send(engine, failover, server, Command::StepDown(term)).await;
+    engine.event_log.record(
+        Event::PrimaryDemoted,
+        o!(
+            "group" => group.to_string(),
+            "server" => server.to_string(),
+            "term" => term.get(),
+            "primary" => status.map(|status| status.primary),
+            "received" => status.map(|status| status.received.to_string()),
+        ),
+    );
+}
+
+/// Reads from the directory which servers are registered, and lets the new ones join.
+async fn list_servers<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    failover: &RefCell<Failover>,
+    group: &GroupId,
+) {
+    let asked = clock::now();
+    match engine.directory.servers().await {
+        Ok(servers) => {
+            engine.apply_servers(servers.version, servers.entries);
+            let members = engine.group(group).borrow().members(clock::now());
+            let mut failover = failover.borrow_mut();
+            failover.join(members);
+            failover.record_list(asked);
+        }
+        Err(error) => {
+            let fields = o!("group" => group.to_string(), "error" => error.to_string());
+            engine.event_log.record(Event::ServersUnlisted, fields);
+        }
     }
+    engine.watch_wakeup.notify_one();
 }
 
 /// Sends a command to a server and returns its status, if it answered.
