Wait for a leaving server whose entry may have lapsed behind a partition

Cause: a leaving server whose entry disappeared counted as gone as long as its data centre was heard of. Behind a partition it runs on and confirms commits to a primary on the same side.

Change: it counts as ended only after its time to drain, if the primary answered within a heartbeat interval of the removal, and if it does not answer itself. The check whether its data centre is in contact is no longer used for this.

The former test of a server that left asserted the old rule, that a leaving server in contact is gone at once; it is replaced by tests of the new one, which expect a superset of the waits.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -34,7 +34,7 @@
 };
 
 use self::demotion::Demotion;
-pub use self::missing::{MissingServers, RegisteredServer};
+pub use self::missing::{MissingServers, RegisteredServer, ServerTimes};
 
 /// Time after which another request to fence or poll a server is sent.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/core/src/failover/missing.rs
+++ b/crates/core/src/failover/missing.rs
@@ -13,6 +13,16 @@
 /// appear for the first time.
 const RETURN_SPAN: Duration = Duration::from_millis(2_500);
 
+/// Times that backend servers keep, as the platform promises.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerTimes {
+    /// Interval at which a server writes its entry. The entry of a silent server is removed
+    /// after three intervals.
+    pub heartbeat: Duration,
+    /// Time from the announcement that a server leaves until its end, at least.
+    pub drain: Duration,
+}
+
 /// A backend server that is registered in the directory.
 #[derive(Clone, Copy, Debug)]
 pub struct RegisteredServer<'a> {
@@ -20,9 +30,16 @@
     pub server: &'a ServerId,
     /// Address on which it listens.
     pub address: SocketAddr,
-    /// Whether it has left for good if it disappears now: it was about to be stopped, and
-    /// its data centre was in contact, so that its entry did not disappear behind a cut.
-    pub leaves: bool,
+    /// Whether it is about to be stopped.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    since: Time,
+    address: SocketAddr,
+    /// Whether it was leaving for so long that it may have ended as planned.
+    may_have_ended: bool,
 }
 
 /// Registered servers that have disappeared from the directory.
@@ -31,47 +48,98 @@
 /// one with an acknowledged commit. No server is promoted until the missing one has
 /// returned or has been missing for so long that it counts as lost.
 ///
+/// A leaving server has not ended just because its entry is gone: it may run on behind a
+/// partition, and confirm commits to a primary there. It may have ended if it had the time to
+/// drain, and if the primary answered in the time in which a partition would have let the entry
+/// lapse. It has ended if it does not answer at its address either.
+///
 /// Servers that were cut off together return one after the other. Among them may be one
 /// that was started behind the cut and has never been registered, and that may be the only
 /// one with a commit. So no server is promoted right after the return of another one.
 #[derive(Clone, Debug, Default)]
 pub struct MissingServers {
-    since: IndexMap<ServerId, Time>,
+    missing: IndexMap<ServerId, Missing>,
+    /// Since when registered servers have been leaving.
+    leaving: IndexMap<ServerId, Time>,
+    /// Times of the servers, or `None` if they are not known.
+    times: Option<ServerTimes>,
     /// When a missing server last returned.
     returned: Option<Time>,
 }
 
 impl MissingServers {
-    /// Creates an empty set of missing servers.
+    /// Creates an empty set of missing servers, of which none is known to have ended.
     pub fn new() -> Self {
         MissingServers::default()
     }
 
-    /// Records a change of the registered servers from `before` to `after`.
+    /// Sets the times of the servers.
+    pub fn with_times(self, times: Option<ServerTimes>) -> Self {
+        MissingServers { times, ..self }
+    }
+
+    /// Records a change of the registered servers from `before` to `after`, while the primary
+    /// has not answered for `silence`.
     ///
-    /// A leaving server that disappears counts as missing like any other, unless its data
-    /// centre was in contact, because its intent to leave does not say why it disappeared.
-    /// A server whose address, and with it the log, was taken over by another server does
-    /// not count as missing either.
+    /// A leaving server that disappears counts as missing like any other, because its intent to
+    /// leave does not say why it disappeared. A server whose address, and with it the log, was
+    /// taken over by another server does not count as missing.
     pub fn update<'a>(
         &mut self,
         before: impl IntoIterator<Item = RegisteredServer<'a>>,
         after: impl IntoIterator<Item = RegisteredServer<'a>>,
+        silence: Duration,
         now: Time,
     ) {
         let after: Vec<RegisteredServer<'_>> = after.into_iter().collect();
-        let is_there = |gone: &RegisteredServer<'_>| {
-            after.iter().any(|other| other.server == gone.server || other.address == gone.address)
-        };
-        let is_missing = |server: &RegisteredServer<'_>| !server.leaves && !is_there(server);
-        for gone in before.into_iter().filter(is_missing) {
-            self.since.entry(gone.server.clone()).or_insert(now);
+        let is_there = |server: &ServerId| after.iter().any(|other| other.server == server);
+        for gone in before.into_iter().filter(|gone| !is_there(gone.server)) {
+            let missing = Missing {
+                since: now,
+                address: gone.address,
+                may_have_ended: self.may_have_ended(gone.server, silence, now),
+            };
+            self.missing.entry(gone.server.clone()).or_insert(missing);
         }
-        for present in after {
-            if self.since.shift_remove(present.server).is_some() {
+        for present in &after {
+            if self.missing.shift_remove(present.server).is_some() {
                 self.returned = Some(now);
             }
         }
+        self.missing.retain(|_, gone| after.iter().all(|other| other.address != gone.address));
+        self.record_leaving(&after, now);
+    }
+
+    fn record_leaving(&mut self, servers: &[RegisteredServer<'_>], now: Time) {
+        let before = std::mem::take(&mut self.leaving);
+        for present in servers.iter().filter(|present| present.leaving) {
+            let since = before.get(present.server).copied().unwrap_or(now);
+            self.leaving.insert(present.server.clone(), since);
+        }
+    }
+
+    /// Returns whether a server whose entry was just removed may have ended as planned.
+    ///
+    /// A partition that lets the entry lapse begins at least two heartbeat intervals before. If
+    /// the primary was behind it too, it has been silent since.
+    fn may_have_ended(&self, server: &ServerId, silence: Duration, now: Time) -> bool {
+        let (Some(times), Some(leaving)) = (self.times, self.leaving.get(server)) else {
+            return false;
+        };
+        now.since(*leaving) >= times.drain && silence < times.heartbeat
+    }
+
+    /// Returns the missing servers that may have ended as planned, with their addresses.
+    pub fn ended_candidates(&self) -> impl Iterator<Item = (&ServerId, SocketAddr)> {
+        let candidates = self.missing.iter().filter(|(_, missing)| missing.may_have_ended);
+        candidates.map(|(server, missing)| (server, missing.address))
+    }
+
+    /// Records that a server does not answer at its address.
+    pub fn record_unanswered(&mut self, server: &ServerId) {
+        if self.missing.get(server).is_some_and(|missing| missing.may_have_ended) {
+            self.missing.shift_remove(server);
+        }
     }
 
     /// Returns whether other servers may still return or appear, because one returned
@@ -82,9 +150,9 @@
 
     /// Returns whether a missing server other than `primary` is expected to return.
     pub fn is_any_expected(&self, primary: Option<&ServerId>, now: Time) -> bool {
-        let awaited = |(server, since): (&ServerId, &Time)| {
-            Some(server) != primary && now.since(*since) < RETURN_TIMEOUT
+        let awaited = |(server, missing): (&ServerId, &Missing)| {
+            Some(server) != primary && now.since(missing.since) < RETURN_TIMEOUT
         };
-        self.since.iter().any(awaited)
+        self.missing.iter().any(awaited)
     }
 }
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -10,7 +10,7 @@
     Lsn, Position, ServerId, Term, Time,
     failover::{
         Action, Cause, Failover, Member, MissingServers, Progress, RegisteredServer,
-        ReplicationStatus,
+        ReplicationStatus, ServerTimes,
     },
 };
 
@@ -277,33 +277,102 @@
         registry.iter().map(|(name, host)| (server(name), *host)).collect()
     };
     let (before, after) = (names(before), names(after));
-    missing.update(registry(&before), registry(&after), Time::from_millis(ms));
+    let silence = Duration::ZERO;
+    missing.update(registry(&before), registry(&after), silence, Time::from_millis(ms));
 }
 
 fn registry(servers: &[(ServerId, u8)]) -> impl Iterator<Item = RegisteredServer<'_>> {
     servers.iter().map(|(server, host)| RegisteredServer {
         server,
         address: ([10, 0, 0, *host], 5_432).into(),
-        leaves: false,
+        leaving: false,
     })
 }
 
+const TIMES: ServerTimes =
+    ServerTimes { heartbeat: Duration::from_millis(1_200), drain: Duration::from_millis(7_000) };
+
+/// When the server of the following tests begins to leave, in milliseconds.
+const LEAVING: u64 = 1_000;
+
+/// Records that the entry of the leaving server `a` is removed at the time `removed`, while
+/// the primary has been silent for `silence`, both in milliseconds.
+fn remove_leaving(removed: u64, silence: u64) -> MissingServers {
+    let a = server("a");
+    let entry =
+        |leaving| RegisteredServer { server: &a, address: ([10, 0, 0, 1], 5_432).into(), leaving };
+    let mut missing = MissingServers::new().with_times(Some(TIMES));
+    let mut update = |before: Option<bool>, after: Option<bool>, silence, ms| {
+        let (before, after) = (before.map(entry), after.map(entry));
+        missing.update(before, after, Duration::from_millis(silence), Time::from_millis(ms));
+    };
+    update(None, Some(false), 0, 0);
+    update(Some(false), Some(true), 0, LEAVING);
+    // Other changes do not matter.
+    update(Some(true), Some(true), 0, LEAVING + 500);
+    update(Some(true), None, silence, removed);
+    missing
+}
+
+/// Returns whether `a` is expected to return after it did not answer at its address.
+fn is_expected_unanswered(mut missing: MissingServers) -> bool {
+    let a = server("a");
+    let is_checked = missing.ended_candidates().any(|(server, _)| *server == a);
+    missing.record_unanswered(&a);
+    let is_expected = missing.is_any_expected(None, Time::from_millis(LEAVING));
+    assert_eq!(is_expected, !is_checked);
+    is_expected
+}
+
+/// Review case 2: a leaving replica whose entry lapsed behind a cut counted as gone while it
+/// confirmed commits to the primary there.
+#[test]
+fn a_leaving_server_that_is_cut_off_with_the_primary_is_expected_to_return() {
+    let heartbeat = TIMES.heartbeat.as_millis() as u64;
+    for cut in (LEAVING..LEAVING + 12_000).step_by(100) {
+        // Its last heartbeat was up to one interval before the cut, and told that it leaves.
+        for before in (0..heartbeat.min(cut - LEAVING + 1)).step_by(100) {
+            let removed = cut - before + 3 * heartbeat;
+            let missing = remove_leaving(removed, removed - cut);
+            assert!(is_expected_unanswered(missing), "cut at {cut}, removed at {removed}");
+        }
+    }
+}
+
 /// A primary that fails right after a planned replacement of a replica need not wait for
 /// the old replica.
 #[test]
 fn a_server_that_left_is_not_expected_to_return() {
-    let (a, b) = (server("a"), server("b"));
-    let registered = |server, leaves| RegisteredServer {
-        server,
-        address: ([10, 0, 0, 1], 5_432).into(),
-        leaves,
-    };
+    let missing = remove_leaving(LEAVING + 7_000, 200);
+    assert!(missing.is_any_expected(None, Time::from_millis(LEAVING)), "it was not asked");
+    assert!(!missing.are_returning(Time::from_millis(LEAVING + 7_100)));
+    assert!(!is_expected_unanswered(missing));
+}
+
+/// A server that crashed while it was leaving may return.
+#[test]
+fn a_server_that_had_no_time_to_drain_has_not_ended() {
+    assert!(is_expected_unanswered(remove_leaving(LEAVING + 6_900, 0)));
+}
+
+#[test]
+fn no_server_has_ended_if_the_times_of_servers_are_not_known() {
+    let mut missing = remove_leaving(LEAVING + 9_000, 0).with_times(None);
+    assert_eq!(missing.ended_candidates().count(), 1, "it was known then");
+    update(&mut missing, &[("b", 2)], &[], 10_500);
+    let candidates: Vec<ServerId> =
+        missing.ended_candidates().map(|(server, _)| server.clone()).collect();
+    assert_eq!(candidates, [server("a")]);
+}
+
+/// The new server at the address of a missing one may be registered later.
+#[test]
+fn a_missing_server_whose_address_is_taken_over_later_is_not_expected_to_return() {
     let mut missing = MissingServers::new();
-    missing.update([registered(&a, true)], [], Time::from_millis(100));
-    assert!(!missing.is_any_expected(None, Time::from_millis(200)), "it has left for good");
-    // The data centre of the other one is cut off, so that it may still be running.
-    missing.update([registered(&b, false)], [], Time::from_millis(300));
-    assert!(missing.is_any_expected(None, Time::from_millis(400)));
+    update(&mut missing, &[("a", 1), ("b", 2)], &[("a", 1)], 100);
+    assert!(missing.is_any_expected(None, Time::from_millis(200)));
+    update(&mut missing, &[("a", 1)], &[("a", 1), ("c", 2)], 300);
+    assert!(!missing.is_any_expected(None, Time::from_millis(400)));
 }
 
 #[test]
--- a/crates/engine/src/catalog.rs
+++ b/crates/engine/src/catalog.rs
@@ -109,10 +109,8 @@
 }
 
 impl ServerEntry {
-    /// Returns the part of the entry that a failover needs. `in_contact` tells whether the
-    /// data centre of the server has been in contact.
-    pub(crate) fn registered(&self, in_contact: bool) -> RegisteredServer<'_> {
-        let leaves = self.leaving && in_contact;
-        RegisteredServer { server: &self.server, address: self.address, leaves }
+    /// Returns the part of the entry that a failover needs.
+    pub(crate) fn registered(&self) -> RegisteredServer<'_> {
+        RegisteredServer { server: &self.server, address: self.address, leaving: self.leaving }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -223,7 +223,11 @@
         if let Some(group) = groups.get(name) {
             return Rc::clone(group);
         }
-        let group = Rc::new(RefCell::new(Group::new(name.clone(), clock::now())));
+        let group = Rc::new(RefCell::new(Group::new(
+            name.clone(),
+            self.settings.server_times,
+            clock::now(),
+        )));
         groups.insert(name.clone(), Rc::clone(&group));
         group
     }
--- a/crates/engine/src/engine/servers.rs
+++ b/crates/engine/src/engine/servers.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use chicoryhollow_core::{DataCentreId, GroupId, ServerId};
+use chicoryhollow_core::{GroupId, ServerId};
 use indexmap::IndexMap;
 use slog::o;
 
@@ -101,9 +101,7 @@
         let name = group.borrow().view.group.to_string();
         self.event_log
             .record(Event::ServersChanged, o!("group" => name, "servers" => list.join(" ")));
-        let now = clock::now();
-        let is_in_contact = |centre: &DataCentreId| self.fleet.is_in_contact(centre, now);
-        let changed = group.borrow_mut().set_servers(servers, is_in_contact, now);
+        let changed = group.borrow_mut().set_servers(servers, clock::now());
         if changed {
             self.record_primary_change(&group.borrow(), Source::Entry);
         }
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -7,7 +7,7 @@
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
-    failover::{Member, MissingServers},
+    failover::{Member, MissingServers, ServerTimes},
     freshness::ObservedPositions,
     gossip::GroupSummary,
     isolation::PrimaryReachability,
@@ -90,12 +90,13 @@
     pub(crate) replica_answered: Option<Time>,
     /// Until when each started server is too slow for reads.
     cold_until: IndexMap<ServerId, Time>,
-    missing_servers: MissingServers,
+    pub(crate) missing_servers: MissingServers,
 }
 
 impl Group {
-    /// Creates the state of a group of which nothing is known yet.
-    pub(crate) fn new(name: GroupId, now: Time) -> Self {
+    /// Creates the state of a group of which nothing is known yet. Its servers keep `times`, if
+    /// those are known.
+    pub(crate) fn new(name: GroupId, times: Option<ServerTimes>, now: Time) -> Self {
         Group {
             view: GroupView::new(name),
             servers: IndexMap::new(),
@@ -110,23 +111,22 @@
             evacuated: IndexSet::new(),
             replica_answered: None,
             cold_until: IndexMap::new(),
-            missing_servers: MissingServers::new(),
+            missing_servers: MissingServers::new().with_times(times),
         }
     }
 
     /// Replaces the registered servers; returns whether the primary changed.
-    /// `is_in_contact` tells which data centres have been in contact.
     pub(crate) fn set_servers(
         &mut self,
         servers: IndexMap<ServerId, ServerEntry>,
-        is_in_contact: impl Fn(&DataCentreId) -> bool,
         now: Time,
     ) -> bool {
         let warming = servers.values().filter(|entry| !entry.cold.is_zero());
         self.cold_until = warming.map(|entry| (entry.server.clone(), now + entry.cold)).collect();
-        let registered = |entry| ServerEntry::registered(entry, is_in_contact(&entry.data_centre));
-        let before = self.servers.values().map(registered);
-        self.missing_servers.update(before, servers.values().map(registered), now);
+        let before = self.servers.values().map(ServerEntry::registered);
+        let after = servers.values().map(ServerEntry::registered);
+        let silence = now.since(self.last_response);
+        self.missing_servers.update(before, after, silence, now);
         self.servers = servers;
         let current = self.view.primary.as_ref().and_then(|primary| self.servers.get(primary));
         match current {
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -64,6 +64,8 @@
     PrimaryDemoted,
     /// The directory did not tell a failover which servers are registered.
     ServersUnlisted,
+    /// A missing server has ended as planned.
+    ServerEnded,
     /// This VM became the failover coordinator.
     CoordinatorRoleTaken,
     /// This VM is no longer the failover coordinator.
@@ -90,7 +92,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 31] = [
+    pub const ALL: [Event; 32] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -113,6 +115,7 @@
         Event::CoordinatorRoleLost,
         Event::PrimaryDemoted,
         Event::ServersUnlisted,
+        Event::ServerEnded,
         Event::Refused,
         Event::Retried,
         Event::InDoubt,
@@ -149,6 +152,7 @@
             Event::CoordinatorRoleLost => (626, Level::Info, "coordinator role lost"),
             Event::PrimaryDemoted => (627, Level::Info, "primary asked to step down"),
             Event::ServersUnlisted => (628, Level::Warning, "servers not listed"),
+            Event::ServerEnded => (629, Level::Info, "server ended"),
             Event::Refused => (630, Level::Info, "statement refused"),
             Event::Retried => (631, Level::Info, "statement retried"),
             Event::InDoubt => (632, Level::Warning, "write outcome unknown"),
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use chicoryhollow_core::{DataCentreId, VmId};
+use chicoryhollow_core::{DataCentreId, VmId, failover::ServerTimes};
 
 /// Settings of one daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -17,6 +17,8 @@
     pub peers: SocketAddr,
     /// Time between SIGTERM and the end of the process.
     pub grace: Duration,
+    /// Times that backend servers keep, if they are known.
+    pub server_times: Option<ServerTimes>,
     /// Maximum number of connected callers.
     pub max_callers: usize,
     /// Whether the whole fleet starts for the first time, so that no VM knows a newer
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -6,6 +6,7 @@
 //! other VM only records since when a group has no known primary, so that it need
 //! not start to count when it becomes the coordinator.
 
+mod departure;
 mod probe;
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
@@ -55,6 +56,7 @@
     not_before: Time,
     no_primary_since: Option<Time>,
     last_probe: Time,
+    last_departure_check: Time,
     probe: Rc<RefCell<SingleFlight>>,
 }
 
@@ -107,6 +109,7 @@
 ) {
     let now = clock::now();
     probe::start(engine, group, watched, now);
+    departure::start(engine, group, watched, now);
     if let Some(running) = watched.running.take() {
         let failover = Rc::clone(&running.failover);
         watched.running = advance(engine, coordinator, group, running, now);
