Give each promotion order a fencing token of its own

Cause: the token named the holder of the lease, and all its orders carried the same one. An order that got no answer was carried out 10 s later, after newer ones, and the platform could not tell that it was old.

Ruled out: waiting for a renewal of the row before each order, which gives none while the store is away.

Change: a token is the newest version of the coordinator's row and a count of the orders with that version. A holder whose order was refused goes on counting, so that reading the same row again repeats no token.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -1,9 +1,12 @@
 //! Lease of the failover coordinator, the one VM that replaces failed primaries.
 //!
 //! A row of the directory names the holder of the lease. A VM takes the row over by a
-//! conditional write that succeeds only if the row has not changed. Its fencing token is
-//! the version that this write gives to the row. Versions come from one counter and never
-//! go back, so no two holders ever have the same token.
+//! conditional write that succeeds only if the row has not changed. Its fencing tokens are
+//! made of the version that its last write gave to the row. Versions come from one counter and
+//! never go back, so no two holders ever have the same token.
+//!
+//! Each order has a token of its own, higher than those of all orders before. An order that got
+//! no answer may be carried out late, and is then refused if a newer one was carried out.
 //!
 //! The holder renews the row. Other VMs take it over if it has not changed for
 //! [`LEASE_DURATION`], measured on their own clocks. The holder stops earlier than that
@@ -40,15 +43,39 @@
 /// Pause after a call to the directory that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
-/// Identifies the coordinator that sent an order, so that the platform can refuse orders
-/// of earlier coordinators.
+/// Bits of a token that count the orders with one version of the coordinator's row.
+const ORDER_BITS: u32 = 10;
+
+/// Ranks an order among all orders of all coordinators, so that the platform can refuse those
+/// that newer ones have replaced.
+///
+/// # Example
+///
+/// ```
+/// use chicoryhollow_core::{
+///     coordinator::FencingToken,
+///     version::{DirectoryVersion, Era},
+/// };
+///
+/// let token = |number| FencingToken::new(DirectoryVersion::new(Era::default(), number));
+/// let second = token(7).next().unwrap();
+/// assert!(token(7) < second && second < token(8));
+/// ```
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct FencingToken(u64);
 
 impl FencingToken {
-    /// Creates a token from a version of the coordinator's row.
+    /// Creates the first token with a version of the coordinator's row.
     pub const fn new(version: DirectoryVersion) -> Self {
-        FencingToken(version.pack())
+        let packed = version.pack();
+        let most = u64::MAX >> ORDER_BITS;
+        FencingToken(if packed > most { most } else { packed } << ORDER_BITS)
+    }
+
+    /// Returns the next token with the same version, or `None` after the last one.
+    pub const fn next(self) -> Option<Self> {
+        let next = FencingToken(self.0.wrapping_add(1));
+        if next.0 >> ORDER_BITS == self.0 >> ORDER_BITS { Some(next) } else { None }
     }
 
     /// Returns the token as a number.
@@ -146,11 +173,16 @@
 
 #[derive(Clone, Copy, Debug)]
 struct HeldLease {
-    token: FencingToken,
     until: Time,
     version: DirectoryVersion,
 }
 
+impl HeldLease {
+    fn token(self) -> FencingToken {
+        FencingToken::new(self.version)
+    }
+}
+
 /// A daemon's claim to be the failover coordinator.
 #[derive(Clone, Debug)]
 pub struct CoordinatorLease {
@@ -168,6 +200,8 @@
     /// When the first write after that one was sent.
     unconfirmed: Option<Time>,
     due: Time,
+    /// Token of the last order.
+    ordered: Option<FencingToken>,
 }
 
 impl CoordinatorLease {
@@ -185,12 +219,25 @@
             confirmed: None,
             unconfirmed: None,
             due: now,
+            ordered: None,
         }
     }
 
-    /// Returns the fencing token, or `None` if this VM does not hold the lease at `now`.
+    /// Returns the first fencing token of the row as it was last written, or `None` if this VM
+    /// does not hold the lease at `now`.
     pub fn token(&self, now: Time) -> Option<FencingToken> {
-        self.held.filter(|held| now < held.until).map(|held| held.token)
+        self.held.filter(|held| now < held.until).map(HeldLease::token)
+    }
+
+    /// Returns the token of the next order of a holder whose lease has the token `held`, or
+    /// `None` if no order may be given before the row is renewed.
+    pub fn next_order(&mut self, held: FencingToken) -> Option<FencingToken> {
+        let next = match self.ordered {
+            Some(last) if last >= held => last.next()?,
+            _ => held,
+        };
+        self.ordered = Some(next);
+        Some(next)
     }
 
     /// Returns the token of a lease that may have expired.
@@ -198,7 +245,7 @@
     /// Use this token only while no VM can write the row, because then no other VM can have
     /// taken over the lease.
     pub fn last_token(&self) -> Option<FencingToken> {
-        self.held.map(|held| held.token)
+        self.held.map(HeldLease::token)
     }
 
     /// Returns the version of the row if this VM is its holder.
@@ -259,10 +306,9 @@
             row.holder.as_ref() == Some(&self.vm) && row.incarnation == self.incarnation
         });
         if mine {
-            let token = self.token_for(version);
             let confirmed = self.confirmed.filter(|(confirmed, _)| *confirmed == version);
             let sent = confirmed.map(|(_, sent)| sent).or(self.unconfirmed);
-            self.hold(token, version, sent.unwrap_or_default(), now);
+            self.hold(version, sent.unwrap_or_default(), now);
             self.due = now;
             return;
         }
@@ -290,8 +336,7 @@
 
     /// Records a write that was sent at `asked` and succeeded with `version`.
     pub fn record_write(&mut self, version: DirectoryVersion, asked: Time, now: Time) {
-        let token = self.token_for(version);
-        self.hold(token, version, asked, now);
+        self.hold(version, asked, now);
     }
 
     /// Records a write that failed because the row had another version, or because the
@@ -332,18 +377,10 @@
         self.is_disputed = true;
     }
 
-    /// Returns the token of a lease whose row now has `version`. It stays the same while the
-    /// lease is held, but not across a restore of the directory.
-    fn token_for(&self, version: DirectoryVersion) -> FencingToken {
-        let held = self.held.filter(|held| held.version.era() == version.era());
-        held.map_or(FencingToken::new(version), |held| held.token)
-    }
-
-    fn hold(&mut self, token: FencingToken, version: DirectoryVersion, asked: Time, now: Time) {
+    fn hold(&mut self, version: DirectoryVersion, asked: Time, now: Time) {
         self.confirmed = Some((version, asked));
         self.unconfirmed = None;
-        self.held =
-            Some(HeldLease { token, until: asked + (LEASE_DURATION - HOLDER_MARGIN), version });
+        self.held = Some(HeldLease { until: asked + (LEASE_DURATION - HOLDER_MARGIN), version });
         self.due = now + RENEWAL_INTERVAL;
     }
 }
--- a/crates/core/tests/coordinator.rs
+++ b/crates/core/tests/coordinator.rs
@@ -304,3 +304,68 @@
         assert!(!case.keeps_role(), "{case:?}");
     }
 }
+
+/// What a holder ordered: the token, and the number of the decision.
+type Order = (FencingToken, u64);
+
+/// Review case 3: an order that got no answer was carried out after newer ones, because all
+/// orders of a lease had the same token.
+#[test]
+fn an_order_that_is_carried_out_late_never_replaces_a_newer_one() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
+        lease.record_row(None, Era::default(), None, Time::default());
+        let (mut number, mut highest, mut in_force) = (7, FencingToken::default(), 0);
+        let mut late: Vec<Order> = Vec::new();
+        for decision in 1..400 {
+            let now = Time::from_millis(decision * 50);
+            if rng.random_bool(0.2) {
+                number += rng.random_range(1..4);
+                lease.record_write(version(number), now, now);
+            }
+            if rng.random_bool(0.05) {
+                // The order was refused for its own sake, and the row still names this VM.
+                lease.record_refusal(now);
+                let row = CoordinatorRow {
+                    holder: Some(vm(0)),
+                    incarnation: 1,
+                    version: version(number),
+                };
+                lease.record_row(Some(&row), Era::default(), None, now);
+            }
+            let Some(held) = lease.last_token() else { continue };
+            let token = lease.next_order(held).expect("fewer orders than tokens");
+            let order = (token, decision);
+            late.push(order);
+            if rng.random_bool(0.6) {
+                // The platform refuses a token that is lower than one that it has seen.
+                assert!(token > highest, "seed {seed}: the token did not increase");
+                (highest, in_force) = order;
+            }
+            if rng.random_bool(0.5) {
+                let (token, decision) = late[rng.random_range(0..late.len())];
+                if token >= highest {
+                    assert!(decision >= in_force, "seed {seed}: {decision} replaces {in_force}");
+                    (highest, in_force) = (token, decision);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn no_order_is_given_without_a_token_of_its_own() {
+    let mut lease = CoordinatorLease::new(vm(0), 1, Time::default());
+    lease.record_row(None, Era::default(), None, Time::default());
+    lease.record_write(version(7), Time::default(), Time::default());
+    let held = FencingToken::new(version(7));
+    let mut last = None;
+    while let Some(token) = lease.next_order(held) {
+        assert!(Some(token) > last && token < FencingToken::new(version(8)));
+        last = Some(token);
+    }
+    lease.record_write(version(8), Time::default(), Time::default());
+    let renewed = FencingToken::new(version(8));
+    assert_eq!(lease.next_order(renewed), Some(renewed));
+}
--- a/crates/engine/src/coordinator.rs
+++ b/crates/engine/src/coordinator.rs
@@ -69,6 +69,12 @@
         lease.token(clock::now()).or_else(last)
     }
 
+    /// Returns the token of the next order, or `None` if this VM may not give one.
+    pub(crate) fn order_token(&self) -> Option<FencingToken> {
+        let held = self.token()?;
+        self.lease.borrow_mut().next_order(held)
+    }
+
     /// Records that an order was refused because of its token.
     pub(crate) fn record_refusal(&self) {
         self.lease.borrow_mut().record_refusal(clock::now());
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -365,7 +365,7 @@
     group: GroupId,
     server: ServerId,
 ) {
-    let Some(token) = coordinator.token() else { return };
+    let Some(token) = coordinator.order_token() else { return };
     let cause = failover.borrow().cause();
     let label = if cause == Cause::Planned { "planned" } else { "failure" };
     engine.metrics.promotions.with_label_values(&[label]).inc();
