Refuse what a draining daemon cannot answer before its end

Cause: a draining daemon took on requests until its end, without comparing the time that they may take with the time left, and nothing answered what still ran then. Callers come that late if most daemons of a data centre drain, as the load balancer then uses all of them.

Ruled out: refusing all callers from the half of the grace period on, which refuses 2.3 s of requests for nothing while a zone has only draining daemons.

Change: core::drain takes on a statement in the second half only if its route's time limit ends before the daemon does, and a transaction only if it fits into the first half. What still runs at the end is given up and answered.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
   whether what a VM reads at its start may be used before other VMs have been heard.
 * [`isolation`] detects that a network partition leaves a VM unable to serve most
   groups.
+* [`drain`] decides what a daemon still takes on before it stops.
 * [`allowance`] moves tokens of an account's rate from VM to VM.
 * [`outcome`] finds out what became of a write whose answer was lost.
 * [`batch`] stores what became of batches of statements. A VM sends them to a home of
@@ -77,6 +78,7 @@
 pub mod confirm;
 pub mod coordinator;
 pub mod document;
+pub mod drain;
 pub mod evacuation;
 pub mod failover;
 pub mod freshness;
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -15,6 +15,7 @@
     time::Duration,
 };
 
+use chicoryhollow_core::drain::Drain;
 use slog::{Logger, o};
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -45,8 +46,8 @@
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
-/// Part of the grace period that is reserved for ending the process.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// Time in which callers are told that their requests were given up.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
 
 /// Minimum time for which a draining daemon still accepts callers. The load
 /// balancer notices only after a delay that the daemon is draining.
@@ -228,21 +229,27 @@
 }
 
 /// Lets callers finish. Callers outside of a transaction are disconnected at
-/// once, the others after half of the grace period.
+/// once, the others after half of the grace period. Requests that still run shortly before the
+/// end are given up, and their callers told.
 async fn drain<S: ServerProtocol, D: Directory>(engine: &Rc<Engine<S, D>>, grace: Duration) {
     let started = Instant::now();
     let callers = engine.metrics.callers.get();
     engine.event_log.record(Event::Draining, o!("callers" => callers));
-    engine.set_phase(Phase::Draining);
+    let schedule = Drain::new(clock::now(), grace);
+    engine.start_drain(schedule);
     let accept_until = started + MIN_ACCEPT_TIME.min(grace / 2);
     sleep_until(started + grace / 2).await;
     engine.set_phase(Phase::Closing);
-    let end = started + grace.saturating_sub(SHUTDOWN_MARGIN);
-    while Instant::now() < end
+    while clock::now() < schedule.cutoff()
         && (Instant::now() < accept_until || engine.metrics.callers.get() > 0)
     {
         sleep(MAINTENANCE_INTERVAL / 5).await;
     }
+    engine.set_phase(Phase::Ending);
+    let end = Instant::now() + ANSWER_TIME;
+    while Instant::now() < end && engine.metrics.callers.get() > 0 {
+        sleep(ANSWER_TIME / 10).await;
+    }
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -18,6 +18,7 @@
 use chicoryhollow_core::{
     AccountId, DataCentreId, GroupId, ServerId, Time,
     coordinator::RowObservation,
+    drain::Drain,
     evacuation::Evacuations,
     home::{FALLBACK_CONNECTIONS, connection_limit, rank_homes},
     isolation::is_isolated,
@@ -30,7 +31,7 @@
 use self::startup::HeldCatalog;
 use crate::{
     admission::Admission,
-    catalog::{Catalog, ServerEntry},
+    catalog::{Catalog, Route, ServerEntry},
     clock,
     fleet::{Fleet, Link},
     group::Group,
@@ -62,6 +63,8 @@
     Draining,
     /// Open transactions are ended as well.
     Closing,
+    /// Requests that still run are given up.
+    Ending,
 }
 
 /// State shared by all tasks of a daemon.
@@ -79,6 +82,8 @@
     /// Configuration that was read at the start and is not used yet.
     held_catalog: RefCell<Option<HeldCatalog>>,
     phase: watch::Sender<Phase>,
+    /// Schedule of the drain, once the daemon was asked to stop.
+    drain: Cell<Option<Drain>>,
     groups: RefCell<IndexMap<GroupId, Rc<RefCell<Group>>>>,
     pools: RefCell<HashMap<ServerId, Rc<Pool<S>>>>,
     /// Evacuated data centres as the directory lists them, and across restores.
@@ -136,6 +141,7 @@
             catalog: watch::Sender::new(Rc::default()),
             held_catalog: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            drain: Cell::new(None),
             groups: RefCell::default(),
             pools: RefCell::default(),
             evacuations: RefCell::default(),
@@ -176,6 +182,23 @@
         self.phase.subscribe()
     }
 
+    /// Starts to drain.
+    pub(crate) fn start_drain(&self, drain: Drain) {
+        self.drain.set(Some(drain));
+        self.set_phase(Phase::Draining);
+    }
+
+    /// Returns whether a statement on `route`, outside of a transaction, can be answered before
+    /// the daemon ends.
+    pub(crate) fn admits_statement(&self, route: &Route) -> bool {
+        self.drain.get().is_none_or(|drain| drain.admits_statement(route.timeout, clock::now()))
+    }
+
+    /// Returns whether a transaction on `route` may begin.
+    pub(crate) fn admits_transaction(&self, route: &Route) -> bool {
+        self.drain.get().is_none_or(|drain| drain.admits_transaction(route.timeout, clock::now()))
+    }
+
     /// Enters a phase.
     pub(crate) fn set_phase(&self, phase: Phase) {
         self.phase.send_replace(phase);
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -20,7 +20,7 @@
     attempt::Attempt,
     catalog::Route,
     clock,
-    engine::Engine,
+    engine::{Engine, Phase},
     seam::{Caller, Directory, LinkError, ServerProtocol},
     statement::{
         Access, Body, Fault, FaultKind, Hello, PreparedStatement, Reply, Request, Statement,
@@ -87,7 +87,7 @@
         prepared_at: None,
         served: 0,
     };
-    if let Err(refusal) = session.resolve() {
+    if let Err(refusal) = session.may_open() {
         session.record_close(refusal.row().label);
         return caller.reject(&Reply::Refused(refusal)).await;
     }
@@ -124,8 +124,16 @@
                 }
             };
             let began = clock::now();
+            let given_up = self.refusal_if_given_up(&request.statement);
             let flow = tokio::select! {
+                // A request that is refused at once is not reported as given up.
+                biased;
                 flow = self.handle(&request) => flow,
+                _ = phases.wait_for(|phase| *phase == Phase::Ending) => {
+                    // The same happens to the work of the dropped request.
+                    self.transaction = None;
+                    Flow::Close(Reply::Refused(given_up))
+                }
                 gone = wait_for_disconnect(&mut caller, &mut pipelined) => {
                     // The dropped request closes its backend connection, which
                     // rolls back its work.
@@ -246,6 +254,9 @@
             Ok(found) => found,
             Err(refusal) => return Flow::Close(Reply::Refused(refusal)),
         };
+        if !self.engine.admits_statement(&route) {
+            return Flow::Close(Reply::Refused(Refusal::Draining));
+        }
         if !self.engine.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
         }
--- a/crates/engine/src/session/lifetime.rs
+++ b/crates/engine/src/session/lifetime.rs
@@ -11,6 +11,7 @@
     clock,
     engine::Phase,
     seam::{Caller, Directory, ServerProtocol},
+    statement::{Access, Statement},
 };
 
 /// Time for which a session outlasts the start of a drain after its caller has prepared an
@@ -72,13 +73,40 @@
         }
     }
 
+    /// Returns why no session may be opened, if so.
+    pub(super) fn may_open(&self) -> Result<(), Refusal> {
+        let (route, _) = self.resolve()?;
+        match self.engine.admits_statement(&route) {
+            true => Ok(()),
+            false => Err(Refusal::Draining),
+        }
+    }
+
+    /// Returns what the caller is told if a request is given up while it runs.
+    pub(super) fn refusal_if_given_up(&self, statement: &Statement) -> Refusal {
+        let has_written = self.transaction.as_ref().map(|open| open.has_written);
+        let access = match statement {
+            Statement::Run(access) => Some(*access),
+            Statement::Execute { name, .. } => self.names.get(name).map(|found| found.access),
+            _ => None,
+        };
+        match (statement, has_written, access) {
+            (Statement::Commit, Some(true), _) => Refusal::WriteInterrupted,
+            (_, Some(_), _) => Refusal::TransactionEnded,
+            (_, None, Some(Access::Write)) => Refusal::WriteInterrupted,
+            (_, None, Some(Access::Read)) => Refusal::ReadInterrupted,
+            (_, None, None) => Refusal::Draining,
+        }
+    }
+
     /// Returns why the session must be closed now, or `None` if it may continue.
     pub(super) fn reason_to_close(&self) -> Option<&'static str> {
         let phase = self.engine.phase();
         let open = self.transaction.is_some();
         let preparing = self.prepared_at.is_some_and(|at| clock::now() < at + PREPARATION_SPAN);
         let idle = !open && !preparing;
-        if idle && phase != Phase::Serving || open && phase == Phase::Closing {
+        let ends_transactions = matches!(phase, Phase::Closing | Phase::Ending);
+        if idle && phase != Phase::Serving || open && ends_transactions {
             return Some("draining");
         }
         if idle && *self.engine.avoided().borrow() {
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -33,6 +33,9 @@
             Ok(found) => found,
             Err(refusal) => return Flow::Close(Reply::Refused(refusal)),
         };
+        if !self.engine.admits_transaction(&route) {
+            return Flow::Close(Reply::Refused(Refusal::Draining));
+        }
         if !self.engine.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
         }
