End the sessions of a key that was given to another account

Cause: a session with an open transaction ended only if its key was unknown. The account of the key was not compared with that of the transaction.

Change: a session keeps the account with which it was opened, and a key that stands for another one counts as removed for it.

The test failed before: the session with the open transaction did not end in 3 s.

--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -53,6 +53,8 @@
 pub(crate) struct Session<S: ServerProtocol, D: Directory> {
     engine: Rc<Engine<S, D>>,
     hello: Hello,
+    /// Account of the key when the session began.
+    account: Option<AccountId>,
     /// Positions of the commits of this session.
     seen: SessionToken,
     /// Session variables by name.
@@ -80,6 +82,7 @@
     let mut session = Session {
         engine,
         hello,
+        account: None,
         seen: SessionToken::new(),
         values: IndexMap::new(),
         names: IndexMap::new(),
@@ -87,7 +90,7 @@
         prepared_at: None,
         served: 0,
     };
-    if let Err(refusal) = session.may_open() {
+    if let Err(refusal) = session.open() {
         session.record_close(refusal.row().label);
         return caller.reject(&Reply::Refused(refusal)).await;
     }
@@ -166,7 +169,8 @@
         Ok(())
     }
 
-    /// Looks up the route and the account in the active configuration.
+    /// Looks up the route and the account in the active configuration. A key that was given to
+    /// another account counts as removed for the sessions that were opened with it before.
     fn resolve(&self) -> Result<(Route, AccountId), Refusal> {
         let catalog = self.engine.catalog();
         if catalog.version == 0 {
@@ -174,7 +178,10 @@
         }
         let route = catalog.routes.get(&self.hello.database).ok_or(Refusal::RouteUnknown)?;
         let account = catalog.account(route, &self.hello.key).ok_or(Refusal::BadKey)?;
-        Ok((route.clone(), account))
+        match &self.account {
+            Some(first) if *first != account => Err(Refusal::BadKey),
+            _ => Ok((route.clone(), account)),
+        }
     }
 
     fn state(&self) -> TransactionState {
--- a/crates/engine/src/session/lifetime.rs
+++ b/crates/engine/src/session/lifetime.rs
@@ -73,13 +73,18 @@
         }
     }
 
-    /// Returns why no session may be opened, if so.
-    pub(super) fn may_open(&self) -> Result<(), Refusal> {
-        let (route, _) = self.resolve()?;
-        match self.engine.admits_statement(&route) {
-            true => Ok(()),
-            false => Err(Refusal::Draining),
+    /// Opens the session as the account that holds the caller's key.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal that the caller gets.
+    pub(super) fn open(&mut self) -> Result<(), Refusal> {
+        let (route, account) = self.resolve()?;
+        if !self.engine.admits_statement(&route) {
+            return Err(Refusal::Draining);
         }
+        self.account = Some(account);
+        Ok(())
     }
 
     /// Returns what the caller is told if a request is given up while it runs.
