Refuse requests that were read when their session ends

Cause: a session reads on while a request runs, and dropped what it had read when it had to end.

Change: what has been read whole is refused as not run, with the reason of the end: draining, isolated, withdrawn key, or a transaction that was ended.

The test failed before: the connection ends instead of "BUSY". After: the script held, p2 gets "ERROR BUSY this VM takes no new work (not run)".

--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -12,6 +12,7 @@
 use std::{rc::Rc, time::Duration};
 
 use chicoryhollow_core::{AccountId, GroupId, Position, Refusal, SessionToken, Time};
+use futures_util::FutureExt;
 use indexmap::IndexMap;
 use tokio::time::timeout;
 
@@ -38,8 +39,16 @@
 enum Flow {
     /// The caller gets this reply and the session continues.
     Reply(Reply, Option<Position>),
-    /// The caller gets this reply and the session ends.
-    Close(Reply),
+    /// The caller gets this refusal and the session ends.
+    Close(Refusal),
+}
+
+/// Why the proxy ends a session.
+struct CloseReason {
+    /// Label in the log.
+    label: &'static str,
+    /// Answer to requests that were read and did not run.
+    refusal: Refusal,
 }
 
 /// An event that a waiting session handles.
@@ -115,10 +124,7 @@
                     None => return self.close().await,
                 },
                 Incoming::Changed => match self.reason_to_close() {
-                    Some(reason) => {
-                        self.record_close(reason);
-                        return self.close().await;
-                    }
+                    Some(reason) => return self.end(&mut caller, None, reason).await,
                     None => continue,
                 },
                 Incoming::IdleLimit => {
@@ -135,7 +141,7 @@
                 _ = phases.wait_for(|phase| *phase == Phase::Ending) => {
                     // The same happens to the work of the dropped request.
                     self.transaction = None;
-                    Flow::Close(Reply::Refused(given_up))
+                    Flow::Close(given_up)
                 }
                 gone = wait_for_disconnect(&mut caller, &mut pipelined) => {
                     // The dropped request closes its backend connection, which
@@ -149,19 +155,41 @@
                     self.record_reply(&request, &reply, began);
                     caller.reply(&reply, self.state(), position).await?;
                 }
-                Flow::Close(reply) => {
+                Flow::Close(refusal) => {
+                    let reply = Reply::Refused(refusal);
                     self.record_reply(&request, &reply, began);
-                    caller.reject(&reply).await?;
-                    return self.close().await;
+                    self.close().await?;
+                    caller.reply(&reply, TransactionState::Idle, None).await?;
+                    let reason = CloseReason { label: refusal.row().label, refusal };
+                    return self.end(&mut caller, pipelined.take(), reason).await;
                 }
             }
             if let Some(reason) = self.reason_to_close() {
-                self.record_close(reason);
-                return self.close().await;
+                return self.end(&mut caller, pipelined.take(), reason).await;
             }
         }
     }
 
+    /// Ends the session. The requests that were read and did not run are refused.
+    async fn end(
+        &mut self,
+        caller: &mut impl Caller,
+        pipelined: Option<Request>,
+        reason: CloseReason,
+    ) -> Result<(), LinkError> {
+        self.record_close(reason.label);
+        self.close().await?;
+        let reply = Reply::Refused(reason.refusal);
+        let mut next = pipelined;
+        while let Some(request) = next {
+            self.record_reply(&request, &reply, clock::now());
+            caller.reply(&reply, TransactionState::Idle, None).await?;
+            // Without waiting, and failures of the connection matter no more.
+            next = caller.next_request().now_or_never().and_then(Result::ok).flatten();
+        }
+        Ok(())
+    }
+
     async fn close(&mut self) -> Result<(), LinkError> {
         if let Some(connection) = self.transaction.take().and_then(|open| open.connection) {
             connection.roll_back().await;
@@ -259,10 +287,10 @@
     async fn run_single(&mut self, request: &Request, access: Access, body: Body) -> Flow {
         let (route, account) = match self.resolve() {
             Ok(found) => found,
-            Err(refusal) => return Flow::Close(Reply::Refused(refusal)),
+            Err(refusal) => return Flow::Close(refusal),
         };
         if !self.engine.admits_statement(&route) {
-            return Flow::Close(Reply::Refused(Refusal::Draining));
+            return Flow::Close(Refusal::Draining);
         }
         if !self.engine.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
--- a/crates/engine/src/session/lifetime.rs
+++ b/crates/engine/src/session/lifetime.rs
@@ -5,7 +5,7 @@
 use chicoryhollow_core::Refusal;
 use tokio::{sync::watch, time::sleep_until};
 
-use super::{Incoming, Session};
+use super::{CloseReason, Incoming, Session};
 use crate::{
     catalog::Catalog,
     clock,
@@ -105,21 +105,26 @@
     }
 
     /// Returns why the session must be closed now, or `None` if it may continue.
-    pub(super) fn reason_to_close(&self) -> Option<&'static str> {
+    pub(super) fn reason_to_close(&self) -> Option<CloseReason> {
         let phase = self.engine.phase();
         let open = self.transaction.is_some();
         let preparing = self.prepared_at.is_some_and(|at| clock::now() < at + PREPARATION_SPAN);
         let idle = !open && !preparing;
         let ends_transactions = matches!(phase, Phase::Closing | Phase::Ending);
-        if idle && phase != Phase::Serving || open && ends_transactions {
-            return Some("draining");
+        if open && ends_transactions {
+            return Some(CloseReason { label: "draining", refusal: Refusal::TransactionEnded });
+        }
+        if idle && phase != Phase::Serving {
+            return Some(CloseReason { label: "draining", refusal: Refusal::Draining });
         }
         if idle && *self.engine.avoided().borrow() {
-            return Some("isolated");
+            return Some(CloseReason { label: "isolated", refusal: Refusal::Draining });
         }
         match self.resolve() {
-            Err(Refusal::BadKey) => Some("key_withdrawn"),
-            Err(refusal) if !open => Some(refusal.row().label),
+            Err(Refusal::BadKey) => {
+                Some(CloseReason { label: "key_withdrawn", refusal: Refusal::BadKey })
+            }
+            Err(refusal) if !open => Some(CloseReason { label: refusal.row().label, refusal }),
             _ => None,
         }
     }
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -31,10 +31,10 @@
         }
         let (route, account) = match self.resolve() {
             Ok(found) => found,
-            Err(refusal) => return Flow::Close(Reply::Refused(refusal)),
+            Err(refusal) => return Flow::Close(refusal),
         };
         if !self.engine.admits_transaction(&route) {
-            return Flow::Close(Reply::Refused(Refusal::Draining));
+            return Flow::Close(Refusal::Draining);
         }
         if !self.engine.admit(&route, &account).await {
             return Flow::Reply(Reply::Refused(Refusal::RateExceeded), None);
