--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -22,6 +22,8 @@
 
 mod demotion;
 mod missing;
+mod replica;
+mod selection;
 
 use std::time::Duration;
 
@@ -33,8 +35,11 @@
     time::Time,
 };
 
-use self::demotion::Demotion;
-pub use self::missing::{MissingServers, RegisteredServer, ServerTimes};
+use self::{demotion::Demotion, replica::Replica};
+pub use self::{
+    missing::{MissingServers, RegisteredServer, ServerTimes},
+    replica::{Member, ReplicationStatus},
+};
 
 /// Time after which another request to fence or poll a server is sent.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -58,33 +63,6 @@
 /// information.
 const FAILOVER_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// A backend server of the group other than the old primary.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Member {
-    /// Name of the server.
-    pub server: ServerId,
-    /// Whether it may stay primary: it is neither leaving nor in a data centre that was
-    /// taken out of service.
-    pub preferred: bool,
-    /// Whether it has only just started and is slow for a while.
-    pub cold: bool,
-    /// When it started, in milliseconds of its wall clock.
-    pub born: u64,
-}
-
-/// Replication status that a backend server reports.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct ReplicationStatus {
-    /// Whether it is the primary and accepts writes.
-    pub primary: bool,
-    /// Its term.
-    pub term: Term,
-    /// Newest position that it has received.
-    pub received: Position,
-    /// Term at which it was fenced, or zero if it is not fenced.
-    pub fenced_term: Term,
-}
-
 /// Why the primary is replaced.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cause {
@@ -122,14 +100,6 @@
     Abandoned(&'static str),
 }
 
-#[derive(Clone, Debug)]
-struct Replica {
-    member: Member,
-    status: Option<ReplicationStatus>,
-    answered: Option<Time>,
-    last_action: Option<Time>,
-}
-
 /// One replacement of a primary, as a state machine.
 ///
 /// The caller carries out the [`Action`]s and records the answers.
@@ -442,96 +412,4 @@
         }
         actions
     }
-
-    /// Returns whether a server that nobody knows may hold acknowledged commits: the old
-    /// primary has written more than any known server received, and the servers were not
-    /// listed since it stepped down.
-    fn lacks_list(&self) -> bool {
-        let Some((written, since)) = self.primary.as_ref().and_then(Demotion::stepped_down) else {
-            return false;
-        };
-        let received = self.replicas.values().filter_map(Replica::received).max();
-        self.fencing_since.is_some()
-            && received < Some(written)
-            && self.listed.is_none_or(|listed| listed < since)
-    }
-
-    /// Returns the server to promote, once every commit that is or may still be
-    /// acknowledged is in its log.
-    fn promotable(&self, now: Time) -> Option<ServerId> {
-        let is_fenced = |replica: &Replica| replica.is_fenced(self.term);
-        let target = match self.cause {
-            Cause::Failure => {
-                let is_closed = self.fencing_since.is_some()
-                    && !self.is_demotion_due(now)
-                    && !self.lacks_list();
-                if !is_closed || !self.replicas.values().all(is_fenced) {
-                    return None;
-                }
-                self.most_advanced()?
-            }
-            Cause::Planned => {
-                let target = self.target.clone()?;
-                let others = self.replicas.iter().filter(|(server, _)| **server != target);
-                if !others.map(|(_, replica)| replica).all(is_fenced) {
-                    return None;
-                }
-                target
-            }
-        };
-        let received = self.received(&target)?;
-        let most = self.replicas.keys().filter_map(|server| self.received(server)).max()?;
-        (received >= most && received >= self.acknowledged).then_some(target)
-    }
-
-    fn received(&self, server: &ServerId) -> Option<Position> {
-        self.replicas.get(server)?.received()
-    }
-
-    /// Returns the server that received most, and a preferred one if several received
-    /// equally much. Returns `None` until all servers have answered.
-    fn most_advanced(&self) -> Option<ServerId> {
-        self.best_member(|replica| Some((replica.received(), replica.member.preferred)))
-    }
-
-    /// Returns the server that takes over from a leaving primary: of those that will stay and
-    /// have received what was acknowledged at the start, one that is not slow, and of those
-    /// the one that started last. Returns `None` until all servers have answered.
-    fn successor(&self) -> Option<ServerId> {
-        self.best_member(|replica| {
-            let Member { preferred, cold, born, .. } = replica.member;
-            let received = replica.received();
-            let is_recent = received >= Some(self.first_acknowledged);
-            preferred.then_some((is_recent, !cold, is_recent.then_some(born), received))
-        })
-    }
-
-    /// Returns the server with the greatest `key`, among those that have one. Returns `None`
-    /// until all servers have answered.
-    fn best_member<K: Ord>(&self, key: impl Fn(&Replica) -> Option<K>) -> Option<ServerId> {
-        if self.replicas.values().any(|replica| replica.status.is_none()) {
-            return None;
-        }
-        let keyed = self.replicas.iter().filter_map(|(server, r)| Some((key(r)?, server)));
-        keyed.max_by(|(a, _), (b, _)| a.cmp(b)).map(|(_, server)| server.clone())
-    }
-}
-
-impl Replica {
-    fn new(member: Member) -> Self {
-        Replica { member, status: None, answered: None, last_action: None }
-    }
-
-    fn received(&self) -> Option<Position> {
-        Some(self.status?.received)
-    }
-
-    fn is_fenced(&self, term: Term) -> bool {
-        self.status.is_some_and(|status| status.fenced_term == term)
-    }
-
-    /// Returns whether another request may be sent.
-    fn is_due(&self, now: Time) -> bool {
-        self.last_action.is_none_or(|last| now.since(last) >= REPEAT_INTERVAL)
-    }
 }
--- /dev/null
+++ b/crates/core/src/failover/selection.rs
@@ -0,0 +1,79 @@
+//! Which server a failover promotes, and when it may.
+
+use super::{Cause, Demotion, Failover, Member, Replica};
+use crate::{id::ServerId, position::Position, time::Time};
+
+impl Failover {
+    /// Returns whether a server that nobody knows may hold acknowledged commits: the old
+    /// primary has written more than any known server received, and the servers were not
+    /// listed since it stepped down.
+    pub(super) fn lacks_list(&self) -> bool {
+        let Some((written, since)) = self.primary.as_ref().and_then(Demotion::stepped_down) else {
+            return false;
+        };
+        let received = self.replicas.values().filter_map(Replica::received).max();
+        self.fencing_since.is_some()
+            && received < Some(written)
+            && self.listed.is_none_or(|listed| listed < since)
+    }
+
+    /// Returns the server to promote, once every commit that is or may still be
+    /// acknowledged is in its log.
+    pub(super) fn promotable(&self, now: Time) -> Option<ServerId> {
+        let is_fenced = |replica: &Replica| replica.is_fenced(self.term);
+        let target = match self.cause {
+            Cause::Failure => {
+                let is_closed = self.fencing_since.is_some()
+                    && !self.is_demotion_due(now)
+                    && !self.lacks_list();
+                if !is_closed || !self.replicas.values().all(is_fenced) {
+                    return None;
+                }
+                self.most_advanced()?
+            }
+            Cause::Planned => {
+                let target = self.target.clone()?;
+                let others = self.replicas.iter().filter(|(server, _)| **server != target);
+                if !others.map(|(_, replica)| replica).all(is_fenced) {
+                    return None;
+                }
+                target
+            }
+        };
+        let received = self.received(&target)?;
+        let most = self.replicas.keys().filter_map(|server| self.received(server)).max()?;
+        (received >= most && received >= self.acknowledged).then_some(target)
+    }
+
+    fn received(&self, server: &ServerId) -> Option<Position> {
+        self.replicas.get(server)?.received()
+    }
+
+    /// Returns the server that received most, and a preferred one if several received
+    /// equally much. Returns `None` until all servers have answered.
+    fn most_advanced(&self) -> Option<ServerId> {
+        self.best_member(|replica| Some((replica.received(), replica.member.preferred)))
+    }
+
+    /// Returns the server that takes over from a leaving primary: of those that will stay and
+    /// have received what was acknowledged at the start, one that is not slow, and of those
+    /// the one that started last. Returns `None` until all servers have answered.
+    pub(super) fn successor(&self) -> Option<ServerId> {
+        self.best_member(|replica| {
+            let Member { preferred, cold, born, .. } = replica.member;
+            let received = replica.received();
+            let is_recent = received >= Some(self.first_acknowledged);
+            preferred.then_some((is_recent, !cold, is_recent.then_some(born), received))
+        })
+    }
+
+    /// Returns the server with the greatest `key`, among those that have one. Returns `None`
+    /// until all servers have answered.
+    fn best_member<K: Ord>(&self, key: impl Fn(&Replica) -> Option<K>) -> Option<ServerId> {
+        if self.replicas.values().any(|replica| replica.status.is_none()) {
+            return None;
+        }
+        let keyed = self.replicas.iter().filter_map(|(server, r)| Some((key(r)?, server)));
+        keyed.max_by(|(a, _), (b, _)| a.cmp(b)).map(|(_, server)| server.clone())
+    }
+}
--- /dev/null
+++ b/crates/engine/src/watch/execution.rs
@@ -0,0 +1,158 @@
+//! Carries out the actions of a failover: commands to servers, and promotions.
+
+use std::{cell::RefCell, rc::Rc};
+
+use chicoryhollow_core::{
+    GroupId, ServerId, Term,
+    failover::{Action, Cause, Failover, ReplicationStatus},
+};
+use slog::o;
+
+use crate::{
+    clock,
+    coordinator::Coordinator,
+    engine::Engine,
+    log::Event,
+    seam::{Directory, PromoteOrder, PromotionOutcome, ServerLink, ServerProtocol, ServerStatus},
+    statement::Command,
+};
+
+/// Executes an action in a separate task.
+pub(super) fn execute<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    coordinator: &Rc<Coordinator>,
+    group: &GroupId,
+    failover: &Rc<RefCell<Failover>>,
+    action: Action,
+) {
+    let failover = Rc::clone(failover);
+    let (engine, role, group) = (Rc::clone(engine), Rc::clone(coordinator), group.clone());
+    actix::spawn(async move {
+        match action {
+            Action::Fence(server, term) => {
+                send(&engine, &failover, &server, Command::Hold(term)).await;
+            }
+            Action::Poll(server) => {
+                send(&engine, &failover, &server, Command::Status).await;
+            }
+            Action::Release(server) => {
+                send(&engine, &failover, &server, Command::Release).await;
+            }
+            Action::Demote(server, term) => {
+                demote(&engine, &failover, &group, &server, term).await;
+            }
+            Action::ListServers => list_servers(&engine, &failover, &group).await,
+            Action::Promote(server) => promote(&engine, &role, &failover, group, server).await,
+        }
+    });
+}
+
+/// Sends a command to a server and records its status, which is returned if it answered.
+async fn send<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    failover: &RefCell<Failover>,
+    server: &ServerId,
+    command: Command,
+) -> Option<ReplicationStatus> {
+    let status = send_command(engine, server, command).await?;
+    let status = ReplicationStatus {
+        primary: status.is_primary,
+        term: status.term,
+        received: status.received,
+        fenced_term: status.fenced_term,
+    };
+    failover.borrow_mut().record_status(server, status, clock::now());
+    engine.watch_wakeup.notify_one();
+    Some(status)
+}
+
+/// Makes the old primary a replica.
+async fn demote<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    failover: &RefCell<Failover>,
+    group: &GroupId,
+    server: &ServerId,
+    term: Term,
+) {
+    let status = send(engine, failover, server, Command::StepDown(term)).await;
+    engine.event_log.record(
+        Event::PrimaryDemoted,
+        o!(
+            "group" => group.to_string(),
+            "server" => server.to_string(),
+            "term" => term.get(),
+            "primary" => status.map(|status| status.primary),
+            "received" => status.map(|status| status.received.to_string()),
+        ),
+    );
+}
+
+/// Reads from the directory which servers are registered, and lets the new ones join.
+async fn list_servers<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    failover: &RefCell<Failover>,
+    group: &GroupId,
+) {
+    let asked = clock::now();
+    match engine.directory.servers().await {
+        Ok(servers) => {
+            engine.apply_servers(servers.version, servers.entries);
+            let members = engine.group(group).borrow().members(clock::now());
+            let mut failover = failover.borrow_mut();
+            failover.join(members);
+            failover.record_list(asked);
+        }
+        Err(error) => {
+            let fields = o!("group" => group.to_string(), "error" => error.to_string());
+            engine.event_log.record(Event::ServersUnlisted, fields);
+        }
+    }
+    engine.watch_wakeup.notify_one();
+}
+
+/// Sends a command to a server and returns its status, if it answered.
+pub(crate) async fn send_command<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    server: &ServerId,
+    command: Command,
+) -> Option<ServerStatus> {
+    let account = engine.any_account()?;
+    let mut connection = engine.pool(server)?.take_control(&account).await.ok()?;
+    let answer = connection.run_control(command).await.ok()?;
+    connection.give_back();
+    S::Link::parse_status(&answer)
+}
+
+async fn promote<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    coordinator: &Coordinator,
+    failover: &RefCell<Failover>,
+    group: GroupId,
+    server: ServerId,
+) {
+    let Some(token) = coordinator.order_token() else { return };
+    let cause = failover.borrow().cause();
+    let label = if cause == Cause::Planned { "planned" } else { "failure" };
+    engine.metrics.promotions.with_label_values(&[label]).inc();
+    let order = PromoteOrder {
+        group: group.clone(),
+        server: server.clone(),
+        holder: engine.settings.vm.clone(),
+        token,
+    };
+    let answer = engine.directory.promote(&order).await;
+    engine.event_log.record(
+        Event::PromotionOrdered,
+        o!(
+            "group" => group.to_string(),
+            "server" => server.to_string(),
+            "token" => token.get(),
+            "cause" => label,
+            "answer" => format!("{answer:?}"),
+        ),
+    );
+    if answer == Ok(PromotionOutcome::Refused) {
+        failover.borrow_mut().record_promotion_refusal();
+        coordinator.record_refusal();
+    }
+}
