Ignore answers that a primary sent before it stepped down

The request to step down and a poll are sent at once, and their answers may overtake each other. A late answer of the poll could replace the end of the primary's log by an earlier position, so that the servers were not listed again. Found while reading the diff; the test fails without the change. Another reason text of abandoned failovers names the directory too.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -35,12 +35,13 @@
     time::Time,
 };
 
-use self::{demotion::Demotion, replica::Replica};
 pub use self::{
     missing::{MissingServers, RegisteredServer, ServerTimes},
     replica::{Member, ReplicationStatus},
 };
 
+use self::{demotion::Demotion, replica::Replica};
+
 /// Time after which another request to fence or poll a server is sent.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -204,7 +205,7 @@
         if let Some(replica) = self.replicas.get_mut(server) {
             replica.status = Some(status);
             replica.answered = Some(now);
-        } else if let Some(primary) = self.primary.as_mut().filter(|it| it.server() == server) {
+        } else if let Some(primary) = self.primary.as_mut().filter(|old| old.server() == server) {
             primary.record_status(status, now);
         }
     }
@@ -221,7 +222,8 @@
     /// not work any longer: the new server may receive a commit before the successor does.
     pub fn join(&mut self, members: impl IntoIterator<Item = Member>) {
         for member in members {
-            let is_primary = self.primary.as_ref().is_some_and(|it| *it.server() == member.server);
+            let is_primary =
+                self.primary.as_ref().is_some_and(|old| *old.server() == member.server);
             if is_primary || self.replicas.contains_key(&member.server) {
                 continue;
             }
@@ -282,7 +284,7 @@
         }
         let fencing_since = self.fencing_since.filter(|_| is_unordered);
         if fencing_since.is_some_and(|since| now.since(since) > FENCED_TIMEOUT) {
-            return Progress::Abandoned("a backend server no longer answers");
+            return Progress::Abandoned("a backend server or the directory no longer answers");
         }
         let limit = match self.cause {
             Cause::Planned if self.promotion_sent.is_none() => PLANNED_TIMEOUT,
--- a/crates/core/src/failover/demotion.rs
+++ b/crates/core/src/failover/demotion.rs
@@ -56,13 +56,15 @@
         self.since
     }
 
+    /// Records an answer. Once the server has stepped down, answers that it sent before as the
+    /// primary have no effect.
     pub(super) fn record_status(&mut self, status: ReplicationStatus, now: Time) {
-        self.status = Some(status);
-        if status.primary {
-            self.answered = now;
-        } else {
-            self.stepped_down.get_or_insert(now);
+        match (status.primary, self.stepped_down) {
+            (true, Some(_)) => return,
+            (true, None) => self.answered = now,
+            (false, _) => drop(self.stepped_down.get_or_insert(now)),
         }
+        self.status = Some(status);
     }
 
     /// Returns whether it answers and has not stepped down.
--- a/crates/core/tests/joining.rs
+++ b/crates/core/tests/joining.rs
@@ -229,6 +229,20 @@
     panic!("the silent primary is not replaced");
 }
 
+/// The answers to the request to step down and to a poll may overtake each other.
+#[test]
+fn an_answer_from_before_the_primary_stepped_down_does_not_hide_the_end_of_its_log() {
+    let mut failover = start();
+    let now = Time::from_millis(1_000);
+    failover.record_status(&server("r"), status(false, 1, 2), now);
+    failover.next_actions(now);
+    failover.record_status(&server("p"), status(false, 2, 0), now);
+    failover.record_status(&server("p"), status(true, 1, 0), now);
+    let actions = failover.next_actions(Time::from_millis(1_050));
+    assert!(actions.contains(&Action::ListServers), "{actions:?}");
+    assert!(!actions.contains(&Action::Promote(server("r"))), "{actions:?}");
+}
+
 /// A cut that heals between the order and its effect: the primary must not go on with a
 /// replica that nobody has fenced.
 #[test]
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -139,7 +139,7 @@
                 biased;
                 flow = self.handle(&request) => flow,
                 _ = phases.wait_for(|phase| *phase == Phase::Ending) => {
-                    // The same happens to the work of the dropped request.
+                    // This, too, rolls back the work of the dropped request.
                     self.transaction = None;
                     Flow::Close(given_up)
                 }
