Log and count acknowledged commits that a promoted primary lacks

Neither logs nor metrics could tell a lost commit from a request that ended without an answer, nor which promotion lost it.

The coordinator knows where the promoted server's log ended when it ordered the promotion. It now tells this to the other VMs, once for each promotion, and each VM compares it with the newest commit that it knows to be acknowledged in the terms before. A difference is logged as event 637 and counted in chicoryhollow_missing_commits_total.

The behaviour towards callers is unchanged.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -127,6 +127,8 @@
     target: Option<ServerId>,
     /// When the promotion of the target was last requested.
     promotion_sent: Option<Time>,
+    /// End of the target's log when its promotion was first requested.
+    target_received: Position,
 }
 
 impl Failover {
@@ -156,6 +158,7 @@
             fencing_since: None,
             target: None,
             promotion_sent: None,
+            target_received: Position::default(),
         }
     }
 
@@ -194,6 +197,11 @@
         self.promotion_sent.and(self.target.as_ref())
     }
 
+    /// Returns the end of the log of the server whose promotion was requested, at that time.
+    pub fn target_received(&self) -> Position {
+        self.target_received
+    }
+
     /// Records a position with an acknowledged commit. Positions older than the newest have
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
@@ -316,6 +324,7 @@
             actions.push(Action::ListServers);
         }
         if let Some(server) = self.promotable(now) {
+            self.target_received = self.received(&server).unwrap_or_default();
             self.target = Some(server.clone());
             self.promotion_sent = Some(now);
             actions.push(Action::Promote(server));
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -45,7 +45,7 @@
         (received >= most && received >= self.acknowledged).then_some(target)
     }
 
-    fn received(&self, server: &ServerId) -> Option<Position> {
+    pub(super) fn received(&self, server: &ServerId) -> Option<Position> {
         self.replicas.get(server)?.received()
     }
 
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -56,6 +56,8 @@
     pub acknowledged: Position,
     /// When the primary was asked for the newest known position of its log.
     pub asked: Option<Time>,
+    /// Where the log of the newest promoted primary began, in its term.
+    pub start: Position,
 }
 
 /// What is new to a neighbour about one group.
@@ -65,7 +67,7 @@
     None,
     /// Newer positions.
     Positions,
-    /// A failure of the primary, or its end.
+    /// A failure of the primary, or its end, or where the log of a new primary began.
     Failure,
     /// Another primary.
     Primary,
@@ -98,7 +100,8 @@
         if known.term > self.last.term {
             return Update::Primary;
         }
-        if known.failing.is_some() != self.last.failing.is_some() {
+        let has_failed = known.failing.is_some() != self.last.failing.is_some();
+        if has_failed || known.start > self.last.start {
             return Update::Failure;
         }
         match self.has_newer_position(known, spacing, now) {
@@ -117,6 +120,11 @@
         waited >= spacing.interval && (is_much_newer || is_overdue)
     }
 
+    /// Returns whether the neighbour knows where the log of the newest promoted primary began.
+    pub fn has_start(&self, known: &GroupSummary) -> bool {
+        self.last.start >= known.start
+    }
+
     /// Records that the neighbour was told `known`.
     pub fn record(&mut self, known: GroupSummary, now: Time) {
         *self = LastSent { last: known, at: now };
@@ -130,6 +138,7 @@
         self.last.term = self.last.term.max(told.term);
         self.last.acknowledged = self.last.acknowledged.max(told.acknowledged);
         self.last.asked = self.last.asked.max(told.asked);
+        self.last.start = self.last.start.max(told.start);
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,6 +51,7 @@
 * [`version`] orders the changes of the directory, also when it came back from a copy, and
   [`evacuation`] keeps data centres out of use across such a restore. [`startup`] decides
   whether what a VM reads at its start may be used before other VMs have been heard.
+* [`durability`] decides whether an acknowledged commit survives a failover.
 * [`isolation`] detects that a network partition leaves a VM unable to serve most
   groups.
 * [`drain`] decides what a daemon still takes on before it stops.
@@ -79,6 +80,7 @@
 pub mod coordinator;
 pub mod document;
 pub mod drain;
+pub mod durability;
 pub mod evacuation;
 pub mod failover;
 pub mod freshness;
--- a/crates/engine/src/engine/servers.rs
+++ b/crates/engine/src/engine/servers.rs
@@ -116,6 +116,23 @@
         self.pools.borrow_mut().retain(|server, _| is_known(server));
     }
 
+    /// Counts and logs acknowledged commits that the newest promoted primary lacked.
+    pub(crate) fn check_commits(&self, group: &RefCell<Group>) {
+        let mut group = group.borrow_mut();
+        let Some(missing) = group.take_missing_commits() else { return };
+        self.metrics.missing_commits.inc_by(missing);
+        self.event_log.record(
+            Event::CommitsMissing,
+            o!(
+                "group" => group.view.group.to_string(),
+                "primary" => group.view.primary.as_ref().map(ToString::to_string),
+                "acknowledged" => group.last_before_start().map(|last| last.to_string()),
+                "start" => group.start().to_string(),
+                "missing" => missing,
+            ),
+        );
+    }
+
     /// Logs that this VM knows another primary of a group, and wakes the
     /// statements that wait for one.
     pub(crate) fn record_primary_change(&self, group: &Group, source: Source) {
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -42,9 +42,12 @@
             if kind == Update::None {
                 continue;
             }
+            let start = if last.has_start(&known) { Position::default() } else { known.start };
             last.record(known, now);
             let reference = link.sent_names.borrow_mut().refer_to(&group.view.group);
-            let state = group_state(&group, kind, known.asked.map(|_| received), now);
+            let mut state = group_state(&group, kind, known.asked.map(|_| received), now);
+            state.start_term = start.term().get();
+            state.start_lsn = start.lsn().get();
             updates.push(with_name(state, reference, &group.view.group));
         }
         updates
@@ -72,7 +75,10 @@
             let term = Term::new(state.term);
             let at = |number, lsn| Position::from_relative_term(number, Lsn::new(lsn), term);
             let acknowledged = at(state.acknowledged_term, state.acknowledged_lsn);
-            group.acknowledged = group.acknowledged.max(acknowledged);
+            group.record_acknowledged(acknowledged);
+            let start = Position::new(Term::new(state.start_term), Lsn::new(state.start_lsn));
+            group.record_start(start);
+            told.start = start;
             told.acknowledged = acknowledged;
             if !state.primary.is_empty() {
                 told.term = term;
@@ -93,6 +99,7 @@
         if changed {
             self.record_primary_change(&group.borrow(), Source::Peer);
         }
+        self.check_commits(&group);
     }
 }
 
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -7,6 +7,7 @@
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
+    durability::missing_commits,
     failover::{Member, MissingServers, ServerTimes},
     freshness::ObservedPositions,
     gossip::GroupSummary,
@@ -86,6 +87,13 @@
     last_response: Time,
     /// Data centres that the operators have taken out of use.
     evacuated: IndexSet<DataCentreId>,
+    /// Newest position with an acknowledged commit in the terms before that of
+    /// [`Group::acknowledged`].
+    earlier_acknowledged: Position,
+    /// Where the log of the newest promoted primary began, in its term.
+    start: Position,
+    /// Newest term whose log was reported to lack acknowledged commits.
+    reported_term: Term,
     /// When a server other than the primary last answered a status request of a statement.
     pub(crate) replica_answered: Option<Time>,
     /// Until when each started server is too slow for reads.
@@ -109,6 +117,9 @@
             unconfirmed_since: None,
             last_response: now,
             evacuated: IndexSet::new(),
+            earlier_acknowledged: Position::default(),
+            start: Position::default(),
+            reported_term: Term::default(),
             replica_answered: None,
             cold_until: IndexMap::new(),
             missing_servers: MissingServers::new().with_times(times),
@@ -188,6 +199,43 @@
         }
     }
 
+    /// Records where the log of a promoted primary began, in its term.
+    pub(crate) fn record_start(&mut self, start: Position) {
+        self.start = self.start.max(start);
+    }
+
+    /// Returns where the log of the newest promoted primary began, in its term.
+    pub(crate) fn start(&self) -> Position {
+        self.start
+    }
+
+    /// Returns how many acknowledged commits the newest promoted primary lacked, once for each
+    /// term in which it lacked some.
+    pub(crate) fn take_missing_commits(&mut self) -> Option<u64> {
+        let missing = self.last_before_start().map(|last| missing_commits(last, self.start))?;
+        if missing == 0 || self.start.term() <= self.reported_term {
+            return None;
+        }
+        self.reported_term = self.start.term();
+        Some(missing)
+    }
+
+    /// Returns the newest acknowledged position of the terms before the newest promotion.
+    pub(crate) fn last_before_start(&self) -> Option<Position> {
+        let known = [self.acknowledged, self.earlier_acknowledged];
+        known.into_iter().find(|position| position.term() < self.start.term())
+    }
+
+    /// Records a position with an acknowledged commit.
+    pub(crate) fn record_acknowledged(&mut self, position: Position) {
+        if position.term() > self.acknowledged.term() {
+            self.earlier_acknowledged = self.acknowledged;
+        } else if position.term() < self.acknowledged.term() {
+            self.earlier_acknowledged = self.earlier_acknowledged.max(position);
+        }
+        self.acknowledged = self.acknowledged.max(position);
+    }
+
     /// Records that `server` is the primary at `term`; returns whether the primary
     /// or its term changed.
     pub(crate) fn adopt(&mut self, server: &ServerId, term: Term) -> bool {
@@ -231,7 +279,7 @@
 
     /// Records that the primary confirmed a commit at `position`.
     pub(crate) fn record_commit(&mut self, position: Position) {
-        self.acknowledged = self.acknowledged.max(position);
+        self.record_acknowledged(position);
         self.unconfirmed_since = None;
     }
 
@@ -256,6 +304,7 @@
             failing: self.failing_since(),
             acknowledged: self.acknowledged,
             asked: self.observed.latest().map(|latest| latest.asked),
+            start: self.start,
         };
         (self.view.group.clone(), knowledge)
     }
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -82,6 +82,8 @@
     Served,
     /// Log lines about requests were dropped.
     LinesDropped,
+    /// The log of a new primary lacks acknowledged commits.
+    CommitsMissing,
     /// A link to another VM was established.
     PeerLinked,
     /// The link to another VM was lost.
@@ -92,7 +94,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 32] = [
+    pub const ALL: [Event; 33] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -122,6 +124,7 @@
         Event::SessionClosed,
         Event::Served,
         Event::LinesDropped,
+        Event::CommitsMissing,
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
@@ -159,6 +162,7 @@
             Event::SessionClosed => (633, Level::Info, "session closed by proxy"),
             Event::Served => (634, Level::Info, "statement served"),
             Event::LinesDropped => (635, Level::Warning, "log lines dropped"),
+            Event::CommitsMissing => (637, Level::Warning, "acknowledged commits missing"),
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -13,7 +13,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
-    GroupId, Term, Time,
+    GroupId, Position, Term, Time,
     failover::{Cause, Failover, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT},
 };
@@ -227,9 +227,12 @@
         }
         Progress::Done(server, term) => {
             let changed = group.borrow_mut().adopt(&server, term);
+            let received = running.failover.borrow().target_received();
+            group.borrow_mut().record_start(Position::new(term, received.lsn()));
             if changed {
                 engine.record_primary_change(&group.borrow(), Source::Answer);
             }
+            engine.check_commits(group);
             engine.event_log.record(
                 Event::FailoverCompleted,
                 o!(
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -103,6 +103,12 @@
     /// was requested before. Missing if there is no observed position.
     #[prost(sint64, optional, tag = "9")]
     pub mark_after_us: Option<i64>,
+    /// Term whose primary was promoted by a VM of the sender's version, or 0 for none.
+    #[prost(uint64, tag = "11")]
+    pub start_term: u64,
+    /// Log position at which that primary began.
+    #[prost(uint64, tag = "12")]
+    pub start_lsn: u64,
 }
 
 /// Asks for tokens of an account's rate.
