--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -1,6 +1,170 @@
 //! Durability: whether a commit that the primary acknowledged survives a failover.
+//!
+//! A primary acknowledges a commit once any replica has received it. A failover chooses among
+//! the servers that it knows, so the commit is lost if the only replica with it has never been
+//! registered: it was started behind a partition, together with the primary, or while the
+//! directory is away. A VM therefore tells a caller of a success only if one of two things is
+//! shown.
+//!
+//! * Messages pass in both directions between the primary's data centre and another one, and
+//!   the directory answers, at a time after the primary's answer, and no failover runs. A server
+//!   that had received the commit by then can register, and a failover that begins later lists
+//!   it.
+//! * A replica that has been registered for so long that every failover knows it has received
+//!   the commit.
+//!
+//! What is neither is told as unknown. VMs tell each other of a failover before it may order
+//! a promotion, so that a VM with contact knows of it in time.
 
-use crate::position::Position;
+use std::time::Duration;
+
+use crate::{
+    failover::ReplicationStatus,
+    position::{Position, Term},
+    time::Time,
+};
+
+/// Age of the newest known state of the directory up to which servers can register there.
+const MAX_DIRECTORY_AGE: Duration = Duration::from_millis(4_000);
+
+/// Time after its registration from which on every failover knows a server.
+const REGISTRATION_SPAN: Duration = Duration::from_millis(3_000);
+
+/// Time for which a primary and a replica that are cut off together may go on: a failover
+/// elsewhere waits longer for the replica to return.
+pub const MAX_ISOLATION: Duration = Duration::from_millis(8_000);
+
+/// A commit that the primary acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Commit {
+    /// Position of the commit in the primary's log.
+    pub position: Position,
+    /// When the primary's answer arrived.
+    pub answered: Time,
+}
+
+/// Messages between the primary's data centre and another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// All VMs are in one data centre.
+    Single,
+    /// No question was answered yet.
+    None,
+    /// A question that was sent at this time was answered.
+    Since(Time),
+}
+
+/// What a VM knows at the time at which it decides.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Knowledge {
+    /// Newest known term of the group.
+    pub term: Term,
+    /// Newest term that a failover has begun or completed.
+    pub newest_term: Term,
+    /// Contact between the primary's data centre and another one.
+    pub contact: Contact,
+    /// Time since the directory was last known to answer.
+    pub directory_age: Duration,
+}
+
+/// What decides whether a caller is told of a success.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// There is contact with another data centre, and with the directory.
+    Contact,
+    /// A registered replica holds the commit.
+    Copy,
+    /// Another primary leads. Whether the commit is in its log is not known.
+    Superseded,
+    /// Nothing was shown in time.
+    Missing,
+}
+
+impl Evidence {
+    /// Returns whether the commit survives a failover.
+    pub fn is_sufficient(self) -> bool {
+        matches!(self, Evidence::Contact | Evidence::Copy)
+    }
+
+    /// Returns the label in metrics and logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Evidence::Contact => "contact",
+            Evidence::Copy => "copy",
+            Evidence::Superseded => "superseded",
+            Evidence::Missing => "missing",
+        }
+    }
+}
+
+impl Commit {
+    /// Returns what is known without asking the replicas, or `None` if that is not enough.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use chicoryhollow_core::{
+    ///     Lsn, Position, Term, Time,
+    ///     durability::{Commit, Contact, Evidence, Knowledge},
+    /// };
+    ///
+    /// let term = Term::new(2);
+    /// let answered = Time::from_millis(8_300);
+    /// let commit = Commit { position: Position::new(term, Lsn::new(195)), answered };
+    /// let directory_age = Duration::ZERO;
+    /// let knowledge = |contact| Knowledge { term, newest_term: term, contact, directory_age };
+    /// let earlier = Contact::Since(Time::from_millis(8_000));
+    /// assert_eq!(commit.evidence(&knowledge(earlier)), None);
+    /// let later = Contact::Since(answered);
+    /// assert_eq!(commit.evidence(&knowledge(later)), Some(Evidence::Contact));
+    /// ```
+    pub fn evidence(&self, knowledge: &Knowledge) -> Option<Evidence> {
+        if knowledge.term > self.position.term() {
+            return Some(Evidence::Superseded);
+        }
+        if knowledge.newest_term > self.position.term() {
+            return None;
+        }
+        let has_contact = match knowledge.contact {
+            Contact::Single => true,
+            Contact::None => false,
+            Contact::Since(asked) => {
+                asked >= self.answered && knowledge.directory_age < MAX_DIRECTORY_AGE
+            }
+        };
+        has_contact.then_some(Evidence::Contact)
+    }
+
+    /// Returns whether `replica` holds the commit, and takes part in every failover.
+    pub fn is_held_by(&self, replica: &RegisteredReplica) -> bool {
+        let received = replica.status.received;
+        replica.takes_part() && received.term() == self.position.term() && received >= self.position
+    }
+}
+
+/// A registered replica that has reported its replication status.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RegisteredReplica {
+    /// Time since this VM first knew that it is registered.
+    pub registered: Duration,
+    /// Whether it is about to be stopped; its log ends with it.
+    pub leaving: bool,
+    /// Whether it runs in the primary's data centre, and how long ago a message arrived there
+    /// from another one.
+    pub isolation: Option<Duration>,
+    /// What it reported.
+    pub status: ReplicationStatus,
+}
+
+impl RegisteredReplica {
+    fn takes_part(&self) -> bool {
+        !self.leaving
+            && !self.status.primary
+            && self.registered >= REGISTRATION_SPAN
+            && self.isolation.is_none_or(|silence| silence < MAX_ISOLATION)
+    }
+}
 
 /// Returns how many acknowledged commits the log of a promoted primary lacks, at least.
 ///
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -54,6 +54,13 @@
 /// Maximum age of the last answer of a server that counts as reachable.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(800);
 
+/// Time after the start of a failover until every VM in contact knows of it, and passes on no
+/// success that rests on contact alone.
+const ANNOUNCEMENT_SPAN: Duration = Duration::from_millis(200);
+
+/// Time for which the directory may take to list the servers before a promotion.
+const LIST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time after the start of fencing within which the promotion must be requested.
 const FENCED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -111,10 +118,13 @@
     replicas: IndexMap<ServerId, Replica>,
     /// The primary to replace, if it is known.
     primary: Option<Demotion>,
-    /// When the directory was last asked which servers are registered.
-    list_asked: Option<Time>,
+    /// When the directory was first and last asked which servers are registered.
+    first_list: Option<Time>,
+    last_list: Option<Time>,
     /// When the last answer to that was asked for.
     listed: Option<Time>,
+    /// Whether the directory has failed to answer.
+    list_failed: bool,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -149,8 +159,10 @@
             term: highest.next(),
             replicas: members.into_iter().map(replica).collect(),
             primary: None,
-            list_asked: None,
+            first_list: None,
+            last_list: None,
             listed: None,
+            list_failed: false,
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
@@ -224,6 +236,12 @@
         self.listed = self.listed.max(Some(asked));
     }
 
+    /// Records that the directory did not answer [`Action::ListServers`]. A server that does
+    /// not reach it either cannot be registered, so that a promotion does not wait for it.
+    pub fn record_list_failure(&mut self) {
+        self.list_failed = true;
+    }
+
     /// Adds the servers that have been registered since the start.
     ///
     /// If one joins after the promotion of a successor was requested, a leaving primary must
@@ -319,8 +337,11 @@
             self.target = self.successor();
         }
         let mut actions = self.prepare(now);
-        if self.lacks_list() && self.list_asked.is_none_or(|at| now.since(at) >= REPEAT_INTERVAL) {
-            self.list_asked = Some(now);
+        let needs_list = self.lacks_list() || self.awaits_list(now);
+        let is_due = self.last_list.is_none_or(|at| now.since(at) >= REPEAT_INTERVAL);
+        if self.fencing_since.is_some() && needs_list && is_due {
+            self.first_list.get_or_insert(now);
+            self.last_list = Some(now);
             actions.push(Action::ListServers);
         }
         if let Some(server) = self.promotable(now) {
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -1,6 +1,6 @@
 //! Which server a failover promotes, and when it may.
 
-use super::{Cause, Demotion, Failover, Member, Replica};
+use super::{ANNOUNCEMENT_SPAN, Cause, Demotion, Failover, LIST_TIMEOUT, Member, Replica};
 use crate::{id::ServerId, position::Position, time::Time};
 
 impl Failover {
@@ -17,9 +17,28 @@
             && self.listed.is_none_or(|listed| listed < since)
     }
 
+    /// Returns whether all VMs in contact know of the failover.
+    fn is_announced(&self, now: Time) -> bool {
+        now.since(self.started) >= ANNOUNCEMENT_SPAN
+    }
+
+    /// Returns whether servers that were registered before all VMs knew of the failover may be
+    /// unknown, and the directory may still tell.
+    pub(super) fn awaits_list(&self, now: Time) -> bool {
+        let announced = self.started + ANNOUNCEMENT_SPAN;
+        let is_late = self.first_list.is_some_and(|asked| now.since(asked) >= LIST_TIMEOUT);
+        self.is_announced(now)
+            && self.listed.is_none_or(|listed| listed < announced)
+            && !self.list_failed
+            && !is_late
+    }
+
     /// Returns the server to promote, once every commit that is or may still be
     /// acknowledged is in its log.
     pub(super) fn promotable(&self, now: Time) -> Option<ServerId> {
+        if !self.is_announced(now) || self.awaits_list(now) {
+            return None;
+        }
         let is_fenced = |replica: &Replica| replica.is_fenced(self.term);
         let target = match self.cause {
             Cause::Failure => {
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -58,6 +58,15 @@
     pub asked: Option<Time>,
     /// Where the log of the newest promoted primary began, in its term.
     pub start: Position,
+    /// Term of a failover that runs, and when it was begun.
+    pub failover: Option<(Term, Time)>,
+}
+
+impl GroupSummary {
+    /// Returns the term of the failover that runs, or zero.
+    fn failover_term(&self) -> Term {
+        self.failover.map(|(term, _)| term).unwrap_or_default()
+    }
 }
 
 /// What is new to a neighbour about one group.
@@ -67,7 +76,8 @@
     None,
     /// Newer positions.
     Positions,
-    /// A failure of the primary, or its end, or where the log of a new primary began.
+    /// A failure of the primary, or its end; a failover; or where the log of a new primary
+    /// began.
     Failure,
     /// Another primary.
     Primary,
@@ -101,7 +111,8 @@
             return Update::Primary;
         }
         let has_failed = known.failing.is_some() != self.last.failing.is_some();
-        if has_failed || known.start > self.last.start {
+        let is_replaced = known.failover_term() > self.last.failover_term();
+        if has_failed || is_replaced || known.start > self.last.start {
             return Update::Failure;
         }
         match self.has_newer_position(known, spacing, now) {
@@ -139,6 +150,9 @@
         self.last.acknowledged = self.last.acknowledged.max(told.acknowledged);
         self.last.asked = self.last.asked.max(told.asked);
         self.last.start = self.last.start.max(told.start);
+        if told.failover_term() > self.last.failover_term() {
+            self.last.failover = told.failover;
+        }
     }
 }
 
--- a/crates/core/src/isolation.rs
+++ b/crates/core/src/isolation.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::durability::MAX_ISOLATION;
+
 /// Time without an answer of a primary in another data centre after which it counts as
 /// unreachable, provided that no VM in another data centre can be reached either.
 const MAX_SILENCE: Duration = Duration::from_millis(700);
@@ -21,7 +23,8 @@
 /// if there is no other one. A data centre may be cut off together with a primary whose
 /// registered replicas are all outside. The primary can then only acknowledge writes with
 /// a replica that was started behind the cut. A failover outside does not know of that
-/// replica, and would lose the writes.
+/// replica, and would lose the writes. If a registered replica is inside too, a failover
+/// outside waits for it, but not for ever.
 ///
 /// # Example
 ///
@@ -39,7 +42,8 @@
     primary_near: bool,
     replica_near: bool,
 ) -> bool {
-    primary_near && !replica_near && far_silence.is_some_and(|silence| silence >= MAX_FAR_SILENCE)
+    let limit = if replica_near { MAX_ISOLATION } else { MAX_FAR_SILENCE };
+    primary_near && far_silence.is_some_and(|silence| silence >= limit)
 }
 
 /// How well one VM can reach the primary of one group.
--- a/crates/core/src/position.rs
+++ b/crates/core/src/position.rs
@@ -13,7 +13,7 @@
 
 impl Term {
     /// Creates a term from its number.
-    pub fn new(number: u64) -> Self {
+    pub const fn new(number: u64) -> Self {
         Term(number)
     }
 
--- /dev/null
+++ b/crates/core/tests/durability.rs
@@ -0,0 +1,122 @@
+//! A caller is told of a commit only if the commit survives a failover.
+
+use std::time::Duration;
+
+use chicoryhollow_core::{
+    Lsn, Position, Term, Time,
+    durability::{Commit, Contact, Evidence, Knowledge, RegisteredReplica},
+    failover::ReplicationStatus,
+    isolation::needs_replica_answer,
+};
+
+const TERM: Term = Term::new(2);
+
+fn ms(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn at(term: u64, lsn: u64) -> Position {
+    Position::new(Term::new(term), Lsn::new(lsn))
+}
+
+/// What a VM knows that hears from other data centres and knows of no failover.
+fn knowledge(contact: Contact) -> Knowledge {
+    Knowledge { term: TERM, newest_term: TERM, contact, directory_age: Duration::ZERO }
+}
+
+/// A replica that has been registered for long and has received `received`.
+fn replica(received: Position) -> RegisteredReplica {
+    RegisteredReplica {
+        registered: Duration::from_secs(60),
+        leaving: false,
+        isolation: None,
+        status: ReplicationStatus { received, term: received.term(), ..Default::default() },
+    }
+}
+
+/// The incident: a data centre is cut off at 8.000 s, and a server that starts there at 8.200 s
+/// confirms at once what waits at the primary. The last message from outside came at 8.001 s.
+#[test]
+fn a_write_that_waited_for_a_server_behind_a_cut_is_not_passed_on() {
+    for sent in [7_950, 8_022, 8_080] {
+        let commit = Commit { position: at(2, 195), answered: ms(8_205) };
+        for asked in [sent, 8_001, 8_204] {
+            assert_eq!(commit.evidence(&knowledge(Contact::Since(ms(asked)))), None);
+        }
+        assert_eq!(commit.evidence(&knowledge(Contact::None)), None);
+    }
+}
+
+/// Every order of a cut, the start of a server, and questions to another data centre.
+#[test]
+fn contact_after_the_answer_means_that_the_server_that_confirmed_could_register() {
+    let times = || (0..12).map(|step| step * 10);
+    let mut passed = 0;
+    for (cut, started) in times().flat_map(|cut| times().map(move |start| (cut, start))) {
+        for (answered, asked) in times().flat_map(|at| times().map(move |asked| (at, asked))) {
+            let is_possible = answered >= started && asked < cut;
+            let commit = Commit { position: at(2, 9), answered: ms(answered) };
+            let evidence = commit.evidence(&knowledge(Contact::Since(ms(asked))));
+            if is_possible && evidence == Some(Evidence::Contact) {
+                assert!(started < cut, "start {started}, cut {cut}, answer {answered}");
+                passed += 1;
+            }
+        }
+    }
+    assert!(passed > 0, "some commits are passed on");
+}
+
+/// A promotion that was ordered before the contact takes effect after it.
+#[test]
+fn contact_counts_for_nothing_while_a_failover_runs() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let contact = knowledge(Contact::Since(ms(200)));
+    assert_eq!(commit.evidence(&contact), Some(Evidence::Contact));
+    let running = Knowledge { newest_term: Term::new(3), ..contact };
+    assert_eq!(commit.evidence(&running), None);
+    let completed = Knowledge { term: Term::new(3), ..running };
+    assert_eq!(commit.evidence(&completed), Some(Evidence::Superseded));
+}
+
+#[test]
+fn contact_counts_for_nothing_while_no_server_can_register() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let contact = knowledge(Contact::Since(ms(100)));
+    let age = |ms| Knowledge { directory_age: Duration::from_millis(ms), ..contact };
+    assert_eq!(commit.evidence(&age(3_999)), Some(Evidence::Contact));
+    assert_eq!(commit.evidence(&age(4_000)), None);
+}
+
+#[test]
+fn vms_of_a_single_data_centre_need_no_contact() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    assert_eq!(commit.evidence(&knowledge(Contact::Single)), Some(Evidence::Contact));
+}
+
+/// Positions of a newer term are greater, but the log may lack the commit.
+#[test]
+fn a_replica_that_follows_another_primary_does_not_hold_the_commit() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    assert!(commit.is_held_by(&replica(at(2, 9))));
+    assert!(!commit.is_held_by(&replica(at(2, 8))));
+    assert!(!commit.is_held_by(&replica(at(3, 20))));
+}
+
+#[test]
+fn a_replica_that_a_failover_may_not_know_or_wait_for_does_not_count() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let known = replica(at(2, 9));
+    let new = RegisteredReplica { registered: Duration::from_millis(2_999), ..known };
+    assert!(!commit.is_held_by(&new));
+    assert!(!commit.is_held_by(&RegisteredReplica { leaving: true, ..known }));
+    let near = |ms| RegisteredReplica { isolation: Some(Duration::from_millis(ms)), ..known };
+    assert!(commit.is_held_by(&near(7_999)));
+    assert!(!commit.is_held_by(&near(8_000)), "others give up the wait for it");
+}
+
+#[test]
+fn a_long_isolation_refuses_writes_although_a_registered_replica_is_inside() {
+    let silence = |ms| Some(Duration::from_millis(ms));
+    assert!(!needs_replica_answer(silence(7_999), true, true));
+    assert!(needs_replica_answer(silence(8_000), true, true));
+}
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -37,6 +37,9 @@
     })
 }
 
+/// Time at which all VMs know of a failover that started at time zero.
+const ANNOUNCED: Time = Time::from_millis(200);
+
 /// Starts the failover of a failed primary at time zero.
 fn start_failover<const N: usize>(members: [Member; N], acknowledged: Position) -> Failover {
     Failover::new(Cause::Failure, members, Term::new(1), acknowledged, Time::default())
@@ -109,9 +112,9 @@
     while let Some(state) = queue.pop_front() {
         let names = ["a", "b"];
         let members = names.map(|name| member(name, true));
-        let now = Time::from_millis(1_000);
-        let mut failover =
-            Failover::new(Cause::Failure, members, Term::new(1), Position::default(), now);
+        let now = ANNOUNCED;
+        let mut failover = start_failover(members, Position::default());
+        failover.record_list(now);
         for (i, name) in names.iter().enumerate().filter(|(i, _)| state.answered[*i]) {
             let reported = at(1, u64::from(state.reported[i]));
             failover.record_status(&server(name), replica_status(reported, 2), now);
@@ -150,10 +153,11 @@
     let actions = failover.next_actions(now);
     assert_eq!(
         actions,
-        [Action::Fence(server("a"), Term::new(2))],
+        [Action::Fence(server("a"), Term::new(2)), Action::ListServers],
         "the other replica is gone for good"
     );
     failover.record_status(&server("a"), replica_status(at(1, 9), 2), now);
+    failover.record_list(now);
     assert_eq!(promoted(&failover.next_actions(now)), Some(&server("a")));
 }
 
@@ -173,10 +177,50 @@
 #[test]
 fn no_server_is_promoted_without_the_known_acknowledged_commits() {
     let mut failover = start_failover([member("a", true)], at(1, 10));
-    failover.record_status(&server("a"), replica_status(at(1, 9), 2), Time::default());
-    assert_eq!(promoted(&failover.next_actions(Time::default())), None);
-    failover.record_status(&server("a"), replica_status(at(1, 10), 2), Time::default());
-    assert_eq!(promoted(&failover.next_actions(Time::from_millis(10))), Some(&server("a")));
+    failover.record_list(ANNOUNCED);
+    failover.record_status(&server("a"), replica_status(at(1, 9), 2), ANNOUNCED);
+    assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), None);
+    failover.record_status(&server("a"), replica_status(at(1, 10), 2), ANNOUNCED);
+    assert_eq!(promoted(&failover.next_actions(Time::from_millis(210))), Some(&server("a")));
+}
+
+/// A VM that did not know of the failover passed on commits of a server that nobody had listed.
+#[test]
+fn no_server_is_promoted_before_all_vms_know_of_the_failover_and_the_servers_are_listed() {
+    let mut failover = start_failover([member("a", true)], Position::default());
+    for ms in (0..200).step_by(10) {
+        let now = Time::from_millis(ms);
+        failover.record_status(&server("a"), replica_status(at(1, 9), 2), now);
+        failover.record_list(now);
+        assert_eq!(failover.next_actions(now), [], "{ms} ms");
+    }
+    assert_eq!(failover.next_actions(ANNOUNCED), [Action::ListServers]);
+    failover.join([member("new", true)]);
+    failover.record_list(ANNOUNCED);
+    let fence = [Action::Fence(server("new"), Term::new(2))];
+    assert_eq!(failover.next_actions(Time::from_millis(210)), fence);
+    let later = Time::from_millis(220);
+    failover.record_status(&server("new"), replica_status(at(1, 10), 2), later);
+    assert_eq!(promoted(&failover.next_actions(later)), Some(&server("new")));
+}
+
+#[test]
+fn a_directory_that_does_not_answer_delays_a_promotion_for_a_limited_time() {
+    let promoted_at = |fails: bool| {
+        let mut failover = start_failover([member("a", true)], Position::default());
+        let is_promoted = |ms: &u64| {
+            let now = Time::from_millis(*ms);
+            failover.record_status(&server("a"), replica_status(at(1, 9), 2), now);
+            let actions = failover.next_actions(now);
+            if fails && actions.contains(&Action::ListServers) {
+                failover.record_list_failure();
+            }
+            promoted(&actions).is_some()
+        };
+        (0..1_000).step_by(10).find(is_promoted)
+    };
+    assert_eq!(promoted_at(true), Some(210), "an error ends the wait");
+    assert_eq!(promoted_at(false), Some(500), "silence does so after a while");
 }
 
 #[test]
@@ -184,9 +228,10 @@
     for preferred in ["a", "b"] {
         let members = ["a", "b"].map(|name| member(name, name == preferred));
         let mut failover = start_failover(members, Position::default());
-        failover.record_status(&server("a"), replica_status(at(1, 4), 2), Time::default());
-        failover.record_status(&server("b"), replica_status(at(1, 4), 2), Time::default());
-        assert_eq!(promoted(&failover.next_actions(Time::default())), Some(&server(preferred)));
+        failover.record_list(ANNOUNCED);
+        failover.record_status(&server("a"), replica_status(at(1, 4), 2), ANNOUNCED);
+        failover.record_status(&server("b"), replica_status(at(1, 4), 2), ANNOUNCED);
+        assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), Some(&server(preferred)));
     }
 }
 
@@ -206,6 +251,7 @@
     let actions = failover.next_actions(Time::from_millis(300));
     assert!(actions.contains(&Action::Fence(server("b"), Term::new(2))), "{actions:?}");
     assert!(!actions.contains(&Action::Fence(server("a"), Term::new(2))), "{actions:?}");
+    failover.record_list(Time::from_millis(300));
     // `b` received more before it was fenced, so the target has to catch up first.
     failover.record_status(&server("b"), replica_status(at(1, 8), 2), Time::default());
     assert_eq!(promoted(&failover.next_actions(Time::from_millis(350))), None);
@@ -231,11 +277,12 @@
 #[test]
 fn a_promotion_without_effect_is_requested_again_until_it_is_seen() {
     let mut failover = start_failover([member("a", true)], Position::default());
-    failover.record_status(&server("a"), replica_status(at(1, 1), 2), Time::default());
-    assert!(promoted(&failover.next_actions(Time::default())).is_some());
-    let polls = failover.next_actions(Time::from_millis(200));
+    failover.record_list(ANNOUNCED);
+    failover.record_status(&server("a"), replica_status(at(1, 1), 2), ANNOUNCED);
+    assert!(promoted(&failover.next_actions(ANNOUNCED)).is_some());
+    let polls = failover.next_actions(Time::from_millis(400));
     assert_eq!(polls, [Action::Poll(server("a"))]);
-    assert!(promoted(&failover.next_actions(Time::from_millis(1_600))).is_some());
+    assert!(promoted(&failover.next_actions(Time::from_millis(1_800))).is_some());
     let primary =
         ReplicationStatus { primary: true, term: Term::new(2), ..replica_status(at(2, 1), 0) };
     failover.record_status(&server("a"), primary, Time::default());
@@ -265,6 +312,7 @@
     assert!(actions.contains(&Action::Fence(a.clone(), Term::new(3))), "{actions:?}");
     second.record_status(&a, replica_status(at(1, 9), 3), Time::default());
     second.record_status(&b, replica_status(at(1, 7), 3), Time::default());
+    second.record_list(Time::from_millis(300));
     assert_eq!(promoted(&second.next_actions(Time::from_millis(300))), Some(&a));
 }
 
@@ -506,8 +554,9 @@
         [(position, false, "new"), (position, true, "old"), (at(1, 3), false, "old")]
     {
         let members = [member("old", true), newest(cold)];
-        let now = Time::from_millis(1_000);
-        let mut failover = Failover::new(Cause::Planned, members, Term::new(1), position, now);
+        let (start, now) = (Time::default(), ANNOUNCED);
+        let mut failover = Failover::new(Cause::Planned, members, Term::new(1), position, start);
+        failover.record_list(now);
         failover.record_status(&server("new"), replica_status(received, 0), now);
         failover.record_status(&server("old"), replica_status(position, 0), now);
         failover.next_actions(now);
--- a/crates/core/tests/joining.rs
+++ b/crates/core/tests/joining.rs
@@ -251,10 +251,12 @@
     let mut failover =
         Failover::new(Cause::Failure, [member("r")], Term::new(1), Position::default(), now)
             .with_primary(server("p"), Time::default());
-    failover.record_status(&server("r"), status(false, 1, 2), now);
-    assert!(failover.next_actions(now).contains(&Action::Promote(server("r"))));
+    let ordered = Time::from_millis(1_200);
+    failover.record_list(ordered);
+    failover.record_status(&server("r"), status(false, 1, 2), ordered);
+    assert!(failover.next_actions(ordered).contains(&Action::Promote(server("r"))));
     failover.join([member("n")]);
-    let actions = failover.next_actions(Time::from_millis(1_300));
+    let actions = failover.next_actions(Time::from_millis(1_500));
     assert!(actions.contains(&Action::Demote(server("p"), Term::new(2))), "{actions:?}");
     assert!(actions.contains(&Action::Fence(server("n"), Term::new(2))), "{actions:?}");
 }
@@ -265,9 +267,11 @@
     let mut failover =
         Failover::new(Cause::Planned, [member("a")], Term::new(1), Position::default(), now)
             .with_primary(server("p"), now);
-    failover.record_status(&server("a"), status(false, 1, 0), now);
-    assert!(failover.next_actions(now).contains(&Action::Promote(server("a"))));
-    let later = Time::from_millis(1_300);
+    let ordered = Time::from_millis(1_200);
+    failover.record_list(ordered);
+    failover.record_status(&server("a"), status(false, 1, 0), ordered);
+    assert!(failover.next_actions(ordered).contains(&Action::Promote(server("a"))));
+    let later = Time::from_millis(1_500);
     let is_demoted =
         |actions: Vec<Action>| actions.contains(&Action::Demote(server("p"), Term::new(2)));
     assert!(!is_demoted(failover.clone().next_actions(later)), "it works until the promotion");
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -104,7 +104,7 @@
             connection.give_back();
             match &answer.result {
                 Ok(_) => {
-                    self.record_commit(&server, answer.position, asked);
+                    self.confirm_commit(&server, answer.position, asked).await?;
                     return completed(answer);
                 }
                 Err(fault) if fault.kind.is_not_run() => self.await_retry(fault, &server).await?,
@@ -156,10 +156,6 @@
                 Err(error) => return Err(ended(error)),
             };
             match &answer.result {
-                Ok(_) if is_commit && has_written => {
-                    self.record_commit(&server, answer.position, asked);
-                    return Ok(answer);
-                }
                 Err(fault) if fault.kind == FaultKind::Busy && self.has_time_left() => {
                     self.record_retry(fault.kind.label(), server.as_str());
                     sleep(RETRY_PAUSE).await;
--- a/crates/engine/src/attempt/record.rs
+++ b/crates/engine/src/attempt/record.rs
@@ -13,11 +13,28 @@
 };
 
 impl<S: ServerProtocol, D: Directory> Attempt<'_, S, D> {
-    /// Records a commit that `server` acknowledged.
-    pub(super) fn record_commit(&self, server: &ServerId, position: Option<Position>, asked: Time) {
-        let Some(position) = position else { return };
+    /// Records a commit that `server` acknowledged, and waits until it is known to survive a
+    /// failover.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that is not shown in time, so that the outcome is unknown to the caller.
+    pub(crate) async fn confirm_commit(
+        &self,
+        server: &ServerId,
+        position: Option<Position>,
+        asked: Time,
+    ) -> Result<(), Failure> {
+        let unconfirmed = Failure::Refused(Refusal::Unconfirmed);
+        let Some(position) = position else { return Err(unconfirmed) };
         self.record_primary(server, position, asked);
+        self.group.borrow_mut().record_confirmation();
+        let limit = self.remaining();
+        if !self.engine.is_commit_durable(&self.group, server, position, limit).await {
+            return Err(unconfirmed);
+        }
         self.group.borrow_mut().record_commit(position);
+        Ok(())
     }
 
     /// Records that `server` answered as the primary at `position`.
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -3,18 +3,26 @@
 //! A primary whose data centre is cut off may acknowledge writes with a replica that
 //! nobody outside knows (see [`needs_replica_answer`]). While nothing is heard from other
 //! data centres, a write is therefore sent only after a registered replica has answered.
+//! The success of a commit is passed on once it is known to survive a failover (see
+//! [`chicoryhollow_core::durability`]).
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use chicoryhollow_core::{ServerId, isolation::needs_replica_answer};
+use chicoryhollow_core::{
+    DataCentreId, Position, ServerId, Time,
+    durability::{Commit, Evidence, Knowledge, RegisteredReplica},
+    isolation::needs_replica_answer,
+};
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use tokio::time::timeout;
+use slog::o;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     catalog::ServerEntry,
     clock,
     engine::Engine,
     group::Group,
+    log::Event,
     seam::{Directory, ServerProtocol},
     statement::Command,
     watch::send_command,
@@ -26,6 +34,20 @@
 /// Time limit for an answer of a replica.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a commit waits for the answer of one VM before more VMs and the replicas
+/// are asked.
+const CONTACT_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Pause before the replicas are asked again.
+const REPLICA_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Number of VMs that are asked at once after the first one did not answer.
+const MAX_ASKED_VMS: usize = 4;
+
+/// Shortest time for which an acknowledged commit waits for evidence, however late its answer
+/// came.
+const MIN_EVIDENCE_WAIT: Duration = Duration::from_millis(150);
+
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
     /// Returns whether a write that the primary `server` acknowledges is safe from a
     /// failover elsewhere.
@@ -47,7 +69,8 @@
             if !needs_replica_answer(silence, primary_near, replica_near) || answered {
                 return true;
             }
-            others
+            // One that is near answers, and does not show that a commit is safe.
+            others.into_iter().filter(|entry| !is_near(entry)).collect::<Vec<_>>()
         };
         let answered = others.is_empty() || self.has_answer(&others).await;
         if answered {
@@ -56,6 +79,138 @@
         answered
     }
 
+    /// Waits until the commit at `position` that the primary `server` has just acknowledged is
+    /// known to survive a failover. Returns false if nothing shows this within `limit`, or
+    /// if another server has become primary.
+    pub(crate) async fn is_commit_durable(
+        self: &Rc<Self>,
+        group: &RefCell<Group>,
+        server: &ServerId,
+        position: Position,
+        limit: Duration,
+    ) -> bool {
+        let commit = Commit { position, answered: clock::now() };
+        let evidence = self.find_evidence(group, server, &commit, limit).await;
+        self.metrics.evidence.with_label_values(&[evidence.label()]).inc();
+        if !evidence.is_sufficient() {
+            self.log_unproven(&group.borrow(), &commit, evidence);
+        }
+        evidence.is_sufficient()
+    }
+
+    async fn find_evidence(
+        self: &Rc<Self>,
+        group: &RefCell<Group>,
+        server: &ServerId,
+        commit: &Commit,
+        limit: Duration,
+    ) -> Evidence {
+        let deadline = commit.answered + limit.max(MIN_EVIDENCE_WAIT);
+        // Without an entry, nothing says where the primary runs.
+        let entry = group.borrow().servers.get(server).map(|entry| entry.data_centre.clone());
+        let data_centre = entry.unwrap_or_else(|| self.settings.data_centre.clone());
+        if let Some(found) = self.await_contact(group, commit, &data_centre, 1).await {
+            return found;
+        }
+        while clock::now() < deadline {
+            if self.has_copy(group, server, &data_centre, commit).await {
+                return Evidence::Copy;
+            }
+            let count = MAX_ASKED_VMS;
+            if let Some(found) = self.await_contact(group, commit, &data_centre, count).await {
+                return found;
+            }
+        }
+        Evidence::Missing
+    }
+
+    /// Asks `count` VMs to show contact with `data_centre`, and waits for an answer that
+    /// decides about the commit.
+    async fn await_contact(
+        &self,
+        group: &RefCell<Group>,
+        commit: &Commit,
+        data_centre: &DataCentreId,
+        count: usize,
+    ) -> Option<Evidence> {
+        let name = group.borrow().view.group.clone();
+        let limit = clock::now() + CONTACT_TIMEOUT;
+        let mut is_asked = false;
+        loop {
+            let answered = self.fleet.questions.answered.notified();
+            let known = self.knowledge(&group.borrow(), data_centre);
+            let found = commit.evidence(&known);
+            // While a failover runs, no answer shows anything.
+            if found.is_some() || known.newest_term > commit.position.term() {
+                return found;
+            }
+            if !std::mem::replace(&mut is_asked, true) {
+                self.ask_contact(&name, data_centre, count);
+            }
+            timeout(limit.since(clock::now()), answered).await.ok()?;
+        }
+    }
+
+    fn knowledge(&self, group: &Group, data_centre: &DataCentreId) -> Knowledge {
+        let now = clock::now();
+        Knowledge {
+            term: group.view.term,
+            newest_term: group.newest_term(now),
+            contact: self.fleet.contact(group, data_centre),
+            directory_age: now.since(self.fresh_at()),
+        }
+    }
+
+    /// Returns whether one of the replicas that every failover knows holds the commit. Takes
+    /// some time if none does.
+    async fn has_copy(
+        self: &Rc<Self>,
+        group: &RefCell<Group>,
+        server: &ServerId,
+        data_centre: &DataCentreId,
+        commit: &Commit,
+    ) -> bool {
+        let replicas = group.borrow().registered_replicas(server);
+        let ask = |(entry, since): (ServerEntry, Time)| async move {
+            let status = send_command(self, &entry.server, Command::Status).await?;
+            let now = clock::now();
+            let is_near = entry.data_centre == *data_centre;
+            let isolation = is_near.then(|| self.fleet.far_silence(now).unwrap_or_default());
+            let (registered, leaving) = (now.since(since), entry.leaving);
+            Some(RegisteredReplica { registered, leaving, isolation, status: status.into() })
+        };
+        let mut answers: FuturesUnordered<_> = replicas.into_iter().map(ask).collect();
+        let first = async {
+            while let Some(answer) = answers.next().await {
+                if answer.is_some_and(|replica| commit.is_held_by(&replica)) {
+                    return true;
+                }
+            }
+            false
+        };
+        let is_held = timeout(ANSWER_TIMEOUT, first).await.unwrap_or(false);
+        if !is_held {
+            sleep(REPLICA_INTERVAL).await;
+        }
+        is_held
+    }
+
+    fn log_unproven(&self, group: &Group, commit: &Commit, evidence: Evidence) {
+        let now = clock::now();
+        let silence = self.fleet.far_silence(now);
+        self.event_log.record(
+            Event::CommitUnproven,
+            o!(
+                "group" => group.view.group.to_string(),
+                "position" => commit.position.to_string(),
+                "term" => group.view.term.get(),
+                "reason" => evidence.label(),
+                "silent_ms" => silence.map(|silence| silence.as_millis() as u64),
+                "waited_ms" => now.since(commit.answered).as_millis() as u64,
+            ),
+        );
+    }
+
     /// Returns whether one of `servers` answers a status request in time.
     async fn has_answer(self: &Rc<Self>, servers: &[ServerEntry]) -> bool {
         let ask = |entry: &ServerEntry| {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -70,6 +70,8 @@
 /// State shared by all tasks of a daemon.
 pub(crate) struct Engine<S: ServerProtocol, D: Directory> {
     pub(crate) settings: Settings,
+    /// When the daemon started.
+    pub(crate) started: Time,
     pub(crate) protocol: Rc<S>,
     pub(crate) directory: D,
     pub(crate) event_log: EventLog,
@@ -131,6 +133,7 @@
         Engine {
             rng: RefCell::new(SmallRng::seed_from_u64(settings.incarnation)),
             settings,
+            started: clock::now(),
             protocol: Rc::new(protocol),
             directory,
             event_log,
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -45,6 +45,7 @@
 
 pub(crate) use self::link::Link;
 use self::{
+    contact::Questions,
     documents::Recipient,
     link::{Origin, Place, run_link},
     rows::{Renewal, maintain_rows},
@@ -116,6 +117,7 @@
     primary_wakeup: Notify,
     /// When a message of a VM in another data centre last arrived.
     far_heard: Cell<Time>,
+    pub(crate) questions: Questions,
     /// VMs whose links were ended for their silence, and that are not linked again.
     missing: RefCell<HashSet<VmId>>,
     /// Other data centres that were silent at the last check.
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -1,15 +1,25 @@
 //! Contact with other data centres, as far as messages of their VMs show it.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashMap, VecDeque},
+    rc::Rc,
     time::Duration,
 };
 
-use chicoryhollow_core::{DataCentreId, Time};
+use chicoryhollow_core::{DataCentreId, GroupId, Term, Time, VmId, durability::Contact};
+use chicoryhollow_peer::{
+    Body,
+    fleet::{ContactAnswer, ContactAsk},
+};
+use tokio::sync::Notify;
 
 use crate::{
     clock,
+    engine::Engine,
     fleet::{Fleet, Link},
+    group::Group,
+    seam::{Directory, ServerProtocol},
 };
 
 /// Silence of all other data centres from which on this VM counts as cut off.
@@ -21,6 +31,50 @@
 /// Time without such silence after which a data centre is in contact again.
 const CONTACT_SPAN: Duration = Duration::from_secs(6);
 
+/// Number of questions without an answer that are remembered.
+const MAX_OPEN_QUESTIONS: usize = 256;
+
+/// Time after the start of a daemon from which on it has heard of the failovers that run.
+const HEARSAY_SPAN: Duration = Duration::from_millis(1_000);
+
+/// A question to another VM that has no answer yet.
+struct Question {
+    number: u64,
+    group: GroupId,
+    asked: Time,
+}
+
+/// Questions to other VMs, whose answers show that messages pass in both directions.
+#[derive(Default)]
+pub(crate) struct Questions {
+    last_number: Cell<u64>,
+    /// The most recent questions, the oldest first.
+    open: RefCell<VecDeque<Question>>,
+    /// Wakes those that wait for an answer.
+    pub(crate) answered: Notify,
+}
+
+impl Questions {
+    /// Returns the next question about `group`, which is sent now.
+    fn next(&self, group: &GroupId, now: Time) -> ContactAsk {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let mut open = self.open.borrow_mut();
+        open.push_back(Question { number, group: group.clone(), asked: now });
+        if open.len() > MAX_OPEN_QUESTIONS {
+            open.pop_front();
+        }
+        ContactAsk { number, group: group.to_string() }
+    }
+
+    /// Returns the question that has this number, which is answered now.
+    fn take(&self, number: u64) -> Option<Question> {
+        let mut open = self.open.borrow_mut();
+        let index = open.iter().position(|question| question.number == number)?;
+        open.remove(index)
+    }
+}
+
 impl Fleet {
     /// Records that a message arrived over `link`.
     pub(super) fn record_received(&self, link: &Link, now: Time) {
@@ -98,4 +152,76 @@
         }
         self.unreachable.replace(unreachable);
     }
+
+    /// Returns the contact between `data_centre` and another one, as the answers about `group`
+    /// show it. If this VM is not in `data_centre` itself, its own contact with that data centre
+    /// counts.
+    pub(crate) fn contact(&self, group: &Group, data_centre: &DataCentreId) -> Contact {
+        let (members, me) = (self.members.borrow(), self.me.borrow());
+        let Some(me) = me.as_ref() else { return Contact::None };
+        if members.values().all(|member| member.data_centre == me.data_centre) {
+            return Contact::Single;
+        }
+        let asked = group.contact(|other| shows_contact(&me.data_centre, data_centre, other));
+        asked.map_or(Contact::None, Contact::Since)
+    }
+
+    /// Returns the links whose other VMs can show contact with `data_centre`, those that were
+    /// heard last first.
+    fn contact_links(&self, data_centre: &DataCentreId) -> Vec<Rc<Link>> {
+        let (members, me) = (self.members.borrow(), self.me.borrow());
+        let Some(me) = me.as_ref() else { return Vec::new() };
+        let counts = |vm: &VmId| {
+            let other = members.get(vm).map(|member| &member.data_centre);
+            other.is_some_and(|other| shows_contact(&me.data_centre, data_centre, other))
+        };
+        let links = self.links.borrow();
+        let mut found: Vec<Rc<Link>> =
+            links.iter().filter(|(vm, _)| counts(vm)).map(|(_, link)| Rc::clone(link)).collect();
+        found.sort_by_key(|link| link.silence());
+        found
+    }
+}
+
+impl<S: ServerProtocol, D: Directory> Engine<S, D> {
+    /// Asks up to `count` VMs for an answer about `group` that shows contact between
+    /// `data_centre` and another one.
+    pub(crate) fn ask_contact(&self, group: &GroupId, data_centre: &DataCentreId, count: usize) {
+        for link in self.fleet.contact_links(data_centre).iter().take(count) {
+            let question = self.fleet.questions.next(group, clock::now());
+            link.send(Body::ContactAsk(question));
+        }
+    }
+
+    /// Answers a question about a group, unless this daemon has just started and may not have
+    /// heard of a failover yet.
+    pub(super) fn answer_contact(&self, link: &Link, ask: &ContactAsk) {
+        let now = clock::now();
+        let Ok(name) = GroupId::new(&ask.group) else { return };
+        if now.since(self.started) < HEARSAY_SPAN {
+            return;
+        }
+        let term = self.group(&name).borrow().newest_term(now).get();
+        link.send(Body::ContactAnswer(ContactAnswer { number: ask.number, term }));
+    }
+
+    /// Records the answer of `vm` to a question about a group.
+    pub(super) fn record_contact(&self, vm: &VmId, answer: &ContactAnswer) {
+        let Some(question) = self.fleet.questions.take(answer.number) else { return };
+        let Some(data_centre) = self.fleet.data_centre(vm) else { return };
+        let group = self.group(&question.group);
+        let (now, term) = (clock::now(), Term::new(answer.term));
+        let is_news = term > group.borrow().newest_term(now);
+        match is_news {
+            true => drop(group.borrow_mut().record_failover(term, now)),
+            false => group.borrow_mut().record_contact(data_centre, question.asked),
+        }
+        self.fleet.questions.answered.notify_waiters();
+    }
+}
+
+/// Returns whether an answer of a VM in `other` shows a VM in `here` that `data_centre` has
+/// contact with another data centre.
+fn shows_contact(here: &DataCentreId, data_centre: &DataCentreId, other: &DataCentreId) -> bool {
+    if here == data_centre { other != here } else { other == data_centre }
 }
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -32,7 +32,7 @@
         let mut updates = Vec::new();
         for group in &groups {
             let group = group.borrow();
-            let (name, mut known) = group.summary();
+            let (name, mut known) = group.summary(now);
             if echo == 0 {
                 // No time can be given relative to a heartbeat yet.
                 known.asked = None;
@@ -48,6 +48,10 @@
             let mut state = group_state(&group, kind, known.asked.map(|_| received), now);
             state.start_term = start.term().get();
             state.start_lsn = start.lsn().get();
+            if let Some((term, begun)) = known.failover {
+                state.failover_term = term.get();
+                state.failover_ms = millis(now.since(begun));
+            }
             updates.push(with_name(state, reference, &group.view.group));
         }
         updates
@@ -70,6 +74,7 @@
         }
         let group = self.group(&name);
         let mut told = GroupSummary::default();
+        let mut has_failover_news = false;
         let changed = {
             let mut group = group.borrow_mut();
             let term = Term::new(state.term);
@@ -79,6 +84,12 @@
             let start = Position::new(Term::new(state.start_term), Lsn::new(state.start_lsn));
             group.record_start(start);
             told.start = start;
+            if state.failover_term > 0 {
+                let begun = now - Duration::from_millis(state.failover_ms.into());
+                let running = Term::new(state.failover_term);
+                has_failover_news = group.record_failover(running, begun);
+                told.failover = Some((running, begun));
+            }
             told.acknowledged = acknowledged;
             if !state.primary.is_empty() {
                 told.term = term;
@@ -99,6 +110,9 @@
         if changed {
             self.record_primary_change(&group.borrow(), Source::Peer);
         }
+        if has_failover_news {
+            self.fleet.announce_primary();
+        }
         self.check_commits(&group);
     }
 }
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -126,12 +126,19 @@
 
     pub(super) fn handle_message(self: &Rc<Self>, vm: &VmId, link: &Rc<Link>, body: Body) {
         match body {
-            Body::Beat(_) | Body::Document(_) | Body::DocumentAsk(_) | Body::TokenGrant(_) => {}
+            Body::Beat(_)
+            | Body::Document(_)
+            | Body::DocumentAsk(_)
+            | Body::TokenGrant(_)
+            | Body::ContactAsk(_)
+            | Body::ContactAnswer(_) => {}
             Body::TokenAsk(_) => link.update(|liveness| liveness.record_answer(clock::now())),
             _ => drop(link.record_use()),
         }
         match body {
             Body::Beat(heartbeat) => self.handle_heartbeat(link, heartbeat),
+            Body::ContactAsk(ask) => self.answer_contact(link, &ask),
+            Body::ContactAnswer(answer) => self.record_contact(vm, &answer),
             Body::Document(document) => self.handle_document(vm, link, document),
             Body::DocumentAsk(ask) => self.send_document(vm, link, &ask),
             Body::TokenAsk(ask) => {
--- a/crates/engine/src/fleet/upkeep.rs
+++ b/crates/engine/src/fleet/upkeep.rs
@@ -84,7 +84,8 @@
     /// Returns what this VM knows of each group.
     fn summaries(&self) -> HashMap<GroupId, GroupSummary> {
         let groups = self.groups();
-        groups.iter().map(|group| group.borrow().summary()).collect()
+        let now = clock::now();
+        groups.iter().map(|group| group.borrow().summary(now)).collect()
     }
 
     /// Ends a silent link to `vm`, and checks the other links to its data centre, which may
@@ -150,7 +151,7 @@
     }
 
     /// Returns the data centre of another VM, or `None` if its row was not read yet.
-    fn data_centre(&self, vm: &VmId) -> Option<DataCentreId> {
+    pub(super) fn data_centre(&self, vm: &VmId) -> Option<DataCentreId> {
         self.members.borrow().get(vm).map(|member| member.data_centre.clone())
     }
 
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -19,6 +19,10 @@
 
 use crate::catalog::ServerEntry;
 
+/// Time for which a failover counts as running, unless its successor leads before. An order to
+/// promote may be carried out that late.
+const FAILOVER_SPAN: Duration = Duration::from_secs(13);
+
 /// Time after a server denied being the primary for which its directory entry alone
 /// does not make it the primary.
 const DENIAL_PERIOD: Duration = Duration::from_millis(1_000);
@@ -98,6 +102,13 @@
     pub(crate) replica_answered: Option<Time>,
     /// Until when each started server is too slow for reads.
     cold_until: IndexMap<ServerId, Time>,
+    /// Since when each server has been known to be registered.
+    registered_since: IndexMap<ServerId, Time>,
+    /// Newest failover that is known to run, at this term, and when it was begun.
+    failover: Option<(Term, Time)>,
+    /// When the newest question about this group was sent that a VM of each data centre has
+    /// answered without knowing of a newer term or a failover.
+    contacts: IndexMap<DataCentreId, Time>,
     pub(crate) missing_servers: MissingServers,
 }
 
@@ -122,6 +133,9 @@
             reported_term: Term::default(),
             replica_answered: None,
             cold_until: IndexMap::new(),
+            registered_since: IndexMap::new(),
+            failover: None,
+            contacts: IndexMap::new(),
             missing_servers: MissingServers::new().with_times(times),
         }
     }
@@ -138,6 +152,7 @@
         let after = servers.values().map(ServerEntry::registered);
         let silence = now.since(self.last_response);
         self.missing_servers.update(before, after, silence, now);
+        self.record_registrations(&servers, now);
         self.servers = servers;
         let current = self.view.primary.as_ref().and_then(|primary| self.servers.get(primary));
         match current {
@@ -149,6 +164,18 @@
         }
     }
 
+    /// Records since when servers are registered. One that has started again holds nothing of
+    /// before, and counts as new.
+    fn record_registrations(&mut self, servers: &IndexMap<ServerId, ServerEntry>, now: Time) {
+        let since = |entry: &ServerEntry| {
+            let is_same = self.servers.get(&entry.server).is_some_and(|old| old.born == entry.born);
+            let known = self.registered_since.get(&entry.server).filter(|_| is_same);
+            known.copied().unwrap_or(now)
+        };
+        let since = servers.values().map(|entry| (entry.server.clone(), since(entry))).collect();
+        self.registered_since = since;
+    }
+
     /// Replaces the set of evacuated data centres.
     pub(crate) fn set_evacuated(&mut self, evacuated: IndexSet<DataCentreId>) {
         self.evacuated = evacuated;
@@ -199,6 +226,39 @@
         }
     }
 
+    /// Records that a failover to `term` runs since `begun`; returns whether this is news.
+    pub(crate) fn record_failover(&mut self, term: Term, begun: Time) -> bool {
+        let is_news = self.failover.is_none_or(|(known, _)| term > known);
+        if is_news {
+            self.failover = Some((term, begun));
+        }
+        is_news
+    }
+
+    /// Returns the term of the failover that is known to run, and when it was begun.
+    pub(crate) fn failover(&self, now: Time) -> Option<(Term, Time)> {
+        self.failover
+            .filter(|(term, begun)| *term > self.view.term && now.since(*begun) < FAILOVER_SPAN)
+    }
+
+    /// Returns the newest term that any failover has begun or completed.
+    pub(crate) fn newest_term(&self, now: Time) -> Term {
+        self.failover(now).map_or(self.view.term, |(term, _)| term)
+    }
+
+    /// Records that a VM of `data_centre` has answered a question that was sent at `asked`,
+    /// and knows of no newer term or failover.
+    pub(crate) fn record_contact(&mut self, data_centre: DataCentreId, asked: Time) {
+        let newest = self.contacts.entry(data_centre).or_insert(asked);
+        *newest = asked.max(*newest);
+    }
+
+    /// Returns when the newest question was sent that a VM of one of the data centres that
+    /// `counts` accepts has answered.
+    pub(crate) fn contact(&self, counts: impl Fn(&DataCentreId) -> bool) -> Option<Time> {
+        self.contacts.iter().filter(|(other, _)| counts(other)).map(|(_, asked)| *asked).max()
+    }
+
     /// Records where the log of a promoted primary began, in its term.
     pub(crate) fn record_start(&mut self, start: Position) {
         self.start = self.start.max(start);
@@ -277,10 +337,14 @@
         }
     }
 
-    /// Records that the primary confirmed a commit at `position`.
+    /// Records that the primary confirmed a commit.
+    pub(crate) fn record_confirmation(&mut self) {
+        self.unconfirmed_since = None;
+    }
+
+    /// Records that callers are told of a commit at `position`.
     pub(crate) fn record_commit(&mut self, position: Position) {
         self.record_acknowledged(position);
-        self.unconfirmed_since = None;
     }
 
     /// Returns since when requests to the primary have failed or writes have not been
@@ -296,7 +360,7 @@
     }
 
     /// Returns what neighbours need to know about the group, by its name.
-    pub(crate) fn summary(&self) -> (GroupId, GroupSummary) {
+    pub(crate) fn summary(&self, now: Time) -> (GroupId, GroupSummary) {
         // Without a known primary, a term means nothing to others.
         let known = self.view.primary.is_some();
         let knowledge = GroupSummary {
@@ -305,6 +369,7 @@
             acknowledged: self.acknowledged,
             asked: self.observed.latest().map(|latest| latest.asked),
             start: self.start,
+            failover: self.failover(now),
         };
         (self.view.group.clone(), knowledge)
     }
@@ -358,6 +423,13 @@
         self.servers.values().filter(|entry| entry.server != *primary).cloned().collect()
     }
 
+    /// Returns the registered servers other than `primary`, and since when they are registered.
+    pub(crate) fn registered_replicas(&self, primary: &ServerId) -> Vec<(ServerEntry, Time)> {
+        let since = |entry: &ServerEntry| self.registered_since.get(&entry.server).copied();
+        let others = self.others(primary).into_iter();
+        others.filter_map(|entry| since(&entry).map(|since| (entry, since))).collect()
+    }
+
     /// Returns whether a server has run long enough to serve at full speed.
     fn is_warm(&self, entry: &ServerEntry, now: Time) -> bool {
         self.cold_until.get(&entry.server).is_none_or(|until| now >= *until)
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -76,6 +76,8 @@
     Retried,
     /// It is unknown whether a write was committed.
     InDoubt,
+    /// A commit that a primary acknowledged is not known to survive a failover.
+    CommitUnproven,
     /// The proxy closed a session.
     SessionClosed,
     /// A request was served; only a sample of these is logged.
@@ -94,7 +96,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 33] = [
+    pub const ALL: [Event; 34] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -124,6 +126,7 @@
         Event::SessionClosed,
         Event::Served,
         Event::LinesDropped,
+        Event::CommitUnproven,
         Event::CommitsMissing,
         Event::PeerLinked,
         Event::PeerLost,
@@ -162,6 +165,7 @@
             Event::SessionClosed => (633, Level::Info, "session closed by proxy"),
             Event::Served => (634, Level::Info, "statement served"),
             Event::LinesDropped => (635, Level::Warning, "log lines dropped"),
+            Event::CommitUnproven => (636, Level::Warning, "commit not passed on"),
             Event::CommitsMissing => (637, Level::Warning, "acknowledged commits missing"),
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) promotions: IntCounterVec,
     /// Acknowledged commits that the logs of new primaries lacked, as far as this VM saw.
     pub(crate) missing_commits: IntCounter,
+    /// Commits that a primary acknowledged, by what showed whether they survive a failover.
+    pub(crate) evidence: IntCounterVec,
     /// Log lines dropped for exceeding their budget.
     pub(crate) dropped_lines: IntCounter,
     /// Links to other VMs.
@@ -56,6 +58,7 @@
             version: gauge(&registry, "configuration_version", "Configuration in force."),
             promotions: counters(&registry, "promotions_total", "Promotions ordered.", "cause"),
             missing_commits: counter(&registry, "missing_commits_total", "Commits found lost."),
+            evidence: counters(&registry, "commits_total", "Commits acknowledged.", "evidence"),
             dropped_lines: counter(&registry, "dropped_lines_total", "Log lines dropped."),
             peers: gauge(&registry, "peers", "Connected VMs."),
             peer_messages: peer_counters(&registry, "peer_messages_total", "Messages to VMs."),
--- a/crates/engine/src/seam.rs
+++ b/crates/engine/src/seam.rs
@@ -9,7 +9,7 @@
 
 use chicoryhollow_core::{
     AccountId, DataCentreId, GroupId, Position, ServerId, Term, VmId, coordinator::FencingToken,
-    version::DirectoryVersion,
+    failover::ReplicationStatus, version::DirectoryVersion,
 };
 use tokio::{
     net::TcpStream,
@@ -134,6 +134,17 @@
     pub fenced_term: Term,
 }
 
+impl From<ServerStatus> for ReplicationStatus {
+    fn from(status: ServerStatus) -> Self {
+        ReplicationStatus {
+            primary: status.is_primary,
+            term: status.term,
+            received: status.received,
+            fenced_term: status.fenced_term,
+        }
+    }
+}
+
 /// Why a connection cannot be used any more.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -114,17 +114,18 @@
             Some(connection) => connection,
             None => attempt.begin(open.access).await?,
         };
-        match attempt.run_in_transaction(&mut connection, body, is_commit, open.has_written).await {
-            Ok(answer) => {
-                if !is_commit {
-                    open.connection = Some(connection);
-                } else if answer.state == TransactionState::Idle {
-                    connection.give_back();
-                }
-                let served = answer.result.map_err(Failure::Fault)?;
-                Ok((Reply::Served(served), answer.position))
-            }
-            Err(failure) => Err(failure),
+        let (server, asked) = (connection.server(), clock::now());
+        let answer =
+            attempt.run_in_transaction(&mut connection, body, is_commit, open.has_written).await?;
+        if !is_commit {
+            open.connection = Some(connection);
+        } else if answer.state == TransactionState::Idle {
+            connection.give_back();
+        }
+        let served = answer.result.map_err(Failure::Fault)?;
+        if is_commit && open.has_written {
+            attempt.confirm_commit(&server, answer.position, asked).await?;
         }
+        Ok((Reply::Served(served), answer.position))
     }
 }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -125,11 +125,13 @@
         return;
     }
     let awaits_server = group.borrow().awaits_server(now);
-    if let Some(suspicion) =
-        assess(engine, &group.borrow(), watched, now).filter(|_| !awaits_server)
-    {
-        watched.running =
-            Some(begin(engine, &group.borrow(), suspicion, watched.highest_term, now));
+    let suspicion = assess(engine, &group.borrow(), watched, now).filter(|_| !awaits_server);
+    if let Some(suspicion) = suspicion {
+        let running = begin(engine, &group.borrow(), suspicion, watched.highest_term, now);
+        let term = running.failover.borrow().term();
+        group.borrow_mut().record_failover(term, now);
+        engine.fleet.announce_primary();
+        watched.running = Some(running);
     }
 }
 
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -55,12 +55,7 @@
     command: Command,
 ) -> Option<ReplicationStatus> {
     let status = send_command(engine, server, command).await?;
-    let status = ReplicationStatus {
-        primary: status.is_primary,
-        term: status.term,
-        received: status.received,
-        fenced_term: status.fenced_term,
-    };
+    let status = ReplicationStatus::from(status);
     failover.borrow_mut().record_status(server, status, clock::now());
     engine.watch_wakeup.notify_one();
     Some(status)
@@ -105,6 +100,7 @@
         Err(error) => {
             let fields = o!("group" => group.to_string(), "error" => error.to_string());
             engine.event_log.record(Event::ServersUnlisted, fields);
+            failover.borrow_mut().record_list_failure();
         }
     }
     engine.watch_wakeup.notify_one();
--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -11,7 +11,7 @@
     /// this kind of message.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 33, 34, 40, 41, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60"
+        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 33, 34, 40, 41, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62"
     )]
     pub body: Option<Body>,
 }
@@ -146,6 +146,12 @@
     /// Asks for a document of the directory.
     #[prost(message, tag = "60")]
     DocumentAsk(fleet::DocumentAsk),
+    /// Asks whether the receiver knows of a failover of a group.
+    #[prost(message, tag = "61")]
+    ContactAsk(fleet::ContactAsk),
+    /// Answers a [`ContactAsk`](fleet::ContactAsk).
+    #[prost(message, tag = "62")]
+    ContactAnswer(fleet::ContactAnswer),
 }
 
 impl Body {
@@ -164,6 +170,8 @@
             Body::LeaseCommand(_) => "forward_command",
             Body::LeaseAnswer(_) => "forward_answer",
             Body::LeaseEnd(_) => "forward_end",
+            Body::ContactAsk(_) => "contact_request",
+            Body::ContactAnswer(_) => "contact_answer",
             _ => "other",
         }
     }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -109,6 +109,34 @@
     /// Log position at which that primary began.
     #[prost(uint64, tag = "12")]
     pub start_lsn: u64,
+    /// Term of a failover that runs, or 0 for none.
+    #[prost(uint64, tag = "13")]
+    pub failover_term: u64,
+    /// Milliseconds since that failover was begun.
+    #[prost(uint32, tag = "14")]
+    pub failover_ms: u32,
+}
+
+/// Asks whether the receiver knows of a failover of a group.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ContactAsk {
+    /// Number of the question, repeated in the answer.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Name of the group.
+    #[prost(string, tag = "2")]
+    pub group: String,
+}
+
+/// Answers a [`ContactAsk`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ContactAnswer {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Newest term that the sender knows a failover to have begun or completed.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
 }
 
 /// Asks for tokens of an account's rate.
