Order no promotion again for a server that has lost its log

What callers would see: success for commits that are gone.

Cause: the repetition looked at the time only, not at what the target had reported since. Now a target that reports less than when it was chosen is given up: the members are fenced and chosen among again, and the next order's higher token has the directory refuse the first. a_target_that_starts_again_without_its_log_is_not_promoted fails without it (ordered again at 1700 ms). Left: a restart within the 0.6 s between the order and its effect.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -324,6 +324,9 @@
 
     /// Returns the actions to carry out at `now`.
     pub fn next_actions(&mut self, now: Time) -> Vec<Action> {
+        if self.has_lost_target() {
+            self.choose_again(now);
+        }
         if let (Some(target), Some(sent)) = (&self.target, self.promotion_sent) {
             let target = target.clone();
             let mut actions = self.check_promotion(target, sent, now);
@@ -361,6 +364,21 @@
         }
     }
 
+    /// Returns whether the server whose promotion was requested has started again without the
+    /// log for which it was chosen.
+    fn has_lost_target(&self) -> bool {
+        let status = self.promotion_target().and_then(|target| self.replicas.get(target)?.status);
+        status.is_some_and(|status| !status.primary && status.received < self.target_received)
+    }
+
+    /// Gives up the requested promotion. The next request has a higher token, so that the
+    /// directory refuses the earlier one from then on.
+    fn choose_again(&mut self, now: Time) {
+        self.target = None;
+        self.promotion_sent = None;
+        self.fencing_since = self.fencing_since.map(|_| now);
+    }
+
     fn check_promotion(&mut self, target: ServerId, sent: Time, now: Time) -> Vec<Action> {
         let Some(replica) = self.replicas.get_mut(&target) else { return Vec::new() };
         if now.since(sent) >= PROMOTION_RETRY_INTERVAL {
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -291,6 +291,31 @@
     assert_eq!(failover.progress(Time::default() + Duration::from_secs(60)), done);
 }
 
+/// The order was repeated for a server that had crashed and started again with an empty log.
+#[test]
+fn a_target_that_starts_again_without_its_log_is_not_promoted() {
+    let mut failover = start_failover([member("a", true), member("b", true)], at(1, 9));
+    failover.record_list(ANNOUNCED);
+    failover.record_status(&server("a"), replica_status(at(1, 10), 2), ANNOUNCED);
+    failover.record_status(&server("b"), replica_status(at(1, 9), 2), ANNOUNCED);
+    assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), Some(&server("a")));
+    let started = Time::from_millis(900);
+    failover.record_status(&server("a"), replica_status(Position::default(), 0), started);
+    for ms in (900..2_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        let actions = failover.next_actions(now);
+        assert_ne!(promoted(&actions), Some(&server("a")), "{ms} ms");
+        if actions.contains(&Action::Fence(server("a"), Term::new(2))) {
+            failover.record_status(&server("a"), replica_status(Position::default(), 2), now);
+        }
+        failover.record_status(&server("b"), replica_status(at(1, 9), 2), now);
+        if promoted(&actions) == Some(&server("b")) {
+            return;
+        }
+    }
+    panic!("the server that holds the log is not promoted");
+}
+
 #[test]
 fn servers_fenced_by_a_vm_that_crashed_are_promoted_by_the_next_failover() {
     // The VM that fenced `a` and `b` at term 2 has crashed, and this one knows no term.
