--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -444,7 +444,8 @@
         .collect()
     }
 
-    /// Fences the servers that are not fenced yet, and polls the target of a planned failover.
+    /// Fences the servers that are not fenced, and polls the others: a server that starts again
+    /// has lost its fence.
     fn fence(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         let is_ordered = self.promotion_sent.is_some();
@@ -453,11 +454,11 @@
             if (is_target && is_ordered) || !replica.is_due(now) {
                 continue;
             }
-            match is_target && self.cause == Cause::Planned {
-                true => actions.push(Action::Poll(server.clone())),
-                false if replica.is_fenced(self.term) => continue,
-                false => actions.push(Action::Fence(server.clone(), self.term)),
-            }
+            let stays_open = is_target && self.cause == Cause::Planned;
+            actions.push(match stays_open || replica.is_fenced(self.term) {
+                true => Action::Poll(server.clone()),
+                false => Action::Fence(server.clone(), self.term),
+            });
             replica.last_action = Some(now);
         }
         actions
