--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -54,6 +54,13 @@
 /// Maximum age of the last answer of a server that counts as reachable.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(800);
 
+/// Time after the start of a failover until every VM in contact knows of it, and passes on no
+/// success that rests on contact alone.
+const ANNOUNCEMENT_SPAN: Duration = Duration::from_millis(200);
+
+/// Time for which the directory may take to list the servers before a promotion.
+const LIST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time after the start of fencing within which the promotion must be requested.
 const FENCED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -111,10 +118,13 @@
     replicas: IndexMap<ServerId, Replica>,
     /// The primary to replace, if it is known.
     primary: Option<Demotion>,
-    /// When the directory was last asked which servers are registered.
-    list_asked: Option<Time>,
+    /// When the directory was first and last asked which servers are registered.
+    first_list: Option<Time>,
+    last_list: Option<Time>,
     /// When the last answer to that was asked for.
     listed: Option<Time>,
+    /// Whether the directory has failed to answer.
+    list_failed: bool,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -127,6 +137,8 @@
     target: Option<ServerId>,
     /// When the promotion of the target was last requested.
     promotion_sent: Option<Time>,
+    /// End of the target's log when its promotion was first requested.
+    target_received: Position,
 }
 
 impl Failover {
@@ -147,8 +159,10 @@
             term: highest.next(),
             replicas: members.into_iter().map(replica).collect(),
             primary: None,
-            list_asked: None,
+            first_list: None,
+            last_list: None,
             listed: None,
+            list_failed: false,
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
@@ -156,6 +170,7 @@
             fencing_since: None,
             target: None,
             promotion_sent: None,
+            target_received: Position::default(),
         }
     }
 
@@ -194,6 +209,11 @@
         self.promotion_sent.and(self.target.as_ref())
     }
 
+    /// Returns the end of the log of the server whose promotion was requested, at that time.
+    pub fn target_received(&self) -> Position {
+        self.target_received
+    }
+
     /// Records a position with an acknowledged commit. Positions older than the newest have
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
@@ -216,6 +236,12 @@
         self.listed = self.listed.max(Some(asked));
     }
 
+    /// Records that the directory did not answer [`Action::ListServers`]. A server that does
+    /// not reach it either cannot be registered, so that a promotion does not wait for it.
+    pub fn record_list_failure(&mut self) {
+        self.list_failed = true;
+    }
+
     /// Adds the servers that have been registered since the start.
     ///
     /// If one joins after the promotion of a successor was requested, a leaving primary must
@@ -298,6 +324,9 @@
 
     /// Returns the actions to carry out at `now`.
     pub fn next_actions(&mut self, now: Time) -> Vec<Action> {
+        if self.has_lost_target() {
+            self.choose_again(now);
+        }
         if let (Some(target), Some(sent)) = (&self.target, self.promotion_sent) {
             let target = target.clone();
             let mut actions = self.check_promotion(target, sent, now);
@@ -311,11 +340,15 @@
             self.target = self.successor();
         }
         let mut actions = self.prepare(now);
-        if self.lacks_list() && self.list_asked.is_none_or(|at| now.since(at) >= REPEAT_INTERVAL) {
-            self.list_asked = Some(now);
+        let needs_list = self.lacks_list() || self.awaits_list(now);
+        let is_due = self.last_list.is_none_or(|at| now.since(at) >= REPEAT_INTERVAL);
+        if self.fencing_since.is_some() && needs_list && is_due {
+            self.first_list.get_or_insert(now);
+            self.last_list = Some(now);
             actions.push(Action::ListServers);
         }
         if let Some(server) = self.promotable(now) {
+            self.target_received = self.received(&server).unwrap_or_default();
             self.target = Some(server.clone());
             self.promotion_sent = Some(now);
             actions.push(Action::Promote(server));
@@ -331,6 +364,21 @@
         }
     }
 
+    /// Returns whether the server whose promotion was requested has started again without the
+    /// log for which it was chosen.
+    fn has_lost_target(&self) -> bool {
+        let status = self.promotion_target().and_then(|target| self.replicas.get(target)?.status);
+        status.is_some_and(|status| !status.primary && status.received < self.target_received)
+    }
+
+    /// Gives up the requested promotion. The next request has a higher token, so that the
+    /// directory refuses the earlier one from then on.
+    fn choose_again(&mut self, now: Time) {
+        self.target = None;
+        self.promotion_sent = None;
+        self.fencing_since = self.fencing_since.map(|_| now);
+    }
+
     fn check_promotion(&mut self, target: ServerId, sent: Time, now: Time) -> Vec<Action> {
         let Some(replica) = self.replicas.get_mut(&target) else { return Vec::new() };
         if now.since(sent) >= PROMOTION_RETRY_INTERVAL {
@@ -396,7 +444,8 @@
         .collect()
     }
 
-    /// Fences the servers that are not fenced yet, and polls the target of a planned failover.
+    /// Fences the servers that are not fenced, and polls the others: a server that starts again
+    /// has lost its fence.
     fn fence(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         let is_ordered = self.promotion_sent.is_some();
@@ -405,11 +454,11 @@
             if (is_target && is_ordered) || !replica.is_due(now) {
                 continue;
             }
-            match is_target && self.cause == Cause::Planned {
-                true => actions.push(Action::Poll(server.clone())),
-                false if replica.is_fenced(self.term) => continue,
-                false => actions.push(Action::Fence(server.clone(), self.term)),
-            }
+            let stays_open = is_target && self.cause == Cause::Planned;
+            actions.push(match stays_open || replica.is_fenced(self.term) {
+                true => Action::Poll(server.clone()),
+                false => Action::Fence(server.clone(), self.term),
+            });
             replica.last_action = Some(now);
         }
         actions
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -7,6 +7,7 @@
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
+    durability::missing_commits,
     failover::{Member, MissingServers, ServerTimes},
     freshness::ObservedPositions,
     gossip::GroupSummary,
@@ -18,6 +19,10 @@
 
 use crate::catalog::ServerEntry;
 
+/// Time for which a failover counts as running, unless its successor leads before. An order to
+/// promote may be carried out that late.
+const FAILOVER_SPAN: Duration = Duration::from_secs(13);
+
 /// Time after a server denied being the primary for which its directory entry alone
 /// does not make it the primary.
 const DENIAL_PERIOD: Duration = Duration::from_millis(1_000);
@@ -86,10 +91,24 @@
     last_response: Time,
     /// Data centres that the operators have taken out of use.
     evacuated: IndexSet<DataCentreId>,
+    /// Newest position with an acknowledged commit in the terms before that of
+    /// [`Group::acknowledged`].
+    earlier_acknowledged: Position,
+    /// Where the log of the newest promoted primary began, in its term.
+    start: Position,
+    /// Newest term whose log was reported to lack acknowledged commits.
+    reported_term: Term,
     /// When a server other than the primary last answered a status request of a statement.
     pub(crate) replica_answered: Option<Time>,
     /// Until when each started server is too slow for reads.
     cold_until: IndexMap<ServerId, Time>,
+    /// Since when each server has been known to be registered.
+    registered_since: IndexMap<ServerId, Time>,
+    /// Newest failover that is known to run, at this term, and when it was begun.
+    failover: Option<(Term, Time)>,
+    /// When the newest question about this group was sent that a VM of each data centre has
+    /// answered without knowing of a newer term or a failover.
+    contacts: IndexMap<DataCentreId, Time>,
     pub(crate) missing_servers: MissingServers,
 }
 
@@ -109,8 +128,14 @@
             unconfirmed_since: None,
             last_response: now,
             evacuated: IndexSet::new(),
+            earlier_acknowledged: Position::default(),
+            start: Position::default(),
+            reported_term: Term::default(),
             replica_answered: None,
             cold_until: IndexMap::new(),
+            registered_since: IndexMap::new(),
+            failover: None,
+            contacts: IndexMap::new(),
             missing_servers: MissingServers::new().with_times(times),
         }
     }
@@ -127,6 +152,7 @@
         let after = servers.values().map(ServerEntry::registered);
         let silence = now.since(self.last_response);
         self.missing_servers.update(before, after, silence, now);
+        self.record_registrations(&servers, now);
         self.servers = servers;
         let current = self.view.primary.as_ref().and_then(|primary| self.servers.get(primary));
         match current {
@@ -138,6 +164,18 @@
         }
     }
 
+    /// Records since when servers are registered. One that has started again holds nothing of
+    /// before, and counts as new.
+    fn record_registrations(&mut self, servers: &IndexMap<ServerId, ServerEntry>, now: Time) {
+        let since = |entry: &ServerEntry| {
+            let is_same = self.servers.get(&entry.server).is_some_and(|old| old.born == entry.born);
+            let known = self.registered_since.get(&entry.server).filter(|_| is_same);
+            known.copied().unwrap_or(now)
+        };
+        let since = servers.values().map(|entry| (entry.server.clone(), since(entry))).collect();
+        self.registered_since = since;
+    }
+
     /// Replaces the set of evacuated data centres.
     pub(crate) fn set_evacuated(&mut self, evacuated: IndexSet<DataCentreId>) {
         self.evacuated = evacuated;
@@ -188,6 +226,76 @@
         }
     }
 
+    /// Records that a failover to `term` runs since `begun`; returns whether this is news.
+    pub(crate) fn record_failover(&mut self, term: Term, begun: Time) -> bool {
+        let is_news = self.failover.is_none_or(|(known, _)| term > known);
+        if is_news {
+            self.failover = Some((term, begun));
+        }
+        is_news
+    }
+
+    /// Returns the term of the failover that is known to run, and when it was begun.
+    pub(crate) fn failover(&self, now: Time) -> Option<(Term, Time)> {
+        self.failover
+            .filter(|(term, begun)| *term > self.view.term && now.since(*begun) < FAILOVER_SPAN)
+    }
+
+    /// Returns the newest term that any failover has begun or completed.
+    pub(crate) fn newest_term(&self, now: Time) -> Term {
+        self.failover(now).map_or(self.view.term, |(term, _)| term)
+    }
+
+    /// Records that a VM of `data_centre` has answered a question that was sent at `asked`,
+    /// and knows of no newer term or failover.
+    pub(crate) fn record_contact(&mut self, data_centre: DataCentreId, asked: Time) {
+        let newest = self.contacts.entry(data_centre).or_insert(asked);
+        *newest = asked.max(*newest);
+    }
+
+    /// Returns when the newest question was sent that a VM of one of the data centres that
+    /// `counts` accepts has answered.
+    pub(crate) fn contact(&self, counts: impl Fn(&DataCentreId) -> bool) -> Option<Time> {
+        self.contacts.iter().filter(|(other, _)| counts(other)).map(|(_, asked)| *asked).max()
+    }
+
+    /// Records where the log of a promoted primary began, in its term.
+    pub(crate) fn record_start(&mut self, start: Position) {
+        self.start = self.start.max(start);
+    }
+
+    /// Returns where the log of the newest promoted primary began, in its term.
+    pub(crate) fn start(&self) -> Position {
+        self.start
+    }
+
+    /// Returns how many acknowledged commits the newest promoted primary lacked, once for each
+    /// term in which it lacked some.
+    pub(crate) fn take_missing_commits(&mut self) -> Option<u64> {
+        let missing = self.last_before_start().map(|last| missing_commits(last, self.start))?;
+        if missing == 0 || self.start.term() <= self.reported_term {
+            return None;
+        }
+        self.reported_term = self.start.term();
+        Some(missing)
+    }
+
+    /// Returns the newest acknowledged position of the terms before the newest promotion.
+    pub(crate) fn last_before_start(&self) -> Option<Position> {
+        let known = [self.acknowledged, self.earlier_acknowledged];
+        known.into_iter().find(|position| position.term() < self.start.term())
+    }
+
+    /// Records a position with an acknowledged commit.
+    pub(crate) fn record_acknowledged(&mut self, position: Position) {
+        if position.term() > self.acknowledged.term() {
+            self.earlier_acknowledged = self.acknowledged;
+        } else if position.term() < self.acknowledged.term() {
+            self.earlier_acknowledged = self.earlier_acknowledged.max(position);
+        }
+        self.acknowledged = self.acknowledged.max(position);
+    }
+
     /// Records that `server` is the primary at `term`; returns whether the primary
     /// or its term changed.
     pub(crate) fn adopt(&mut self, server: &ServerId, term: Term) -> bool {
@@ -229,12 +337,16 @@
         }
     }
 
-    /// Records that the primary confirmed a commit at `position`.
-    pub(crate) fn record_commit(&mut self, position: Position) {
-        self.acknowledged = self.acknowledged.max(position);
+    /// Records that the primary confirmed a commit.
+    pub(crate) fn record_confirmation(&mut self) {
         self.unconfirmed_since = None;
     }
 
+    /// Records that callers are told of a commit at `position`.
+    pub(crate) fn record_commit(&mut self, position: Position) {
+        self.record_acknowledged(position);
+    }
+
     /// Returns since when requests to the primary have failed or writes have not been
     /// confirmed.
     pub(crate) fn failing_since(&self) -> Option<Time> {
@@ -248,7 +360,7 @@
     }
 
     /// Returns what neighbours need to know about the group, by its name.
-    pub(crate) fn summary(&self) -> (GroupId, GroupSummary) {
+    pub(crate) fn summary(&self, now: Time) -> (GroupId, GroupSummary) {
         // Without a known primary, a term means nothing to others.
         let known = self.view.primary.is_some();
         let knowledge = GroupSummary {
@@ -256,6 +368,8 @@
             failing: self.failing_since(),
             acknowledged: self.acknowledged,
             asked: self.observed.latest().map(|latest| latest.asked),
+            start: self.start,
+            failover: self.failover(now),
         };
         (self.view.group.clone(), knowledge)
     }
@@ -309,6 +423,13 @@
         self.servers.values().filter(|entry| entry.server != *primary).cloned().collect()
     }
 
+    /// Returns the registered servers other than `primary`, and since when they are registered.
+    pub(crate) fn registered_replicas(&self, primary: &ServerId) -> Vec<(ServerEntry, Time)> {
+        let since = |entry: &ServerEntry| self.registered_since.get(&entry.server).copied();
+        let others = self.others(primary).into_iter();
+        others.filter_map(|entry| since(&entry).map(|since| (entry, since))).collect()
+    }
+
     /// Returns whether a server has run long enough to serve at full speed.
     fn is_warm(&self, entry: &ServerEntry, now: Time) -> bool {
         self.cold_until.get(&entry.server).is_none_or(|until| now >= *until)
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -76,12 +76,16 @@
     Retried,
     /// It is unknown whether a write was committed.
     InDoubt,
+    /// A commit that a primary acknowledged is not known to survive a failover.
+    CommitUnproven,
     /// The proxy closed a session.
     SessionClosed,
     /// A request was served; only a sample of these is logged.
     Served,
     /// Log lines about requests were dropped.
     LinesDropped,
+    /// The log of a new primary lacks acknowledged commits.
+    CommitsMissing,
     /// A link to another VM was established.
     PeerLinked,
     /// The link to another VM was lost.
@@ -92,7 +96,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 32] = [
+    pub const ALL: [Event; 34] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -122,6 +126,8 @@
         Event::SessionClosed,
         Event::Served,
         Event::LinesDropped,
+        Event::CommitUnproven,
+        Event::CommitsMissing,
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
@@ -159,6 +165,8 @@
             Event::SessionClosed => (633, Level::Info, "session closed by proxy"),
             Event::Served => (634, Level::Info, "statement served"),
             Event::LinesDropped => (635, Level::Warning, "log lines dropped"),
+            Event::CommitUnproven => (636, Level::Warning, "commit not passed on"),
+            Event::CommitsMissing => (637, Level::Warning, "acknowledged commits missing"),
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -13,7 +13,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
-    GroupId, Term, Time,
+    GroupId, Position, Term, Time,
     failover::{Cause, Failover, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT},
 };
@@ -125,11 +125,13 @@
         return;
     }
     let awaits_server = group.borrow().awaits_server(now);
-    if let Some(suspicion) =
-        assess(engine, &group.borrow(), watched, now).filter(|_| !awaits_server)
-    {
-        watched.running =
-            Some(begin(engine, &group.borrow(), suspicion, watched.highest_term, now));
+    let suspicion = assess(engine, &group.borrow(), watched, now).filter(|_| !awaits_server);
+    if let Some(suspicion) = suspicion {
+        let running = begin(engine, &group.borrow(), suspicion, watched.highest_term, now);
+        let term = running.failover.borrow().term();
+        group.borrow_mut().record_failover(term, now);
+        engine.fleet.announce_primary();
+        watched.running = Some(running);
     }
 }
 
@@ -227,9 +229,12 @@
         }
         Progress::Done(server, term) => {
             let changed = group.borrow_mut().adopt(&server, term);
+            let received = running.failover.borrow().target_received();
+            group.borrow_mut().record_start(Position::new(term, received.lsn()));
             if changed {
                 engine.record_primary_change(&group.borrow(), Source::Answer);
             }
+            engine.check_commits(group);
             engine.event_log.record(
                 Event::FailoverCompleted,
                 o!(
