Count and log requests that end without an answer, by reason

A request that was read whole is now a PendingRequest until its answer is sent; dropped before, it is counted (chicoryhollow_unanswered_total) and logged (event 636) with a typed reason, also if its task panics or the process ends. No logic of a session changes.

Tests: a_request_whose_connection_fails_is_counted (real daemon, reset while the request runs; the line and the counter did not exist before); signals_in_series_end_no_transaction_early passed before as well: SIGTERM thrice and SIGHUP twice within an open transaction end it no sooner. The reasons panicked and process_ended were not provoked by a run.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -107,6 +107,7 @@
 pub mod suspicion;
 pub mod time;
 pub mod transfer;
+pub mod unanswered;
 pub mod version;
 pub mod view;
 pub mod waiting;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -80,6 +80,8 @@
     SessionClosed,
     /// A request was served; only a sample of these is logged.
     Served,
+    /// A request that was read whole got no whole answer.
+    Unanswered,
     /// Log lines about requests were dropped.
     LinesDropped,
     /// A link to another VM was established.
@@ -92,7 +94,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 32] = [
+    pub const ALL: [Event; 33] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -122,6 +124,7 @@
         Event::SessionClosed,
         Event::Served,
         Event::LinesDropped,
+        Event::Unanswered,
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
@@ -159,6 +162,7 @@
             Event::SessionClosed => (633, Level::Info, "session closed by proxy"),
             Event::Served => (634, Level::Info, "statement served"),
             Event::LinesDropped => (635, Level::Warning, "log lines dropped"),
+            Event::Unanswered => (636, Level::Warning, "request ended without an answer"),
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
@@ -166,7 +170,7 @@
     }
 
     fn is_about_request(self) -> bool {
-        (630..635).contains(&self.row().0)
+        matches!(self.row().0, 630..=634 | 636)
     }
 }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -13,6 +13,8 @@
     pub(crate) refusals: IntCounterVec,
     /// Retried requests, by reason.
     pub(crate) retries: IntCounterVec,
+    /// Requests that were read whole and got no whole answer, by reason.
+    pub(crate) unanswered: IntCounterVec,
     /// Seconds from a statement's arrival to its answer, by kind of statement.
     pub(crate) latency: HistogramVec,
     /// Seconds that a statement waited for a connection.
@@ -47,6 +49,12 @@
         Metrics {
             refusals: counters(&registry, "refusals_total", "Statements refused.", "reason"),
             retries: counters(&registry, "retries_total", "Statements tried again.", "reason"),
+            unanswered: counters(
+                &registry,
+                "unanswered_total",
+                "Requests that ended without a whole answer.",
+                "reason",
+            ),
             latency: latencies(&registry),
             waits: waits(&registry),
             connects: counter(&registry, "connects_total", "Connections opened to servers."),
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -6,6 +6,7 @@
 //! transaction is open on it.
 
 mod lifetime;
+mod pending;
 mod record;
 mod transaction;
 
@@ -16,7 +17,7 @@
 use indexmap::IndexMap;
 use tokio::time::timeout;
 
-use self::transaction::Transaction;
+use self::{pending::PendingRequest, transaction::Transaction};
 use crate::{
     attempt::Attempt,
     catalog::Route,
@@ -132,6 +133,7 @@
                     continue;
                 }
             };
+            let mut request = PendingRequest::new(&self.engine, request);
             let began = clock::now();
             let given_up = self.refusal_if_given_up(&request.statement);
             let flow = tokio::select! {
@@ -147,19 +149,20 @@
                     // The dropped request closes its backend connection, which
                     // rolls back its work.
                     self.transaction = None;
+                    request.give_up(pending::reason(&gone));
                     return gone;
                 }
             };
             match flow {
                 Flow::Reply(reply, position) => {
                     self.record_reply(&request, &reply, began);
-                    caller.reply(&reply, self.state(), position).await?;
+                    request.settle(caller.reply(&reply, self.state(), position).await)?;
                 }
                 Flow::Close(refusal) => {
                     let reply = Reply::Refused(refusal);
                     self.record_reply(&request, &reply, began);
                     self.close().await?;
-                    caller.reply(&reply, TransactionState::Idle, None).await?;
+                    request.settle(caller.reply(&reply, TransactionState::Idle, None).await)?;
                     let reason = CloseReason { label: refusal.row().label, refusal };
                     return self.end(&mut caller, pipelined.take(), reason).await;
                 }
@@ -182,8 +185,9 @@
         let reply = Reply::Refused(reason.refusal);
         let mut next = pipelined;
         while let Some(request) = next {
+            let mut request = PendingRequest::new(&self.engine, request);
             self.record_reply(&request, &reply, clock::now());
-            caller.reply(&reply, TransactionState::Idle, None).await?;
+            request.settle(caller.reply(&reply, TransactionState::Idle, None).await)?;
             // Without waiting, and failures of the connection matter no more.
             next = caller.next_request().now_or_never().and_then(Result::ok).flatten();
         }
