Answer a running request although its caller sends no more

What callers saw: a caller that sent its requests, shut down its write side and waited for the answers got none to the request that ran when the end of its input was read, nor to those behind it. The same if TERMINATE or a malformed line was sent right behind the request.

Cause: while a request runs the session reads on to see whether the caller disconnects, and took the end of the input for that. It dropped the request, a write perhaps after it was committed.

Why this works: only a failed connection ends a request. Anything else that was read behind it, a request, the end of the input or a malformed message, waits until it is answered. A statement of a caller that has left now runs until its route's time limit at most, since an end of input does not tell a caller that left from one that waits. The reasons caller_left and malformed of requests without an answer can no longer occur and go.

--- a/crates/core/src/unanswered.rs
+++ b/crates/core/src/unanswered.rs
@@ -13,20 +13,16 @@
 /// ```
 /// use chicoryhollow_core::unanswered::Unanswered;
 ///
-/// assert_eq!(Unanswered::CallerLeft.to_string(), "caller_left");
-/// assert!(!Unanswered::CallerLeft.is_fault());
+/// assert_eq!(Unanswered::AnswerFailed.to_string(), "answer_failed");
+/// assert!(!Unanswered::AnswerFailed.is_fault());
 /// assert!(Unanswered::Panicked.is_fault());
 /// ```
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Unanswered {
-    /// The caller closed its connection while the request ran.
-    CallerLeft,
     /// The caller's connection failed while the request ran.
     ConnectionFailed,
     /// The caller's connection failed while the answer was sent.
     AnswerFailed,
-    /// The caller broke the protocol after the request.
-    Malformed,
     /// The task of the session panicked.
     Panicked,
     /// The process ended while the request ran.
@@ -35,11 +31,9 @@
 
 impl Unanswered {
     /// All reasons, in the order of `docs/OPERATIONS.md`.
-    pub const ALL: [Unanswered; 6] = [
-        Unanswered::CallerLeft,
+    pub const ALL: [Unanswered; 4] = [
         Unanswered::ConnectionFailed,
         Unanswered::AnswerFailed,
-        Unanswered::Malformed,
         Unanswered::Panicked,
         Unanswered::ProcessEnded,
     ];
@@ -47,10 +41,8 @@
     /// Returns the label of the reason in metrics and logs.
     pub fn label(self) -> &'static str {
         match self {
-            Unanswered::CallerLeft => "caller_left",
             Unanswered::ConnectionFailed => "connection_failed",
             Unanswered::AnswerFailed => "answer_failed",
-            Unanswered::Malformed => "malformed",
             Unanswered::Panicked => "panicked",
             Unanswered::ProcessEnded => "process_ended",
         }
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -12,7 +12,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use chicoryhollow_core::{AccountId, GroupId, Position, Refusal, SessionToken, Time};
+use chicoryhollow_core::{
+    AccountId, GroupId, Position, Refusal, SessionToken, Time, unanswered::Unanswered,
+};
 use futures_util::FutureExt;
 use indexmap::IndexMap;
 use tokio::time::timeout;
@@ -52,9 +54,12 @@
     refusal: Refusal,
 }
 
+/// What was read from a caller: a request, or `None` if it sends no more.
+type Received = Result<Option<Request>, LinkError>;
+
 /// An event that a waiting session handles.
 enum Incoming {
-    Request(Result<Option<Request>, LinkError>),
+    Request(Received),
     Changed,
     IdleLimit,
 }
@@ -116,7 +121,7 @@
         let mut pipelined = None;
         loop {
             let incoming = match pipelined.take() {
-                Some(request) => Incoming::Request(Ok(Some(request))),
+                Some(received) => Incoming::Request(received),
                 None => self.wait(&mut caller, &mut catalogs, &mut phases, &mut avoided).await,
             };
             let request = match incoming {
@@ -145,12 +150,12 @@
                     self.transaction = None;
                     Flow::Close(given_up)
                 }
-                gone = wait_for_disconnect(&mut caller, &mut pipelined) => {
+                error = wait_for_failure(&mut caller, &mut pipelined) => {
                     // The dropped request closes its backend connection, which
                     // rolls back its work.
                     self.transaction = None;
-                    request.give_up(pending::reason(&gone));
-                    return gone;
+                    request.give_up(Unanswered::ConnectionFailed);
+                    return Err(error);
                 }
             };
             match flow {
@@ -177,19 +182,19 @@
     async fn end(
         &mut self,
         caller: &mut impl Caller,
-        pipelined: Option<Request>,
+        pipelined: Option<Received>,
         reason: CloseReason,
     ) -> Result<(), LinkError> {
         self.record_close(reason.label);
         self.close().await?;
         let reply = Reply::Refused(reason.refusal);
         let mut next = pipelined;
-        while let Some(request) = next {
+        while let Some(Ok(Some(request))) = next {
             let mut request = PendingRequest::new(&self.engine, request);
             self.record_reply(&request, &reply, clock::now());
             request.settle(caller.reply(&reply, TransactionState::Idle, None).await)?;
             // Without waiting, and failures of the connection matter no more.
-            next = caller.next_request().now_or_never().and_then(Result::ok).flatten();
+            next = caller.next_request().now_or_never();
         }
         Ok(())
     }
@@ -340,15 +345,12 @@
     }
 }
 
-/// Waits for the caller to disconnect while a request is being answered. A
-/// request that arrives meanwhile is stored in `pipelined`.
-async fn wait_for_disconnect(
-    caller: &mut impl Caller,
-    pipelined: &mut Option<Request>,
-) -> Result<(), LinkError> {
-    match caller.next_request().await? {
-        Some(request) => *pipelined = Some(request),
-        None => return Ok(()),
+/// Waits for the caller's connection to fail while a request is being answered. What the
+/// caller sends meanwhile is stored in `pipelined`: a caller that sends no more still reads.
+async fn wait_for_failure(caller: &mut impl Caller, pipelined: &mut Option<Received>) -> LinkError {
+    match caller.next_request().await {
+        Err(error @ LinkError::Io(_)) => return error,
+        received => *pipelined = Some(received),
     }
     std::future::pending().await
 }
--- a/crates/engine/src/session/pending.rs
+++ b/crates/engine/src/session/pending.rs
@@ -65,12 +65,3 @@
         self.give_up(reason);
     }
 }
-
-/// Returns why a request gets no answer if its caller's connection ended so.
-pub(super) fn reason(end: &Result<(), LinkError>) -> Unanswered {
-    match end {
-        Ok(()) => Unanswered::CallerLeft,
-        Err(LinkError::Malformed(_)) => Unanswered::Malformed,
-        Err(_) => Unanswered::ConnectionFailed,
-    }
-}
