Close callers' connections without a reset that overtakes the last answer

What callers saw: a large answer that ended in the middle with a connection reset. The daemon had sent it and then closed the session, as it does for each session while it drains; the caller had sent another request meanwhile.

Cause: a socket that is closed with unread input, or that receives input after it is closed, resets the connection, and the reset discards what the sender's buffer still holds.

Evidence: an_answer_is_whole_although_a_request_arrives_after_the_end_of_its_session (400,000 bytes, a caller with a receive buffer of 4,096 bytes) failed before: 6,155 bytes and ECONNRESET. It passes, as does tests/whole_path.rs.

Why this works: a session ends its output first, so that the caller sees the end of the connection at once, and discards input until the caller has closed its side, or for one second. A caller that reads for longer than that and sends meanwhile is still reset.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -15,6 +15,7 @@
 * [`statement`] has statements and answers, independent of any wire protocol.
 * [`catalog`] has the configuration and the registered servers.
 * [`daemon`] combines an adapter with the engine and runs it.
+* [`linger`] closes connections so that no answer is cut off.
 * [`settings`], [`log`] and [`metrics`] are the interfaces to operators.
 
 The private modules do the work:
@@ -50,6 +51,7 @@
 mod engine;
 mod fleet;
 mod group;
+pub mod linger;
 pub mod log;
 pub mod metrics;
 mod pool;
--- a/crates/engine/src/seam.rs
+++ b/crates/engine/src/seam.rs
@@ -67,6 +67,10 @@
     ///
     /// Fails when the connection fails.
     fn reject(&mut self, reply: &Reply) -> impl Future<Output = Result<(), LinkError>>;
+
+    /// Closes the connection so that the caller receives all replies, as
+    /// [`linger::close`](crate::linger::close) does.
+    fn close(&mut self) -> impl Future<Output = ()>;
 }
 
 /// Backend server and client account of a new connection.
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -91,6 +91,15 @@
 pub(crate) async fn serve<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     mut caller: impl Caller,
+) -> Result<(), LinkError> {
+    let served = serve_session(engine, &mut caller).await;
+    caller.close().await;
+    served
+}
+
+async fn serve_session<S: ServerProtocol, D: Directory>(
+    engine: Rc<Engine<S, D>>,
+    caller: &mut impl Caller,
 ) -> Result<(), LinkError> {
     let hello = timeout(HELLO_TIMEOUT, caller.read_hello()).await;
     let Some(hello) = hello.unwrap_or(Err(LinkError::TimedOut))? else { return Ok(()) };
@@ -114,7 +123,7 @@
 }
 
 impl<S: ServerProtocol, D: Directory> Session<S, D> {
-    async fn run(&mut self, mut caller: impl Caller) -> Result<(), LinkError> {
+    async fn run(&mut self, caller: &mut impl Caller) -> Result<(), LinkError> {
         let mut catalogs = self.engine.catalogs();
         let mut phases = self.engine.phases();
         let mut avoided = self.engine.avoided();
@@ -122,7 +131,7 @@
         loop {
             let incoming = match pipelined.take() {
                 Some(received) => Incoming::Request(received),
-                None => self.wait(&mut caller, &mut catalogs, &mut phases, &mut avoided).await,
+                None => self.wait(caller, &mut catalogs, &mut phases, &mut avoided).await,
             };
             let request = match incoming {
                 Incoming::Request(request) => match request? {
@@ -130,7 +139,7 @@
                     None => return self.close().await,
                 },
                 Incoming::Changed => match self.reason_to_close() {
-                    Some(reason) => return self.end(&mut caller, None, reason).await,
+                    Some(reason) => return self.end(caller, None, reason).await,
                     None => continue,
                 },
                 Incoming::IdleLimit => {
@@ -150,7 +159,7 @@
                     self.transaction = None;
                     Flow::Close(given_up)
                 }
-                error = wait_for_failure(&mut caller, &mut pipelined) => {
+                error = wait_for_failure(caller, &mut pipelined) => {
                     // The dropped request closes its backend connection, which
                     // rolls back its work.
                     self.transaction = None;
@@ -169,11 +178,11 @@
                     self.close().await?;
                     request.settle(caller.reply(&reply, TransactionState::Idle, None).await)?;
                     let reason = CloseReason { label: refusal.row().label, refusal };
-                    return self.end(&mut caller, pipelined.take(), reason).await;
+                    return self.end(caller, pipelined.take(), reason).await;
                 }
             }
             if let Some(reason) = self.reason_to_close() {
-                return self.end(&mut caller, pipelined.take(), reason).await;
+                return self.end(caller, pipelined.take(), reason).await;
             }
         }
     }
