Run requests that have arrived before a session ends

What callers saw: a connection reset instead of an answer to a request that was sent to an idle session right before its daemon began to drain.

Cause: a session that waits is woken by the request and by the drain, and took either first. With the drain first it ended without looking at its input, although that is done for sessions that end after a request; the unread request then reset the connection.

Evidence: a_request_that_waits_in_the_socket_at_sigterm_is_answered (a daemon that does not run for 0.1 s, in which eight sessions get a request and it gets SIGTERM) failed before: no answer and ECONNRESET.

Why this works: a request that has arrived is run first, since the daemon still admits it, and a session that ends for another reason refuses what has arrived as not run.

--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -17,7 +17,7 @@
 };
 use futures_util::FutureExt;
 use indexmap::IndexMap;
-use tokio::time::timeout;
+use tokio::{task::yield_now, time::timeout};
 
 use self::{pending::PendingRequest, transaction::Transaction};
 use crate::{
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Ends the session. The requests that were read and did not run are refused.
+    /// Ends the session. The requests that have arrived and did not run are refused.
     async fn end(
         &mut self,
         caller: &mut impl Caller,
@@ -197,12 +197,14 @@
         self.record_close(reason.label);
         self.close().await?;
         let reply = Reply::Refused(reason.refusal);
-        let mut next = pipelined;
+        let mut next = match pipelined {
+            Some(received) => Some(received),
+            None => read_arrived(caller).await,
+        };
         while let Some(Ok(Some(request))) = next {
             let mut request = PendingRequest::new(&self.engine, request);
             self.record_reply(&request, &reply, clock::now());
             request.settle(caller.reply(&reply, TransactionState::Idle, None).await)?;
-            // Without waiting, and failures of the connection matter no more.
             next = caller.next_request().now_or_never();
         }
         Ok(())
@@ -364,6 +366,13 @@
     std::future::pending().await
 }
 
+/// Reads what has arrived from the caller, without waiting for more.
+async fn read_arrived(caller: &mut impl Caller) -> Option<Received> {
+    // The runtime notices input only between the runs of tasks.
+    yield_now().await;
+    caller.next_request().now_or_never()
+}
+
 fn local(has_room: bool) -> Flow {
     match has_room {
         true => Flow::Reply(Reply::Local, None),
--- a/crates/engine/src/session/lifetime.rs
+++ b/crates/engine/src/session/lifetime.rs
@@ -28,6 +28,8 @@
         avoided: &mut watch::Receiver<bool>,
     ) -> Incoming {
         tokio::select! {
+            // A request that has arrived is run before the session ends.
+            biased;
             request = caller.next_request() => Incoming::Request(request),
             _ = catalogs.changed() => Incoming::Changed,
             _ = phases.changed() => Incoming::Changed,
