Refuse callers that wait to be accepted when the daemon ends

What callers saw: connections that were reset without an answer. They had connected and sent their requests to a draining daemon that did not run while its grace period ended (and, with less chance, in the moment before any end).

Cause: the daemon ended without looking at its queue of connections that wait to be accepted; the load balancer sends callers until the end if most daemons of a data centre drain. Besides, a session counted as connected only once its task ran, so that the daemon could end before the first run.

Evidence: connections_that_wait_to_be_accepted_at_the_end_are_refused failed before (ECONNRESET without a byte).

Why this works: in the last phase the daemon accepts what waits, refuses it as not run, closes the listener, so that others are refused by the system, and waits for the sessions as before, within the same bound. A session counts from its acceptance until it ends, also if its task panics.

--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -16,12 +16,15 @@
 };
 
 use chicoryhollow_core::drain::Drain;
+use futures_util::FutureExt;
+use prometheus::IntGauge;
 use slog::{Logger, o};
 use tokio::{
-    net::{TcpListener, TcpSocket},
+    net::{TcpListener, TcpSocket, TcpStream},
     signal::unix::{SignalKind, signal},
     sync::mpsc,
-    time::{Instant, interval, sleep, sleep_until},
+    task::{JoinHandle, yield_now},
+    time::{Instant, interval, sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -126,14 +129,14 @@
         health.metrics.clone(),
     );
     let engine = Rc::new(engine);
-    start_tasks(&engine, adapter.callers, callers, peers, health);
+    let accepting = start_tasks(&engine, adapter.callers, callers, peers, health);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hangup.recv() => engine.event_log.record(Event::Reloaded, o!("found" => reload())),
         }
     }
-    drain(&engine, grace).await;
+    drain(&engine, grace, accepting).await;
     engine.event_log.record(Event::Stopped, o!());
     Ok(())
 }
@@ -144,7 +147,7 @@
     callers: TcpListener,
     peers: TcpListener,
     health: Health,
-) {
+) -> JoinHandle<()> {
     let (sender, mut changes) = mpsc::unbounded_channel();
     let reading = engine.relay.borrow().reading();
     actix::spawn(engine.directory.follow(sender, reading));
@@ -160,42 +163,81 @@
     actix::spawn(Rc::clone(&coordinator).run(Rc::clone(engine)));
     actix::spawn(watch::run(Rc::clone(engine), coordinator));
     actix::spawn(run_maintenance(Rc::clone(engine), health));
-    actix::spawn(accept(Rc::clone(engine), protocol, callers));
+    actix::spawn(accept(Rc::clone(engine), protocol, callers))
 }
 
+/// Accepts callers until the daemon ends, and then those whose connections wait to be
+/// accepted, which would be reset otherwise.
 async fn accept<C: CallerProtocol, S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     protocol: C,
     listener: TcpListener,
 ) {
+    let mut phases = engine.phases();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phases.wait_for(|phase| *phase == Phase::Ending) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(&engine, &protocol, stream),
             // The process may have run out of file descriptors, some of which
             // become free when callers disconnect.
-            sleep(MAINTENANCE_INTERVAL).await;
-            continue;
-        };
-        let connected = engine.metrics.callers.get();
-        if usize::try_from(connected).is_ok_and(|count| count >= engine.settings.max_callers) {
-            engine.event_log.record(Event::SessionClosed, o!("reason" => "too_many_callers"));
-            continue;
+            Err(_) => sleep(MAINTENANCE_INTERVAL).await,
         }
-        if stream.set_nodelay(true).is_err() {
-            continue;
+    }
+    // The runtime notices connections only between the runs of tasks.
+    yield_now().await;
+    for _ in 0..LISTEN_BACKLOG {
+        match listener.accept().now_or_never() {
+            Some(Ok((stream, _))) => serve(&engine, &protocol, stream),
+            _ => break,
+        }
+    }
+}
+
+/// Starts the session of a caller.
+fn serve<C: CallerProtocol, S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    protocol: &C,
+    stream: TcpStream,
+) {
+    let connected = engine.metrics.callers.get();
+    if usize::try_from(connected).is_ok_and(|count| count >= engine.settings.max_callers) {
+        engine.event_log.record(Event::SessionClosed, o!("reason" => "too_many_callers"));
+        return;
+    }
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let caller = protocol.open(stream);
+    let engine = Rc::clone(engine);
+    let connected = Connected::new(&engine.metrics.callers);
+    actix::spawn(async move {
+        let served = session::serve(Rc::clone(&engine), caller).await;
+        drop(connected);
+        if let Err(error) = served {
+            let reason = error.to_string();
+            engine
+                .event_log
+                .record(Event::SessionClosed, o!("reason" => "connection", "error" => reason));
         }
-        let caller = protocol.open(stream);
-        let engine = Rc::clone(&engine);
-        actix::spawn(async move {
-            engine.metrics.callers.inc();
-            let served = session::serve(Rc::clone(&engine), caller).await;
-            engine.metrics.callers.dec();
-            if let Err(error) = served {
-                let reason = error.to_string();
-                engine
-                    .event_log
-                    .record(Event::SessionClosed, o!("reason" => "connection", "error" => reason));
-            }
-        });
+    });
+}
+
+/// Counts a connected caller until dropped, even if the task of its session panics.
+struct Connected(IntGauge);
+
+impl Connected {
+    fn new(callers: &IntGauge) -> Self {
+        callers.inc();
+        Connected(callers.clone())
+    }
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.dec();
     }
 }
 
@@ -231,7 +273,11 @@
 /// Lets callers finish. Callers outside of a transaction are disconnected at
 /// once, the others after half of the grace period. Requests that still run shortly before the
 /// end are given up, and their callers told.
-async fn drain<S: ServerProtocol, D: Directory>(engine: &Rc<Engine<S, D>>, grace: Duration) {
+async fn drain<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    grace: Duration,
+    accepting: JoinHandle<()>,
+) {
     let started = Instant::now();
     let callers = engine.metrics.callers.get();
     engine.event_log.record(Event::Draining, o!("callers" => callers));
@@ -247,6 +293,8 @@
     }
     engine.set_phase(Phase::Ending);
     let end = Instant::now() + ANSWER_TIME;
+    // If it takes longer or has panicked, nobody else is accepted.
+    let _ = timeout(ANSWER_TIME, accepting).await;
     while Instant::now() < end && engine.metrics.callers.get() > 0 {
         sleep(ANSWER_TIME / 10).await;
     }
