Handle signals before a daemon listens

What was seen: a daemon that got SIGHUP right after it began to listen ended, and with it the connections that it had not accepted yet.

Cause: the handlers of SIGHUP and SIGTERM were installed after the listeners.

A signal that arrives before, while the process starts, still ends it.

--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -106,10 +106,11 @@
     log: Logger,
     reload: impl Fn() -> String,
 ) -> Result<(), DaemonError> {
-    let callers = listen(settings.callers)?;
-    let peers = listen(settings.peers)?;
+    // An unhandled signal would end a process that callers already use.
     let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
+    let callers = listen(settings.callers)?;
+    let peers = listen(settings.peers)?;
     let event_log = EventLog::new(log, health.metrics.clone());
     event_log.record(
         Event::Started,
