--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -82,6 +82,8 @@
     SessionClosed,
     /// A request was served; only a sample of these is logged.
     Served,
+    /// A request that was read whole got no whole answer.
+    Unanswered,
     /// Log lines about requests were dropped.
     LinesDropped,
     /// The log of a new primary lacks acknowledged commits.
@@ -96,7 +98,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 34] = [
+    pub const ALL: [Event; 35] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -126,8 +128,9 @@
         Event::SessionClosed,
         Event::Served,
         Event::LinesDropped,
-        Event::CommitUnproven,
+        Event::Unanswered,
         Event::CommitsMissing,
+        Event::CommitUnproven,
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
@@ -165,8 +168,9 @@
             Event::SessionClosed => (633, Level::Info, "session closed by proxy"),
             Event::Served => (634, Level::Info, "statement served"),
             Event::LinesDropped => (635, Level::Warning, "log lines dropped"),
-            Event::CommitUnproven => (636, Level::Warning, "commit not passed on"),
+            Event::Unanswered => (636, Level::Warning, "request ended without an answer"),
             Event::CommitsMissing => (637, Level::Warning, "acknowledged commits missing"),
+            Event::CommitUnproven => (638, Level::Warning, "commit not passed on"),
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
@@ -174,7 +178,7 @@
     }
 
     fn is_about_request(self) -> bool {
-        (630..635).contains(&self.row().0)
+        matches!(self.row().0, 630..=634 | 636)
     }
 }
 
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -6,17 +6,20 @@
 //! transaction is open on it.
 
 mod lifetime;
+mod pending;
 mod record;
 mod transaction;
 
 use std::{rc::Rc, time::Duration};
 
-use chicoryhollow_core::{AccountId, GroupId, Position, Refusal, SessionToken, Time};
+use chicoryhollow_core::{
+    AccountId, GroupId, Position, Refusal, SessionToken, Time, unanswered::Unanswered,
+};
 use futures_util::FutureExt;
 use indexmap::IndexMap;
-use tokio::time::timeout;
+use tokio::{task::yield_now, time::timeout};
 
-use self::transaction::Transaction;
+use self::{pending::PendingRequest, transaction::Transaction};
 use crate::{
     attempt::Attempt,
     catalog::Route,
@@ -51,9 +54,12 @@
     refusal: Refusal,
 }
 
+/// What was read from a caller: a request, or `None` if it sends no more.
+type Received = Result<Option<Request>, LinkError>;
+
 /// An event that a waiting session handles.
 enum Incoming {
-    Request(Result<Option<Request>, LinkError>),
+    Request(Received),
     Changed,
     IdleLimit,
 }
@@ -85,6 +91,15 @@
 pub(crate) async fn serve<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     mut caller: impl Caller,
+) -> Result<(), LinkError> {
+    let served = serve_session(engine, &mut caller).await;
+    caller.close().await;
+    served
+}
+
+async fn serve_session<S: ServerProtocol, D: Directory>(
+    engine: Rc<Engine<S, D>>,
+    caller: &mut impl Caller,
 ) -> Result<(), LinkError> {
     let hello = timeout(HELLO_TIMEOUT, caller.read_hello()).await;
     let Some(hello) = hello.unwrap_or(Err(LinkError::TimedOut))? else { return Ok(()) };
@@ -108,15 +123,15 @@
 }
 
 impl<S: ServerProtocol, D: Directory> Session<S, D> {
-    async fn run(&mut self, mut caller: impl Caller) -> Result<(), LinkError> {
+    async fn run(&mut self, caller: &mut impl Caller) -> Result<(), LinkError> {
         let mut catalogs = self.engine.catalogs();
         let mut phases = self.engine.phases();
         let mut avoided = self.engine.avoided();
         let mut pipelined = None;
         loop {
             let incoming = match pipelined.take() {
-                Some(request) => Incoming::Request(Ok(Some(request))),
-                None => self.wait(&mut caller, &mut catalogs, &mut phases, &mut avoided).await,
+                Some(received) => Incoming::Request(received),
+                None => self.wait(caller, &mut catalogs, &mut phases, &mut avoided).await,
             };
             let request = match incoming {
                 Incoming::Request(request) => match request? {
@@ -124,7 +139,7 @@
                     None => return self.close().await,
                 },
                 Incoming::Changed => match self.reason_to_close() {
-                    Some(reason) => return self.end(&mut caller, None, reason).await,
+                    Some(reason) => return self.end(caller, None, reason).await,
                     None => continue,
                 },
                 Incoming::IdleLimit => {
@@ -132,6 +147,7 @@
                     continue;
                 }
             };
+            let mut request = PendingRequest::new(&self.engine, request);
             let began = clock::now();
             let given_up = self.refusal_if_given_up(&request.statement);
             let flow = tokio::select! {
@@ -143,49 +159,53 @@
                     self.transaction = None;
                     Flow::Close(given_up)
                 }
-                gone = wait_for_disconnect(&mut caller, &mut pipelined) => {
+                error = wait_for_failure(caller, &mut pipelined) => {
                     // The dropped request closes its backend connection, which
                     // rolls back its work.
                     self.transaction = None;
-                    return gone;
+                    request.give_up(Unanswered::ConnectionFailed);
+                    return Err(error);
                 }
             };
             match flow {
                 Flow::Reply(reply, position) => {
                     self.record_reply(&request, &reply, began);
-                    caller.reply(&reply, self.state(), position).await?;
+                    request.settle(caller.reply(&reply, self.state(), position).await)?;
                 }
                 Flow::Close(refusal) => {
                     let reply = Reply::Refused(refusal);
                     self.record_reply(&request, &reply, began);
                     self.close().await?;
-                    caller.reply(&reply, TransactionState::Idle, None).await?;
+                    request.settle(caller.reply(&reply, TransactionState::Idle, None).await)?;
                     let reason = CloseReason { label: refusal.row().label, refusal };
-                    return self.end(&mut caller, pipelined.take(), reason).await;
+                    return self.end(caller, pipelined.take(), reason).await;
                 }
             }
             if let Some(reason) = self.reason_to_close() {
-                return self.end(&mut caller, pipelined.take(), reason).await;
+                return self.end(caller, pipelined.take(), reason).await;
             }
         }
     }
 
-    /// Ends the session. The requests that were read and did not run are refused.
+    /// Ends the session. The requests that have arrived and did not run are refused.
     async fn end(
         &mut self,
         caller: &mut impl Caller,
-        pipelined: Option<Request>,
+        pipelined: Option<Received>,
         reason: CloseReason,
     ) -> Result<(), LinkError> {
         self.record_close(reason.label);
         self.close().await?;
         let reply = Reply::Refused(reason.refusal);
-        let mut next = pipelined;
-        while let Some(request) = next {
+        let mut next = match pipelined {
+            Some(received) => Some(received),
+            None => read_arrived(caller).await,
+        };
+        while let Some(Ok(Some(request))) = next {
+            let mut request = PendingRequest::new(&self.engine, request);
             self.record_reply(&request, &reply, clock::now());
-            caller.reply(&reply, TransactionState::Idle, None).await?;
-            // Without waiting, and failures of the connection matter no more.
-            next = caller.next_request().now_or_never().and_then(Result::ok).flatten();
+            request.settle(caller.reply(&reply, TransactionState::Idle, None).await)?;
+            next = caller.next_request().now_or_never();
         }
         Ok(())
     }
@@ -336,19 +356,23 @@
     }
 }
 
-/// Waits for the caller to disconnect while a request is being answered. A
-/// request that arrives meanwhile is stored in `pipelined`.
-async fn wait_for_disconnect(
-    caller: &mut impl Caller,
-    pipelined: &mut Option<Request>,
-) -> Result<(), LinkError> {
-    match caller.next_request().await? {
-        Some(request) => *pipelined = Some(request),
-        None => return Ok(()),
+/// Waits for the caller's connection to fail while a request is being answered. What the
+/// caller sends meanwhile is stored in `pipelined`: a caller that sends no more still reads.
+async fn wait_for_failure(caller: &mut impl Caller, pipelined: &mut Option<Received>) -> LinkError {
+    match caller.next_request().await {
+        Err(error @ LinkError::Io(_)) => return error,
+        received => *pipelined = Some(received),
     }
     std::future::pending().await
 }
 
+/// Reads what has arrived from the caller, without waiting for more.
+async fn read_arrived(caller: &mut impl Caller) -> Option<Received> {
+    // The runtime notices input only between the runs of tasks.
+    yield_now().await;
+    caller.next_request().now_or_never()
+}
+
 fn local(has_room: bool) -> Flow {
     match has_room {
         true => Flow::Reply(Reply::Local, None),
