Tell VMs of each failover, also of a second one of the same term

One that is abandoned before it has fenced a server leaves its term to the next one, which then was no news: 13 s after the first one all VMs took it for ended, and passed on commits on the strength of contact while the second one ran. What callers would see: success for commits that are gone, after a harmless blip.

Now a failover has a number, from a fencing token of the coordinator; tokens rise with each order and with each holder. VMs tell each other the newest one, and answers to questions carry it too. a_second_failover_of_the_same_term_is_told_at_once guards it; it cannot be compiled against the code before, where LastSent compared terms (Update::None there).

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use crate::{
-    failover::ReplicationStatus,
+    failover::{Announcement, ReplicationStatus},
     position::{Position, Term},
     time::Time,
 };
@@ -57,10 +57,12 @@
 /// What a VM knows at the time at which it decides.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Knowledge {
+    /// Present time.
+    pub now: Time,
     /// Newest known term of the group.
     pub term: Term,
-    /// Newest term that a failover has begun or completed.
-    pub newest_term: Term,
+    /// Newest failover of the group that may run.
+    pub failover: Option<Announcement>,
     /// Contact between the primary's data centre and another one.
     pub contact: Contact,
     /// Time since the directory was last known to answer.
@@ -112,8 +114,13 @@
     /// let term = Term::new(2);
     /// let answered = Time::from_millis(8_300);
     /// let commit = Commit { position: Position::new(term, Lsn::new(195)), answered };
-    /// let directory_age = Duration::ZERO;
-    /// let knowledge = |contact| Knowledge { term, newest_term: term, contact, directory_age };
+    /// let knowledge = |contact| Knowledge {
+    ///     now: Time::from_millis(8_310),
+    ///     term,
+    ///     failover: None,
+    ///     contact,
+    ///     directory_age: Duration::ZERO,
+    /// };
     /// let earlier = Contact::Since(Time::from_millis(8_000));
     /// assert_eq!(commit.evidence(&knowledge(earlier)), None);
     /// let later = Contact::Since(answered);
@@ -123,7 +130,7 @@
         if knowledge.term > self.position.term() {
             return Some(Evidence::Superseded);
         }
-        if knowledge.newest_term > self.position.term() {
+        if self.may_be_replaced(knowledge) {
             return None;
         }
         let has_contact = match knowledge.contact {
@@ -136,6 +143,13 @@
         has_contact.then_some(Evidence::Contact)
     }
 
+    /// Returns whether a failover may run that replaces the primary. While it does, no contact
+    /// shows anything.
+    pub fn may_be_replaced(&self, knowledge: &Knowledge) -> bool {
+        let term = self.position.term();
+        knowledge.failover.is_some_and(|failover| failover.may_replace(term, knowledge.now))
+    }
+
     /// Returns whether `replica` holds the commit, and takes part in every failover.
     pub fn is_held_by(&self, replica: &RegisteredReplica) -> bool {
         let received = replica.status.received;
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -20,6 +20,7 @@
 //! servers are replaced one after the other, those that run for longest leave next. So the
 //! one that started last is promoted, and the group is not left without a primary again.
 
+mod announcement;
 mod demotion;
 mod missing;
 mod replica;
@@ -36,6 +37,7 @@
 };
 
 pub use self::{
+    announcement::{Announcement, FailoverNumber},
     missing::{MissingServers, RegisteredServer, ServerTimes},
     replica::{Member, ReplicationStatus},
 };
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use crate::{
+    failover::Announcement,
     pace::{ByteRate, Pace},
     position::{Position, Term},
     time::Time,
@@ -58,14 +59,14 @@
     pub asked: Option<Time>,
     /// Where the log of the newest promoted primary began, in its term.
     pub start: Position,
-    /// Term of a failover that runs, and when it was begun.
-    pub failover: Option<(Term, Time)>,
+    /// Newest failover that may run.
+    pub failover: Option<Announcement>,
 }
 
 impl GroupSummary {
-    /// Returns the term of the failover that runs, or zero.
-    fn failover_term(&self) -> Term {
-        self.failover.map(|(term, _)| term).unwrap_or_default()
+    /// Returns whether the newest failover is newer than that of `other`.
+    fn has_newer_failover(&self, other: &GroupSummary) -> bool {
+        self.failover.is_some_and(|failover| failover.is_newer(other.failover.as_ref()))
     }
 }
 
@@ -111,8 +112,7 @@
             return Update::Primary;
         }
         let has_failed = known.failing.is_some() != self.last.failing.is_some();
-        let is_replaced = known.failover_term() > self.last.failover_term();
-        if has_failed || is_replaced || known.start > self.last.start {
+        if has_failed || known.has_newer_failover(&self.last) || known.start > self.last.start {
             return Update::Failure;
         }
         match self.has_newer_position(known, spacing, now) {
@@ -136,6 +136,11 @@
         self.last.start >= known.start
     }
 
+    /// Returns whether the neighbour knows of the newest failover.
+    pub fn has_failover(&self, known: &GroupSummary) -> bool {
+        !known.has_newer_failover(&self.last)
+    }
+
     /// Records that the neighbour was told `known`.
     pub fn record(&mut self, known: GroupSummary, now: Time) {
         *self = LastSent { last: known, at: now };
@@ -150,7 +155,7 @@
         self.last.acknowledged = self.last.acknowledged.max(told.acknowledged);
         self.last.asked = self.last.asked.max(told.asked);
         self.last.start = self.last.start.max(told.start);
-        if told.failover_term() > self.last.failover_term() {
+        if told.has_newer_failover(&self.last) {
             self.last.failover = told.failover;
         }
     }
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -5,7 +5,7 @@
 use chicoryhollow_core::{
     Lsn, Position, Term, Time,
     durability::{Commit, Contact, Evidence, Knowledge, RegisteredReplica},
-    failover::ReplicationStatus,
+    failover::{Announcement, FailoverNumber, ReplicationStatus},
     isolation::needs_replica_answer,
 };
 
@@ -21,7 +21,7 @@
 
 /// What a VM knows that hears from other data centres and knows of no failover.
 fn knowledge(contact: Contact) -> Knowledge {
-    Knowledge { term: TERM, newest_term: TERM, contact, directory_age: Duration::ZERO }
+    Knowledge { now: ms(8_300), term: TERM, failover: None, contact, directory_age: Duration::ZERO }
 }
 
 /// A replica that has been registered for long and has received `received`.
@@ -72,7 +72,9 @@
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let contact = knowledge(Contact::Since(ms(200)));
     assert_eq!(commit.evidence(&contact), Some(Evidence::Contact));
-    let running = Knowledge { newest_term: Term::new(3), ..contact };
+    let begun = ms(50);
+    let failover = Announcement { number: FailoverNumber::new(1), replaced: TERM, begun };
+    let running = Knowledge { failover: Some(failover), ..contact };
     assert_eq!(commit.evidence(&running), None);
     let completed = Knowledge { term: Term::new(3), ..running };
     assert_eq!(commit.evidence(&completed), Some(Evidence::Superseded));
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -4,6 +4,7 @@
 
 use chicoryhollow_core::{
     DataCentreId, Lsn, Position, Term, Time, VmId,
+    failover::{Announcement, FailoverNumber},
     gossip::{GroupSummary, LastSent, Spacing, Update},
     neighbour::{Location, choose_neighbours},
 };
@@ -228,3 +229,29 @@
     let bytes = |groups: usize| 40.0 * groups as f64 / near(groups).as_secs_f64();
     assert!(bytes(1_000) < 2_100.0, "{}", bytes(1_000));
 }
+
+/// A failover that was abandoned before it fenced anybody left its term to the next one, of which
+/// nobody was told.
+#[test]
+fn a_second_failover_of_the_same_term_is_told_at_once() {
+    let spacing = Spacing::new(false, GROUPS);
+    let failover = |number, begun| Announcement {
+        number: FailoverNumber::new(number),
+        replaced: Term::new(2),
+        begun: Time::from_millis(begun),
+    };
+    let known = |failover| GroupSummary {
+        term: Term::new(2),
+        failover: Some(failover),
+        ..GroupSummary::default()
+    };
+    let mut last = LastSent::default();
+    last.record(known(failover(7, 1_000)), Time::from_millis(1_000));
+    let same = known(failover(7, 1_004));
+    assert_eq!(last.update(&same, spacing, Time::from_millis(1_010)), Update::None);
+    let second = known(failover(8, 21_000));
+    assert_eq!(last.update(&second, spacing, Time::from_millis(21_000)), Update::Failure);
+    assert!(!last.has_failover(&second));
+    last.record(second, Time::from_millis(21_000));
+    assert!(last.has_failover(&second));
+}
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -140,8 +140,7 @@
             let answered = self.fleet.questions.answered.notified();
             let known = self.knowledge(&group.borrow(), data_centre);
             let found = commit.evidence(&known);
-            // While a failover runs, no answer shows anything.
-            if found.is_some() || known.newest_term > commit.position.term() {
+            if found.is_some() || commit.may_be_replaced(&known) {
                 return found;
             }
             if !std::mem::replace(&mut is_asked, true) {
@@ -154,8 +153,9 @@
     fn knowledge(&self, group: &Group, data_centre: &DataCentreId) -> Knowledge {
         let now = clock::now();
         Knowledge {
-            term: group.view.term,
-            newest_term: group.newest_term(now),
+            now,
+            term: group.newest_term(),
+            failover: group.failover(),
             contact: self.fleet.contact(group, data_centre),
             directory_age: now.since(self.fresh_at()),
         }
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -17,7 +17,10 @@
 use crate::{
     clock,
     engine::Engine,
-    fleet::{Fleet, Link},
+    fleet::{
+        Fleet, Link,
+        groups::{decode_failover, encode_failover},
+    },
     group::Group,
     seam::{Directory, ServerProtocol},
 };
@@ -201,8 +204,10 @@
         if now.since(self.started) < HEARSAY_SPAN {
             return;
         }
-        let term = self.group(&name).borrow().newest_term(now).get();
-        link.send(Body::ContactAnswer(ContactAnswer { number: ask.number, term }));
+        let group = self.group(&name);
+        let (term, failover) = (group.borrow().newest_term().get(), group.borrow().failover());
+        let failover = failover.map(|failover| encode_failover(failover, now));
+        link.send(Body::ContactAnswer(ContactAnswer { number: ask.number, term, failover }));
     }
 
     /// Records the answer of `vm` to a question about a group.
@@ -210,12 +215,12 @@
         let Some(question) = self.fleet.questions.take(answer.number) else { return };
         let Some(data_centre) = self.fleet.data_centre(vm) else { return };
         let group = self.group(&question.group);
-        let (now, term) = (clock::now(), Term::new(answer.term));
-        let is_news = term > group.borrow().newest_term(now);
-        match is_news {
-            true => drop(group.borrow_mut().record_failover(term, now)),
-            false => group.borrow_mut().record_contact(data_centre, question.asked),
+        let mut group = group.borrow_mut();
+        group.record_term(Term::new(answer.term));
+        if let Some(failover) = answer.failover {
+            group.record_failover(decode_failover(failover, clock::now()));
         }
+        group.record_contact(data_centre, question.asked);
         self.fleet.questions.answered.notify_waiters();
     }
 }
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -8,10 +8,11 @@
 
 use chicoryhollow_core::{
     GroupId, Lsn, Position, ServerId, Term, Time,
+    failover::{Announcement, FailoverNumber},
     gossip::{GroupSummary, Spacing, Update},
     naming::{NameNumber, Reference},
 };
-use chicoryhollow_peer::fleet::GroupState;
+use chicoryhollow_peer::fleet::{Failover, GroupState};
 
 use crate::{
     engine::Engine,
@@ -32,7 +33,7 @@
         let mut updates = Vec::new();
         for group in &groups {
             let group = group.borrow();
-            let (name, mut known) = group.summary(now);
+            let (name, mut known) = group.summary();
             if echo == 0 {
                 // No time can be given relative to a heartbeat yet.
                 known.asked = None;
@@ -43,15 +44,13 @@
                 continue;
             }
             let start = if last.has_start(&known) { Position::default() } else { known.start };
+            let failover = known.failover.filter(|_| !last.has_failover(&known));
             last.record(known, now);
             let reference = link.sent_names.borrow_mut().refer_to(&group.view.group);
             let mut state = group_state(&group, kind, known.asked.map(|_| received), now);
             state.start_term = start.term().get();
             state.start_lsn = start.lsn().get();
-            if let Some((term, begun)) = known.failover {
-                state.failover_term = term.get();
-                state.failover_ms = millis(now.since(begun));
-            }
+            state.failover = failover.map(|failover| encode_failover(failover, now));
             updates.push(with_name(state, reference, &group.view.group));
         }
         updates
@@ -84,11 +83,10 @@
             let start = Position::new(Term::new(state.start_term), Lsn::new(state.start_lsn));
             group.record_start(start);
             told.start = start;
-            if state.failover_term > 0 {
-                let begun = now - Duration::from_millis(state.failover_ms.into());
-                let running = Term::new(state.failover_term);
-                has_failover_news = group.record_failover(running, begun);
-                told.failover = Some((running, begun));
+            if let Some(failover) = state.failover {
+                let failover = decode_failover(failover, now);
+                has_failover_news = group.record_failover(failover);
+                told.failover = Some(failover);
             }
             told.acknowledged = acknowledged;
             if !state.primary.is_empty() {
@@ -147,6 +145,22 @@
     }
 }
 
+pub(super) fn encode_failover(failover: Announcement, now: Time) -> Failover {
+    Failover {
+        number: failover.number.get(),
+        replaced: failover.replaced.get(),
+        age_ms: millis(now.since(failover.begun)),
+    }
+}
+
+pub(super) fn decode_failover(failover: Failover, now: Time) -> Announcement {
+    Announcement {
+        number: FailoverNumber::new(failover.number),
+        replaced: Term::new(failover.replaced),
+        begun: now - Duration::from_millis(failover.age_ms.into()),
+    }
+}
+
 /// Adds the name of a group to its state, or the number that stands for the name.
 fn with_name(state: GroupState, reference: Reference, name: &GroupId) -> GroupState {
     match reference {
--- a/crates/engine/src/fleet/upkeep.rs
+++ b/crates/engine/src/fleet/upkeep.rs
@@ -84,8 +84,7 @@
     /// Returns what this VM knows of each group.
     fn summaries(&self) -> HashMap<GroupId, GroupSummary> {
         let groups = self.groups();
-        let now = clock::now();
-        groups.iter().map(|group| group.borrow().summary(now)).collect()
+        groups.iter().map(|group| group.borrow().summary()).collect()
     }
 
     /// Ends a silent link to `vm`, and checks the other links to its data centre, which may
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -8,7 +8,7 @@
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
     durability::missing_commits,
-    failover::{Member, MissingServers, ServerTimes},
+    failover::{Announcement, Member, MissingServers, ServerTimes},
     freshness::ObservedPositions,
     gossip::GroupSummary,
     isolation::PrimaryReachability,
@@ -19,10 +19,6 @@
 
 use crate::catalog::ServerEntry;
 
-/// Time for which a failover counts as running, unless its successor leads before. An order to
-/// promote may be carried out that late.
-const FAILOVER_SPAN: Duration = Duration::from_secs(13);
-
 /// Time after a server denied being the primary for which its directory entry alone
 /// does not make it the primary.
 const DENIAL_PERIOD: Duration = Duration::from_millis(1_000);
@@ -104,10 +100,12 @@
     cold_until: IndexMap<ServerId, Time>,
     /// Since when each server has been known to be registered.
     registered_since: IndexMap<ServerId, Time>,
-    /// Newest failover that is known to run, at this term, and when it was begun.
-    failover: Option<(Term, Time)>,
+    /// Newest failover that may run.
+    failover: Option<Announcement>,
+    /// Newest term in which another VM knows a primary to lead.
+    heard_term: Term,
     /// When the newest question about this group was sent that a VM of each data centre has
-    /// answered without knowing of a newer term or a failover.
+    /// answered.
     contacts: IndexMap<DataCentreId, Time>,
     pub(crate) missing_servers: MissingServers,
 }
@@ -135,6 +133,7 @@
             cold_until: IndexMap::new(),
             registered_since: IndexMap::new(),
             failover: None,
+            heard_term: Term::default(),
             contacts: IndexMap::new(),
             missing_servers: MissingServers::new().with_times(times),
         }
@@ -226,28 +225,31 @@
         }
     }
 
-    /// Records that a failover to `term` runs since `begun`; returns whether this is news.
-    pub(crate) fn record_failover(&mut self, term: Term, begun: Time) -> bool {
-        let is_news = self.failover.is_none_or(|(known, _)| term > known);
+    /// Records a failover that may run; returns whether it is news.
+    pub(crate) fn record_failover(&mut self, failover: Announcement) -> bool {
+        let is_news = failover.is_newer(self.failover.as_ref());
         if is_news {
-            self.failover = Some((term, begun));
+            self.failover = Some(failover);
         }
         is_news
     }
 
-    /// Returns the term of the failover that is known to run, and when it was begun.
-    pub(crate) fn failover(&self, now: Time) -> Option<(Term, Time)> {
+    /// Returns the newest failover that may run.
+    pub(crate) fn failover(&self) -> Option<Announcement> {
         self.failover
-            .filter(|(term, begun)| *term > self.view.term && now.since(*begun) < FAILOVER_SPAN)
     }
 
-    /// Returns the newest term that any failover has begun or completed.
-    pub(crate) fn newest_term(&self, now: Time) -> Term {
-        self.failover(now).map_or(self.view.term, |(term, _)| term)
+    /// Records a term in which another VM knows a primary to lead.
+    pub(crate) fn record_term(&mut self, term: Term) {
+        self.heard_term = self.heard_term.max(term);
+    }
+
+    /// Returns the newest term in which a primary is known to lead.
+    pub(crate) fn newest_term(&self) -> Term {
+        self.view.term.max(self.heard_term)
     }
 
-    /// Records that a VM of `data_centre` has answered a question that was sent at `asked`,
-    /// and knows of no newer term or failover.
+    /// Records that a VM of `data_centre` has answered a question that was sent at `asked`.
     pub(crate) fn record_contact(&mut self, data_centre: DataCentreId, asked: Time) {
         let newest = self.contacts.entry(data_centre).or_insert(asked);
         *newest = asked.max(*newest);
@@ -360,7 +362,7 @@
     }
 
     /// Returns what neighbours need to know about the group, by its name.
-    pub(crate) fn summary(&self, now: Time) -> (GroupId, GroupSummary) {
+    pub(crate) fn summary(&self) -> (GroupId, GroupSummary) {
         // Without a known primary, a term means nothing to others.
         let known = self.view.primary.is_some();
         let knowledge = GroupSummary {
@@ -369,7 +371,7 @@
             acknowledged: self.acknowledged,
             asked: self.observed.latest().map(|latest| latest.asked),
             start: self.start,
-            failover: self.failover(now),
+            failover: self.failover,
         };
         (self.view.group.clone(), knowledge)
     }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -14,7 +14,7 @@
 
 use chicoryhollow_core::{
     GroupId, Position, Term, Time,
-    failover::{Cause, Failover, Progress},
+    failover::{Announcement, Cause, Failover, FailoverNumber, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT},
 };
 use slog::o;
@@ -127,9 +127,11 @@
     let awaits_server = group.borrow().awaits_server(now);
     let suspicion = assess(engine, &group.borrow(), watched, now).filter(|_| !awaits_server);
     if let Some(suspicion) = suspicion {
+        let Some(token) = coordinator.order_token() else { return };
         let running = begin(engine, &group.borrow(), suspicion, watched.highest_term, now);
-        let term = running.failover.borrow().term();
-        group.borrow_mut().record_failover(term, now);
+        let replaced = group.borrow().newest_term();
+        let number = FailoverNumber::new(token.get());
+        group.borrow_mut().record_failover(Announcement { number, replaced, begun: now });
         engine.fleet.announce_primary();
         watched.running = Some(running);
     }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -109,12 +109,23 @@
     /// Log position at which that primary began.
     #[prost(uint64, tag = "12")]
     pub start_lsn: u64,
-    /// Term of a failover that runs, or 0 for none.
-    #[prost(uint64, tag = "13")]
-    pub failover_term: u64,
-    /// Milliseconds since that failover was begun.
-    #[prost(uint32, tag = "14")]
-    pub failover_ms: u32,
+    /// Newest failover that may run.
+    #[prost(message, optional, tag = "13")]
+    pub failover: Option<Failover>,
+}
+
+/// A failover that a coordinator has begun.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Failover {
+    /// Number of the failover.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Term of the primary that it replaces.
+    #[prost(uint64, tag = "2")]
+    pub replaced: u64,
+    /// Milliseconds since it was begun.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// Asks whether the receiver knows of a failover of a group.
@@ -134,9 +145,12 @@
     /// Number of the question.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// Newest term that the sender knows a failover to have begun or completed.
+    /// Newest term in which the sender knows a primary to lead.
     #[prost(uint64, tag = "2")]
     pub term: u64,
+    /// Newest failover that may run.
+    #[prost(message, optional, tag = "3")]
+    pub failover: Option<Failover>,
 }
 
 /// Asks for tokens of an account's rate.
