Leave the members fenced when a failover is given up after its order

Found by a review, by reading: an order to promote that got no answer may be carried out later. After 12 s the failover was given up and its fences lifted, so that the old primary could acknowledge again while the order was still open; the promoted server then lacked those commits.

The fences now stay if an order was given. Nothing more is acknowledged until the next failover, which begins a second later if the primary confirms nothing, and whose token has the platform refuse the open order. A failover that ends without an order lifts its fences as before. a_failover_that_is_given_up_after_its_order_leaves_the_members_fenced fails without it (two releases).

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -140,7 +140,7 @@
     /// When the promotion of the target was last requested.
     promotion_sent: Option<Time>,
     /// End of the target's log when its promotion was first requested.
-    target_received: Position,
+    target_received: Option<Position>,
 }
 
 impl Failover {
@@ -172,7 +172,7 @@
             fencing_since: None,
             target: None,
             promotion_sent: None,
-            target_received: Position::default(),
+            target_received: None,
         }
     }
 
@@ -213,7 +213,7 @@
 
     /// Returns the end of the log of the server whose promotion was requested, at that time.
     pub fn target_received(&self) -> Position {
-        self.target_received
+        self.target_received.unwrap_or_default()
     }
 
     /// Records a position with an acknowledged commit. Positions older than the newest have
@@ -350,7 +350,7 @@
             actions.push(Action::ListServers);
         }
         if let Some(server) = self.promotable(now) {
-            self.target_received = self.received(&server).unwrap_or_default();
+            self.target_received = self.received(&server);
             self.target = Some(server.clone());
             self.promotion_sent = Some(now);
             actions.push(Action::Promote(server));
@@ -358,11 +358,13 @@
         actions
     }
 
-    /// Returns the actions that lift all fences after the failover was abandoned.
+    /// Returns the actions that lift all fences after the failover was abandoned. If a promotion
+    /// was requested, it may still be carried out, and the fences stay: nothing more can be
+    /// acknowledged until the next failover, whose request replaces this one.
     pub fn release_actions(&self) -> Vec<Action> {
-        match self.fencing_since {
-            Some(_) => self.replicas.keys().cloned().map(Action::Release).collect(),
-            None => Vec::new(),
+        match (self.fencing_since, self.target_received) {
+            (Some(_), None) => self.replicas.keys().cloned().map(Action::Release).collect(),
+            _ => Vec::new(),
         }
     }
 
@@ -370,7 +372,7 @@
     /// log for which it was chosen.
     fn has_lost_target(&self) -> bool {
         let status = self.promotion_target().and_then(|target| self.replicas.get(target)?.status);
-        status.is_some_and(|status| !status.primary && status.received < self.target_received)
+        status.is_some_and(|status| !status.primary && Some(status.received) < self.target_received)
     }
 
     /// Gives up the requested promotion. The next request has a higher token, so that the
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -174,6 +174,19 @@
     assert_eq!(failover.release_actions().len(), 2, "both receive again");
 }
 
+/// Its order was carried out after the members had received and confirmed more.
+#[test]
+fn a_failover_that_is_given_up_after_its_order_leaves_the_members_fenced() {
+    let mut failover = start_failover([member("a", true), member("b", true)], Position::default());
+    failover.record_list(ANNOUNCED);
+    failover.record_status(&server("a"), replica_status(at(1, 9), 2), ANNOUNCED);
+    failover.record_status(&server("b"), replica_status(at(1, 8), 2), ANNOUNCED);
+    assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), Some(&server("a")));
+    let late = Time::from_millis(12_100);
+    assert!(matches!(failover.progress(late), Progress::Abandoned(_)));
+    assert_eq!(failover.release_actions(), []);
+}
+
 #[test]
 fn no_server_is_promoted_without_the_known_acknowledged_commits() {
     let mut failover = start_failover([member("a", true)], at(1, 10));
