End the process when a task that it cannot do without panics

The tasks of a daemon that last are now watched. If one panics, event 604 names it and the process ends, to be started again; another VM takes the role over. Not provoked by a test: no known input makes such a task panic.

--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -40,6 +40,12 @@
     watch,
 };
 
+/// Time for the last lines of the log to be written before the process ends by itself.
+const LOG_SPAN: Duration = Duration::from_millis(50);
+
+/// Status of a process that ends because a task has panicked.
+const FAILED_TASK_STATUS: i32 = 70;
+
 /// Interval of the maintenance tasks, which depend on time alone.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -151,22 +157,39 @@
 ) -> JoinHandle<()> {
     let (sender, mut changes) = mpsc::unbounded_channel();
     let reading = engine.relay.borrow().reading();
-    actix::spawn(engine.directory.follow(sender, reading));
+    spawn_lasting(engine, "directory", engine.directory.follow(sender, reading));
     let follower = Rc::clone(engine);
-    actix::spawn(async move {
+    spawn_lasting(engine, "changes", async move {
         while let Some(change) = changes.recv().await {
             follower.apply(change);
         }
     });
-    actix::spawn(fleet::run(Rc::clone(engine), peers));
+    spawn_lasting(engine, "fleet", fleet::run(Rc::clone(engine), peers));
     let coordinator =
         Rc::new(Coordinator::new(engine.settings.vm.clone(), engine.settings.incarnation));
-    actix::spawn(Rc::clone(&coordinator).run(Rc::clone(engine)));
-    actix::spawn(watch::run(Rc::clone(engine), coordinator));
-    actix::spawn(run_maintenance(Rc::clone(engine), health));
+    spawn_lasting(engine, "coordinator", Rc::clone(&coordinator).run(Rc::clone(engine)));
+    spawn_lasting(engine, "watch", watch::run(Rc::clone(engine), coordinator));
+    spawn_lasting(engine, "maintenance", run_maintenance(Rc::clone(engine), health));
     actix::spawn(accept(Rc::clone(engine), protocol, callers))
 }
 
+/// Runs a task that the daemon cannot do without. If it panics, the process ends, since it would
+/// go on only in part: as a coordinator that renews its role and replaces no primary.
+fn spawn_lasting<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    name: &'static str,
+    task: impl Future<Output = ()> + 'static,
+) {
+    let (engine, task) = (Rc::clone(engine), actix::spawn(task));
+    actix::spawn(async move {
+        if task.await.is_err_and(|error| error.is_panic()) {
+            engine.event_log.record(Event::TaskFailed, o!("task" => name));
+            sleep(LOG_SPAN).await;
+            std::process::exit(FAILED_TASK_STATUS);
+        }
+    });
+}
+
 /// Accepts callers until the daemon ends, and then those whose connections wait to be
 /// accepted, which would be reset otherwise.
 async fn accept<C: CallerProtocol, S: ServerProtocol, D: Directory>(
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -30,6 +30,8 @@
     Draining,
     /// The daemon stops.
     Stopped,
+    /// A task that the daemon cannot do without has panicked; the process ends.
+    TaskFailed,
     /// The settings were read again after SIGHUP.
     Reloaded,
     /// The directory stopped answering.
@@ -98,11 +100,12 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 35] = [
+    pub const ALL: [Event; 36] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
         Event::Reloaded,
+        Event::TaskFailed,
         Event::DirectoryLost,
         Event::DirectoryRegained,
         Event::CatalogActivated,
@@ -143,6 +146,7 @@
             Event::Draining => (601, Level::Info, "engine draining"),
             Event::Stopped => (602, Level::Info, "engine stopped"),
             Event::Reloaded => (603, Level::Info, "settings read again"),
+            Event::TaskFailed => (604, Level::Warning, "task failed"),
             Event::DirectoryLost => (610, Level::Warning, "directory unreachable"),
             Event::DirectoryRegained => (611, Level::Info, "directory reachable again"),
             Event::CatalogActivated => (612, Level::Info, "configuration activated"),
