Ask for more before a success rests on contact

- A server that starts behind a cut registers up to a heartbeat after the cut has ended (1.25 s in the trace of the incident).
- While the directory is away, a new server cannot register.
The VM that answers the question now counts the commit as acknowledged first, so that a failover that hears of it promotes nobody without it.
- A VM without the list of VMs took itself for the only data centre, and one data centre alone did not look at the age of the directory.
Both count as no contact.
- A primary without an entry was taken to run near.
Its commits are not passed on.
- Each waiting commit asked each replica.
One poll now serves all commits of a group.

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -13,6 +13,9 @@
 //! * A replica that has been registered for so long that every failover knows it has received
 //!   the commit.
 //!
+//! The VM that answers the question counts the commit as acknowledged from then on, so that a
+//! failover that hears of it waits for a server that has it.
+//!
 //! What is neither is told as unknown. VMs tell each other of a failover before it may order
 //! a promotion, so that a VM with contact knows of it in time.
 
@@ -48,7 +51,7 @@
 pub enum Contact {
     /// All VMs are in one data centre.
     Single,
-    /// No question was answered yet.
+    /// There is none, or it has not lasted long enough.
     None,
     /// A question that was sent at this time was answered.
     Since(Time),
@@ -136,11 +139,10 @@
         let has_contact = match knowledge.contact {
             Contact::Single => true,
             Contact::None => false,
-            Contact::Since(asked) => {
-                asked >= self.answered && knowledge.directory_age < MAX_DIRECTORY_AGE
-            }
+            Contact::Since(asked) => asked >= self.answered,
         };
-        has_contact.then_some(Evidence::Contact)
+        let may_register = knowledge.directory_age < MAX_DIRECTORY_AGE;
+        (has_contact && may_register).then_some(Evidence::Contact)
     }
 
     /// Returns whether a failover may run that replaces the primary. While it does, no contact
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -13,7 +13,7 @@
     durability::{Commit, Evidence, Knowledge, RegisteredReplica},
     isolation::needs_replica_answer,
 };
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use slog::o;
 use tokio::time::{sleep, timeout};
 
@@ -84,7 +84,7 @@
     /// if another server has become primary.
     pub(crate) async fn is_commit_durable(
         self: &Rc<Self>,
-        group: &RefCell<Group>,
+        group: &Rc<RefCell<Group>>,
         server: &ServerId,
         position: Position,
         limit: Duration,
@@ -100,7 +100,7 @@
 
     async fn find_evidence(
         self: &Rc<Self>,
-        group: &RefCell<Group>,
+        group: &Rc<RefCell<Group>>,
         server: &ServerId,
         commit: &Commit,
         limit: Duration,
@@ -108,7 +108,7 @@
         let deadline = commit.answered + limit.max(MIN_EVIDENCE_WAIT);
         // Without an entry, nothing says where the primary runs.
         let entry = group.borrow().servers.get(server).map(|entry| entry.data_centre.clone());
-        let data_centre = entry.unwrap_or_else(|| self.settings.data_centre.clone());
+        let Some(data_centre) = entry else { return Evidence::Missing };
         if let Some(found) = self.await_contact(group, commit, &data_centre, 1).await {
             return found;
         }
@@ -144,7 +144,7 @@
                 return found;
             }
             if !std::mem::replace(&mut is_asked, true) {
-                self.ask_contact(&name, data_centre, count);
+                self.ask_contact(&name, commit.position, data_centre, count);
             }
             timeout(limit.since(clock::now()), answered).await.ok()?;
         }
@@ -165,34 +165,60 @@
     /// some time if none does.
     async fn has_copy(
         self: &Rc<Self>,
-        group: &RefCell<Group>,
+        group: &Rc<RefCell<Group>>,
         server: &ServerId,
         data_centre: &DataCentreId,
         commit: &Commit,
     ) -> bool {
+        let is_polled = group.borrow_mut().replica_poll.try_start();
+        if is_polled {
+            let (engine, group) = (Rc::clone(self), Rc::clone(group));
+            let (server, data_centre) = (server.clone(), data_centre.clone());
+            // The poll serves all commits that wait, also after this one has ended.
+            actix::spawn(async move {
+                engine.poll_replicas(&group, &server, &data_centre).await;
+                sleep(REPLICA_INTERVAL).await;
+                group.borrow_mut().replica_poll.end();
+            });
+        }
+        let end = clock::now() + ANSWER_TIMEOUT;
+        loop {
+            let polled = self.fleet.questions.answered.notified();
+            let is_held = |replica: &RegisteredReplica| commit.is_held_by(replica);
+            if group.borrow().replicas.values().any(is_held) {
+                return true;
+            }
+            if timeout(end.since(clock::now()).min(REPLICA_INTERVAL), polled).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// Asks all registered replicas for their status.
+    async fn poll_replicas(
+        self: &Rc<Self>,
+        group: &RefCell<Group>,
+        server: &ServerId,
+        data_centre: &DataCentreId,
+    ) {
         let replicas = group.borrow().registered_replicas(server);
         let ask = |(entry, since): (ServerEntry, Time)| async move {
-            let status = send_command(self, &entry.server, Command::Status).await?;
+            let command = send_command(self, &entry.server, Command::Status);
+            let status = timeout(ANSWER_TIMEOUT, command).await.ok().flatten();
             let now = clock::now();
             let is_near = entry.data_centre == *data_centre;
             let isolation = is_near.then(|| self.fleet.far_silence(now).unwrap_or_default());
             let (registered, leaving) = (now.since(since), entry.leaving);
-            Some(RegisteredReplica { registered, leaving, isolation, status: status.into() })
+            let report = status.map(|status| RegisteredReplica {
+                registered,
+                leaving,
+                isolation,
+                status: status.into(),
+            });
+            group.borrow_mut().record_replica(entry.server, report);
+            self.fleet.questions.answered.notify_waiters();
         };
-        let mut answers: FuturesUnordered<_> = replicas.into_iter().map(ask).collect();
-        let first = async {
-            while let Some(answer) = answers.next().await {
-                if answer.is_some_and(|replica| commit.is_held_by(&replica)) {
-                    return true;
-                }
-            }
-            false
-        };
-        let is_held = timeout(ANSWER_TIMEOUT, first).await.unwrap_or(false);
-        if !is_held {
-            sleep(REPLICA_INTERVAL).await;
-        }
-        is_held
+        join_all(replicas.into_iter().map(ask)).await;
     }
 
     fn log_unproven(&self, group: &Group, commit: &Commit, evidence: Evidence) {
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use chicoryhollow_core::{DataCentreId, GroupId, Term, Time, VmId, durability::Contact};
+use chicoryhollow_core::{
+    DataCentreId, GroupId, Lsn, Position, Term, Time, VmId, durability::Contact,
+};
 use chicoryhollow_peer::{
     Body,
     fleet::{ContactAnswer, ContactAsk},
@@ -58,8 +60,8 @@
 }
 
 impl Questions {
-    /// Returns the next question about `group`, which is sent now.
-    fn next(&self, group: &GroupId, now: Time) -> ContactAsk {
+    /// Returns the next question about a commit of `group`, which is sent now.
+    fn next(&self, group: &GroupId, commit: Position, now: Time) -> ContactAsk {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         let mut open = self.open.borrow_mut();
@@ -67,7 +69,8 @@
         if open.len() > MAX_OPEN_QUESTIONS {
             open.pop_front();
         }
-        ContactAsk { number, group: group.to_string() }
+        let (term, lsn) = (commit.term().get(), commit.lsn().get());
+        ContactAsk { number, group: group.to_string(), term, lsn }
     }
 
     /// Returns the question that has this number, which is answered now.
@@ -163,7 +166,11 @@
         let (members, me) = (self.members.borrow(), self.me.borrow());
         let Some(me) = me.as_ref() else { return Contact::None };
         if members.values().all(|member| member.data_centre == me.data_centre) {
-            return Contact::Single;
+            return if self.has_member_list() { Contact::Single } else { Contact::None };
+        }
+        // Servers that were cut off may not have registered yet when the cut has just ended.
+        if !self.is_in_contact(data_centre, clock::now()) {
+            return Contact::None;
         }
         let asked = group.contact(|other| shows_contact(&me.data_centre, data_centre, other));
         asked.map_or(Contact::None, Contact::Since)
@@ -187,17 +194,24 @@
 }
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
-    /// Asks up to `count` VMs for an answer about `group` that shows contact between
+    /// Asks up to `count` VMs for an answer about a commit of `group` that shows contact between
     /// `data_centre` and another one.
-    pub(crate) fn ask_contact(&self, group: &GroupId, data_centre: &DataCentreId, count: usize) {
+    pub(crate) fn ask_contact(
+        &self,
+        group: &GroupId,
+        commit: Position,
+        data_centre: &DataCentreId,
+        count: usize,
+    ) {
         for link in self.fleet.contact_links(data_centre).iter().take(count) {
-            let question = self.fleet.questions.next(group, clock::now());
+            let question = self.fleet.questions.next(group, commit, clock::now());
             link.send(Body::ContactAsk(question));
         }
     }
 
-    /// Answers a question about a group, unless this daemon has just started and may not have
-    /// heard of a failover yet.
+    /// Answers a question about a commit, unless this daemon has just started and may not have
+    /// heard of a failover yet. The commit counts as acknowledged from then on, so that no
+    /// failover that hears of it promotes a server without it.
     pub(super) fn answer_contact(&self, link: &Link, ask: &ContactAsk) {
         let now = clock::now();
         let Ok(name) = GroupId::new(&ask.group) else { return };
@@ -205,6 +219,8 @@
             return;
         }
         let group = self.group(&name);
+        let commit = Position::new(Term::new(ask.term), Lsn::new(ask.lsn));
+        group.borrow_mut().record_acknowledged(commit);
         let (term, failover) = (group.borrow().newest_term().get(), group.borrow().failover());
         let failover = failover.map(|failover| encode_failover(failover, now));
         link.send(Body::ContactAnswer(ContactAnswer { number: ask.number, term, failover }));
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -7,7 +7,7 @@
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
-    durability::missing_commits,
+    durability::{RegisteredReplica, missing_commits},
     failover::{Announcement, Member, MissingServers, ServerTimes},
     freshness::ObservedPositions,
     gossip::GroupSummary,
@@ -98,6 +98,10 @@
     pub(crate) replica_answered: Option<Time>,
     /// Until when each started server is too slow for reads.
     cold_until: IndexMap<ServerId, Time>,
+    /// What the replicas reported to the last poll for the copies of commits.
+    pub(crate) replicas: IndexMap<ServerId, RegisteredReplica>,
+    /// Whether the replicas are being polled for that.
+    pub(crate) replica_poll: SingleFlight,
     /// Since when each server has been known to be registered.
     registered_since: IndexMap<ServerId, Time>,
     /// Newest failover that may run.
@@ -131,6 +135,8 @@
             reported_term: Term::default(),
             replica_answered: None,
             cold_until: IndexMap::new(),
+            replicas: IndexMap::new(),
+            replica_poll: SingleFlight::default(),
             registered_since: IndexMap::new(),
             failover: None,
             heard_term: Term::default(),
@@ -173,6 +179,10 @@
         };
         let since = servers.values().map(|entry| (entry.server.clone(), since(entry))).collect();
         self.registered_since = since;
+        // What a server reported before it left or started again counts no more.
+        let known =
+            |server: &ServerId| self.registered_since.get(server).is_some_and(|at| *at < now);
+        self.replicas.retain(|server, _| known(server));
     }
 
     /// Replaces the set of evacuated data centres.
@@ -425,6 +435,14 @@
         self.servers.values().filter(|entry| entry.server != *primary).cloned().collect()
     }
 
+    /// Records what a replica reported, or that it did not answer.
+    pub(crate) fn record_replica(&mut self, server: ServerId, report: Option<RegisteredReplica>) {
+        match report {
+            Some(report) => drop(self.replicas.insert(server, report)),
+            None => drop(self.replicas.shift_remove(&server)),
+        }
+    }
+
     /// Returns the registered servers other than `primary`, and since when they are registered.
     pub(crate) fn registered_replicas(&self, primary: &ServerId) -> Vec<(ServerEntry, Time)> {
         let since = |entry: &ServerEntry| self.registered_since.get(&entry.server).copied();
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -137,6 +137,12 @@
     /// Name of the group.
     #[prost(string, tag = "2")]
     pub group: String,
+    /// Term of a commit that the receiver counts as acknowledged before it answers.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// Log position of that commit.
+    #[prost(uint64, tag = "4")]
+    pub lsn: u64,
 }
 
 /// Answers a [`ContactAsk`].
