Refuse callers above the limit instead of dropping their connections

What callers saw: a reset, without a word, when a daemon had as many callers as its descriptors allow; the system had taken their requests.

Cause: such a connection was dropped right after it was accepted.

Why this works: at most 64 callers at a time are told CONNLIMIT (not run), with descriptors that are reserved; any others are dropped as before.

--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -15,14 +15,14 @@
     time::Duration,
 };
 
-use chicoryhollow_core::drain::Drain;
+use chicoryhollow_core::{Refusal, drain::Drain};
 use futures_util::FutureExt;
 use prometheus::IntGauge;
 use slog::{Logger, o};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     signal::unix::{SignalKind, signal},
-    sync::mpsc,
+    sync::{Semaphore, mpsc},
     task::{JoinHandle, yield_now},
     time::{Instant, interval, sleep, sleep_until, timeout},
 };
@@ -34,7 +34,7 @@
     fleet,
     log::{Event, EventLog},
     metrics::Metrics,
-    seam::{CallerProtocol, Directory, ServerProtocol},
+    seam::{CallerProtocol, Directory, LinkError, ServerProtocol},
     session,
     settings::Settings,
     watch,
@@ -49,6 +49,10 @@
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
+/// Maximum number of callers above the limit that are told so at the same time. They use
+/// reserved descriptors.
+const MAX_REJECTED_CALLERS: usize = 64;
+
 /// Time in which callers are told that their requests were given up.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 
@@ -175,13 +179,14 @@
     listener: TcpListener,
 ) {
     let mut phases = engine.phases();
+    let rejections = Arc::new(Semaphore::new(MAX_REJECTED_CALLERS));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = phases.wait_for(|phase| *phase == Phase::Ending) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(&engine, &protocol, stream),
+            Ok((stream, _)) => serve(&engine, &protocol, &rejections, stream),
             // The process may have run out of file descriptors, some of which
             // become free when callers disconnect.
             Err(_) => sleep(MAINTENANCE_INTERVAL).await,
@@ -191,41 +196,57 @@
     yield_now().await;
     for _ in 0..LISTEN_BACKLOG {
         match listener.accept().now_or_never() {
-            Some(Ok((stream, _))) => serve(&engine, &protocol, stream),
+            Some(Ok((stream, _))) => serve(&engine, &protocol, &rejections, stream),
             _ => break,
         }
     }
 }
 
-/// Starts the session of a caller.
+/// Starts the session of a caller, or refuses the caller if there are too many.
 fn serve<C: CallerProtocol, S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     protocol: &C,
+    rejections: &Arc<Semaphore>,
     stream: TcpStream,
 ) {
-    let connected = engine.metrics.callers.get();
-    if usize::try_from(connected).is_ok_and(|count| count >= engine.settings.max_callers) {
-        engine.event_log.record(Event::SessionClosed, o!("reason" => "too_many_callers"));
+    if stream.set_nodelay(true).is_err() {
         return;
     }
-    if stream.set_nodelay(true).is_err() {
+    let engine = Rc::clone(engine);
+    let connected = usize::try_from(engine.metrics.callers.get());
+    if connected.is_ok_and(|count| count >= engine.settings.max_callers) {
+        engine.event_log.record(Event::SessionClosed, o!("reason" => "too_many_callers"));
+        let Ok(permit) = Arc::clone(rejections).try_acquire_owned() else { return };
+        let caller = protocol.open(stream);
+        actix::spawn(async move {
+            let sent = session::reject(&engine, caller, Refusal::TooManyConnections).await;
+            drop(permit);
+            record_end(&engine, sent);
+        });
         return;
     }
     let caller = protocol.open(stream);
-    let engine = Rc::clone(engine);
     let connected = Connected::new(&engine.metrics.callers);
     actix::spawn(async move {
         let served = session::serve(Rc::clone(&engine), caller).await;
         drop(connected);
-        if let Err(error) = served {
-            let reason = error.to_string();
-            engine
-                .event_log
-                .record(Event::SessionClosed, o!("reason" => "connection", "error" => reason));
-        }
+        record_end(&engine, served);
     });
 }
 
+/// Logs how the connection of a caller failed, if it did.
+fn record_end<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    result: Result<(), LinkError>,
+) {
+    if let Err(error) = result {
+        let reason = error.to_string();
+        engine
+            .event_log
+            .record(Event::SessionClosed, o!("reason" => "connection", "error" => reason));
+    }
+}
+
 /// Counts a connected caller until dropped, even if the task of its session panics.
 struct Connected(IntGauge);
 
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -97,6 +97,22 @@
     served
 }
 
+/// Refuses a caller before anything is read from it.
+///
+/// # Errors
+///
+/// Fails when the caller's connection fails.
+pub(crate) async fn reject<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    mut caller: impl Caller,
+    refusal: Refusal,
+) -> Result<(), LinkError> {
+    engine.metrics.refusals.with_label_values(&[refusal.row().label]).inc();
+    let sent = caller.reject(&Reply::Refused(refusal)).await;
+    caller.close().await;
+    sent
+}
+
 async fn serve_session<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     caller: &mut impl Caller,
