--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -162,7 +162,7 @@
             Event::SessionClosed => (633, Level::Info, "session closed by proxy"),
             Event::Served => (634, Level::Info, "statement served"),
             Event::LinesDropped => (635, Level::Warning, "log lines dropped"),
-            Event::Unanswered => (636, Level::Warning, "request ended without an answer"),
+            Event::Unanswered => (638, Level::Warning, "request ended without an answer"),
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
@@ -170,7 +170,7 @@
     }
 
     fn is_about_request(self) -> bool {
-        matches!(self.row().0, 630..=634 | 636)
+        matches!(self.row().0, 630..=634 | 638)
     }
 }
 
