Add a model of failover that runs the real decisions (trial)

The model has servers with asynchronous replication, a directory, two VMs in two data centres and callers.

--- /dev/null
+++ b/crates/core/tests/failover_model/event.rs
@@ -0,0 +1,163 @@
+//! What happens to a world from outside, and how often it may.
+
+use std::fmt;
+
+use super::{SERVERS, VMS, name, network::Direction, server::Life, ticks, world::World};
+
+/// Time for which a server receives nothing after [`Event::Lag`].
+pub(crate) const LAG: u32 = ticks(500);
+
+/// How long a late call takes to be carried out.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Fate {
+    /// It is never carried out.
+    Lost,
+    /// It is carried out after so many ticks, and the answer is lost.
+    Late(u32),
+}
+
+/// A kind of call of a coordinator.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Call {
+    Fence,
+    Release,
+    Demote,
+    Promote,
+}
+
+/// An event from outside.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Event {
+    /// Data centre 0 is cut off.
+    Cut(Direction),
+    /// A VM no longer reaches a server, nor the server it.
+    Sever(usize, usize),
+    Heal,
+    Start(usize, usize),
+    Crash(usize),
+    /// A crashed server starts, with its log or without.
+    Restart(usize, bool),
+    Drain(usize),
+    Lag(usize),
+    StoreDown,
+    StoreUp,
+    /// The next call of this kind has this fate.
+    Disturb(Call, Fate),
+    RestartDaemon(usize),
+}
+
+/// Number of kinds of events.
+pub(crate) const KINDS: usize = 11;
+
+impl Event {
+    /// Returns the number of the event's kind.
+    pub(crate) fn kind(self) -> usize {
+        match self {
+            Event::Cut(_) => 0,
+            Event::Sever(..) => 1,
+            Event::Heal => 2,
+            Event::Start(..) => 3,
+            Event::Crash(_) => 4,
+            Event::Restart(..) => 5,
+            Event::Drain(_) => 6,
+            Event::Lag(_) => 7,
+            Event::StoreDown | Event::StoreUp => 8,
+            Event::Disturb(..) => 9,
+            Event::RestartDaemon(_) => 10,
+        }
+    }
+
+    /// Returns whether the event can happen in a world.
+    pub(crate) fn is_possible(self, world: &World) -> bool {
+        let network = &world.network;
+        let server = |server: usize| &world.servers[server];
+        match self {
+            Event::Cut(_) => network.cut.is_none(),
+            Event::Sever(..) => network.severed.is_none(),
+            Event::Heal => network.cut.is_some() || network.severed.is_some(),
+            Event::Start(new, _) => {
+                server(new).life == Life::Absent && server(new - 1).life != Life::Absent
+            }
+            Event::Crash(i) => server(i).runs(),
+            Event::Restart(i, _) => server(i).life == Life::Crashed,
+            Event::Drain(i) => server(i).runs() && server(i).leaving.is_none(),
+            Event::Lag(i) => server(i).runs() && !server(i).leads,
+            Event::StoreDown => world.directory.is_up,
+            Event::StoreUp => !world.directory.is_up,
+            Event::Disturb(..) => world.disturbed.is_none(),
+            Event::RestartDaemon(_) => true,
+        }
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            Event::Cut(direction) => write!(f, "data centre 0 is cut off ({direction:?})"),
+            Event::Sever(vm, server) => write!(f, "VM {vm} no longer reaches {}", name(server)),
+            Event::Heal => write!(f, "all cuts heal"),
+            Event::Start(server, centre) => {
+                write!(f, "{} starts in data centre {centre}", name(server))
+            }
+            Event::Crash(server) => write!(f, "{} crashes", name(server)),
+            Event::Restart(server, true) => write!(f, "{} starts again", name(server)),
+            Event::Restart(server, false) => {
+                write!(f, "{} starts again with an empty log", name(server))
+            }
+            Event::Drain(server) => write!(f, "{} begins to leave", name(server)),
+            Event::Lag(server) => write!(f, "{} receives late", name(server)),
+            Event::StoreDown => write!(f, "the directory goes down"),
+            Event::StoreUp => write!(f, "the directory is back"),
+            Event::Disturb(call, fate) => write!(f, "the next {call:?} call is {fate:?}"),
+            Event::RestartDaemon(vm) => write!(f, "the daemon of VM {vm} restarts"),
+        }
+    }
+}
+
+/// The events that a search may choose, and how many of each kind.
+#[derive(Clone, Debug)]
+pub(crate) struct Scope {
+    events: Vec<Event>,
+    limits: [u8; KINDS],
+}
+
+impl Scope {
+    pub(crate) fn new(events: impl IntoIterator<Item = Event>) -> Self {
+        Scope { events: events.into_iter().collect(), limits: [1; KINDS] }
+    }
+
+    /// Every event, and up to `limit` of each kind.
+    pub(crate) fn all(limit: u8) -> Self {
+        let mut events = vec![Event::Heal, Event::StoreDown, Event::StoreUp];
+        events.extend([Direction::Both, Direction::Outward, Direction::Inward].map(Event::Cut));
+        for vm in 0..VMS {
+            events.push(Event::RestartDaemon(vm));
+            events.extend((0..SERVERS).map(|server| Event::Sever(vm, server)));
+        }
+        for server in 0..SERVERS {
+            events.extend([Event::Crash(server), Event::Drain(server), Event::Lag(server)]);
+            events.extend([true, false].map(|keeps| Event::Restart(server, keeps)));
+        }
+        for server in super::FIRST_SERVERS..SERVERS {
+            events.extend([0, 1].map(|centre| Event::Start(server, centre)));
+        }
+        for call in [Call::Fence, Call::Release, Call::Demote, Call::Promote] {
+            let late = [1_000, 4_000, 13_000].map(|ms| Fate::Late(ticks(ms)));
+            events.extend(late.map(|fate| Event::Disturb(call, fate)));
+            events.push(Event::Disturb(call, Fate::Lost));
+        }
+        Scope { events, limits: [limit; KINDS] }
+    }
+
+    /// Sets how many events of the kind of `event` may happen.
+    pub(crate) fn with_limit(mut self, event: Event, limit: u8) -> Self {
+        self.limits[event.kind()] = limit;
+        self
+    }
+
+    /// Returns the events that can happen.
+    pub(crate) fn possible<'a>(&'a self, world: &'a World) -> impl Iterator<Item = Event> + 'a {
+        let is_left = |event: &Event| world.happened[event.kind()] < self.limits[event.kind()];
+        self.events.iter().copied().filter(move |e| is_left(e) && e.is_possible(world))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failover_model/vm.rs
@@ -0,0 +1,87 @@
+//! A VM with its daemon and callers.
+
+use chicoryhollow_core::{
+    Position, VmId,
+    coordinator::{CoordinatorLease, Step},
+};
+
+use super::{group_view::GroupView, time, watch::Watch, world::World};
+
+/// A write that was sent to the primary.
+#[derive(Clone, Debug)]
+pub(crate) struct Write {
+    pub(crate) commit: u8,
+    pub(crate) server: usize,
+    pub(crate) position: Position,
+    pub(crate) sent: u32,
+    /// When the primary acknowledged it.
+    pub(crate) answered: Option<u32>,
+}
+
+/// A VM.
+#[derive(Clone, Debug)]
+pub(crate) struct Vm {
+    pub(crate) lease: CoordinatorLease,
+    pub(crate) view: GroupView,
+    pub(crate) watch: Watch,
+    /// When the other VM was last heard.
+    pub(crate) heard: u32,
+    pub(crate) writes: Vec<Write>,
+}
+
+/// Returns the identity of a VM.
+pub(crate) fn vm_id(vm: usize) -> VmId {
+    format!("vm-{vm}").parse().expect("a valid name")
+}
+
+impl Vm {
+    pub(crate) fn new(vm: usize, tick: u32) -> Self {
+        Vm {
+            lease: CoordinatorLease::new(vm_id(vm), u64::from(tick) + 1, time(tick)),
+            view: GroupView::new(tick),
+            watch: Watch::default(),
+            heard: tick,
+            writes: Vec::new(),
+        }
+    }
+}
+
+impl World {
+    /// Reads the directory, if it can be reached, and takes the next step of the lease.
+    pub(crate) fn read_directory(&mut self, vm: usize) {
+        let (tick, reaches) = (self.tick, self.reaches_directory(vm));
+        if reaches {
+            let World { vms, directory, .. } = self;
+            vms[vm].view.record_entries(&directory.entries, tick);
+        }
+        let World { vms, directory, .. } = self;
+        let lease = &mut vms[vm].lease;
+        let now = time(tick);
+        match lease.next_step(now) {
+            Step::Wait(_) => {}
+            _ if !reaches => lease.record_failure(now),
+            Step::Read => {
+                lease.record_row(directory.row.as_ref(), Default::default(), None, now);
+            }
+            Step::Write(expected) => match directory.write_row(expected, vm_id(vm)) {
+                Some(version) => lease.record_write(version, now, now),
+                None => lease.record_conflict(now),
+            },
+        }
+    }
+
+    /// Receives what the other VM knows, if a message passes.
+    pub(crate) fn hear(&mut self, vm: usize) {
+        let other = 1 - vm;
+        if !self.passes_vms(other, vm) {
+            return;
+        }
+        let (tick, from) = (self.tick, self.vms[other].view.clone());
+        let me = &mut self.vms[vm];
+        me.heard = tick;
+        if let Some(primary) = from.primary {
+            me.view.adopt(primary, from.term);
+        }
+        me.view.acknowledged = me.view.acknowledged.max(from.acknowledged);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failover_model/watch.rs
@@ -0,0 +1,265 @@
+//! The coordinator's watch of the primary, as the engine carries it out.
+
+use std::time::Duration;
+
+use chicoryhollow_core::{
+    Term,
+    coordinator::Outage,
+    failover::{Action, Cause, Failover, Progress},
+    suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT, Votes},
+};
+
+use super::{
+    event::Call,
+    group_view::{id, span},
+    index, name,
+    network::Node,
+    platform::{Answer, Order},
+    server::Command,
+    ticks, time,
+    world::World,
+};
+
+/// Time without an answer after which the primary is probed.
+const PROBE_AFTER: u32 = ticks(300);
+
+/// Time between two probes.
+const PROBE_EVERY: u32 = ticks(200);
+
+/// Time between two failovers.
+const FAILOVER_PAUSE: u32 = ticks(1_000);
+
+/// Age of a neighbour's report that still counts.
+const REPORT_AGE: u32 = ticks(1_000);
+
+/// A failover that runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    failover: Failover,
+    suspicion: Suspicion,
+    started: u32,
+}
+
+/// What only the coordinator keeps.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Watch {
+    running: Option<Running>,
+    highest_term: Term,
+    not_before: u32,
+    no_primary_since: Option<u32>,
+    last_probe: u32,
+}
+
+impl World {
+    /// Takes a step of the watch of one VM.
+    pub(crate) fn watch(&mut self, vm: usize) {
+        self.find_primary(vm);
+        self.record_primary_entry(vm);
+        if !self.is_coordinator(vm) {
+            self.vms[vm].watch.running = None;
+            return;
+        }
+        self.probe(vm);
+        self.check_departures(vm);
+        let tick = self.tick;
+        if let Some(running) = self.vms[vm].watch.running.take() {
+            self.advance(vm, running);
+            return;
+        }
+        if tick < self.vms[vm].watch.not_before || self.vms[vm].view.awaits_server(tick) {
+            return;
+        }
+        if let Some(suspicion) = self.assess(vm) {
+            self.begin(vm, suspicion);
+        }
+    }
+
+    fn is_coordinator(&self, vm: usize) -> bool {
+        self.vms[vm].lease.token(time(self.tick)).is_some()
+            || (self.keeps_role(vm) && self.vms[vm].lease.last_token().is_some())
+    }
+
+    /// Returns whether the holder of the lease may act in an outage of the directory.
+    fn keeps_role(&self, vm: usize) -> bool {
+        let is_heard = self.tick - self.vms[vm].heard < REPORT_AGE;
+        let answered = self.reaches_directory(vm) || (is_heard && self.reaches_directory(1 - vm));
+        Outage { answered, missing_vms: usize::from(!is_heard), in_contact: is_heard }.keeps_role()
+    }
+
+    fn record_primary_entry(&mut self, vm: usize) {
+        let tick = self.tick;
+        let me = &mut self.vms[vm];
+        let is_known = me.view.primary_entry().is_some();
+        let since = me.watch.no_primary_since.unwrap_or(tick);
+        me.watch.no_primary_since = (!is_known).then_some(since);
+    }
+
+    /// Asks all servers for their role while no primary is known.
+    fn find_primary(&mut self, vm: usize) {
+        if self.vms[vm].view.primary_entry().is_some() || !self.tick.is_multiple_of(PROBE_EVERY) {
+            return;
+        }
+        let others: Vec<usize> = self.vms[vm].view.others(None).collect();
+        let answers = others.into_iter().filter_map(|i| Some((i, self.ask_status(vm, i)?)));
+        let answers: Vec<_> = answers.filter(|(_, server)| server.leads).collect();
+        if let Some((i, server)) = answers.into_iter().max_by_key(|(_, server)| server.term) {
+            self.vms[vm].view.adopt(i, server.term);
+        }
+    }
+
+    fn probe(&mut self, vm: usize) {
+        let tick = self.tick;
+        let me = &mut self.vms[vm];
+        let is_silent = tick - me.view.last_response >= PROBE_AFTER;
+        let Some((server, _)) = me.view.primary_entry() else { return };
+        if !is_silent || tick - me.watch.last_probe < PROBE_EVERY {
+            return;
+        }
+        me.watch.last_probe = tick;
+        let answer = self.ask_status(vm, server);
+        let view = &mut self.vms[vm].view;
+        match answer {
+            Some(status) if status.leads => view.record_primary(server, status.position(), tick),
+            Some(_) => view.record_denial(server),
+            None => view.record_failure(server, tick),
+        }
+    }
+
+    fn check_departures(&mut self, vm: usize) {
+        let candidates = self.vms[vm].view.missing.ended_candidates();
+        let candidates: Vec<usize> = candidates.map(|(server, _)| index(server.as_str())).collect();
+        for server in candidates {
+            if self.ask_status(vm, server).is_none() {
+                self.vms[vm].view.missing.record_unanswered(&id(server));
+            }
+        }
+    }
+
+    fn assess(&self, vm: usize) -> Option<Suspicion> {
+        let (tick, me) = (self.tick, &self.vms[vm]);
+        if me.view.others(None).next().is_none() {
+            return None;
+        }
+        let other = &self.vms[1 - vm].view;
+        let total = usize::from(tick - me.heard < REPORT_AGE);
+        let votes = |limit: Duration| {
+            let failed = total == 1 && span(other.failing(tick)) >= limit;
+            Votes { total, failed: usize::from(failed) }
+        };
+        let evidence = Evidence {
+            no_primary: me.watch.no_primary_since.map(|since| span(tick - since)),
+            leaving: me.view.primary_entry().is_some_and(|(_, entry)| entry.leaving),
+            has_successor: me.view.members().iter().any(|member| member.preferred),
+            failing: span(me.view.failing(tick)),
+            silence: span(tick - me.view.last_response),
+            unconfirmed: span(me.view.unconfirmed_since.map_or(0, |since| tick - since)),
+            unconfirmed_votes: votes(UNCONFIRMED_TIMEOUT),
+            failed_votes: votes(MAJORITY_FAILURE_TIMEOUT),
+        };
+        evidence.suspicion()
+    }
+
+    fn begin(&mut self, vm: usize, suspicion: Suspicion) {
+        let tick = self.tick;
+        let Watch { highest_term, .. } = self.vms[vm].watch;
+        let view = &self.vms[vm].view;
+        let highest = Term::new(view.term).max(view.acknowledged.term()).max(highest_term);
+        let position = match suspicion.cause() {
+            Cause::Planned => view.acknowledged.max(view.observed),
+            Cause::Failure => view.acknowledged,
+        };
+        let members = view.members();
+        let mut failover = Failover::new(suspicion.cause(), members, highest, position, time(tick));
+        if let Some(primary) = view.primary {
+            failover = failover.with_primary(id(primary), time(view.last_response));
+        }
+        self.note(|| format!("VM {vm} starts a failover ({})", suspicion.label()));
+        self.vms[vm].watch.running = Some(Running { failover, suspicion, started: tick });
+    }
+
+    fn advance(&mut self, vm: usize, mut running: Running) {
+        let tick = self.tick;
+        let view = &self.vms[vm].view;
+        let failover = &mut running.failover;
+        failover.record_acknowledged(view.acknowledged);
+        failover.retain(|server| view.entries[index(server.as_str())].is_some());
+        failover.join(view.members());
+        let is_unordered = failover.promotion_target().is_none();
+        let has_recovered = running.suspicion == Suspicion::Silent
+            && is_unordered
+            && view.last_response > running.started;
+        let progress = match (has_recovered, is_unordered && view.awaits_server(tick)) {
+            (true, _) => Progress::Abandoned("the primary answers again"),
+            (_, true) => Progress::Abandoned("a server that may hold a commit is missing"),
+            _ => failover.progress(time(tick)),
+        };
+        match progress {
+            Progress::Running => {
+                for action in failover.next_actions(time(tick)) {
+                    self.execute(vm, &mut running.failover, action);
+                }
+                self.vms[vm].watch.running = Some(running);
+                return;
+            }
+            Progress::Done(server, term) => {
+                self.vms[vm].view.adopt(index(server.as_str()), term.get());
+            }
+            Progress::Abandoned(reason) => {
+                self.note(|| format!("VM {vm} gives the failover up: {reason}"));
+                for action in failover.release_actions() {
+                    self.execute(vm, &mut running.failover, action);
+                }
+            }
+        }
+        let watch = &mut self.vms[vm].watch;
+        watch.highest_term = watch.highest_term.max(running.failover.highest_term());
+        watch.not_before = tick + FAILOVER_PAUSE;
+    }
+
+    fn execute(&mut self, vm: usize, failover: &mut Failover, action: Action) {
+        let (server, command) = match action {
+            Action::Fence(server, term) => (server, Command::Fence(term.get())),
+            Action::Poll(server) => (server, Command::Status),
+            Action::Demote(server, term) => (server, Command::Demote(term.get())),
+            Action::Release(server) => (server, Command::Release),
+            Action::ListServers => return self.list_servers(vm, failover),
+            Action::Promote(server) => return self.order(vm, failover, index(server.as_str())),
+        };
+        if let Some(status) = self.call(vm, index(server.as_str()), command) {
+            failover.record_status(&server, status, time(self.tick));
+        }
+    }
+
+    fn list_servers(&mut self, vm: usize, failover: &mut Failover) {
+        if !self.reaches_directory(vm) {
+            return;
+        }
+        let (tick, entries) = (self.tick, self.directory.entries.clone());
+        let view = &mut self.vms[vm].view;
+        view.record_entries(&entries, tick);
+        failover.join(view.members());
+        failover.record_list(time(tick));
+    }
+
+    fn order(&mut self, vm: usize, failover: &mut Failover, server: usize) {
+        let now = time(self.tick);
+        let keeps_role = self.keeps_role(vm);
+        let lease = &mut self.vms[vm].lease;
+        let held = lease.token(now).or(lease.last_token().filter(|_| keeps_role));
+        let Some(token) = held.and_then(|held| lease.next_order(held)) else { return };
+        self.orders += 1;
+        let order = Order { server, token, rank: self.orders };
+        self.note(|| format!("VM {vm} orders the promotion of {}", name(server)));
+        if self.disturb(Call::Promote, |world, at| world.late_orders.push((at, order.clone()))) {
+            return;
+        }
+        if !self.passes(Node::Vm(vm), Node::Store) {
+            return;
+        }
+        let answer = self.platform.accept(order, &self.servers, self.tick);
+        if answer == Answer::Refused && self.passes(Node::Store, Node::Vm(vm)) {
+            failover.record_promotion_refusal();
+            self.vms[vm].lease.record_refusal(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failover_model/world.rs
@@ -0,0 +1,289 @@
+//! The world of the model and its steps.
+
+use chicoryhollow_core::failover::ReplicationStatus;
+
+use super::{
+    FIRST_SERVERS, SERVERS, TICK_MS, VMS,
+    directory::{DRAIN, Directory, TAKEOVER},
+    event::{Call, Event, Fate, KINDS, LAG},
+    name,
+    network::{Network, Node},
+    platform::{Order, Platform},
+    server::{Command, Commits, Life, Server},
+    told::AckRule,
+    vm::Vm,
+};
+
+/// How a world broke a rule.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Violation {
+    /// A commit that a caller was told of is missing in the log of the primary.
+    Lost(Commits),
+    /// An order took effect after a newer one.
+    Replaced,
+    /// No write succeeds although all has healed.
+    Stuck,
+}
+
+/// Everything that is in the model.
+#[derive(Clone, Debug)]
+pub(crate) struct World {
+    pub(crate) tick: u32,
+    pub(crate) rule: AckRule,
+    pub(crate) servers: [Server; SERVERS],
+    pub(crate) network: Network,
+    pub(crate) directory: Directory,
+    pub(crate) platform: Platform,
+    pub(crate) vms: [Vm; VMS],
+    /// Commits that the primary acknowledged.
+    pub(crate) confirmed: Commits,
+    /// Commits of which callers were told that they succeeded.
+    pub(crate) told: Commits,
+    pub(crate) commits: u8,
+    pub(crate) max_commits: u8,
+    pub(crate) orders: u32,
+    pub(crate) late_orders: Vec<(u32, Order)>,
+    pub(crate) late_commands: Vec<(u32, usize, Command)>,
+    pub(crate) disturbed: Option<(Call, Fate)>,
+    /// How often each kind of event happened.
+    pub(crate) happened: [u8; KINDS],
+    /// What happened, if that is recorded.
+    pub(crate) notes: Option<Vec<String>>,
+}
+
+impl World {
+    /// Returns a world in which VM 1 is the coordinator of servers in these data centres, the
+    /// first of which is the primary.
+    pub(crate) fn new(rule: AckRule, centres: [usize; FIRST_SERVERS], max_commits: u8) -> Self {
+        let mut servers = [(); SERVERS].map(|()| Server::new(1, Life::Absent));
+        for (server, centre) in servers.iter_mut().zip(centres) {
+            *server = Server::new(centre, Life::Running);
+        }
+        servers[0].leads = true;
+        let mut world = World {
+            tick: 1,
+            rule,
+            servers,
+            network: Network::default(),
+            directory: Directory::new(),
+            platform: Platform::default(),
+            vms: [0, 1].map(|vm| Vm::new(vm, 0)),
+            confirmed: 0,
+            told: 0,
+            commits: 0,
+            max_commits: 0,
+            orders: 0,
+            late_orders: Vec::new(),
+            late_commands: Vec::new(),
+            disturbed: None,
+            happened: [0; KINDS],
+            notes: None,
+        };
+        // VM 1 takes the lease, and everything is known, before the first event.
+        let second = world.vms[0].lease.clone();
+        for _ in 0..TAKEOVER + 15 {
+            world.vms[0].lease = second.clone();
+            world.step().expect("no rule is broken at the start");
+        }
+        world.max_commits = max_commits;
+        world
+    }
+
+    /// Takes one step of everything.
+    pub(crate) fn step(&mut self) -> Result<(), Violation> {
+        let tick = self.tick;
+        self.finish_calls()?;
+        self.replicate();
+        let World { directory, servers, network, .. } = self;
+        let reaches = |i| network.passes(servers, Node::Server(i), Node::Store);
+        directory.refresh(servers, reaches, tick);
+        for vm in (0..VMS).rev() {
+            self.read_directory(vm);
+        }
+        for vm in 0..VMS {
+            self.hear(vm);
+        }
+        for vm in 0..VMS {
+            self.answer_writes(vm);
+            self.send_write(vm);
+        }
+        for vm in 0..VMS {
+            self.watch(vm);
+        }
+        self.check()?;
+        self.tick += 1;
+        Ok(())
+    }
+
+    /// Carries out late calls and orders that are due.
+    fn finish_calls(&mut self) -> Result<(), Violation> {
+        let tick = self.tick;
+        let is_due = |at: u32| at <= tick;
+        let commands = std::mem::take(&mut self.late_commands);
+        for (at, server, command) in commands {
+            match is_due(at) {
+                true if self.servers[server].runs() => {
+                    self.note(|| format!("a late {command:?} reaches {}", name(server)));
+                    command.carry_out(&mut self.servers[server]);
+                }
+                true => {}
+                false => self.late_commands.push((at, server, command)),
+            }
+        }
+        for (at, order) in std::mem::take(&mut self.late_orders) {
+            match is_due(at) {
+                true => {
+                    let server = order.server;
+                    let answer = self.platform.accept(order, &self.servers, tick);
+                    self.note(|| format!("a late order for {} is {answer:?}", name(server)));
+                }
+                false => self.late_orders.push((at, order)),
+            }
+        }
+        for order in self.platform.due(tick) {
+            if !self.servers[order.server].runs() {
+                continue;
+            }
+            let is_replaced = self.platform.promote(&order, &mut self.servers);
+            self.note(|| format!("{} becomes the primary", name(order.server)));
+            if is_replaced {
+                return Err(Violation::Replaced);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends leaving servers, and sends the log of the primary to the replicas.
+    fn replicate(&mut self) {
+        let tick = self.tick;
+        for server in &mut self.servers {
+            if server.runs() && server.leaving.is_some_and(|since| tick - since > DRAIN) {
+                server.life = Life::Ended;
+                server.leads = false;
+            }
+        }
+        let Some(primary) = self.primary() else { return };
+        let leader = self.servers[primary].clone();
+        for i in 0..SERVERS {
+            let server = &self.servers[i];
+            let is_receiving = i != primary
+                && server.runs()
+                && server.fenced == 0
+                && tick > server.lags_until
+                && server.term <= leader.term;
+            if !is_receiving || !self.passes(Node::Server(primary), Node::Server(i)) {
+                continue;
+            }
+            self.servers[i].receive(&leader);
+            if self.passes(Node::Server(i), Node::Server(primary)) {
+                self.confirmed |= leader.log;
+            }
+        }
+    }
+
+    /// Returns the server that leads.
+    pub(crate) fn primary(&self) -> Option<usize> {
+        self.servers.iter().position(|server| server.leads && server.runs())
+    }
+
+    /// Checks that the primary has every commit that callers were told of, unless no other
+    /// server has it either because those that had it lost their logs.
+    fn check(&self) -> Result<(), Violation> {
+        let Some(primary) = self.primary() else { return Ok(()) };
+        let missing = self.told & !self.servers[primary].log;
+        let kept = self.servers.iter().fold(0, |kept, server| kept | server.log);
+        match missing & kept {
+            0 => Ok(()),
+            lost => Err(Violation::Lost(lost)),
+        }
+    }
+
+    /// Applies an event.
+    pub(crate) fn apply(&mut self, event: Event) {
+        let tick = self.tick;
+        self.happened[event.kind()] += 1;
+        self.note(|| event.to_string());
+        match event {
+            Event::Cut(direction) => self.network.cut = Some(direction),
+            Event::Sever(vm, server) => self.network.severed = Some((vm, server)),
+            Event::Heal => self.network = Network::default(),
+            Event::Start(server, centre) => {
+                self.servers[server] = Server { born: tick, ..Server::new(centre, Life::Running) };
+            }
+            Event::Crash(server) => self.servers[server].life = Life::Crashed,
+            Event::Restart(server, keeps_log) => self.servers[server].restart(keeps_log, tick),
+            Event::Drain(server) => self.servers[server].leaving = Some(tick),
+            Event::Lag(server) => self.servers[server].lags_until = tick + LAG,
+            Event::StoreDown => self.directory.is_up = false,
+            Event::StoreUp => self.directory.is_up = true,
+            Event::Disturb(call, fate) => self.disturbed = Some((call, fate)),
+            Event::RestartDaemon(vm) => self.vms[vm] = Vm::new(vm, tick),
+        }
+    }
+
+    /// Sends a command of a VM to a server and returns the status that it answers.
+    pub(crate) fn call(
+        &mut self,
+        vm: usize,
+        server: usize,
+        command: Command,
+    ) -> Option<ReplicationStatus> {
+        let kind = match command {
+            Command::Fence(_) => Some(Call::Fence),
+            Command::Release => Some(Call::Release),
+            Command::Demote(_) => Some(Call::Demote),
+            Command::Status => None,
+        };
+        let delay = |world: &mut World, at| world.late_commands.push((at, server, command));
+        if kind.is_some_and(|kind| self.disturb(kind, delay)) {
+            return None;
+        }
+        let (from, to) = (Node::Vm(vm), Node::Server(server));
+        if !self.servers[server].runs() || !self.passes(from, to) {
+            return None;
+        }
+        command.carry_out(&mut self.servers[server]);
+        if kind.is_some() {
+            self.note(|| format!("VM {vm} sends {command:?} to {}", name(server)));
+        }
+        self.passes(to, from).then(|| self.servers[server].status())
+    }
+
+    /// Returns whether a call of this kind does not arrive now; one that is late is passed to
+    /// `delay` with its tick.
+    pub(crate) fn disturb(&mut self, call: Call, delay: impl FnOnce(&mut World, u32)) -> bool {
+        let Some((_, fate)) = self.disturbed.take_if(|(kind, _)| *kind == call) else {
+            return false;
+        };
+        self.note(|| format!("this {call:?} call is {fate:?}"));
+        if let Fate::Late(ticks) = fate {
+            let at = self.tick + ticks;
+            delay(self, at);
+        }
+        true
+    }
+
+    pub(crate) fn passes(&self, from: Node, to: Node) -> bool {
+        self.network.passes(&self.servers, from, to)
+    }
+
+    pub(crate) fn answers(&self, from: Node, to: Node) -> bool {
+        self.network.answers(&self.servers, from, to)
+    }
+
+    pub(crate) fn passes_vms(&self, from: usize, to: usize) -> bool {
+        self.passes(Node::Vm(from), Node::Vm(to))
+    }
+
+    pub(crate) fn reaches_directory(&self, vm: usize) -> bool {
+        self.directory.is_up && self.answers(Node::Vm(vm), Node::Store)
+    }
+
+    /// Records what happens, if that is wanted.
+    pub(crate) fn note(&mut self, text: impl FnOnce() -> String) {
+        let ms = self.tick * TICK_MS;
+        if let Some(notes) = &mut self.notes {
+            notes.push(format!("{:>2}.{} s: {}", ms / 1_000, ms / 100 % 10, text()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failover_search.rs
@@ -0,0 +1,77 @@
+//! No acknowledged commit is lost, whatever happens while a primary is replaced: searches over a
+//! model of the world that runs the real decisions.
+
+mod failover_model;
+
+use failover_model::{
+    event::{Event, Scope},
+    network::Direction,
+    search::{Bounds, Summary, Trace, draw, replay},
+    ticks,
+    told::AckRule,
+    world::World,
+};
+
+/// Commits of a run.
+const MAX_COMMITS: u8 = 40;
+
+const LENGTH: u32 = ticks(30_000);
+
+fn report(start: &World, length: u32, trace: &Trace) -> String {
+    let steps = replay(start, length, &trace.events).map(|(_, steps)| steps);
+    format!("{:?}\nevents: {:?}\n{}", trace.violation, trace.events, steps.unwrap_or_default())
+}
+
+/// The first new server of a release starts behind a cut, before the cut is noticed.
+fn cut_and_start() -> Bounds {
+    let new = [0, 1].map(|centre| Event::Start(3, centre));
+    Bounds {
+        scope: Scope::new([Event::Heal, Event::Lag(1), Event::Lag(2)].into_iter().chain(new)),
+        first: vec![Event::Cut(Direction::Both)],
+        events: 2,
+        event_ticks: ticks(3_000),
+        grid: 1,
+        horizon: ticks(8_000),
+    }
+}
+
+fn search(rule: AckRule, centres: [usize; 3], bounds: &Bounds) -> Summary {
+    let start = World::new(rule, centres, MAX_COMMITS);
+    let result = bounds.search(&start);
+    result.unwrap_or_else(|trace| panic!("{}", report(&start, bounds.horizon, &trace)))
+}
+
+#[test]
+fn trial_present() {
+    println!("{:?}", search(AckRule::ReplicaAnswer, [0, 1, 1], &cut_and_start()));
+}
+
+#[test]
+fn trial_new() {
+    println!("{:?}", search(AckRule::ContactOrReplica, [0, 1, 1], &cut_and_start()));
+}
+
+#[test]
+fn trial_random() {
+    let rule = match std::env::var("RULE").as_deref() {
+        Ok("present") => AckRule::ReplicaAnswer,
+        Ok("replica") => AckRule::Replica,
+        Ok("far") => AckRule::FarReplica,
+        _ => AckRule::ContactOrReplica,
+    };
+    let start = World::new(rule, [0, 1, 1], MAX_COMMITS);
+    let mut promotions = 0;
+    for seed in 0..2_000 {
+        match draw(&start, &Scope::all(1), seed, LENGTH) {
+            Ok(count) => promotions += count,
+            Err(trace) => {
+                let text = report(&start, LENGTH, &trace);
+                println!("seed {seed}: {:?} {:?}", trace.violation, trace.events);
+                if std::env::var("FULL").is_ok() {
+                    println!("{text}");
+                }
+            }
+        }
+    }
+    println!("{promotions} promotions");
+}
