--- a/crates/core/tests/failover_model/event.rs
+++ b/crates/core/tests/failover_model/event.rs
@@ -155,6 +155,12 @@
         self
     }
 
+    /// Leaves out the events for which `is_excluded` returns true.
+    pub(crate) fn without(mut self, is_excluded: impl Fn(Event) -> bool) -> Self {
+        self.events.retain(|event| !is_excluded(*event));
+        self
+    }
+
     /// Returns the events that can happen.
     pub(crate) fn possible<'a>(&'a self, world: &'a World) -> impl Iterator<Item = Event> + 'a {
         let is_left = |event: &Event| world.happened[event.kind()] < self.limits[event.kind()];
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -48,6 +48,8 @@
     not_before: u32,
     no_primary_since: Option<u32>,
     last_probe: u32,
+    /// Whether an order may still be carried out.
+    is_unsettled: bool,
 }
 
 impl World {
@@ -79,6 +81,12 @@
             || (self.keeps_role(vm) && self.vms[vm].lease.last_token().is_some())
     }
 
+    /// Returns whether a VM is the coordinator, runs no failover, and has no order open.
+    pub(crate) fn is_at_rest(&self, vm: usize) -> bool {
+        let watch = &self.vms[vm].watch;
+        self.is_coordinator(vm) && watch.running.is_none() && !watch.is_unsettled
+    }
+
     /// Returns whether the holder of the lease may act in an outage of the directory.
     fn keeps_role(&self, vm: usize) -> bool {
         let is_heard = self.tick - self.vms[vm].heard < REPORT_AGE;
@@ -202,6 +210,7 @@
                 return;
             }
             Progress::Done(server, term) => {
+                self.vms[vm].watch.is_unsettled = false;
                 self.vms[vm].view.adopt(index(server.as_str()), term.get());
             }
             Progress::Abandoned(reason) => {
@@ -247,6 +256,7 @@
         let lease = &mut self.vms[vm].lease;
         let held = lease.token(now).or(lease.last_token().filter(|_| keeps_role));
         let Some(token) = held.and_then(|held| lease.next_order(held)) else { return };
+        self.vms[vm].watch.is_unsettled = true;
         self.orders += 1;
         let order = Order { server, token, rank: self.orders };
         self.note(|| format!("VM {vm} orders the promotion of {}", name(server)));
