--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -56,6 +56,8 @@
     pub(crate) holder: Holder,
     /// Whether the terms of the write, the VM and the replica must be equal.
     pub(crate) same_term: bool,
+    /// Whether the replica must not have started again since it was registered.
+    pub(crate) same_life: bool,
 }
 
 /// The rule by which a caller is told that a write succeeded.
@@ -191,6 +193,7 @@
             self.is_answering(vm, i)
                 && status.fenced_term <= write.position.term()
                 && status.received >= write.position
+                && (!proof.same_life || view.entries[i].as_ref().is_some_and(|e| e.born == self.servers[i].born))
                 && (!proof.same_term || status.received.term() == write.position.term())
         })
     }
--- a/crates/core/tests/failover_model/world.rs
+++ b/crates/core/tests/failover_model/world.rs
@@ -25,11 +25,22 @@
     Stuck,
 }
 
+/// Changes of the watch that the engine does not have.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Changes {
+    /// Whether the coordinator orders the promotion of the present primary, so that no older
+    /// order is carried out any more.
+    pub(crate) cancels: bool,
+    /// Whether an order is repeated only if the server still has all that it had.
+    pub(crate) checks_target: bool,
+}
+
 /// Everything that is in the model.
 #[derive(Clone, Debug)]
 pub(crate) struct World {
     pub(crate) tick: u32,
     pub(crate) rule: AckRule,
+    pub(crate) changes: Changes,
     pub(crate) servers: [Server; SERVERS],
     pub(crate) network: Network,
     pub(crate) directory: Directory,
@@ -65,6 +76,7 @@
         let mut world = World {
             tick: 1,
             rule,
+            changes: Changes::default(),
             servers,
             network: Network::default(),
             directory: Directory::new(),
