--- a/crates/core/tests/failover_model/event.rs
+++ b/crates/core/tests/failover_model/event.rs
@@ -149,12 +149,6 @@
         Scope { events, limits: [limit; KINDS] }
     }
 
-    /// Sets how many events of the kind of `event` may happen.
-    pub(crate) fn with_limit(mut self, event: Event, limit: u8) -> Self {
-        self.limits[event.kind()] = limit;
-        self
-    }
-
     /// Leaves out the events for which `is_excluded` returns true.
     pub(crate) fn without(mut self, is_excluded: impl Fn(Event) -> bool) -> Self {
         self.events.retain(|event| !is_excluded(*event));
--- a/crates/core/tests/failover_model/world.rs
+++ b/crates/core/tests/failover_model/world.rs
@@ -10,6 +10,7 @@
     network::{Network, Node},
     platform::{Order, Platform},
     server::{Command, Commits, Life, Server},
+    ticks,
     told::AckRule,
     vm::Vm,
 };
@@ -17,6 +18,9 @@
 /// Commits of a run, so that some are left for its end.
 const MAX_COMMITS: u8 = 80;
 
+/// Time in which callers write before the first event.
+const WARM_UP: u32 = ticks(3_000);
+
 /// How a world broke a rule.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Violation {
@@ -70,7 +74,7 @@
 impl World {
     /// Returns a world in which `coordinator` is the VM that replaces primaries, with servers in these data centres, the
     /// first of which is the primary.
-    pub(crate) fn new(rule: AckRule, centres: [usize; FIRST_SERVERS], coordinator: usize) -> Self {
+    pub(crate) fn new(rule: AckRule, changes: Changes, centres: [usize; FIRST_SERVERS], coordinator: usize) -> Self {
         let mut servers = [(); SERVERS].map(|()| Server::new(1, Life::Absent));
         for (server, centre) in servers.iter_mut().zip(centres) {
             *server = Server::new(centre, Life::Running);
@@ -79,7 +83,7 @@
         let mut world = World {
             tick: 1,
             rule,
-            changes: Changes::default(),
+            changes,
             servers,
             network: Network::default(),
             directory: Directory::new(),
@@ -100,11 +104,13 @@
         // The coordinator takes the lease, and everything is known, before the first event.
         let waiting = 1 - coordinator;
         let lease = world.vms[waiting].lease.clone();
-        for _ in 0..TAKEOVER + 15 {
+        for tick in 0..TAKEOVER + WARM_UP {
+            if tick == TAKEOVER {
+                world.max_commits = MAX_COMMITS;
+            }
             world.vms[waiting].lease = lease.clone();
             world.step().expect("no rule is broken at the start");
         }
-        world.max_commits = MAX_COMMITS;
         world
     }
 
--- a/crates/core/tests/failover_search.rs
+++ b/crates/core/tests/failover_search.rs
@@ -1,82 +1,249 @@
-//! No acknowledged commit is lost, whatever happens while a primary is replaced: searches over a
-//! model of the world that runs the real decisions.
+//! No commit that a caller was told of is lost while primaries are replaced. Searches over a
+//! model of the world that runs the real decisions try many orders of events.
+//!
+//! The search by seed is longer with `FAILOVER_SEEDS`, the number of seeds; see the end.
 
 mod failover_model;
 
 use failover_model::{
-    event::{Event, Scope},
+    event::{Call, Event, Fate, Scope},
     network::Direction,
-    search::{Bounds, Summary, Trace, draw, replay},
+    search::{Bounds, Trace, draw, replay},
     ticks,
     told::{AckRule, Contact, Holder, Proof},
-    world::World,
+    world::{Changes, Violation, World},
 };
 
-/// Commits of a run.
-const MAX_COMMITS: u8 = 80;
+/// Data centres of the first servers if the primary alone may be cut off.
+const PRIMARY_ALONE: [usize; 3] = [0, 1, 1];
 
-const LENGTH: u32 = ticks(30_000);
+/// Data centres of the first servers if a replica may be cut off with the primary.
+const REPLICA_NEAR: [usize; 3] = [0, 0, 1];
 
-fn report(start: &World, length: u32, trace: &Trace) -> String {
-    let steps = replay(start, length, &trace.events).map(|(_, steps)| steps);
-    format!("{:?}\nevents: {:?}\n{}", trace.violation, trace.events, steps.unwrap_or_default())
+/// The word of the coordinator or of a replica in another data centre.
+const STRICT: Proof = Proof {
+    contact: Contact::Coordinator,
+    holder: Holder::Far,
+    same_term: true,
+    same_life: true,
+};
+
+/// Only the report of a replica.
+const REPLICA: Proof = Proof { contact: Contact::Ignored, holder: Holder::Registered, ..STRICT };
+
+/// Only the answer of a VM.
+const ANSWER: Proof = Proof { contact: Contact::Answer, holder: Holder::Ignored, ..STRICT };
+
+const CANCELS: Changes = Changes { cancels: true, checks_target: false };
+
+/// A new server starts in either data centre, and a replica receives late.
+fn starts() -> Vec<Event> {
+    vec![Event::Start(3, 0), Event::Start(3, 1), Event::Lag(1), Event::Lag(2)]
 }
 
-/// The first new server of a release starts behind a cut, before the cut is noticed.
-fn cut_and_start() -> Bounds {
-    let new = [0, 1].map(|centre| Event::Start(3, centre));
+fn bounds(first: Vec<Event>, then: Vec<Event>, events: usize) -> Bounds {
     Bounds {
-        scope: Scope::new([Event::Heal, Event::Lag(1), Event::Lag(2)].into_iter().chain(new)),
-        first: vec![Event::Cut(Direction::Both)],
-        events: 2,
-        event_ticks: ticks(3_000),
+        scope: Scope::new(then),
+        first,
+        events,
+        event_ticks: ticks(2_000),
         grid: 1,
-        horizon: ticks(8_000),
+        horizon: ticks(5_000),
+    }
+}
+
+/// The data centre of the primary is cut off, and the cut heals.
+fn cut(direction: Direction) -> Bounds {
+    bounds(vec![Event::Cut(direction)], [starts(), vec![Event::Heal]].concat(), 2)
+}
+
+/// The coordinator no longer reaches the primary, and other VMs do.
+fn unreachable() -> Bounds {
+    let restarts = vec![Event::Crash(1), Event::Restart(1, true)];
+    bounds(vec![Event::Sever(1, 0)], [starts(), restarts].concat(), 2)
+}
+
+/// The primary crashes and starts again, and new servers cannot register.
+fn crash() -> Bounds {
+    let others = vec![Event::Restart(0, true), Event::StoreDown];
+    bounds(vec![Event::Crash(0)], [starts(), others].concat(), 2)
+}
+
+/// The primary leaves.
+fn departure() -> Bounds {
+    let others = vec![Event::Cut(Direction::Both), Event::Cut(Direction::Outward)];
+    bounds(vec![Event::Drain(0)], [starts(), others].concat(), 2)
+}
+
+/// An order is carried out late, after its failover was given up.
+fn late_order() -> Bounds {
+    let late = Event::Disturb(Call::Promote, Fate::Late(ticks(14_000)));
+    let events = vec![Event::Heal, Event::RestartDaemon(1), Event::Start(3, 0)];
+    let bounds = bounds(vec![Event::Cut(Direction::Both), late], events, 3);
+    Bounds { grid: 5, horizon: ticks(18_000), ..bounds }
+}
+
+/// A late request to receive again reaches a replica of the next failover.
+fn late_release() -> Bounds {
+    let late = Event::Disturb(Call::Release, Fate::Late(ticks(1_000)));
+    let lost = Event::Disturb(Call::Fence, Fate::Lost);
+    let events = vec![Event::Heal, Event::Crash(2), Event::Restart(2, true), lost];
+    let bounds = bounds(vec![Event::Cut(Direction::Both), late], events, 2);
+    Bounds { horizon: ticks(9_000), ..bounds }
+}
+
+/// A cut that is longer than the lapse of entries and the wait for missing servers.
+fn long_cut() -> Bounds {
+    let events = vec![Event::Cut(Direction::Both), Event::Lag(2), Event::Start(3, 0)];
+    let bounds = bounds(Vec::new(), events, 3);
+    Bounds { event_ticks: ticks(1_000), horizon: ticks(18_000), ..bounds }
+}
+
+fn start(rule: AckRule, changes: Changes, centres: [usize; 3]) -> World {
+    World::new(rule, changes, centres, 1)
+}
+
+fn report(start: &World, length: u32, trace: &Trace) -> String {
+    let steps = replay(start, length, &trace.events).map(|(_, steps)| steps);
+    format!("{:?} after {:?}\n{}", trace.violation, trace.events, steps.unwrap_or_default())
+}
+
+/// Fails with the steps of the shortest trace if a run within the bounds breaks a rule.
+fn assert_holds(start: &World, bounds: &Bounds) {
+    match bounds.search(start) {
+        Ok(summary) => {
+            println!("{summary:?}");
+            assert!(summary.promotions > 0, "the search reaches promotions");
+        }
+        Err(trace) => panic!("{}", report(start, bounds.horizon, &trace)),
+    }
+}
+
+/// Checks that the search can tell that something weaker is not enough.
+fn assert_loses(start: &World, bounds: &Bounds) {
+    match bounds.search(start) {
+        Ok(summary) => panic!("nothing was found in {summary:?}"),
+        Err(trace) => {
+            println!("{}", report(start, bounds.horizon, &trace));
+            assert!(matches!(trace.violation, Violation::Lost(_)), "{:?}", trace.violation);
+        }
     }
 }
 
-fn search(rule: AckRule, centres: [usize; 3], bounds: &Bounds) -> Summary {
-    let start = World::new(rule, centres, 1);
-    let result = bounds.search(&start);
-    result.unwrap_or_else(|trace| panic!("{}", report(&start, bounds.horizon, &trace)))
+fn strict(changes: Changes, centres: [usize; 3]) -> World {
+    start(AckRule::Proof(STRICT), changes, centres)
 }
 
+fn weaker(proof: Proof, centres: [usize; 3]) -> World {
+    start(AckRule::Proof(proof), CANCELS, centres)
+}
 
-const PROPOSED: Proof =
-    Proof { contact: Contact::Answer, holder: Holder::Registered, same_term: false, same_life: false };
+/// Issue 36: a caller was told of a commit that only a replica behind the cut had received.
+#[test]
+fn a_commit_of_a_replica_that_nobody_knows_is_not_told() {
+    let start = start(AckRule::ReplicaAnswer, Changes::default(), PRIMARY_ALONE);
+    assert_holds(&start, &cut(Direction::Both));
+}
 
-fn rule() -> AckRule {
-    let proof = |contact, holder| AckRule::Proof(Proof { contact, holder, same_term: true, same_life: std::env::var("LIFE").is_ok() });
-    match std::env::var("RULE").as_deref() {
-        Ok("present") => AckRule::ReplicaAnswer,
-        Ok("registered") => proof(Contact::Ignored, Holder::Registered),
-        Ok("listed") => proof(Contact::Ignored, Holder::Listed),
-        Ok("far") => proof(Contact::Ignored, Holder::Far),
-        Ok("coordinator") => proof(Contact::Coordinator, Holder::Ignored),
-        Ok("mended") => proof(Contact::Coordinator, Holder::Listed),
-        Ok("mendedfar") => proof(Contact::Coordinator, Holder::Far),
-        _ => AckRule::Proof(PROPOSED),
+#[test]
+fn no_commit_is_lost_behind_a_cut() {
+    for direction in [Direction::Both, Direction::Outward, Direction::Inward] {
+        assert_holds(&strict(CANCELS, PRIMARY_ALONE), &cut(direction));
     }
 }
 
 #[test]
-fn trial_random() {
-    let mut start = World::new(rule(), [0, 1, 1], std::env::var("ROLE").map_or(1, |v| v.parse().unwrap()));
-    start.changes = failover_model::world::Changes { cancels: std::env::var("CANCEL").is_ok(), checks_target: std::env::var("CHECK").is_ok() };
-    let mut promotions = 0;
-    let from: u64 = std::env::var("FROM").map_or(0, |v| v.parse().unwrap());
-    let count: u64 = std::env::var("COUNT").map_or(2_000, |v| v.parse().unwrap());
-    let reborn = std::env::var("REBORN").is_ok();
-    let scope = Scope::all(1).without(|event| (!reborn && matches!(event, Event::Restart(_, false))) || (std::env::var("NODAEMON").is_ok() && matches!(event, Event::RestartDaemon(_))));
-    for seed in from..from + count {
+fn no_commit_is_lost_when_only_the_coordinator_does_not_reach_the_primary() {
+    assert_holds(&strict(CANCELS, PRIMARY_ALONE), &unreachable());
+}
+
+#[test]
+fn no_commit_is_lost_when_a_primary_comes_back_during_its_failover() {
+    assert_holds(&strict(CANCELS, PRIMARY_ALONE), &crash());
+}
+
+#[test]
+fn no_commit_is_lost_when_a_leaving_primary_is_cut_off() {
+    assert_holds(&strict(CANCELS, PRIMARY_ALONE), &departure());
+}
+
+#[test]
+fn no_commit_is_lost_by_a_late_request_to_receive_again() {
+    assert_holds(&strict(CANCELS, PRIMARY_ALONE), &late_release());
+}
+
+/// The order of a failover that was given up took effect seconds later, after new commits.
+#[test]
+fn an_order_of_a_failover_that_was_given_up_does_not_take_effect() {
+    assert_holds(&strict(Changes::default(), PRIMARY_ALONE), &late_order());
+}
+
+#[test]
+fn an_order_that_is_cancelled_does_not_take_effect() {
+    assert_holds(&strict(CANCELS, PRIMARY_ALONE), &late_order());
+}
+
+/// A cut that lasts longer than the wait for missing servers cost what only they held.
+#[test]
+fn no_commit_is_lost_behind_a_cut_that_outlasts_the_wait() {
+    assert_holds(&strict(CANCELS, REPLICA_NEAR), &long_cut());
+}
+
+/// A daemon that had restarted no longer knew which servers were missing.
+#[test]
+fn a_coordinator_that_restarts_does_not_promote_a_server_without_the_log() {
+    let first = vec![Event::Crash(2), Event::Cut(Direction::Both), Event::Start(3, 1)];
+    let bounds = bounds(first, vec![Event::RestartDaemon(1)], 1);
+    let bounds = Bounds { event_ticks: ticks(5_000), horizon: ticks(13_000), ..bounds };
+    assert_holds(&strict(CANCELS, REPLICA_NEAR), &bounds);
+}
+
+#[test]
+fn an_answer_of_a_vm_is_no_proof_while_the_primary_is_replaced() {
+    assert_loses(&weaker(ANSWER, PRIMARY_ALONE), &unreachable());
+    assert_loses(&weaker(ANSWER, PRIMARY_ALONE), &cut(Direction::Both));
+    assert_loses(&weaker(ANSWER, PRIMARY_ALONE), &crash());
+}
+
+#[test]
+fn a_position_of_a_newer_term_is_no_proof() {
+    let proof = Proof { same_term: false, ..REPLICA };
+    assert_loses(&weaker(proof, PRIMARY_ALONE), &unreachable());
+}
+
+#[test]
+fn a_replica_that_started_again_is_no_proof() {
+    let proof = Proof { same_life: false, ..REPLICA };
+    assert_loses(&weaker(proof, PRIMARY_ALONE), &unreachable());
+}
+
+#[test]
+fn a_replica_on_the_same_side_of_a_cut_is_no_proof() {
+    let proof = Proof { holder: Holder::Listed, ..REPLICA };
+    assert_loses(&weaker(proof, REPLICA_NEAR), &long_cut());
+}
+
+/// Number of seeds without `FAILOVER_SEEDS`.
+const SEEDS: u64 = 500;
+
+/// Length of a run of one seed.
+const LENGTH: u32 = ticks(30_000);
+
+/// `FAILOVER_SEEDS=100000 cargo test --release -p chicoryhollow-core --test failover_search
+/// whatever_happens -- --nocapture` takes about a minute and reports all seeds that break a rule.
+#[test]
+fn no_commit_is_lost_whatever_happens_once() {
+    let seeds = std::env::var("FAILOVER_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    let is_reborn = |event| matches!(event, Event::Restart(_, false));
+    let scope = Scope::all(1).without(is_reborn);
+    let start = strict(CANCELS, PRIMARY_ALONE);
+    let (mut promotions, mut found) = (0, Vec::new());
+    for seed in 0..seeds.unwrap_or(SEEDS) {
         match draw(&start, &scope, seed, LENGTH) {
             Ok(count) => promotions += count,
-            Err(trace) => {
-                let text = report(&start, LENGTH, &trace);
-                println!("seed {seed}: {:?} {:?}", trace.violation, trace.events);
-                if std::env::var("FULL").is_ok() { println!("{text}"); }
-            }
+            Err(trace) => found.push(format!("seed {seed}: {}", report(&start, LENGTH, &trace))),
         }
     }
     println!("{promotions} promotions");
+    assert!(found.is_empty(), "{} seeds\n{}", found.len(), found.join("\n"));
 }
