--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -34,6 +34,9 @@
     Answer,
     /// The same, and the coordinator answers that it replaces no primary.
     Coordinator,
+    /// The same, and the coordinator answers that it has noted the position and has no order
+    /// open. It promotes no server that has received less.
+    Noted,
 }
 
 /// Which replica must report that it has received the commit.
@@ -109,6 +112,7 @@
             self.receive_answer(vm, &mut write);
             match write.answered {
                 Some(_) if self.may_tell(vm, &write) => {
+                    self.tell_position(vm, &write);
                     self.told |= 1 << write.commit;
                     self.note(|| format!("VM {vm} tells that write {} succeeded", write.commit));
                 }
@@ -138,6 +142,16 @@
         }
     }
 
+    /// Lets the VMs that answer note a position, if that is part of the proof.
+    fn tell_position(&mut self, vm: usize, write: &Write) {
+        let AckRule::Proof(Proof { contact: Contact::Noted, .. }) = self.rule else { return };
+        let answers = |other: &usize| self.passes_vms(vm, *other) && self.passes_vms(*other, vm);
+        for other in (0..VMS).filter(answers).collect::<Vec<usize>>() {
+            let noted = &mut self.vms[other].view.acknowledged;
+            *noted = write.position.max(*noted);
+        }
+    }
+
     fn may_send(&self, vm: usize, server: usize) -> bool {
         let me = &self.vms[vm];
         let centre = |server: usize| self.servers[server].centre;
@@ -175,6 +189,11 @@
                 let is_crossed = (0..VMS).filter(is_far).any(answers);
                 is_crossed && (0..VMS).filter(|i| answers(*i)).any(|i| self.is_at_rest(i))
             }
+            Contact::Noted => {
+                let is_crossed = (0..VMS).filter(is_far).any(answers);
+                let has_noted = (0..VMS).filter(|i| answers(*i)).any(|i| self.has_no_order(i));
+                return is_crossed && has_noted;
+            }
         };
         is_proof && self.tick - self.vms[vm].view.read < EVIDENCE_AGE
     }
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -102,6 +102,11 @@
         self.is_coordinator(vm) && watch.running.is_none() && self.is_settled(vm)
     }
 
+    /// Returns whether a VM is the coordinator, and no order of it or others is open.
+    pub(crate) fn has_no_order(&self, vm: usize) -> bool {
+        self.is_coordinator(vm) && self.is_settled(vm)
+    }
+
     /// Returns whether no older order can be carried out any more.
     fn is_settled(&self, vm: usize) -> bool {
         let Vm { watch, view, .. } = &self.vms[vm];
--- a/crates/core/tests/failover_search.rs
+++ b/crates/core/tests/failover_search.rs
@@ -247,3 +247,29 @@
     println!("{promotions} promotions");
     assert!(found.is_empty(), "{} seeds\n{}", found.len(), found.join("\n"));
 }
+
+#[test]
+fn trial_noted() {
+    let proof = match std::env::var("RULE").as_deref() {
+        Ok("noted") => Proof { contact: Contact::Noted, holder: Holder::Ignored, ..STRICT },
+        Ok("notedfar") => Proof { contact: Contact::Noted, ..STRICT },
+        Ok("coordinator") => Proof { holder: Holder::Ignored, ..STRICT },
+        _ => STRICT,
+    };
+    let changes = if std::env::var("NOCANCEL").is_ok() { Changes::default() } else { CANCELS };
+    let start = World::new(AckRule::Proof(proof), changes, if std::env::var("NEAR").is_ok() { REPLICA_NEAR } else { PRIMARY_ALONE }, std::env::var("ROLE").map_or(1, |v| v.parse().unwrap()));
+    let nodaemon = std::env::var("NODAEMON").is_ok();
+    let scope = Scope::all(1).without(|e| matches!(e, Event::Restart(_, false)) || nodaemon && matches!(e, Event::RestartDaemon(_)));
+    let mut promotions = 0;
+    for seed in 0..std::env::var("COUNT").map_or(10_000, |v| v.parse().unwrap()) {
+        match draw(&start, &scope, seed, LENGTH) {
+            Ok(count) => promotions += count,
+            Err(trace) => println!("seed {seed}: {:?} {:?}", trace.violation, trace.events),
+        }
+    }
+    println!("{promotions} promotions");
+    for bounds in [cut(Direction::Both), cut(Direction::Outward), cut(Direction::Inward), unreachable(), crash(), departure(), late_release(), late_order()] {
+        println!("{:?}", bounds.search(&start).map_err(|t| (t.violation, t.events)));
+    }
+    println!("{:?}", long_cut().search(&World::new(AckRule::Proof(proof), changes, REPLICA_NEAR, 1)).map_err(|t| (t.violation, t.events)));
+}
