--- a/crates/core/tests/failover_model/server.rs
+++ b/crates/core/tests/failover_model/server.rs
@@ -35,6 +35,8 @@
     pub(crate) leaving: Option<u32>,
     /// When it last started.
     pub(crate) born: u32,
+    /// When it last crashed.
+    pub(crate) crashed: u32,
 }
 
 impl Server {
@@ -50,6 +52,7 @@
             lags_until: 0,
             leaving: None,
             born: 0,
+            crashed: 0,
         }
     }
 
