--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -33,10 +33,6 @@
 /// Time after its registration from which on every failover knows a server.
 const REGISTRATION_SPAN: Duration = Duration::from_millis(3_000);
 
-/// Time for which a primary and a replica that are cut off together may go on: a failover
-/// elsewhere waits longer for the replica to return.
-pub const MAX_ISOLATION: Duration = Duration::from_millis(8_000);
-
 /// A commit that the primary acknowledged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Commit {
@@ -68,6 +64,9 @@
     pub failover: Option<Announcement>,
     /// Contact between the primary's data centre and another one.
     pub contact: Contact,
+    /// Whether there has been contact for so long that servers that were cut off have
+    /// registered.
+    pub steady: bool,
     /// Time since the directory was last known to answer.
     pub directory_age: Duration,
 }
@@ -122,6 +121,7 @@
     ///     term,
     ///     failover: None,
     ///     contact,
+    ///     steady: true,
     ///     directory_age: Duration::ZERO,
     /// };
     /// let earlier = Contact::Since(Time::from_millis(8_000));
@@ -136,13 +136,17 @@
         if self.may_be_replaced(knowledge) {
             return None;
         }
-        let has_contact = match knowledge.contact {
+        let may_register = knowledge.steady && knowledge.directory_age < MAX_DIRECTORY_AGE;
+        (self.has_contact(knowledge) && may_register).then_some(Evidence::Contact)
+    }
+
+    /// Returns whether a question that was sent after the primary's answer was answered.
+    fn has_contact(&self, knowledge: &Knowledge) -> bool {
+        match knowledge.contact {
             Contact::Single => true,
             Contact::None => false,
             Contact::Since(asked) => asked >= self.answered,
-        };
-        let may_register = knowledge.directory_age < MAX_DIRECTORY_AGE;
-        (has_contact && may_register).then_some(Evidence::Contact)
+        }
     }
 
     /// Returns whether a failover may run that replaces the primary. While it does, no contact
@@ -153,9 +157,18 @@
     }
 
     /// Returns whether `replica` holds the commit, and takes part in every failover.
-    pub fn is_held_by(&self, replica: &RegisteredReplica) -> bool {
-        let received = replica.status.received;
-        replica.takes_part() && received.term() == self.position.term() && received >= self.position
+    ///
+    /// A replica in the primary's data centre counts only if that is not cut off: a failover
+    /// elsewhere does not wait for it for ever. While a failover runs, a replica counts only if it
+    /// is fenced: one that has started again has lost its fence, and receives.
+    pub fn is_held_by(&self, replica: &RegisteredReplica, knowledge: &Knowledge) -> bool {
+        let RegisteredReplica { status, near, .. } = replica;
+        let term = self.position.term();
+        replica.takes_part()
+            && (!near || self.has_contact(knowledge))
+            && (!self.may_be_replaced(knowledge) || status.fenced_term > term)
+            && status.received.term() == term
+            && status.received >= self.position
     }
 }
 
@@ -166,19 +179,15 @@
     pub registered: Duration,
     /// Whether it is about to be stopped; its log ends with it.
     pub leaving: bool,
-    /// Whether it runs in the primary's data centre, and how long ago a message arrived there
-    /// from another one.
-    pub isolation: Option<Duration>,
+    /// Whether it runs in the primary's data centre.
+    pub near: bool,
     /// What it reported.
     pub status: ReplicationStatus,
 }
 
 impl RegisteredReplica {
     fn takes_part(&self) -> bool {
-        !self.leaving
-            && !self.status.primary
-            && self.registered >= REGISTRATION_SPAN
-            && self.isolation.is_none_or(|silence| silence < MAX_ISOLATION)
+        !self.leaving && !self.status.primary && self.registered >= REGISTRATION_SPAN
     }
 }
 
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -216,6 +216,11 @@
         self.target_received.unwrap_or_default()
     }
 
+    /// Returns whether a promotion was ever requested.
+    pub fn has_ordered(&self) -> bool {
+        self.target_received.is_some()
+    }
+
     /// Records a position with an acknowledged commit. Positions older than the newest have
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
@@ -386,6 +391,12 @@
     fn check_promotion(&mut self, target: ServerId, sent: Time, now: Time) -> Vec<Action> {
         let Some(replica) = self.replicas.get_mut(&target) else { return Vec::new() };
         if now.since(sent) >= PROMOTION_RETRY_INTERVAL {
+            // A target that has not answered lately may have lost its log.
+            if replica.answered.is_none_or(|time| now.since(time) >= MAX_ANSWER_AGE) {
+                replica.status = None;
+                self.choose_again(now);
+                return Vec::new();
+            }
             self.promotion_sent = Some(now);
             return vec![Action::Promote(target)];
         }
--- a/crates/core/src/isolation.rs
+++ b/crates/core/src/isolation.rs
@@ -6,8 +6,6 @@
 
 use std::time::Duration;
 
-use crate::durability::MAX_ISOLATION;
-
 /// Time without an answer of a primary in another data centre after which it counts as
 /// unreachable, provided that no VM in another data centre can be reached either.
 const MAX_SILENCE: Duration = Duration::from_millis(700);
@@ -23,8 +21,8 @@
 /// if there is no other one. A data centre may be cut off together with a primary whose
 /// registered replicas are all outside. The primary can then only acknowledge writes with
 /// a replica that was started behind the cut. A failover outside does not know of that
-/// replica, and would lose the writes. If a registered replica is inside too, a failover
-/// outside waits for it, but not for ever.
+/// replica, and would lose the writes. A registered replica inside changes little: a failover
+/// outside does not wait for it for ever.
 ///
 /// # Example
 ///
@@ -33,17 +31,11 @@
 /// use chicoryhollow_core::isolation::needs_replica_answer;
 ///
 /// let silence = Some(Duration::from_millis(900));
-/// assert!(needs_replica_answer(silence, true, false));
-/// assert!(!needs_replica_answer(silence, true, true), "a replica on this side is registered");
-/// assert!(!needs_replica_answer(silence, false, false), "the primary is on the other side");
+/// assert!(needs_replica_answer(silence, true));
+/// assert!(!needs_replica_answer(silence, false), "the primary is on the other side");
 /// ```
-pub fn needs_replica_answer(
-    far_silence: Option<Duration>,
-    primary_near: bool,
-    replica_near: bool,
-) -> bool {
-    let limit = if replica_near { MAX_ISOLATION } else { MAX_FAR_SILENCE };
-    primary_near && far_silence.is_some_and(|silence| silence >= limit)
+pub fn needs_replica_answer(far_silence: Option<Duration>, primary_near: bool) -> bool {
+    primary_near && far_silence.is_some_and(|silence| silence >= MAX_FAR_SILENCE)
 }
 
 /// How well one VM can reach the primary of one group.
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -21,7 +21,14 @@
 
 /// What a VM knows that hears from other data centres and knows of no failover.
 fn knowledge(contact: Contact) -> Knowledge {
-    Knowledge { now: ms(8_300), term: TERM, failover: None, contact, directory_age: Duration::ZERO }
+    Knowledge {
+        now: ms(8_300),
+        term: TERM,
+        failover: None,
+        contact,
+        steady: true,
+        directory_age: Duration::ZERO,
+    }
 }
 
 /// A replica that has been registered for long and has received `received`.
@@ -29,7 +36,7 @@
     RegisteredReplica {
         registered: Duration::from_secs(60),
         leaving: false,
-        isolation: None,
+        near: false,
         status: ReplicationStatus { received, term: received.term(), ..Default::default() },
     }
 }
@@ -95,30 +102,53 @@
     assert_eq!(commit.evidence(&knowledge(Contact::Single)), Some(Evidence::Contact));
 }
 
+/// A server behind a cut registers up to a heartbeat after the cut has ended.
+#[test]
+fn contact_counts_for_nothing_right_after_a_cut() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let contact = knowledge(Contact::Since(ms(100)));
+    assert_eq!(commit.evidence(&Knowledge { steady: false, ..contact }), None);
+}
+
 /// Positions of a newer term are greater, but the log may lack the commit.
 #[test]
 fn a_replica_that_follows_another_primary_does_not_hold_the_commit() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    assert!(commit.is_held_by(&replica(at(2, 9))));
-    assert!(!commit.is_held_by(&replica(at(2, 8))));
-    assert!(!commit.is_held_by(&replica(at(3, 20))));
+    let alone = knowledge(Contact::None);
+    assert!(commit.is_held_by(&replica(at(2, 9)), &alone));
+    assert!(!commit.is_held_by(&replica(at(2, 8)), &alone));
+    assert!(!commit.is_held_by(&replica(at(3, 20)), &alone));
 }
 
 #[test]
 fn a_replica_that_a_failover_may_not_know_or_wait_for_does_not_count() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    let known = replica(at(2, 9));
+    let (known, alone) = (replica(at(2, 9)), knowledge(Contact::None));
     let new = RegisteredReplica { registered: Duration::from_millis(2_999), ..known };
-    assert!(!commit.is_held_by(&new));
-    assert!(!commit.is_held_by(&RegisteredReplica { leaving: true, ..known }));
-    let near = |ms| RegisteredReplica { isolation: Some(Duration::from_millis(ms)), ..known };
-    assert!(commit.is_held_by(&near(7_999)));
-    assert!(!commit.is_held_by(&near(8_000)), "others give up the wait for it");
+    assert!(!commit.is_held_by(&new, &alone));
+    assert!(!commit.is_held_by(&RegisteredReplica { leaving: true, ..known }, &alone));
+    let near = RegisteredReplica { near: true, ..known };
+    assert!(!commit.is_held_by(&near, &alone), "others give up the wait for it");
+    assert!(!commit.is_held_by(&near, &knowledge(Contact::Since(ms(99)))));
+    assert!(commit.is_held_by(&near, &knowledge(Contact::Since(ms(100)))));
+}
+
+/// A replica that had started again, without its fence, confirmed what the successor lacked.
+#[test]
+fn a_replica_without_a_fence_does_not_count_while_a_failover_runs() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let (number, begun) = (FailoverNumber::new(1), ms(50));
+    let failover = Some(Announcement { number, replaced: TERM, begun });
+    let running = Knowledge { failover, ..knowledge(Contact::None) };
+    let mut known = replica(at(2, 9));
+    assert!(!commit.is_held_by(&known, &running));
+    known.status.fenced_term = Term::new(3);
+    assert!(commit.is_held_by(&known, &running));
 }
 
 #[test]
-fn a_long_isolation_refuses_writes_although_a_registered_replica_is_inside() {
+fn an_isolated_primary_gets_no_writes_unless_a_replica_elsewhere_answers() {
     let silence = |ms| Some(Duration::from_millis(ms));
-    assert!(!needs_replica_answer(silence(7_999), true, true));
-    assert!(needs_replica_answer(silence(8_000), true, true));
+    assert!(!needs_replica_answer(silence(599), true));
+    assert!(needs_replica_answer(silence(600), true));
 }
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -297,6 +297,8 @@
     assert!(promoted(&failover.next_actions(ANNOUNCED)).is_some());
     let polls = failover.next_actions(Time::from_millis(400));
     assert_eq!(polls, [Action::Poll(server("a"))]);
+    // It answers the polls, and still has the log for which it was chosen.
+    failover.record_status(&server("a"), replica_status(at(1, 1), 2), Time::from_millis(1_700));
     assert!(promoted(&failover.next_actions(Time::from_millis(1_800))).is_some());
     let primary =
         ReplicationStatus { primary: true, term: Term::new(2), ..replica_status(at(2, 1), 0) };
--- /dev/null
+++ b/crates/core/tests/failover_model/network.rs
@@ -0,0 +1,66 @@
+//! Paths between nodes, and cuts of them.
+
+use super::{FIRST_SERVERS, VMS, server::Server};
+
+/// An end of a path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Node {
+    Vm(usize),
+    Server(usize),
+    /// The directory, which is in data centre 1.
+    Store,
+}
+
+/// Direction in which the cut of data centre 0 lets nothing pass.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Direction {
+    Both,
+    Outward,
+    Inward,
+}
+
+/// The cuts at present.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Network {
+    pub(crate) cut: Option<Direction>,
+    /// A VM that does not reach one server.
+    pub(crate) severed: Option<(usize, usize)>,
+    /// Whether the first servers do not reach each other.
+    pub(crate) is_apart: bool,
+}
+
+impl Network {
+    /// Returns whether a message passes.
+    pub(crate) fn passes(&self, servers: &[Server], from: Node, to: Node) -> bool {
+        let is_severed = self.severed.is_some_and(|(vm, server)| {
+            let ends = [Node::Vm(vm), Node::Server(server)];
+            ends.contains(&from) && ends.contains(&to)
+        });
+        let is_cut = match (centre(servers, from), centre(servers, to)) {
+            (0, 1) => matches!(self.cut, Some(Direction::Both | Direction::Outward)),
+            (1, 0) => matches!(self.cut, Some(Direction::Both | Direction::Inward)),
+            _ => false,
+        };
+        let is_first = |node| matches!(node, Node::Server(server) if server < FIRST_SERVERS);
+        let is_apart = self.is_apart && is_first(from) && is_first(to);
+        !is_severed && !is_cut && !is_apart
+    }
+
+    /// Returns whether nothing is cut.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.cut.is_none() && self.severed.is_none() && !self.is_apart
+    }
+
+    /// Returns whether a request passes, and its answer too.
+    pub(crate) fn answers(&self, servers: &[Server], from: Node, to: Node) -> bool {
+        self.passes(servers, from, to) && self.passes(servers, to, from)
+    }
+}
+
+fn centre(servers: &[Server], node: Node) -> usize {
+    match node {
+        Node::Vm(vm) => vm % VMS,
+        Node::Server(server) => servers[server].centre,
+        Node::Store => 1,
+    }
+}
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -63,16 +63,17 @@
             let is_near = |entry: &ServerEntry| entry.data_centre == *here;
             let primary_near = group.servers.get(server).is_some_and(is_near);
             let others = group.others(server);
-            let replica_near = others.iter().any(is_near);
             let silence = self.fleet.far_silence(now);
             let answered = group.replica_answered.is_some_and(|at| now.since(at) < ANSWER_SPAN);
-            if !needs_replica_answer(silence, primary_near, replica_near) || answered {
+            if !needs_replica_answer(silence, primary_near) || answered {
                 return true;
             }
-            // One that is near answers, and does not show that a commit is safe.
-            others.into_iter().filter(|entry| !is_near(entry)).collect::<Vec<_>>()
+            others
         };
-        let answered = others.is_empty() || self.has_answer(&others).await;
+        // One that is near answers, and does not show that a commit is safe.
+        let is_far = |entry: &&ServerEntry| entry.data_centre != *here;
+        let far: Vec<ServerEntry> = others.iter().filter(is_far).cloned().collect();
+        let answered = others.is_empty() || self.has_answer(&far).await;
         if answered {
             group.borrow_mut().replica_answered = Some(clock::now());
         }
@@ -140,12 +141,16 @@
             let answered = self.fleet.questions.answered.notified();
             let known = self.knowledge(&group.borrow(), data_centre);
             let found = commit.evidence(&known);
-            if found.is_some() || commit.may_be_replaced(&known) {
+            if found.is_some() {
                 return found;
             }
             if !std::mem::replace(&mut is_asked, true) {
                 self.ask_contact(&name, commit.position, data_centre, count);
             }
+            // The answer matters only for replicas in the primary's data centre.
+            if !known.steady || commit.may_be_replaced(&known) {
+                return None;
+            }
             timeout(limit.since(clock::now()), answered).await.ok()?;
         }
     }
@@ -157,6 +162,7 @@
             term: group.newest_term(),
             failover: group.failover(),
             contact: self.fleet.contact(group, data_centre),
+            steady: self.fleet.is_in_contact(data_centre, now),
             directory_age: now.since(self.fresh_at()),
         }
     }
@@ -184,7 +190,8 @@
         let end = clock::now() + ANSWER_TIMEOUT;
         loop {
             let polled = self.fleet.questions.answered.notified();
-            let is_held = |replica: &RegisteredReplica| commit.is_held_by(replica);
+            let known = self.knowledge(&group.borrow(), data_centre);
+            let is_held = |replica: &RegisteredReplica| commit.is_held_by(replica, &known);
             if group.borrow().replicas.values().any(is_held) {
                 return true;
             }
@@ -206,13 +213,12 @@
             let command = send_command(self, &entry.server, Command::Status);
             let status = timeout(ANSWER_TIMEOUT, command).await.ok().flatten();
             let now = clock::now();
-            let is_near = entry.data_centre == *data_centre;
-            let isolation = is_near.then(|| self.fleet.far_silence(now).unwrap_or_default());
+            let near = entry.data_centre == *data_centre;
             let (registered, leaving) = (now.since(since), entry.leaving);
             let report = status.map(|status| RegisteredReplica {
                 registered,
                 leaving,
-                isolation,
+                near,
                 status: status.into(),
             });
             group.borrow_mut().record_replica(entry.server, report);
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -168,10 +168,6 @@
         if members.values().all(|member| member.data_centre == me.data_centre) {
             return if self.has_member_list() { Contact::Single } else { Contact::None };
         }
-        // Servers that were cut off may not have registered yet when the cut has just ended.
-        if !self.is_in_contact(data_centre, clock::now()) {
-            return Contact::None;
-        }
         let asked = group.contact(|other| shows_contact(&me.data_centre, data_centre, other));
         asked.map_or(Contact::None, Contact::Since)
     }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -249,6 +249,7 @@
             None
         }
         Progress::Abandoned(reason) => {
+            end_announcement(engine, coordinator, group, &running.failover.borrow(), now);
             engine.event_log.record(
                 Event::FailoverAbandoned,
                 o!("group" => name.to_string(), "reason" => reason),
@@ -260,3 +261,20 @@
         }
     }
 }
+
+/// Tells all VMs that an abandoned failover replaces no primary. If it has ordered a promotion,
+/// the order may still be carried out, and the failover counts as running from now on.
+fn end_announcement<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    coordinator: &Coordinator,
+    group: &RefCell<Group>,
+    failover: &Failover,
+    now: Time,
+) {
+    let Some(token) = coordinator.order_token() else { return };
+    let known = group.borrow().failover().map(|known| known.replaced).unwrap_or_default();
+    let replaced = if failover.has_ordered() { known } else { Term::default() };
+    let number = FailoverNumber::new(token.get());
+    group.borrow_mut().record_failover(Announcement { number, replaced, begun: now });
+    engine.fleet.announce_primary();
+}
