Show that a copy counts while the order of an abandoned failover is open

The order to promote one replica is not answered; after 12 s the failover is abandoned and lifts the fences, the other replica receives a commit, and the commit is told of by its copy.

--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -5,7 +5,7 @@
 use chicoryhollow_core::{
     Lsn, Position, Term, Time,
     durability::{Commit, Contact, Evidence, Knowledge, RegisteredReplica},
-    failover::{Action, Cause, Failover, Member, ReplicationStatus},
+    failover::{Action, Cause, Failover, Member, Progress, ReplicationStatus},
     isolation::needs_replica_answer,
 };
 
@@ -130,15 +130,13 @@
     From(Time),
 }
 
+fn member(name: &str) -> Member {
+    Member { server: name.parse().expect("a valid name"), preferred: true, cold: false, born: 0 }
+}
+
 /// A commit that only `n` holds, which registers at some time, and a failover among `q` and
 /// the servers that are listed. Returns the promoted server.
 fn promoted(begun: Time, listing: Listing) -> Option<String> {
-    let member = |name: &str| Member {
-        server: name.parse().expect("a valid name"),
-        preferred: true,
-        cold: false,
-        born: 0,
-    };
     let acknowledged = at(2, 0);
     let mut failover = Failover::new(Cause::Failure, [member("q")], TERM, acknowledged, begun);
     let mut now = begun;
@@ -201,3 +199,43 @@
     let promoted = promoted(ms(12_060), Listing::From(ms(13_246)));
     assert!(!is_told || promoted.as_deref() != Some("q"), "told, and lost");
 }
+
+/// The order to promote one replica gets no answer, and is carried out after the failover was abandoned.
+/// Meanwhile the other one receives again.
+#[test]
+fn a_copy_on_a_replica_that_an_abandoned_failover_released_is_not_lost_to_its_late_order() {
+    let begun = ms(1_000);
+    let members = ["q", "r"].map(member);
+    let mut failover = Failover::new(Cause::Failure, members, TERM, at(2, 0), begun);
+    let (mut now, mut target) = (begun, None);
+    while failover.progress(now) == Progress::Running {
+        for action in failover.next_actions(now) {
+            let fenced = |fenced_term| ReplicationStatus {
+                term: TERM,
+                received: at(2, 8),
+                fenced_term,
+                ..Default::default()
+            };
+            match action {
+                Action::Fence(server, term) => {
+                    failover.record_status(&server, fenced(term), now);
+                }
+                Action::Poll(server) => {
+                    failover.record_status(&server, fenced(failover.term()), now);
+                }
+                Action::ListServers => failover.record_list(now),
+                Action::Promote(server) => target = Some(server),
+                _ => {}
+            }
+        }
+        now = now + Duration::from_millis(50);
+    }
+    let target = target.expect("an order");
+    let is_released = failover
+        .release_actions()
+        .iter()
+        .any(|action| matches!(action, Action::Release(server) if *server != target));
+    let commit = Commit { position: at(2, 9), answered: now };
+    let is_told = is_released && commit.is_held_by(&replica(at(2, 9)));
+    assert!(!is_told, "told, while the order to promote {target} is open");
+}
