Report as lost only commits of which this VM has told a caller

Since VMs note the commit that they are asked about, what a VM counts as acknowledged holds commits whose callers were told that the outcome is unknown. The event now compares what this VM itself has told.

--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -87,9 +87,9 @@
     last_response: Time,
     /// Data centres that the operators have taken out of use.
     evacuated: IndexSet<DataCentreId>,
-    /// Newest position with an acknowledged commit in the terms before that of
-    /// [`Group::acknowledged`].
-    earlier_acknowledged: Position,
+    /// Newest commits of which this VM has told callers, in the newest term and before it.
+    told: Position,
+    told_earlier: Position,
     /// Where the log of the newest promoted primary began, in its term.
     start: Position,
     /// Newest term whose log was reported to lack acknowledged commits.
@@ -130,7 +130,8 @@
             unconfirmed_since: None,
             last_response: now,
             evacuated: IndexSet::new(),
-            earlier_acknowledged: Position::default(),
+            told: Position::default(),
+            told_earlier: Position::default(),
             start: Position::default(),
             reported_term: Term::default(),
             replica_answered: None,
@@ -292,19 +293,15 @@
         Some(missing)
     }
 
-    /// Returns the newest acknowledged position of the terms before the newest promotion.
+    /// Returns the newest commit of which this VM has told callers, of the terms before the
+    /// newest promotion.
     pub(crate) fn last_before_start(&self) -> Option<Position> {
-        let known = [self.acknowledged, self.earlier_acknowledged];
+        let known = [self.told, self.told_earlier];
         known.into_iter().find(|position| position.term() < self.start.term())
     }
 
-    /// Records a position with an acknowledged commit.
+    /// Records a position with a commit of which callers are told, or may be.
     pub(crate) fn record_acknowledged(&mut self, position: Position) {
-        if position.term() > self.acknowledged.term() {
-            self.earlier_acknowledged = self.acknowledged;
-        } else if position.term() < self.acknowledged.term() {
-            self.earlier_acknowledged = self.earlier_acknowledged.max(position);
-        }
         self.acknowledged = self.acknowledged.max(position);
     }
 
@@ -357,6 +354,10 @@
     /// Records that callers are told of a commit at `position`.
     pub(crate) fn record_commit(&mut self, position: Position) {
         self.record_acknowledged(position);
+        if position.term() > self.told.term() {
+            self.told_earlier = self.told;
+        }
+        self.told = self.told.max(position);
     }
 
     /// Returns since when requests to the primary have failed or writes have not been
