Leave input unread that arrives after the end of a session

Cause: since sessions end their output first and wait for the caller to close, they read and discarded what arrived meanwhile. A request of an open transaction that crossed the end of its session was so read whole and not answered. Before, it was left unread, and the connection was reset, which tells the caller that nothing of it ran.

Now a session that has ended waits without reading: the runtime tells when the other side has closed.

--- a/crates/engine/src/linger.rs
+++ b/crates/engine/src/linger.rs
@@ -2,33 +2,38 @@
 //!
 //! A socket that is closed while it holds input that was not read, or that receives
 //! input later, resets the connection. The reset discards what the other side has not
-//! received yet, which may be the end of an answer.
+//! received yet, which may be the end of an answer. Input that arrives after the end is not
+//! read either: nobody would answer it, and a caller may take what was not read as not run.
 
 use std::time::Duration;
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncWriteExt, Interest},
     net::TcpStream,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// Longest time to wait for the other side to close the connection.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
-/// Size of the buffer for input that is discarded.
-const DISCARD_BYTES: usize = 4_096;
+/// Time between two checks of whether it has, while there is input that is not read.
+const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Ends the output of a connection, and discards its input until the other side closes it
-/// or some time has passed.
+/// Ends the output of a connection, and waits until the other side closes it or some time has
+/// passed.
 pub async fn close(stream: &mut TcpStream) {
     if stream.shutdown().await.is_err() {
         return;
     }
     // If the time has passed, the other side does not close the connection.
-    let _ = timeout(LINGER_TIME, discard_input(stream)).await;
+    let _ = timeout(LINGER_TIME, wait_for_end(stream)).await;
 }
 
-async fn discard_input(stream: &mut TcpStream) {
-    let mut bytes = [0; DISCARD_BYTES];
-    while stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {}
+async fn wait_for_end(stream: &TcpStream) {
+    while let Ok(ready) = stream.ready(Interest::READABLE).await {
+        if ready.is_read_closed() {
+            return;
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
 }
