Split the group's state by concept, and judge where a replica runs when it is asked for

Where a replica runs was noted by the poll, which may have begun for the primary before: a copy near the new primary could count as one far from it. It is now judged against the primary of the commit.

--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -9,8 +9,8 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
-    DataCentreId, Position, ServerId, Time,
-    durability::{Commit, Evidence, Knowledge, RegisteredReplica},
+    DataCentreId, Position, ServerId,
+    durability::{Commit, Evidence, Knowledge},
     isolation::needs_replica_answer,
 };
 use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
@@ -160,7 +160,7 @@
         Knowledge {
             now,
             term: group.newest_term(),
-            failover: group.failover(),
+            failover: group.peers.failover(),
             contact: self.fleet.contact(group, data_centre),
             steady: self.fleet.is_in_contact(data_centre, now),
             directory_age: now.since(self.fresh_at()),
@@ -176,23 +176,19 @@
         data_centre: &DataCentreId,
         commit: &Commit,
     ) -> bool {
-        let is_polled = group.borrow_mut().replica_poll.try_start();
-        if is_polled {
-            let (engine, group) = (Rc::clone(self), Rc::clone(group));
-            let (server, data_centre) = (server.clone(), data_centre.clone());
+        if group.borrow_mut().replicas.poll.try_start() {
+            let (engine, group, server) = (Rc::clone(self), Rc::clone(group), server.clone());
             // The poll serves all commits that wait, also after this one has ended.
             actix::spawn(async move {
-                engine.poll_replicas(&group, &server, &data_centre).await;
+                engine.poll_replicas(&group, &server).await;
                 sleep(REPLICA_INTERVAL).await;
-                group.borrow_mut().replica_poll.end();
+                group.borrow_mut().replicas.poll.end();
             });
         }
         let end = clock::now() + ANSWER_TIMEOUT;
         loop {
             let polled = self.fleet.questions.answered.notified();
-            let known = self.knowledge(&group.borrow(), data_centre);
-            let is_held = |replica: &RegisteredReplica| commit.is_held_by(replica, &known);
-            if group.borrow().replicas.values().any(is_held) {
+            if self.is_held(&group.borrow(), server, data_centre, commit) {
                 return true;
             }
             if timeout(end.since(clock::now()).min(REPLICA_INTERVAL), polled).await.is_err() {
@@ -201,27 +197,26 @@
         }
     }
 
-    /// Asks all registered replicas for their status.
-    async fn poll_replicas(
-        self: &Rc<Self>,
-        group: &RefCell<Group>,
+    /// Returns whether one of the replicas has reported that it holds the commit.
+    fn is_held(
+        &self,
+        group: &Group,
         server: &ServerId,
         data_centre: &DataCentreId,
-    ) {
-        let replicas = group.borrow().registered_replicas(server);
-        let ask = |(entry, since): (ServerEntry, Time)| async move {
+        commit: &Commit,
+    ) -> bool {
+        let known = self.knowledge(group, data_centre);
+        let replicas = group.reported_replicas(server, known.now);
+        replicas.iter().any(|replica| commit.is_held_by(replica, &known))
+    }
+
+    /// Asks all replicas for their status.
+    async fn poll_replicas(self: &Rc<Self>, group: &RefCell<Group>, server: &ServerId) {
+        let replicas = group.borrow().others(server);
+        let ask = |entry: ServerEntry| async move {
             let command = send_command(self, &entry.server, Command::Status);
             let status = timeout(ANSWER_TIMEOUT, command).await.ok().flatten();
-            let now = clock::now();
-            let near = entry.data_centre == *data_centre;
-            let (registered, leaving) = (now.since(since), entry.leaving);
-            let report = status.map(|status| RegisteredReplica {
-                registered,
-                leaving,
-                near,
-                status: status.into(),
-            });
-            group.borrow_mut().record_replica(entry.server, report);
+            group.borrow_mut().replicas.record(entry.server, status.map(Into::into));
             self.fleet.questions.answered.notify_waiters();
         };
         join_all(replicas.into_iter().map(ask)).await;
--- a/crates/engine/src/engine/servers.rs
+++ b/crates/engine/src/engine/servers.rs
@@ -119,16 +119,16 @@
     /// Counts and logs acknowledged commits that the newest promoted primary lacked.
     pub(crate) fn check_commits(&self, group: &RefCell<Group>) {
         let mut group = group.borrow_mut();
-        let Some(missing) = group.take_missing_commits() else { return };
-        self.metrics.missing_commits.inc_by(missing);
+        let Some(missing) = group.told.take_missing() else { return };
+        self.metrics.missing_commits.inc_by(missing.count());
         self.event_log.record(
             Event::CommitsMissing,
             o!(
                 "group" => group.view.group.to_string(),
                 "primary" => group.view.primary.as_ref().map(ToString::to_string),
-                "acknowledged" => group.last_before_start().map(|last| last.to_string()),
-                "start" => group.start().to_string(),
-                "missing" => missing,
+                "acknowledged" => missing.told.to_string(),
+                "start" => missing.start.to_string(),
+                "missing" => missing.count(),
             ),
         );
     }
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -168,7 +168,7 @@
         if members.values().all(|member| member.data_centre == me.data_centre) {
             return if self.has_member_list() { Contact::Single } else { Contact::None };
         }
-        let asked = group.contact(|other| shows_contact(&me.data_centre, data_centre, other));
+        let asked = group.peers.contact(|other| shows_contact(&me.data_centre, data_centre, other));
         asked.map_or(Contact::None, Contact::Since)
     }
 
@@ -217,7 +217,8 @@
         let group = self.group(&name);
         let commit = Position::new(Term::new(ask.term), Lsn::new(ask.lsn));
         group.borrow_mut().record_acknowledged(commit);
-        let (term, failover) = (group.borrow().newest_term().get(), group.borrow().failover());
+        let (term, failover) =
+            (group.borrow().newest_term().get(), group.borrow().peers.failover());
         let failover = failover.map(|failover| encode_failover(failover, now));
         link.send(Body::ContactAnswer(ContactAnswer { number: ask.number, term, failover }));
     }
@@ -228,11 +229,11 @@
         let Some(data_centre) = self.fleet.data_centre(vm) else { return };
         let group = self.group(&question.group);
         let mut group = group.borrow_mut();
-        group.record_term(Term::new(answer.term));
+        group.peers.record_term(Term::new(answer.term));
         if let Some(failover) = answer.failover {
-            group.record_failover(decode_failover(failover, clock::now()));
+            group.peers.record_failover(decode_failover(failover, clock::now()));
         }
-        group.record_contact(data_centre, question.asked);
+        group.peers.record_contact(data_centre, question.asked);
         self.fleet.questions.answered.notify_waiters();
     }
 }
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -81,11 +81,11 @@
             let acknowledged = at(state.acknowledged_term, state.acknowledged_lsn);
             group.record_acknowledged(acknowledged);
             let start = Position::new(Term::new(state.start_term), Lsn::new(state.start_lsn));
-            group.record_start(start);
+            group.told.record_start(start);
             told.start = start;
             if let Some(failover) = state.failover {
                 let failover = decode_failover(failover, now);
-                has_failover_news = group.record_failover(failover);
+                has_failover_news = group.peers.record_failover(failover);
                 told.failover = Some(failover);
             }
             told.acknowledged = acknowledged;
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -3,12 +3,15 @@
 //! The state combines the servers' entries in the directory, the answers of the
 //! servers, and what other VMs report. The newest term decides who is primary.
 
+mod replicas;
+mod reports;
+
 use std::time::Duration;
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
-    durability::{RegisteredReplica, missing_commits},
-    failover::{Announcement, Member, MissingServers, ServerTimes},
+    durability::{RegisteredReplica, ToldCommits},
+    failover::{Member, MissingServers, ServerTimes},
     freshness::ObservedPositions,
     gossip::GroupSummary,
     isolation::PrimaryReachability,
@@ -17,7 +20,8 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
-use crate::catalog::ServerEntry;
+use self::{replicas::Replicas, reports::PeerReports};
+use crate::{catalog::ServerEntry, single_flight::SingleFlight};
 
 /// Time after a server denied being the primary for which its directory entry alone
 /// does not make it the primary.
@@ -45,24 +49,6 @@
     }
 }
 
-/// Lets only one task at a time do work whose result all tasks share.
-#[derive(Debug, Default)]
-pub(crate) struct SingleFlight {
-    running: bool,
-}
-
-impl SingleFlight {
-    /// Starts the work and returns true, unless another task is running it.
-    pub(crate) fn try_start(&mut self) -> bool {
-        !std::mem::replace(&mut self.running, true)
-    }
-
-    /// Ends the work, after which any task may start it again.
-    pub(crate) fn end(&mut self) {
-        self.running = false;
-    }
-}
-
 /// Known state of one group.
 pub(crate) struct Group {
     /// Newest known primary and term.
@@ -87,30 +73,16 @@
     last_response: Time,
     /// Data centres that the operators have taken out of use.
     evacuated: IndexSet<DataCentreId>,
-    /// Newest commits of which this VM has told callers, in the newest term and before it.
-    told: Position,
-    told_earlier: Position,
-    /// Where the log of the newest promoted primary began, in its term.
-    start: Position,
-    /// Newest term whose log was reported to lack acknowledged commits.
-    reported_term: Term,
+    /// Commits of which this VM has told callers.
+    pub(crate) told: ToldCommits,
     /// When a server other than the primary last answered a status request of a statement.
     pub(crate) replica_answered: Option<Time>,
     /// Until when each started server is too slow for reads.
     cold_until: IndexMap<ServerId, Time>,
-    /// What the replicas reported to the last poll for the copies of commits.
-    pub(crate) replicas: IndexMap<ServerId, RegisteredReplica>,
-    /// Whether the replicas are being polled for that.
-    pub(crate) replica_poll: SingleFlight,
-    /// Since when each server has been known to be registered.
-    registered_since: IndexMap<ServerId, Time>,
-    /// Newest failover that may run.
-    failover: Option<Announcement>,
-    /// Newest term in which another VM knows a primary to lead.
-    heard_term: Term,
-    /// When the newest question about this group was sent that a VM of each data centre has
-    /// answered.
-    contacts: IndexMap<DataCentreId, Time>,
+    /// Copies of commits.
+    pub(crate) replicas: Replicas,
+    /// What other VMs have told about failovers.
+    pub(crate) peers: PeerReports,
     pub(crate) missing_servers: MissingServers,
 }
 
@@ -130,18 +102,11 @@
             unconfirmed_since: None,
             last_response: now,
             evacuated: IndexSet::new(),
-            told: Position::default(),
-            told_earlier: Position::default(),
-            start: Position::default(),
-            reported_term: Term::default(),
+            told: ToldCommits::default(),
             replica_answered: None,
             cold_until: IndexMap::new(),
-            replicas: IndexMap::new(),
-            replica_poll: SingleFlight::default(),
-            registered_since: IndexMap::new(),
-            failover: None,
-            heard_term: Term::default(),
-            contacts: IndexMap::new(),
+            replicas: Replicas::default(),
+            peers: PeerReports::default(),
             missing_servers: MissingServers::new().with_times(times),
         }
     }
@@ -158,7 +123,7 @@
         let after = servers.values().map(ServerEntry::registered);
         let silence = now.since(self.last_response);
         self.missing_servers.update(before, after, silence, now);
-        self.record_registrations(&servers, now);
+        self.replicas.update(&self.servers, &servers, now);
         self.servers = servers;
         let current = self.view.primary.as_ref().and_then(|primary| self.servers.get(primary));
         match current {
@@ -170,22 +135,6 @@
         }
     }
 
-    /// Records since when servers are registered. One that has started again holds nothing of
-    /// before, and counts as new.
-    fn record_registrations(&mut self, servers: &IndexMap<ServerId, ServerEntry>, now: Time) {
-        let since = |entry: &ServerEntry| {
-            let is_same = self.servers.get(&entry.server).is_some_and(|old| old.born == entry.born);
-            let known = self.registered_since.get(&entry.server).filter(|_| is_same);
-            known.copied().unwrap_or(now)
-        };
-        let since = servers.values().map(|entry| (entry.server.clone(), since(entry))).collect();
-        self.registered_since = since;
-        // What a server reported before it left or started again counts no more.
-        let known =
-            |server: &ServerId| self.registered_since.get(server).is_some_and(|at| *at < now);
-        self.replicas.retain(|server, _| known(server));
-    }
-
     /// Replaces the set of evacuated data centres.
     pub(crate) fn set_evacuated(&mut self, evacuated: IndexSet<DataCentreId>) {
         self.evacuated = evacuated;
@@ -236,68 +185,9 @@
         }
     }
 
-    /// Records a failover that may run; returns whether it is news.
-    pub(crate) fn record_failover(&mut self, failover: Announcement) -> bool {
-        let is_news = failover.is_newer(self.failover.as_ref());
-        if is_news {
-            self.failover = Some(failover);
-        }
-        is_news
-    }
-
-    /// Returns the newest failover that may run.
-    pub(crate) fn failover(&self) -> Option<Announcement> {
-        self.failover
-    }
-
-    /// Records a term in which another VM knows a primary to lead.
-    pub(crate) fn record_term(&mut self, term: Term) {
-        self.heard_term = self.heard_term.max(term);
-    }
-
     /// Returns the newest term in which a primary is known to lead.
     pub(crate) fn newest_term(&self) -> Term {
-        self.view.term.max(self.heard_term)
-    }
-
-    /// Records that a VM of `data_centre` has answered a question that was sent at `asked`.
-    pub(crate) fn record_contact(&mut self, data_centre: DataCentreId, asked: Time) {
-        let newest = self.contacts.entry(data_centre).or_insert(asked);
-        *newest = asked.max(*newest);
-    }
-
-    /// Returns when the newest question was sent that a VM of one of the data centres that
-    /// `counts` accepts has answered.
-    pub(crate) fn contact(&self, counts: impl Fn(&DataCentreId) -> bool) -> Option<Time> {
-        self.contacts.iter().filter(|(other, _)| counts(other)).map(|(_, asked)| *asked).max()
-    }
-
-    /// Records where the log of a promoted primary began, in its term.
-    pub(crate) fn record_start(&mut self, start: Position) {
-        self.start = self.start.max(start);
-    }
-
-    /// Returns where the log of the newest promoted primary began, in its term.
-    pub(crate) fn start(&self) -> Position {
-        self.start
-    }
-
-    /// Returns how many acknowledged commits the newest promoted primary lacked, once for each
-    /// term in which it lacked some.
-    pub(crate) fn take_missing_commits(&mut self) -> Option<u64> {
-        let missing = self.last_before_start().map(|last| missing_commits(last, self.start))?;
-        if missing == 0 || self.start.term() <= self.reported_term {
-            return None;
-        }
-        self.reported_term = self.start.term();
-        Some(missing)
-    }
-
-    /// Returns the newest commit of which this VM has told callers, of the terms before the
-    /// newest promotion.
-    pub(crate) fn last_before_start(&self) -> Option<Position> {
-        let known = [self.told, self.told_earlier];
-        known.into_iter().find(|position| position.term() < self.start.term())
+        self.view.term.max(self.peers.term())
     }
 
     /// Records a position with a commit of which callers are told, or may be.
@@ -354,10 +244,7 @@
     /// Records that callers are told of a commit at `position`.
     pub(crate) fn record_commit(&mut self, position: Position) {
         self.record_acknowledged(position);
-        if position.term() > self.told.term() {
-            self.told_earlier = self.told;
-        }
-        self.told = self.told.max(position);
+        self.told.record(position);
     }
 
     /// Returns since when requests to the primary have failed or writes have not been
@@ -381,8 +268,8 @@
             failing: self.failing_since(),
             acknowledged: self.acknowledged,
             asked: self.observed.latest().map(|latest| latest.asked),
-            start: self.start,
-            failover: self.failover,
+            start: self.told.start(),
+            failover: self.peers.failover(),
         };
         (self.view.group.clone(), knowledge)
     }
@@ -436,19 +323,20 @@
         self.servers.values().filter(|entry| entry.server != *primary).cloned().collect()
     }
 
-    /// Records what a replica reported, or that it did not answer.
-    pub(crate) fn record_replica(&mut self, server: ServerId, report: Option<RegisteredReplica>) {
-        match report {
-            Some(report) => drop(self.replicas.insert(server, report)),
-            None => drop(self.replicas.shift_remove(&server)),
-        }
-    }
-
-    /// Returns the registered servers other than `primary`, and since when they are registered.
-    pub(crate) fn registered_replicas(&self, primary: &ServerId) -> Vec<(ServerEntry, Time)> {
-        let since = |entry: &ServerEntry| self.registered_since.get(&entry.server).copied();
-        let others = self.others(primary).into_iter();
-        others.filter_map(|entry| since(&entry).map(|since| (entry, since))).collect()
+    /// Returns the registered replicas of the primary `server` that have reported.
+    pub(crate) fn reported_replicas(&self, server: &ServerId, now: Time) -> Vec<RegisteredReplica> {
+        let primary = self.servers.get(server).map(|entry| &entry.data_centre);
+        let others = self.servers.values().filter(|entry| entry.server != *server);
+        let report = |entry: &ServerEntry| {
+            let (since, status) = self.replicas.report(&entry.server)?;
+            Some(RegisteredReplica {
+                registered: now.since(since),
+                leaving: entry.leaving,
+                near: primary.is_none_or(|centre| *centre == entry.data_centre),
+                status,
+            })
+        };
+        others.filter_map(report).collect()
     }
 
     /// Returns whether a server has run long enough to serve at full speed.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod seam;
 mod session;
 pub mod settings;
+mod single_flight;
 pub mod statement;
 mod turn;
 mod watch;
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -27,9 +27,10 @@
     clock,
     coordinator::Coordinator,
     engine::Engine,
-    group::{Group, SingleFlight, Source},
+    group::{Group, Source},
     log::Event,
     seam::{Directory, ServerProtocol},
+    single_flight::SingleFlight,
 };
 
 /// Interval at which the failover coordinator checks all groups.
@@ -131,7 +132,7 @@
         let running = begin(engine, &group.borrow(), suspicion, watched.highest_term, now);
         let replaced = group.borrow().newest_term();
         let number = FailoverNumber::new(token.get());
-        group.borrow_mut().record_failover(Announcement { number, replaced, begun: now });
+        group.borrow_mut().peers.record_failover(Announcement { number, replaced, begun: now });
         engine.fleet.announce_primary();
         watched.running = Some(running);
     }
@@ -232,7 +233,7 @@
         Progress::Done(server, term) => {
             let changed = group.borrow_mut().adopt(&server, term);
             let received = running.failover.borrow().target_received();
-            group.borrow_mut().record_start(Position::new(term, received.lsn()));
+            group.borrow_mut().told.record_start(Position::new(term, received.lsn()));
             if changed {
                 engine.record_primary_change(&group.borrow(), Source::Answer);
             }
@@ -272,9 +273,9 @@
     now: Time,
 ) {
     let Some(token) = coordinator.order_token() else { return };
-    let known = group.borrow().failover().map(|known| known.replaced).unwrap_or_default();
+    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
     let replaced = if failover.has_ordered() { known } else { Term::default() };
     let number = FailoverNumber::new(token.get());
-    group.borrow_mut().record_failover(Announcement { number, replaced, begun: now });
+    group.borrow_mut().peers.record_failover(Announcement { number, replaced, begun: now });
     engine.fleet.announce_primary();
 }
--- a/crates/engine/src/watch/probe.rs
+++ b/crates/engine/src/watch/probe.rs
@@ -8,8 +8,9 @@
 use crate::{
     clock,
     engine::Engine,
-    group::{Group, SingleFlight, Source},
+    group::{Group, Source},
     seam::{Directory, ServerProtocol},
+    single_flight::SingleFlight,
     statement::{Access, Command, FaultKind},
 };
 
