Tell the coordinator of commits that others have answered for before it orders

The VM that answers the question counts the commit as acknowledged, but told so with a later heartbeat.

Now a newer acknowledged position is told at once while a failover may replace the primary of its term, and passed on at once. In a single data centre no VM was asked at all; now any other one is, and only a VM without others answers itself.

The model of gossip loses no packets: with a loss the news may take longer, as docs/design/durability.md says.

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -46,17 +46,6 @@
     pub answered: Time,
 }
 
-/// Messages between the primary's data centre and another one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Contact {
-    /// All VMs are in one data centre.
-    Single,
-    /// There is none, or it has not lasted long enough.
-    None,
-    /// A question that was sent at this time was answered.
-    Since(Time),
-}
-
 /// What a VM knows at the time at which it decides.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Knowledge {
@@ -66,8 +55,11 @@
     pub term: Term,
     /// Newest failover of the group that may run.
     pub failover: Option<Announcement>,
-    /// Contact between the primary's data centre and another one.
-    pub contact: Contact,
+    /// When the newest question was sent that shows contact between the primary's data centre
+    /// and another one, by its answer. If all VMs are in one data centre, any VM's answer counts.
+    pub contact: Option<Time>,
+    /// Whether all VMs are in one data centre.
+    pub single: bool,
     /// Whether there has been contact for so long that servers that were cut off have
     /// registered.
     pub steady: bool,
@@ -114,7 +106,7 @@
     /// use std::time::Duration;
     /// use chicoryhollow_core::{
     ///     Lsn, Position, Term, Time,
-    ///     durability::{Commit, Contact, Evidence, Knowledge},
+    ///     durability::{Commit, Evidence, Knowledge},
     /// };
     ///
     /// let term = Term::new(2);
@@ -125,12 +117,13 @@
     ///     term,
     ///     failover: None,
     ///     contact,
+    ///     single: false,
     ///     steady: true,
     ///     directory_age: Duration::ZERO,
     /// };
-    /// let earlier = Contact::Since(Time::from_millis(8_000));
+    /// let earlier = Some(Time::from_millis(8_000));
     /// assert_eq!(commit.evidence(&knowledge(earlier)), None);
-    /// let later = Contact::Since(answered);
+    /// let later = Some(answered);
     /// assert_eq!(commit.evidence(&knowledge(later)), Some(Evidence::Contact));
     /// ```
     pub fn evidence(&self, knowledge: &Knowledge) -> Option<Evidence> {
@@ -146,11 +139,7 @@
 
     /// Returns whether a question that was sent after the primary's answer was answered.
     fn has_contact(&self, knowledge: &Knowledge) -> bool {
-        match knowledge.contact {
-            Contact::Single => true,
-            Contact::None => false,
-            Contact::Since(asked) => asked >= self.answered,
-        }
+        knowledge.contact.is_some_and(|asked| asked >= self.answered)
     }
 
     /// Returns whether a failover may run that replaces the primary. While it does, no contact
@@ -169,7 +158,7 @@
         let RegisteredReplica { status, near, .. } = replica;
         let term = self.position.term();
         replica.takes_part()
-            && (!near || self.has_contact(knowledge))
+            && (!near || knowledge.single || self.has_contact(knowledge))
             && (!self.may_be_replaced(knowledge) || status.fenced_term > term)
             && status.received.term() == term
             && status.received >= self.position
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -68,6 +68,12 @@
     fn has_newer_failover(&self, other: &GroupSummary) -> bool {
         self.failover.is_some_and(|failover| failover.is_newer(other.failover.as_ref()))
     }
+
+    /// Returns whether a failover may replace the primary that acknowledged the newest commit.
+    pub fn is_replaced(&self, now: Time) -> bool {
+        let term = self.acknowledged.term();
+        self.failover.is_some_and(|failover| failover.may_replace(term, now))
+    }
 }
 
 /// What is new to a neighbour about one group.
@@ -77,8 +83,8 @@
     None,
     /// Newer positions.
     Positions,
-    /// A failure of the primary, or its end; a failover; or where the log of a new primary
-    /// began.
+    /// A failure of the primary, or its end; a failover, or commits that it must keep; or where
+    /// the log of a new primary began.
     Failure,
     /// Another primary.
     Primary,
@@ -115,6 +121,10 @@
         if has_failed || known.has_newer_failover(&self.last) || known.start > self.last.start {
             return Update::Failure;
         }
+        // The coordinator must not promote a server without these commits.
+        if known.acknowledged > self.last.acknowledged && known.is_replaced(now) {
+            return Update::Failure;
+        }
         match self.has_newer_position(known, spacing, now) {
             true => Update::Positions,
             false => Update::None,
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -4,9 +4,7 @@
 
 use chicoryhollow_core::{
     Lsn, Position, Term, Time,
-    durability::{
-        Commit, Contact, Evidence, Knowledge, MissingCommits, RegisteredReplica, ToldCommits,
-    },
+    durability::{Commit, Evidence, Knowledge, MissingCommits, RegisteredReplica, ToldCommits},
     failover::{
         Action, Announcement, Cause, Failover, FailoverNumber, Member, Progress, ReplicationStatus,
     },
@@ -24,12 +22,13 @@
 }
 
 /// What a VM knows that hears from other data centres and knows of no failover.
-fn knowledge(contact: Contact) -> Knowledge {
+fn knowledge(contact: Option<Time>) -> Knowledge {
     Knowledge {
         now: ms(8_300),
         term: TERM,
         failover: None,
         contact,
+        single: false,
         steady: true,
         directory_age: Duration::ZERO,
     }
@@ -52,9 +51,9 @@
     for sent in [7_950, 8_022, 8_080] {
         let commit = Commit { position: at(2, 195), answered: ms(8_205) };
         for asked in [sent, 8_001, 8_204] {
-            assert_eq!(commit.evidence(&knowledge(Contact::Since(ms(asked)))), None);
+            assert_eq!(commit.evidence(&knowledge(Some(ms(asked)))), None);
         }
-        assert_eq!(commit.evidence(&knowledge(Contact::None)), None);
+        assert_eq!(commit.evidence(&knowledge(None)), None);
     }
 }
 
@@ -67,7 +66,7 @@
         for (answered, asked) in times().flat_map(|at| times().map(move |asked| (at, asked))) {
             let is_possible = answered >= started && asked < cut;
             let commit = Commit { position: at(2, 9), answered: ms(answered) };
-            let evidence = commit.evidence(&knowledge(Contact::Since(ms(asked))));
+            let evidence = commit.evidence(&knowledge(Some(ms(asked))));
             if is_possible && evidence == Some(Evidence::Contact) {
                 assert!(started < cut, "start {started}, cut {cut}, answer {answered}");
                 passed += 1;
@@ -81,7 +80,7 @@
 #[test]
 fn contact_counts_for_nothing_while_a_failover_runs() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    let contact = knowledge(Contact::Since(ms(200)));
+    let contact = knowledge(Some(ms(200)));
     assert_eq!(commit.evidence(&contact), Some(Evidence::Contact));
     let begun = ms(50);
     let failover = Announcement { number: FailoverNumber::new(1), replaced: TERM, begun };
@@ -94,23 +93,28 @@
 #[test]
 fn contact_counts_for_nothing_while_no_server_can_register() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    let contact = knowledge(Contact::Since(ms(100)));
+    let contact = knowledge(Some(ms(100)));
     let age = |ms| Knowledge { directory_age: Duration::from_millis(ms), ..contact };
     assert_eq!(commit.evidence(&age(3_999)), Some(Evidence::Contact));
     assert_eq!(commit.evidence(&age(4_000)), None);
 }
 
+/// In a single data centre a VM took itself for enough, and no other one knew of the commit.
 #[test]
-fn vms_of_a_single_data_centre_need_no_contact() {
+fn vms_of_a_single_data_centre_ask_one_another() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    assert_eq!(commit.evidence(&knowledge(Contact::Single)), Some(Evidence::Contact));
+    let known = |contact| Knowledge { single: true, ..knowledge(contact) };
+    assert_eq!(commit.evidence(&known(None)), None);
+    assert_eq!(commit.evidence(&known(Some(ms(100)))), Some(Evidence::Contact));
+    let near = RegisteredReplica { near: true, ..replica(at(2, 9)) };
+    assert!(commit.is_held_by(&near, &known(None)), "nothing can be cut off from the others");
 }
 
 /// A server behind a cut registers up to a heartbeat after the cut has ended.
 #[test]
 fn contact_counts_for_nothing_right_after_a_cut() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    let contact = knowledge(Contact::Since(ms(100)));
+    let contact = knowledge(Some(ms(100)));
     assert_eq!(commit.evidence(&Knowledge { steady: false, ..contact }), None);
 }
 
@@ -118,7 +122,7 @@
 #[test]
 fn a_replica_that_follows_another_primary_does_not_hold_the_commit() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    let alone = knowledge(Contact::None);
+    let alone = knowledge(None);
     assert!(commit.is_held_by(&replica(at(2, 9)), &alone));
     assert!(!commit.is_held_by(&replica(at(2, 8)), &alone));
     assert!(!commit.is_held_by(&replica(at(3, 20)), &alone));
@@ -127,14 +131,14 @@
 #[test]
 fn a_replica_that_a_failover_may_not_know_or_wait_for_does_not_count() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
-    let (known, alone) = (replica(at(2, 9)), knowledge(Contact::None));
+    let (known, alone) = (replica(at(2, 9)), knowledge(None));
     let new = RegisteredReplica { registered: Duration::from_millis(2_999), ..known };
     assert!(!commit.is_held_by(&new, &alone));
     assert!(!commit.is_held_by(&RegisteredReplica { leaving: true, ..known }, &alone));
     let near = RegisteredReplica { near: true, ..known };
     assert!(!commit.is_held_by(&near, &alone), "others give up the wait for it");
-    assert!(!commit.is_held_by(&near, &knowledge(Contact::Since(ms(99)))));
-    assert!(commit.is_held_by(&near, &knowledge(Contact::Since(ms(100)))));
+    assert!(!commit.is_held_by(&near, &knowledge(Some(ms(99)))));
+    assert!(commit.is_held_by(&near, &knowledge(Some(ms(100)))));
 }
 
 /// A replica that had started again, without its fence, confirmed what the successor lacked.
@@ -143,7 +147,7 @@
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let (number, begun) = (FailoverNumber::new(1), ms(50));
     let failover = Some(Announcement { number, replaced: TERM, begun });
-    let running = Knowledge { failover, ..knowledge(Contact::None) };
+    let running = Knowledge { failover, ..knowledge(None) };
     let mut known = replica(at(2, 9));
     assert!(!commit.is_held_by(&known, &running));
     known.status.fenced_term = Term::new(3);
@@ -198,8 +202,7 @@
 
 /// A commit that only `n` holds, which registers at some time, and a failover among `q` and
 /// the servers that are listed. Returns the promoted server.
-fn promoted(begun: Time, listing: Listing) -> Option<String> {
-    let acknowledged = at(2, 0);
+fn promoted(begun: Time, acknowledged: Position, listing: Listing) -> Option<String> {
     let mut failover = Failover::new(Cause::Failure, [member("q")], TERM, acknowledged, begun);
     let mut now = begun;
     for _ in 0..100 {
@@ -233,22 +236,27 @@
 }
 
 /// The directory goes away at 0, `n` starts behind that and cannot register, and the primary
-/// fails after the commit. Returns whether a caller is told, and the commit is lost.
-fn is_lost_without_directory(contact: Contact) -> bool {
+/// fails after the commit. Returns whether a caller is told, and the commit is lost. The VM that
+/// has answered counts the commit as acknowledged, and tells the coordinator at once when it
+/// hears of the failover (see `what_a_vm_has_answered_for_reaches_the_coordinator_in_time`).
+fn is_lost_without_directory(known: Knowledge) -> bool {
     let commit = Commit { position: at(2, 9), answered: ms(2_000) };
-    let known = Knowledge { directory_age: Duration::from_millis(2_010), ..knowledge(contact) };
+    let known = Knowledge { directory_age: Duration::from_millis(2_010), ..known };
     let is_told = commit.evidence(&known).is_some_and(Evidence::is_sufficient);
-    is_told && promoted(ms(3_000), Listing::Failing).as_deref() == Some("q")
+    let acknowledged = if is_told { commit.position } else { at(2, 0) };
+    is_told && promoted(ms(3_000), acknowledged, Listing::Failing).as_deref() == Some("q")
 }
 
 #[test]
 fn a_commit_of_a_server_that_started_while_the_directory_was_away_is_not_lost() {
-    assert!(!is_lost_without_directory(Contact::Since(ms(2_000))));
+    assert!(!is_lost_without_directory(knowledge(Some(ms(2_000)))));
 }
 
 #[test]
 fn a_single_data_centre_without_directory_loses_no_commit() {
-    assert!(!is_lost_without_directory(Contact::Single));
+    let single = |contact| Knowledge { single: true, ..knowledge(contact) };
+    assert!(!is_lost_without_directory(single(None)));
+    assert!(!is_lost_without_directory(single(Some(ms(2_000)))));
 }
 
 /// A cut ends at 12.000 s. The server that started behind it registers 1.246 s later, as in the
@@ -256,9 +264,9 @@
 #[test]
 fn a_commit_told_right_after_a_cut_is_not_lost() {
     let commit = Commit { position: at(2, 9), answered: ms(12_040) };
-    let known = Knowledge { steady: false, ..knowledge(Contact::Since(ms(12_045))) };
+    let known = Knowledge { steady: false, ..knowledge(Some(ms(12_045))) };
     let is_told = commit.evidence(&known).is_some_and(Evidence::is_sufficient);
-    let promoted = promoted(ms(12_060), Listing::From(ms(13_246)));
+    let promoted = promoted(ms(12_060), at(2, 0), Listing::From(ms(13_246)));
     assert!(!is_told || promoted.as_deref() != Some("q"), "told, and lost");
 }
 
@@ -298,6 +306,6 @@
         .iter()
         .any(|action| matches!(action, Action::Release(server) if *server != target));
     let commit = Commit { position: at(2, 9), answered: now };
-    let is_told = is_released && commit.is_held_by(&replica(at(2, 9)), &knowledge(Contact::None));
+    let is_told = is_released && commit.is_held_by(&replica(at(2, 9)), &knowledge(None));
     assert!(!is_told, "told, while the order to promote {target} is open");
 }
--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -2,7 +2,7 @@
 
 use chicoryhollow_core::{
     Term,
-    durability::{self, Commit, Evidence, Knowledge, RegisteredReplica},
+    durability::{Commit, Evidence, Knowledge, RegisteredReplica},
     isolation::needs_replica_answer,
 };
 
@@ -193,15 +193,13 @@
             Commit { position: write.position, answered: time(write.answered.unwrap_or(tick)) };
         let passes = self.passes_vms(vm, other) && self.passes_vms(other, vm);
         let is_steady = me.silent.is_none_or(|at| tick - at >= CONTACT_SPAN);
-        let contact = match passes {
-            true => durability::Contact::Since(time(tick)),
-            false => durability::Contact::None,
-        };
+        let contact = passes.then(|| time(tick));
         let knowledge = Knowledge {
             now: time(tick),
             term: Term::new(me.view.term.max(me.view.heard_term)),
             failover: me.view.failover,
             contact,
+            single: false,
             steady: is_steady,
             directory_age: span(tick - me.view.read),
         };
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -26,6 +26,9 @@
 /// Extra time of a message whose packet is lost and sent again, in milliseconds.
 const RETRANSMISSION_MS: u64 = 200;
 
+/// Time from the start of a failover until it may order a promotion, in milliseconds.
+const ANNOUNCEMENT_MS: u64 = 200;
+
 /// Message to `.0` from `.1` about groups.
 type Message = (usize, usize, Vec<(usize, GroupSummary)>);
 
@@ -83,7 +86,15 @@
             self.urgent[vm].get_or_insert(ms + NEWS_MS);
         }
         known.term = known.term.max(news.term);
+        let is_newer = news.acknowledged > known.acknowledged;
         known.acknowledged = known.acknowledged.max(news.acknowledged);
+        if news.failover.is_some_and(|failover| failover.is_newer(known.failover.as_ref())) {
+            known.failover = news.failover;
+            self.urgent[vm].get_or_insert(ms + NEWS_MS);
+        }
+        if is_newer && known.is_replaced(Time::from_millis(ms)) {
+            self.urgent[vm].get_or_insert(ms + NEWS_MS);
+        }
         known.asked = known.asked.max(news.asked);
     }
 
@@ -255,3 +266,27 @@
     last.record(second, Time::from_millis(21_000));
     assert!(last.has_failover(&second));
 }
+
+/// The coordinator promoted a server without a commit that another VM had answered for, since it
+/// heard of the commit with a later heartbeat only.
+#[test]
+fn what_a_vm_has_answered_for_reaches_the_coordinator_in_time() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(seed, 0.0);
+        fleet.run(0, 3_000);
+        let [coordinator, witness, group] =
+            [VMS, VMS, GROUPS].map(|count| fleet.rng.random_range(0..count));
+        let noted = Position::new(Term::new(1), Lsn::new(1_000_000));
+        let note = GroupSummary { acknowledged: noted, ..GroupSummary::default() };
+        fleet.learn(witness, group, note, 3_000);
+        let begun = Time::from_millis(3_000);
+        let number = FailoverNumber::new(1);
+        let failover = Some(Announcement { number, replaced: Term::new(1), begun });
+        let news = GroupSummary { failover, ..GroupSummary::default() };
+        fleet.learn(coordinator, group, news, 3_000);
+        fleet.run(3_000, ANNOUNCEMENT_MS);
+        let unaware = (0..VMS).filter(|vm| fleet.known[*vm][group].failover.is_none()).count();
+        assert_eq!(unaware, 0, "all VMs know of the failover");
+        assert_eq!(fleet.known[coordinator][group].acknowledged, noted, "seed {seed}");
+    }
+}
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -162,6 +162,7 @@
             term: group.newest_term(),
             failover: group.peers.failover(),
             contact: self.fleet.contact(group, data_centre),
+            single: self.fleet.is_single(),
             steady: self.fleet.is_in_contact(data_centre, now),
             directory_age: now.since(self.fresh_at()),
         }
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -7,9 +7,7 @@
     time::Duration,
 };
 
-use chicoryhollow_core::{
-    DataCentreId, GroupId, Lsn, Position, Term, Time, VmId, durability::Contact,
-};
+use chicoryhollow_core::{DataCentreId, GroupId, Lsn, Position, Term, Time, VmId};
 use chicoryhollow_peer::{
     Body,
     fleet::{ContactAnswer, ContactAsk},
@@ -20,7 +18,7 @@
     clock,
     engine::Engine,
     fleet::{
-        Fleet, Link,
+        Fleet, Link, Member,
         groups::{decode_failover, encode_failover},
     },
     group::Group,
@@ -159,27 +157,30 @@
         self.unreachable.replace(unreachable);
     }
 
-    /// Returns the contact between `data_centre` and another one, as the answers about `group`
-    /// show it. If this VM is not in `data_centre` itself, its own contact with that data centre
-    /// counts.
-    pub(crate) fn contact(&self, group: &Group, data_centre: &DataCentreId) -> Contact {
+    /// Returns whether all VMs are known to be in one data centre.
+    pub(crate) fn is_single(&self) -> bool {
         let (members, me) = (self.members.borrow(), self.me.borrow());
-        let Some(me) = me.as_ref() else { return Contact::None };
-        if members.values().all(|member| member.data_centre == me.data_centre) {
-            return if self.has_member_list() { Contact::Single } else { Contact::None };
+        let is_here =
+            |member: &Member| me.as_ref().is_some_and(|me| me.data_centre == member.data_centre);
+        self.has_member_list() && members.values().all(is_here)
+    }
+
+    /// Returns when the newest question about `group` was sent whose answer shows contact
+    /// between `data_centre` and another one. If this VM is not in `data_centre` itself, its own
+    /// contact with that data centre counts. A VM without any other answers itself.
+    pub(crate) fn contact(&self, group: &Group, data_centre: &DataCentreId) -> Option<Time> {
+        if self.known_others() == Some(0) {
+            return Some(clock::now());
         }
-        let asked = group.peers.contact(|other| shows_contact(&me.data_centre, data_centre, other));
-        asked.map_or(Contact::None, Contact::Since)
+        group.peers.contact(|other| self.shows_contact(data_centre, other))
     }
 
     /// Returns the links whose other VMs can show contact with `data_centre`, those that were
     /// heard last first.
     fn contact_links(&self, data_centre: &DataCentreId) -> Vec<Rc<Link>> {
-        let (members, me) = (self.members.borrow(), self.me.borrow());
-        let Some(me) = me.as_ref() else { return Vec::new() };
         let counts = |vm: &VmId| {
-            let other = members.get(vm).map(|member| &member.data_centre);
-            other.is_some_and(|other| shows_contact(&me.data_centre, data_centre, other))
+            let other = self.data_centre(vm);
+            other.is_some_and(|other| self.shows_contact(data_centre, &other))
         };
         let links = self.links.borrow();
         let mut found: Vec<Rc<Link>> =
@@ -187,6 +188,14 @@
         found.sort_by_key(|link| link.silence());
         found
     }
+
+    /// Returns whether an answer of a VM in `other` shows this VM that `data_centre` has contact
+    /// with another data centre.
+    fn shows_contact(&self, data_centre: &DataCentreId, other: &DataCentreId) -> bool {
+        let me = self.me.borrow();
+        let Some(here) = me.as_ref().map(|me| &me.data_centre) else { return false };
+        if here == data_centre { other != here || self.is_single() } else { other == data_centre }
+    }
 }
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
@@ -199,6 +208,9 @@
         data_centre: &DataCentreId,
         count: usize,
     ) {
+        if self.fleet.known_others() == Some(0) {
+            self.group(group).borrow_mut().record_acknowledged(commit);
+        }
         for link in self.fleet.contact_links(data_centre).iter().take(count) {
             let question = self.fleet.questions.next(group, commit, clock::now());
             link.send(Body::ContactAsk(question));
@@ -237,9 +249,3 @@
         self.fleet.questions.answered.notify_waiters();
     }
 }
-
-/// Returns whether an answer of a VM in `other` shows a VM in `here` that `data_centre` has
-/// contact with another data centre.
-fn shows_contact(here: &DataCentreId, data_centre: &DataCentreId, other: &DataCentreId) -> bool {
-    if here == data_centre { other != here } else { other == data_centre }
-}
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -73,21 +73,23 @@
         }
         let group = self.group(&name);
         let mut told = GroupSummary::default();
-        let mut has_failover_news = false;
+        let mut has_urgent_news = false;
         let changed = {
             let mut group = group.borrow_mut();
             let term = Term::new(state.term);
             let at = |number, lsn| Position::from_relative_term(number, Lsn::new(lsn), term);
             let acknowledged = at(state.acknowledged_term, state.acknowledged_lsn);
+            let is_newer = acknowledged > group.acknowledged;
             group.record_acknowledged(acknowledged);
             let start = Position::new(Term::new(state.start_term), Lsn::new(state.start_lsn));
             group.told.record_start(start);
             told.start = start;
             if let Some(failover) = state.failover {
                 let failover = decode_failover(failover, now);
-                has_failover_news = group.peers.record_failover(failover);
+                has_urgent_news = group.peers.record_failover(failover);
                 told.failover = Some(failover);
             }
+            has_urgent_news |= is_newer && group.summary().1.is_replaced(now);
             told.acknowledged = acknowledged;
             if !state.primary.is_empty() {
                 told.term = term;
@@ -108,7 +110,7 @@
         if changed {
             self.record_primary_change(&group.borrow(), Source::Peer);
         }
-        if has_failover_news {
+        if has_urgent_news {
             self.fleet.announce_primary();
         }
         self.check_commits(&group);
