Announce a failover for the term that the servers report

Found by reading the diff: a coordinator that has just started may not know the primary's term, and announced a failover that replaces no term above zero. VMs then went on passing successes on by contact while it ran. What callers would see: success for commits that are gone, after a restart of the coordinator in the course of a failover.

If the servers report a higher term than was announced, VMs are told again, and the 200 ms and the list of servers begin anew. a_failover_that_learns_of_a_higher_term_waits_until_all_vms_know checks the waiting. Announcing stands in one place now; essential tasks are named so.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -54,8 +54,8 @@
 /// Maximum age of the last answer of a server that counts as reachable.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(800);
 
-/// Time after the start of a failover until every VM in contact knows of it, and passes on no
-/// success that rests on contact alone.
+/// Time after the announcement of a failover until every VM in contact knows of it, and passes on
+/// no success that rests on contact alone.
 const ANNOUNCEMENT_SPAN: Duration = Duration::from_millis(200);
 
 /// Why the primary is replaced.
@@ -101,6 +101,8 @@
     /// Newest position with an acknowledged commit at the start.
     first_acknowledged: Position,
     started: Time,
+    /// When all VMs were told of the failover.
+    announced: Time,
     /// Whether a server joined after a promotion was requested.
     joined_late: bool,
     /// When fencing began.
@@ -134,6 +136,7 @@
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
+            announced: now,
             joined_late: false,
             fencing_since: None,
             target: None,
@@ -172,6 +175,19 @@
             .unwrap_or_default()
     }
 
+    /// Returns the highest term that any server follows or leads, as far as they have answered.
+    pub fn reported_term(&self) -> Term {
+        let replicas = self.replicas.values().filter_map(|replica| replica.status);
+        let primary = self.primary.as_ref().and_then(Demotion::status);
+        replicas.chain(primary).map(|status| status.term).max().unwrap_or_default()
+    }
+
+    /// Records that all VMs are told of the failover again, because it replaces the primary of a
+    /// higher term than they were told.
+    pub fn record_announcement(&mut self, now: Time) {
+        self.announced = now;
+    }
+
     /// Records a position with an acknowledged commit. Positions older than the newest have
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -19,13 +19,13 @@
 
     /// Returns whether all VMs in contact know of the failover.
     fn is_announced(&self, now: Time) -> bool {
-        now.since(self.started) >= ANNOUNCEMENT_SPAN
+        now.since(self.announced) >= ANNOUNCEMENT_SPAN
     }
 
     /// Returns whether servers that were registered before all VMs knew of the failover may be
     /// unknown, and the directory may still tell.
     pub(super) fn awaits_list(&self, now: Time) -> bool {
-        let announced = self.started + ANNOUNCEMENT_SPAN;
+        let announced = self.announced + ANNOUNCEMENT_SPAN;
         self.is_announced(now)
             && !self.listing.is_newer_than(announced)
             && !self.listing.is_given_up(now)
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -225,6 +225,26 @@
     assert_eq!(promoted(&failover.next_actions(later)), Some(&server("new")));
 }
 
+/// A coordinator that had just started did not know the primary's term, and told VMs nothing that
+/// made them stop.
+#[test]
+fn a_failover_that_learns_of_a_higher_term_waits_until_all_vms_know() {
+    let mut failover = start_failover([member("a", true)], Position::default());
+    failover.record_list(ANNOUNCED);
+    let status = ReplicationStatus { term: Term::new(7), ..replica_status(at(7, 9), 2) };
+    failover.record_status(&server("a"), status, ANNOUNCED);
+    assert_eq!(failover.reported_term(), Term::new(7));
+    failover.record_announcement(ANNOUNCED);
+    for ms in (200..400).step_by(10) {
+        let now = Time::from_millis(ms);
+        assert_eq!(promoted(&failover.next_actions(now)), None, "{ms} ms");
+    }
+    let told = Time::from_millis(400);
+    assert!(failover.next_actions(told).contains(&Action::ListServers));
+    failover.record_list(told);
+    assert_eq!(promoted(&failover.next_actions(told)), Some(&server("a")));
+}
+
 #[test]
 fn a_directory_that_does_not_answer_delays_a_promotion_for_a_limited_time() {
     let promoted_at = |fails: bool| {
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -161,25 +161,25 @@
 ) -> JoinHandle<()> {
     let (sender, mut changes) = mpsc::unbounded_channel();
     let reading = engine.relay.borrow().reading();
-    spawn_lasting(engine, "directory", engine.directory.follow(sender, reading));
+    spawn_essential(engine, "directory", engine.directory.follow(sender, reading));
     let follower = Rc::clone(engine);
-    spawn_lasting(engine, "changes", async move {
+    spawn_essential(engine, "changes", async move {
         while let Some(change) = changes.recv().await {
             follower.apply(change);
         }
     });
-    spawn_lasting(engine, "fleet", fleet::run(Rc::clone(engine), peers));
+    spawn_essential(engine, "fleet", fleet::run(Rc::clone(engine), peers));
     let coordinator =
         Rc::new(Coordinator::new(engine.settings.vm.clone(), engine.settings.incarnation));
-    spawn_lasting(engine, "coordinator", Rc::clone(&coordinator).run(Rc::clone(engine)));
-    spawn_lasting(engine, "watch", watch::run(Rc::clone(engine), coordinator));
-    spawn_lasting(engine, "maintenance", run_maintenance(Rc::clone(engine), health));
+    spawn_essential(engine, "coordinator", Rc::clone(&coordinator).run(Rc::clone(engine)));
+    spawn_essential(engine, "watch", watch::run(Rc::clone(engine), coordinator));
+    spawn_essential(engine, "maintenance", run_maintenance(Rc::clone(engine), health));
     actix::spawn(accept(Rc::clone(engine), protocol, callers))
 }
 
-/// Runs a task that the daemon cannot do without. If it panics, the process ends, since it would
+/// Runs a task that is essential to the daemon. If it panics, the process ends, since it would
 /// go on only in part: as a coordinator that renews its role and replaces no primary.
-fn spawn_lasting<S: ServerProtocol, D: Directory>(
+fn spawn_essential<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     name: &'static str,
     task: impl Future<Output = ()> + 'static,
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -38,7 +38,7 @@
 const MAX_OPEN_QUESTIONS: usize = 256;
 
 /// Time after the start of a daemon from which on it has heard of the failovers that run.
-const HEARSAY_SPAN: Duration = Duration::from_millis(1_000);
+const INFORMED_SPAN: Duration = Duration::from_millis(1_000);
 
 /// A question to another VM that has no answer yet.
 struct Question {
@@ -223,7 +223,7 @@
     pub(super) fn answer_contact(&self, link: &Link, ask: &ContactAsk) {
         let now = clock::now();
         let Ok(name) = GroupId::new(&ask.group) else { return };
-        if now.since(self.started) < HEARSAY_SPAN {
+        if now.since(self.started) < INFORMED_SPAN {
             return;
         }
         let group = self.group(&name);
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -128,12 +128,11 @@
     let awaits_server = group.borrow().awaits_server(now);
     let suspicion = assess(engine, &group.borrow(), watched, now).filter(|_| !awaits_server);
     if let Some(suspicion) = suspicion {
-        let Some(token) = coordinator.order_token() else { return };
-        let running = begin(engine, &group.borrow(), suspicion, watched.highest_term, now);
         let replaced = group.borrow().newest_term();
-        let number = FailoverNumber::new(token.get());
-        group.borrow_mut().peers.record_failover(Announcement { number, replaced, begun: now });
-        engine.fleet.announce_primary();
+        if !announce(engine, coordinator, group, replaced, now) {
+            return;
+        }
+        let running = begin(engine, &group.borrow(), suspicion, watched.highest_term, now);
         watched.running = Some(running);
     }
 }
@@ -224,7 +223,10 @@
     };
     match progress {
         Progress::Running => {
-            let actions = running.failover.borrow_mut().next_actions(now);
+            let mut failover = running.failover.borrow_mut();
+            correct_announcement(engine, coordinator, group, &mut failover, now);
+            let actions = failover.next_actions(now);
+            drop(failover);
             for action in actions {
                 execute(engine, coordinator, &name, &running.failover, action);
             }
@@ -263,6 +265,41 @@
     }
 }
 
+/// Tells all VMs of a failover that replaces the primary of the term `replaced`. Returns false if
+/// this VM is no longer the coordinator.
+fn announce<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    coordinator: &Coordinator,
+    group: &RefCell<Group>,
+    replaced: Term,
+    now: Time,
+) -> bool {
+    let Some(token) = coordinator.order_token() else { return false };
+    let number = FailoverNumber::new(token.get());
+    group.borrow_mut().peers.record_failover(Announcement { number, replaced, begun: now });
+    engine.fleet.announce_primary();
+    true
+}
+
+/// Tells all VMs again if the servers report a higher term than was known at the start. The
+/// failover then waits until they know.
+fn correct_announcement<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    coordinator: &Coordinator,
+    group: &RefCell<Group>,
+    failover: &mut Failover,
+    now: Time,
+) {
+    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
+    let reported = failover.reported_term();
+    if failover.promotion_target().is_none()
+        && reported > known
+        && announce(engine, coordinator, group, reported, now)
+    {
+        failover.record_announcement(now);
+    }
+}
+
 /// Tells all VMs that an abandoned failover replaces no primary. If it has ordered a promotion,
 /// the order may still be carried out, and the failover counts as running from now on.
 fn end_announcement<S: ServerProtocol, D: Directory>(
@@ -272,10 +309,8 @@
     failover: &Failover,
     now: Time,
 ) {
-    let Some(token) = coordinator.order_token() else { return };
     let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
     let replaced = if failover.has_ordered() { known } else { Term::default() };
-    let number = FailoverNumber::new(token.get());
-    group.borrow_mut().peers.record_failover(Announcement { number, replaced, begun: now });
-    engine.fleet.announce_primary();
+    // If the role is lost, the failover counts as running until its time is over.
+    announce(engine, coordinator, group, replaced, now);
 }
