--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -264,6 +264,25 @@
     assert_eq!(promoted_at(false), Some(500), "silence does so after a while");
 }
 
+/// The one that still receives may be the only one with the next commit.
+#[test]
+fn no_server_is_promoted_while_another_one_is_not_fenced() {
+    for (fenced, open) in [("a", "b"), ("b", "a")] {
+        let members = ["a", "b"].map(|name| member(name, true));
+        let mut failover = start_failover(members, Position::default());
+        failover.record_list(ANNOUNCED);
+        for ms in (200..1_000).step_by(50) {
+            let now = Time::from_millis(ms);
+            failover.record_status(&server(fenced), replica_status(at(1, 9), 2), now);
+            failover.record_status(&server(open), replica_status(at(1, 9), 0), now);
+            assert_eq!(promoted(&failover.next_actions(now)), None, "{open} receives");
+        }
+        let now = Time::from_millis(1_000);
+        failover.record_status(&server(open), replica_status(at(1, 10), 2), now);
+        assert_eq!(promoted(&failover.next_actions(now)), Some(&server(open)));
+    }
+}
+
 #[test]
 fn of_equal_servers_a_preferred_one_is_promoted() {
     for preferred in ["a", "b"] {
