--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -191,10 +191,16 @@
 fn no_server_is_promoted_without_the_known_acknowledged_commits() {
     let mut failover = start_failover([member("a", true)], at(1, 10));
     failover.record_list(ANNOUNCED);
-    failover.record_status(&server("a"), replica_status(at(1, 9), 2), ANNOUNCED);
-    assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), None);
-    failover.record_status(&server("a"), replica_status(at(1, 10), 2), ANNOUNCED);
-    assert_eq!(promoted(&failover.next_actions(Time::from_millis(210))), Some(&server("a")));
+    failover.record_status(&server("a"), replica_status(at(1, 9), 2), Time::default());
+    assert_eq!(promoted(&failover.next_actions(Time::default())), None);
+    for ms in (200..700).step_by(10) {
+        let now = Time::from_millis(ms);
+        failover.record_status(&server("a"), replica_status(at(1, 9), 2), now);
+        assert_eq!(promoted(&failover.next_actions(now)), None, "{ms} ms");
+    }
+    let received = Time::from_millis(700);
+    failover.record_status(&server("a"), replica_status(at(1, 10), 2), received);
+    assert_eq!(promoted(&failover.next_actions(received)), Some(&server("a")), "at once");
 }
 
 /// A VM that did not know of the failover passed on commits of a server that nobody had listed.
@@ -219,6 +225,26 @@
     assert_eq!(promoted(&failover.next_actions(later)), Some(&server("new")));
 }
 
+/// A coordinator that had just started did not know the primary's term, and told VMs nothing that
+/// made them stop.
+#[test]
+fn a_failover_that_learns_of_a_higher_term_waits_until_all_vms_know() {
+    let mut failover = start_failover([member("a", true)], Position::default());
+    failover.record_list(ANNOUNCED);
+    let status = ReplicationStatus { term: Term::new(7), ..replica_status(at(7, 9), 2) };
+    failover.record_status(&server("a"), status, ANNOUNCED);
+    assert_eq!(failover.reported_term(), Term::new(7));
+    failover.record_announcement(ANNOUNCED);
+    for ms in (200..400).step_by(10) {
+        let now = Time::from_millis(ms);
+        assert_eq!(promoted(&failover.next_actions(now)), None, "{ms} ms");
+    }
+    let told = Time::from_millis(400);
+    assert!(failover.next_actions(told).contains(&Action::ListServers));
+    failover.record_list(told);
+    assert_eq!(promoted(&failover.next_actions(told)), Some(&server("a")));
+}
+
 #[test]
 fn a_directory_that_does_not_answer_delays_a_promotion_for_a_limited_time() {
     let promoted_at = |fails: bool| {
@@ -238,6 +264,25 @@
     assert_eq!(promoted_at(false), Some(500), "silence does so after a while");
 }
 
+/// The one that still receives may be the only one with the next commit.
+#[test]
+fn no_server_is_promoted_while_another_one_is_not_fenced() {
+    for (fenced, open) in [("a", "b"), ("b", "a")] {
+        let members = ["a", "b"].map(|name| member(name, true));
+        let mut failover = start_failover(members, Position::default());
+        failover.record_list(ANNOUNCED);
+        for ms in (200..1_000).step_by(50) {
+            let now = Time::from_millis(ms);
+            failover.record_status(&server(fenced), replica_status(at(1, 9), 2), now);
+            failover.record_status(&server(open), replica_status(at(1, 9), 0), now);
+            assert_eq!(promoted(&failover.next_actions(now)), None, "{open} receives");
+        }
+        let now = Time::from_millis(1_000);
+        failover.record_status(&server(open), replica_status(at(1, 10), 2), now);
+        assert_eq!(promoted(&failover.next_actions(now)), Some(&server(open)));
+    }
+}
+
 #[test]
 fn of_equal_servers_a_preferred_one_is_promoted() {
     for preferred in ["a", "b"] {
@@ -246,6 +291,7 @@
         failover.record_list(ANNOUNCED);
         failover.record_status(&server("a"), replica_status(at(1, 4), 2), ANNOUNCED);
         failover.record_status(&server("b"), replica_status(at(1, 4), 2), ANNOUNCED);
+        assert_eq!(promoted(&failover.next_actions(Time::from_millis(199))), None);
         assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), Some(&server(preferred)));
     }
 }
@@ -298,8 +344,9 @@
     let polls = failover.next_actions(Time::from_millis(400));
     assert_eq!(polls, [Action::Poll(server("a"))]);
     // It answers the polls, and still has the log for which it was chosen.
-    failover.record_status(&server("a"), replica_status(at(1, 1), 2), Time::from_millis(1_700));
-    assert!(promoted(&failover.next_actions(Time::from_millis(1_800))).is_some());
+    failover.record_status(&server("a"), replica_status(at(1, 1), 2), Time::from_millis(1_650));
+    assert_eq!(promoted(&failover.next_actions(Time::from_millis(1_699))), None);
+    assert_eq!(promoted(&failover.next_actions(Time::from_millis(1_700))), Some(&server("a")));
     let primary =
         ReplicationStatus { primary: true, term: Term::new(2), ..replica_status(at(2, 1), 0) };
     failover.record_status(&server("a"), primary, Time::default());
@@ -354,6 +401,24 @@
     assert!(is_fenced, "it receives again");
 }
 
+/// The order was repeated for a target that had crashed since its last answer.
+#[test]
+fn a_promotion_is_not_requested_again_of_a_server_that_does_not_answer() {
+    let mut failover = start_failover([member("a", true), member("b", true)], at(1, 9));
+    failover.record_list(ANNOUNCED);
+    failover.record_status(&server("a"), replica_status(at(1, 10), 2), ANNOUNCED);
+    failover.record_status(&server("b"), replica_status(at(1, 9), 2), ANNOUNCED);
+    assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), Some(&server("a")));
+    for ms in (250..4_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        failover.record_status(&server("b"), replica_status(at(1, 9), 2), now);
+        assert_eq!(promoted(&failover.next_actions(now)), None, "{ms} ms");
+    }
+    let returned = Time::from_millis(4_000);
+    failover.record_status(&server("a"), replica_status(at(1, 10), 2), returned);
+    assert_eq!(promoted(&failover.next_actions(returned)), Some(&server("a")));
+}
+
 #[test]
 fn servers_fenced_by_a_vm_that_crashed_are_promoted_by_the_next_failover() {
     // The VM that fenced `a` and `b` at term 2 has crashed, and this one knows no term.
