--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -15,9 +15,23 @@
 //! Each era of the directory has a row of its own ([`row_key`]): a row that came back from a
 //! copy names a holder of long ago, and its version may be given out again. After a restore
 //! the last holder may act until its lease expires, so the new row is created only then.
+//!
+//! The row also has what a later holder must know of failovers ([`FailoverMemory`]).
+
+mod memory;
+mod order;
+mod record;
+mod token;
 
 use std::{cmp::Ordering, time::Duration};
 
+pub use self::{
+    memory::{FailoverMemory, FullError, Revision},
+    order::{OpenOrder, OrderAnswer},
+    record::{FailoverRecord, RecordedOrder, RecordedServer, Roster},
+    token::FencingToken,
+};
+
 use crate::{
     id::VmId,
     time::Time,
@@ -43,56 +57,24 @@
 /// Pause after a call to the directory that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
-/// Bits of a token that count the orders with one version of the coordinator's row.
-const ORDER_BITS: u32 = 10;
-
-/// Ranks an order among all orders of all coordinators, so that the platform can refuse those
-/// that newer ones have replaced.
-///
-/// # Example
-///
-/// ```
-/// use chicoryhollow_core::{
-///     coordinator::FencingToken,
-///     version::{DirectoryVersion, Era},
-/// };
-///
-/// let token = |number| FencingToken::new(DirectoryVersion::new(Era::default(), number));
-/// let second = token(7).next().unwrap();
-/// assert!(token(7) < second && second < token(8));
-/// ```
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct FencingToken(u64);
-
-impl FencingToken {
-    /// Creates the first token with a version of the coordinator's row.
-    pub const fn new(version: DirectoryVersion) -> Self {
-        let packed = version.pack();
-        let most = u64::MAX >> ORDER_BITS;
-        FencingToken(if packed > most { most } else { packed } << ORDER_BITS)
-    }
-
-    /// Returns the next token with the same version, or `None` after the last one.
-    pub const fn next(self) -> Option<Self> {
-        let next = FencingToken(self.0.wrapping_add(1));
-        if next.0 >> ORDER_BITS == self.0 >> ORDER_BITS { Some(next) } else { None }
-    }
-
-    /// Returns the token as a number.
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
+/// Key of the coordinator's row in a directory that counts no eras.
+const FIRST_ROW_KEY: &str = "succession";
 
 /// Returns the key of the coordinator's row in an era of the directory, which is 0 if the
 /// directory counts none.
 pub fn row_key(era: Era) -> String {
     match era.get() {
-        0 => "succession".to_owned(),
-        era => format!("succession-{era}"),
+        0 => FIRST_ROW_KEY.to_owned(),
+        era => format!("{FIRST_ROW_KEY}-{era}"),
     }
 }
 
+/// Returns whether this is the key of the coordinator's row in any era.
+pub fn is_row_key(key: &str) -> bool {
+    let Some(era) = key.strip_prefix(FIRST_ROW_KEY) else { return false };
+    era.is_empty() || era.strip_prefix('-').is_some_and(|era| era.parse::<Era>().is_ok())
+}
+
 /// The coordinator's row as it was read from the directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CoordinatorRow {
@@ -195,6 +177,8 @@
     is_disputed: bool,
     /// Whether a call failed since the row was last read.
     has_failed: bool,
+    /// Until when the directory is not called again after a call that failed.
+    paused_until: Time,
     /// Version of the last write that is known to have succeeded, and when it was sent.
     confirmed: Option<(DirectoryVersion, Time)>,
     /// When the first write after that one was sent.
@@ -216,6 +200,7 @@
             held: None,
             is_disputed: false,
             has_failed: false,
+            paused_until: now,
             confirmed: None,
             unconfirmed: None,
             due: now,
@@ -282,6 +267,21 @@
         }
     }
 
+    /// Returns the version that the row must have for a write before its next renewal, or `None`
+    /// if this VM does not hold the lease or the directory has just failed.
+    ///
+    /// The outcome is recorded like that of a renewal.
+    pub fn begin_write(&mut self, now: Time) -> Option<DirectoryVersion> {
+        let held = self.held.filter(|_| now >= self.paused_until)?;
+        self.unconfirmed.get_or_insert(now);
+        Some(held.version)
+    }
+
+    /// Returns whether this daemon wrote the row.
+    pub fn is_own(&self, row: &CoordinatorRow) -> bool {
+        row.holder.as_ref() == Some(&self.vm) && row.incarnation == self.incarnation
+    }
+
     /// Returns since when this VM knows the row to be unchanged.
     pub fn observation(&self) -> Option<RowObservation> {
         self.seen.map(|(version, since)| RowObservation { version, since })
@@ -302,10 +302,7 @@
     ) {
         self.is_disputed = false;
         let version = row.map_or(DirectoryVersion::start_of(era), |row| row.version);
-        let mine = row.is_some_and(|row| {
-            row.holder.as_ref() == Some(&self.vm) && row.incarnation == self.incarnation
-        });
-        if mine {
+        if row.is_some_and(|row| self.is_own(row)) {
             let confirmed = self.confirmed.filter(|(confirmed, _)| *confirmed == version);
             let sent = confirmed.map(|(_, sent)| sent).or(self.unconfirmed);
             self.hold(version, sent.unwrap_or_default(), now);
@@ -356,6 +353,7 @@
     /// some time to renew it.
     pub fn record_failure(&mut self, now: Time) {
         self.due = now + RETRY_PAUSE;
+        self.paused_until = self.due;
         self.has_failed = true;
         self.grant_grace(now);
     }
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -41,11 +41,13 @@
 
 pub use self::{
     announcement::{Announcement, FailoverNumber},
-    missing::{MissingServers, RegisteredServer, ServerTimes},
+    missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
     replica::{Member, ReplicationStatus},
 };
 
+pub(crate) use self::missing::RETURN_TIMEOUT;
+
 use self::{demotion::Demotion, listing::Listing, replica::Replica};
 
 /// Time after which another request to fence or poll a server is sent.
@@ -112,6 +114,12 @@
     promotion_sent: Option<Time>,
     /// End of the target's log when its promotion was first requested.
     target_received: Option<Position>,
+    /// Server that an earlier failover has ordered to promote, if that may still happen.
+    open_order: Option<ServerId>,
+    /// Whether a promotion was requested before the last request.
+    is_repeated: bool,
+    /// Until when no promotion is requested, because the last request could not be sent.
+    retry_after: Option<Time>,
 }
 
 impl Failover {
@@ -142,9 +150,17 @@
             target: None,
             promotion_sent: None,
             target_received: None,
+            open_order: None,
+            is_repeated: false,
+            retry_after: None,
         }
     }
 
+    /// Sets the server that an earlier failover has ordered to promote, if that may still happen.
+    pub fn with_open_order(self, server: Option<ServerId>) -> Self {
+        Failover { open_order: server, ..self }
+    }
+
     /// Sets the primary to replace and when it last answered as such.
     pub fn with_primary(mut self, primary: ServerId, answered: Time) -> Self {
         self.primary = Some(Demotion::new(primary, answered));
@@ -267,7 +283,9 @@
             self.listing.record_request(now);
             actions.push(Action::ListServers);
         }
-        if let Some(server) = self.promotable(now) {
+        let server = self.promotable(now).filter(|_| self.retry_after.is_none_or(|at| now >= at));
+        if let Some(server) = server {
+            self.is_repeated = self.target_received.is_some();
             self.target_received = self.received(&server);
             self.target = Some(server.clone());
             self.promotion_sent = Some(now);
--- a/crates/core/src/failover/missing.rs
+++ b/crates/core/src/failover/missing.rs
@@ -7,7 +7,7 @@
 use crate::{id::ServerId, time::Time};
 
 /// Time for which a missing server is expected to return with its log.
-const RETURN_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const RETURN_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time after the return of a missing server within which other entries may return, or
 /// appear for the first time.
@@ -34,6 +34,19 @@
     pub leaving: bool,
 }
 
+/// A server that has disappeared, as a later coordinator must know it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MissingServer {
+    /// Name of the server.
+    pub server: ServerId,
+    /// Address on which it listened.
+    pub address: SocketAddr,
+    /// When its entry disappeared, at the earliest.
+    pub since: Time,
+    /// Whether it was leaving for so long that it may have ended as planned.
+    pub may_have_ended: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Missing {
     since: Time,
@@ -129,6 +142,40 @@
         now.since(*leaving) >= times.drain && silence < times.heartbeat
     }
 
+    /// Adds servers that an earlier coordinator knew to be missing, unless they are `present`,
+    /// or others are at their addresses.
+    pub fn recall<'a>(
+        &mut self,
+        recalled: impl IntoIterator<Item = MissingServer>,
+        present: impl IntoIterator<Item = RegisteredServer<'a>>,
+    ) {
+        let present: Vec<RegisteredServer<'_>> = present.into_iter().collect();
+        let is_back = |gone: &MissingServer| {
+            present
+                .iter()
+                .any(|other| *other.server == gone.server || other.address == gone.address)
+        };
+        for gone in recalled.into_iter().filter(|gone| !is_back(gone)) {
+            let MissingServer { server, address, since, may_have_ended } = gone;
+            self.missing.entry(server).or_insert(Missing { since, address, may_have_ended });
+        }
+    }
+
+    /// Returns the missing servers.
+    pub fn iter(&self) -> impl Iterator<Item = MissingServer> + '_ {
+        self.missing.iter().map(|(server, missing)| MissingServer {
+            server: server.clone(),
+            address: missing.address,
+            since: missing.since,
+            may_have_ended: missing.may_have_ended,
+        })
+    }
+
+    /// Returns whether no server is missing.
+    pub fn is_empty(&self) -> bool {
+        self.missing.is_empty()
+    }
+
     /// Returns the missing servers that may have ended as planned, with their addresses.
     pub fn ended_candidates(&self) -> impl Iterator<Item = (&ServerId, SocketAddr)> {
         let candidates = self.missing.iter().filter(|(_, missing)| missing.may_have_ended);
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Action, Failover, MAX_ANSWER_AGE};
+use super::{Action, Cause, Failover, MAX_ANSWER_AGE, REPEAT_INTERVAL};
 use crate::{id::ServerId, position::Position, time::Time};
 
 /// Time between two polls of a server whose promotion was requested.
@@ -22,9 +22,25 @@
         self.target_received.unwrap_or_default()
     }
 
-    /// Returns whether a promotion was ever requested.
+    /// Returns whether a promotion was ever requested, by this failover or an earlier one whose
+    /// order may still be carried out.
     pub fn has_ordered(&self) -> bool {
-        self.target_received.is_some()
+        self.target_received.is_some() || self.open_order.is_some()
+    }
+
+    /// Records that the last request for a promotion was not sent, because the coordinator's row
+    /// could not be written. It is made again after a pause.
+    pub fn record_promotion_unsent(&mut self, now: Time) {
+        self.retry_after = Some(now + REPEAT_INTERVAL);
+        if self.is_repeated {
+            self.choose_again(now);
+            return;
+        }
+        self.target_received = None;
+        self.promotion_sent = None;
+        if self.cause == Cause::Failure {
+            self.target = None;
+        }
     }
 
     /// Records that the server whose promotion was requested does not run. The server to promote
@@ -42,8 +58,8 @@
     /// was requested, it may still be carried out, and the fences stay: nothing more can be
     /// acknowledged until the next failover, whose request replaces this one.
     pub fn release_actions(&self) -> Vec<Action> {
-        match (self.fencing_since, self.target_received) {
-            (Some(_), None) => self.replicas.keys().cloned().map(Action::Release).collect(),
+        match (self.fencing_since, self.has_ordered()) {
+            (Some(_), false) => self.replicas.keys().cloned().map(Action::Release).collect(),
             _ => Vec::new(),
         }
     }
@@ -90,6 +106,7 @@
             self.choose_again(now);
             return Vec::new();
         }
+        self.is_repeated = true;
         self.promotion_sent = Some(now);
         vec![Action::Promote(target)]
     }
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -66,10 +66,14 @@
         self.replicas.get(server)?.received()
     }
 
-    /// Returns the server that received most, and a preferred one if several received
-    /// equally much. Returns `None` until all servers have answered.
+    /// Returns the server that received most. If several received equally much, returns the one
+    /// whose promotion was ordered before, because that order changes nothing any more if it is
+    /// carried out too, or else a preferred one. Returns `None` until all servers have answered.
     fn most_advanced(&self) -> Option<ServerId> {
-        self.best_member(|replica| Some((replica.received(), replica.member.preferred)))
+        self.best_member(|replica| {
+            let is_ordered = self.open_order.as_ref() == Some(&replica.member.server);
+            Some((replica.received(), is_ordered, replica.member.preferred))
+        })
     }
 
     /// Returns the server that takes over from a leaving primary: of those that will stay and
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -22,6 +22,10 @@
 /// Time for which no server claims to be primary before one is promoted.
 const NO_PRIMARY_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which a later coordinator waits for the outcome of an open order. An order that is
+/// carried out usually takes effect within a second.
+const OPEN_ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a primary is to be replaced.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Suspicion {
@@ -33,6 +37,8 @@
     Unreachable,
     /// No primary is known.
     NoPrimary,
+    /// An order to replace it is open, and may be carried out at any time.
+    OpenOrder,
     /// It works but is going to leave.
     Leaving,
 }
@@ -53,6 +59,7 @@
             Suspicion::Unconfirming => "unconfirming",
             Suspicion::Unreachable => "unreachable",
             Suspicion::NoPrimary => "headless",
+            Suspicion::OpenOrder => "open_order",
             Suspicion::Leaving => "leaving",
         }
     }
@@ -72,6 +79,9 @@
 pub struct Evidence {
     /// Time for which no primary has been known, or `None` if one is known.
     pub no_primary: Option<Duration>,
+    /// Time for which this VM has known of an order to replace the primary whose outcome is
+    /// unknown, or `None` if there is none.
+    pub open_order: Option<Duration>,
     /// Whether the primary accepts no new work because it is going to leave.
     pub leaving: bool,
     /// Whether there is another server that may stay primary.
@@ -106,6 +116,11 @@
         if let Some(span) = self.no_primary {
             return (span >= NO_PRIMARY_TIMEOUT).then_some(Suspicion::NoPrimary);
         }
+        // Only a newer order makes sure that this one is refused. The old primary may work, but
+        // nothing that it acknowledges is safe meanwhile.
+        if self.open_order.is_some_and(|span| span >= OPEN_ORDER_TIMEOUT) {
+            return Some(Suspicion::OpenOrder);
+        }
         if self.leaving {
             return self.has_successor.then_some(Suspicion::Leaving);
         }
--- a/crates/core/tests/failover_model/directory.rs
+++ b/crates/core/tests/failover_model/directory.rs
@@ -2,7 +2,7 @@
 
 use chicoryhollow_core::{
     VmId,
-    coordinator::{CoordinatorRow, LEASE_DURATION},
+    coordinator::{CoordinatorRow, FailoverRecord, LEASE_DURATION},
     version::{DirectoryVersion, Era},
 };
 
@@ -33,12 +33,15 @@
     pub(crate) is_up: bool,
     pub(crate) entries: Entries,
     pub(crate) row: Option<CoordinatorRow>,
+    /// What the row says about failovers. It lasts when daemons restart.
+    pub(crate) record: FailoverRecord,
     version: u64,
 }
 
 impl Directory {
     pub(crate) fn new() -> Self {
-        Directory { is_up: true, entries: Entries::default(), row: None, version: 1 }
+        let record = FailoverRecord::default();
+        Directory { is_up: true, entries: Entries::default(), row: None, record, version: 1 }
     }
 
     /// Writes the entry of a server that reaches the directory, and removes lapsed ones.
@@ -76,6 +79,7 @@
         expected: DirectoryVersion,
         vm: VmId,
         incarnation: u64,
+        record: FailoverRecord,
     ) -> Option<DirectoryVersion> {
         let present = self.row.as_ref().map_or(0, |row| row.version.number());
         if present != expected.number() {
@@ -84,6 +88,7 @@
         self.version += 1;
         let version = DirectoryVersion::new(Era::default(), self.version);
         self.row = Some(CoordinatorRow { holder: Some(vm), incarnation, version });
+        self.record = record;
         Some(version)
     }
 }
--- a/crates/core/tests/failover_model/group_view.rs
+++ b/crates/core/tests/failover_model/group_view.rs
@@ -1,8 +1,11 @@
 //! What one VM knows of the group.
 
 use chicoryhollow_core::{
-    Position, ServerId,
-    failover::{Announcement, Member, MissingServers, RegisteredServer, ServerTimes},
+    GroupId, Position, ServerId,
+    coordinator::Roster,
+    failover::{
+        Announcement, Member, MissingServer, MissingServers, RegisteredServer, ServerTimes,
+    },
 };
 use std::time::Duration;
 
@@ -17,6 +20,11 @@
     name(server).parse().expect("a valid name")
 }
 
+/// Returns the identity of the group.
+pub(crate) fn group() -> GroupId {
+    "g".parse().expect("a valid name")
+}
+
 /// Returns a span of ticks.
 pub(crate) fn span(ticks: u32) -> Duration {
     Duration::from_millis(u64::from(ticks * TICK_MS))
@@ -89,6 +97,18 @@
         self.read = tick;
     }
 
+    /// Returns the registered servers, if any are known.
+    pub(crate) fn roster(&self) -> Option<Roster> {
+        let ids: Vec<ServerId> = self.others(None).map(id).collect();
+        (!ids.is_empty()).then(|| ids.iter().collect())
+    }
+
+    /// Adds servers that an earlier coordinator knew to be missing.
+    pub(crate) fn recall(&mut self, missing: Vec<MissingServer>) {
+        let ids: Vec<ServerId> = (0..SERVERS).map(id).collect();
+        self.missing.recall(missing, registered(&self.entries, &ids));
+    }
+
     /// Returns the entry of the known primary.
     pub(crate) fn primary_entry(&self) -> Option<(usize, &Entry)> {
         let primary = self.primary?;
--- a/crates/core/tests/failover_model/vm.rs
+++ b/crates/core/tests/failover_model/vm.rs
@@ -2,10 +2,16 @@
 
 use chicoryhollow_core::{
     Position, VmId,
-    coordinator::{CoordinatorLease, Step},
+    coordinator::{CoordinatorLease, FailoverMemory, Step},
+    version::DirectoryVersion,
 };
 
-use super::{group_view::GroupView, ticks, time, watch::Watch, world::World};
+use super::{
+    group_view::{GroupView, group},
+    ticks, time,
+    watch::Watch,
+    world::World,
+};
 
 /// Time without a message after which another data centre is silent.
 const CONTACT_SILENCE: u32 = ticks(800);
@@ -28,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Vm {
     pub(crate) lease: CoordinatorLease,
+    /// What the coordinator keeps in its row.
+    pub(crate) memory: FailoverMemory,
     /// Incarnation of the daemon.
     pub(crate) incarnation: u64,
     pub(crate) view: GroupView,
@@ -49,6 +57,7 @@
         let incarnation = u64::from(tick) + 1;
         Vm {
             lease: CoordinatorLease::new(vm_id(vm), incarnation, time(tick)),
+            memory: FailoverMemory::new(time(tick)),
             incarnation,
             view: GroupView::new(tick),
             watch: Watch::default(),
@@ -68,18 +77,50 @@
             vms[vm].view.record_entries(&directory.entries, tick);
         }
         let World { vms, directory, .. } = self;
-        let Vm { lease, incarnation, .. } = &mut vms[vm];
+        let Vm { lease, memory, .. } = &mut vms[vm];
         let now = time(tick);
         match lease.next_step(now) {
             Step::Wait(_) => {}
             _ if !reaches => lease.record_failure(now),
             Step::Read => {
-                lease.record_row(directory.row.as_ref(), Default::default(), None, now);
+                let row = directory.row.as_ref();
+                if let Some(row) = row.filter(|row| !lease.is_own(row)) {
+                    memory.record_row(&directory.record, row.version, now);
+                }
+                lease.record_row(row, Default::default(), None, now);
             }
-            Step::Write(expected) => match directory.write_row(expected, vm_id(vm), *incarnation) {
-                Some(version) => lease.record_write(version, now, now),
-                None => lease.record_conflict(now),
-            },
+            Step::Write(expected) => self.write_row(vm, expected),
+        }
+    }
+
+    /// Writes the coordinator's row with all that the coordinator must not forget.
+    fn write_row(&mut self, vm: usize, expected: DirectoryVersion) {
+        let (now, reaches) = (time(self.tick), self.reaches_directory(vm));
+        let World { vms, directory, .. } = self;
+        let Vm { lease, memory, incarnation, view, .. } = &mut vms[vm];
+        memory.update_missing(&group(), &view.missing);
+        let (record, revision) = memory.record(view.roster(), now);
+        if !reaches {
+            lease.record_failure(now);
+            return;
+        }
+        match directory.write_row(expected, vm_id(vm), *incarnation, record) {
+            Some(version) => {
+                lease.record_write(version, now, now);
+                memory.record_written(revision);
+            }
+            None => lease.record_conflict(now),
+        }
+    }
+
+    /// Writes the row before its next renewal, if it lacks something.
+    pub(crate) fn write_memory(&mut self, vm: usize) {
+        let now = time(self.tick);
+        if !self.vms[vm].memory.needs_write() {
+            return;
+        }
+        if let Some(expected) = self.vms[vm].lease.begin_write(now) {
+            self.write_row(vm, expected);
         }
     }
 
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -4,14 +4,14 @@
 
 use chicoryhollow_core::{
     Term,
-    coordinator::{FencingToken, Outage},
+    coordinator::{FencingToken, OrderAnswer, Outage},
     failover::{Action, Announcement, Cause, Failover, FailoverNumber, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT, Votes},
 };
 
 use super::{
     event::Call,
-    group_view::{id, span},
+    group_view::{group, id, span},
     index, name,
     network::Node,
     platform::{Answer, Order},
@@ -55,8 +55,6 @@
     not_before: u32,
     no_primary_since: Option<u32>,
     last_probe: u32,
-    /// Whether an order was given that may still be carried out.
-    is_open: bool,
     /// When older orders were cancelled.
     cancelled: Option<(u32, Option<usize>)>,
 }
@@ -71,8 +69,10 @@
             (watch.running, watch.cancelled) = (None, None);
             return;
         }
+        self.recall(vm);
         self.probe(vm);
         self.check_departures(vm);
+        self.remember(vm);
         let tick = self.tick;
         if let Some(running) = self.vms[vm].watch.running.take() {
             self.advance(vm, running);
@@ -81,7 +81,7 @@
         if self.changes.cancels {
             self.cancel_orders(vm);
         }
-        if tick < self.vms[vm].watch.not_before || self.vms[vm].view.awaits_server(tick) {
+        if tick < self.vms[vm].watch.not_before || self.awaits_server(vm) {
             return;
         }
         if let Some(suspicion) = self.assess(vm) {
@@ -89,6 +89,36 @@
         }
     }
 
+    /// Takes over what an earlier coordinator has written to the row.
+    fn recall(&mut self, vm: usize) {
+        let tick = self.tick;
+        let Vm { memory, view, .. } = &mut self.vms[vm];
+        if view.entries.iter().any(Option::is_some) {
+            view.recall(memory.take_missing(&group()));
+        }
+        if let Some(primary) = view.primary {
+            memory.record_leader(&group(), &id(primary), Term::new(view.term));
+        }
+        let Some(replaced) = memory.take_unannounced(&group()) else { return };
+        let replaced = replaced.max(Term::new(view.term));
+        self.note(|| format!("VM {vm} recalls an order that replaces term {}", replaced.get()));
+        let Some(token) = self.next_token(vm) else { return };
+        let (number, begun) = (FailoverNumber::new(token.get()), time(tick));
+        self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
+    }
+
+    /// Writes to the row which servers are missing, if there are more.
+    fn remember(&mut self, vm: usize) {
+        let Vm { memory, view, .. } = &mut self.vms[vm];
+        memory.update_missing(&group(), &view.missing);
+        self.write_memory(vm);
+    }
+
+    fn awaits_server(&self, vm: usize) -> bool {
+        let Vm { memory, view, .. } = &self.vms[vm];
+        view.awaits_server(self.tick) || memory.awaits_unlisted(time(self.tick))
+    }
+
     fn is_coordinator(&self, vm: usize) -> bool {
         self.vms[vm].lease.token(time(self.tick)).is_some()
             || (self.keeps_role(vm) && self.vms[vm].lease.last_token().is_some())
@@ -107,9 +137,9 @@
 
     /// Returns whether no older order can be carried out any more.
     fn is_settled(&self, vm: usize) -> bool {
-        let Vm { watch, view, .. } = &self.vms[vm];
+        let Vm { watch, view, memory, .. } = &self.vms[vm];
         match self.changes.cancels {
-            false => !watch.is_open,
+            false => memory.open_order(&group()).is_none(),
             true => watch.cancelled.is_some_and(|(since, primary)| {
                 primary == view.primary && self.tick - since >= CANCEL_TIME
             }),
@@ -212,6 +242,7 @@
         };
         let evidence = Evidence {
             no_primary: me.watch.no_primary_since.map(|since| span(tick - since)),
+            open_order: me.memory.open_order(&group()).map(|open| time(tick).since(open.known)),
             leaving: me.view.primary_entry().is_some_and(|(_, entry)| entry.leaving),
             has_successor: me.view.members().iter().any(|member| member.preferred),
             failing: span(me.view.failing(tick)),
@@ -237,6 +268,8 @@
         if let Some(primary) = view.primary {
             failover = failover.with_primary(id(primary), time(view.last_response));
         }
+        let open_order = self.vms[vm].memory.open_order(&group());
+        failover = failover.with_open_order(open_order.map(|open| open.server.clone()));
         let Some(token) = self.next_token(vm) else { return };
         let announcement = Announcement {
             number: FailoverNumber::new(token.get()),
@@ -249,7 +282,7 @@
     }
 
     fn advance(&mut self, vm: usize, mut running: Running) {
-        let tick = self.tick;
+        let (tick, awaits_server) = (self.tick, self.awaits_server(vm));
         let view = &self.vms[vm].view;
         let failover = &mut running.failover;
         failover.record_acknowledged(view.acknowledged);
@@ -259,7 +292,7 @@
         let has_recovered = running.suspicion == Suspicion::Silent
             && is_unordered
             && view.last_response > running.started;
-        let progress = match (has_recovered, is_unordered && view.awaits_server(tick)) {
+        let progress = match (has_recovered, is_unordered && awaits_server) {
             (true, _) => Progress::Abandoned("the primary answers again"),
             (_, true) => Progress::Abandoned("a server that may hold a commit is missing"),
             _ => failover.progress(time(tick)),
@@ -273,7 +306,6 @@
                 return;
             }
             Progress::Done(server, term) => {
-                self.vms[vm].watch.is_open = false;
                 self.vms[vm].view.adopt(index(server.as_str()), term.get());
             }
             Progress::Abandoned(reason) => {
@@ -327,10 +359,22 @@
 
     fn order(&mut self, vm: usize, failover: &mut Failover, server: usize) {
         let now = time(self.tick);
-        let Some(token) = self.next_token(vm) else { return };
-        let watch = &mut self.vms[vm].watch;
-        watch.is_open = true;
-        watch.cancelled = None;
+        let Vm { memory, view, .. } = &mut self.vms[vm];
+        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
+        let replaced = known.max(failover.reported_term());
+        let Ok(revision) = memory.prepare(group(), id(server), replaced, now) else { return };
+        self.write_memory(vm);
+        let is_written = self.vms[vm].memory.is_written(revision);
+        let Some(token) = self.next_token(vm).filter(|_| is_written) else {
+            self.note(|| format!("VM {vm} cannot write the order to promote {}", name(server)));
+            self.vms[vm].memory.record_unsent(revision);
+            failover.record_promotion_unsent(now);
+            return;
+        };
+        if !self.vms[vm].memory.record_sent(revision, token) {
+            return;
+        }
+        self.vms[vm].watch.cancelled = None;
         let order = Order { server, token, rank: self.orders };
         self.note(|| format!("VM {vm} orders the promotion of {}", name(server)));
         if self.disturb(Call::Promote, |world, at| world.late_orders.push((at, order.clone()))) {
@@ -340,9 +384,17 @@
             return;
         }
         let answer = self.platform.accept(order, &self.servers, self.tick);
-        if answer == Answer::Refused && self.passes(Node::Store, Node::Vm(vm)) {
-            failover.record_promotion_refusal();
-            self.vms[vm].lease.record_refusal(now);
+        if !self.passes(Node::Store, Node::Vm(vm)) {
+            return;
+        }
+        let memory = &mut self.vms[vm].memory;
+        match answer {
+            Answer::Accepted => memory.record_answer(&group(), token, OrderAnswer::Accepted),
+            Answer::Refused => {
+                memory.record_answer(&group(), token, OrderAnswer::Refused);
+                failover.record_promotion_refusal();
+                self.vms[vm].lease.record_refusal(now);
+            }
         }
     }
 }
--- a/crates/core/tests/failover_search.rs
+++ b/crates/core/tests/failover_search.rs
@@ -221,6 +221,12 @@
     assert_holds(&noted(Changes::default(), PRIMARY_ALONE), &late_order());
 }
 
+/// The same, by the rule of the product: a later daemon announces the open order.
+#[test]
+fn no_commit_is_told_that_an_order_of_an_earlier_daemon_loses() {
+    assert_holds(&durable(PRIMARY_ALONE), &late_order());
+}
+
 #[test]
 fn an_order_that_is_cancelled_does_not_take_effect() {
     assert_holds(&noted(CANCELS, PRIMARY_ALONE), &late_order());
@@ -241,6 +247,15 @@
     assert_holds(&noted(CANCELS, REPLICA_NEAR), &bounds);
 }
 
+/// A daemon that had restarted waited for servers that had returned, or counted as lost.
+#[test]
+fn a_coordinator_that_restarts_goes_on_once_missing_servers_are_back_or_lost() {
+    let others = vec![Event::RestartDaemon(1), Event::Restart(2, true), Event::Start(3, 1)];
+    let bounds = bounds(vec![Event::Crash(2), Event::Cut(Direction::Both)], others, 2);
+    let bounds = Bounds { event_ticks: ticks(5_000), grid: 5, horizon: ticks(18_000), ..bounds };
+    assert_holds(&noted(CANCELS, PRIMARY_ALONE), &bounds);
+}
+
 /// A server that crashed after the order and lost its log was ordered again to lead.
 #[test]
 fn an_order_is_not_repeated_for_a_server_that_lost_its_log() {
--- a/crates/engine/src/coordinator.rs
+++ b/crates/engine/src/coordinator.rs
@@ -5,6 +5,9 @@
 //! only if no other VM has reported a renewal lately. The holder's orders carry a fencing
 //! token, so that orders of an earlier holder are refused.
 
+mod orders;
+mod row;
+
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -13,53 +16,52 @@
 
 use chicoryhollow_core::{
     VmId,
-    coordinator::{CoordinatorLease, CoordinatorRow, FencingToken, RowObservation, Step, row_key},
+    coordinator::{CoordinatorLease, FailoverMemory, FencingToken, RowObservation, Step},
     version::DirectoryVersion,
 };
-use serde::{Deserialize, Serialize};
 use slog::o;
-use tokio::time::sleep;
+use tokio::{sync::Mutex, time::sleep};
+
+pub(crate) use self::row::reads_settled_era;
+
+use self::row::{COORDINATOR_TABLE, StoredRow, row_write};
 
 use crate::{
     clock,
     engine::{Engine, Phase, ROW_TRUST_SPAN},
     log::Event,
-    seam::{Directory, DirectoryError, Row, RowWrite, ServerProtocol, WriteOutcome},
+    seam::{Directory, DirectoryError, ServerProtocol, WriteOutcome},
 };
 
-/// Table of the coordinator's row.
-const COORDINATOR_TABLE: &str = "duties";
-
 /// Pause between two checks of whether the row must be read or written.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The same pause on a VM that does not read the directory.
 const STANDBY_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Content of the coordinator's row.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-struct Content {
-    holder: Option<String>,
-    incarnation: u64,
-    /// Whether the holder has known the era of the directory for so long that all that was
-    /// missing after its restore has been written again.
-    #[serde(default)]
-    settled: bool,
-}
-
 /// This VM's claim to the role of failover coordinator.
 pub(crate) struct Coordinator {
     lease: RefCell<CoordinatorLease>,
     /// Whether an outage of the directory lets the holder keep the role: no other VM can
     /// take it, and if one did, orders with the older token would be refused.
     outage: Cell<bool>,
+    /// What a later holder must know of failovers.
+    memory: RefCell<FailoverMemory>,
+    /// Held during a call that reads or writes the row, so that an order and a renewal do not
+    /// write the same version.
+    calls: Mutex<()>,
 }
 
 impl Coordinator {
     /// Creates a claim that does not hold the role yet.
     pub(crate) fn new(vm: VmId, incarnation: u64) -> Self {
-        let lease = RefCell::new(CoordinatorLease::new(vm, incarnation, clock::now()));
-        Coordinator { lease, outage: Cell::new(false) }
+        let now = clock::now();
+        Coordinator {
+            lease: RefCell::new(CoordinatorLease::new(vm, incarnation, now)),
+            outage: Cell::new(false),
+            memory: RefCell::new(FailoverMemory::new(now)),
+            calls: Mutex::new(()),
+        }
     }
 
     /// Returns the fencing token, or `None` if this VM is not the coordinator.
@@ -98,6 +100,12 @@
                 engine
                     .event_log
                     .record(event, o!("token" => token.or(last_token).map(FencingToken::get)));
+                if token.is_some() {
+                    self.report_recalled(&engine);
+                    engine.watch_wakeup.notify_one();
+                } else {
+                    engine.metrics.open_orders.set(0);
+                }
             }
             last_token = token;
             if engine.phase() != Phase::Serving {
@@ -111,58 +119,89 @@
     }
 
     async fn advance<S: ServerProtocol, D: Directory>(&self, engine: &Engine<S, D>) {
+        let turn = self.calls.lock().await;
         let step = self.lease.borrow_mut().next_step(clock::now());
         let is_reader = engine.relay.borrow().is_reader() && !engine.is_row_renewed();
         let reads = is_reader || self.lease.borrow().is_disputed();
         match step {
-            Step::Wait(_) => sleep(POLL_INTERVAL).await,
+            Step::Wait(_) => {
+                drop(turn);
+                sleep(POLL_INTERVAL).await;
+            }
             // Readers of the directory pass on what they read. Polls by other VMs
             // would only add load to the directory.
-            Step::Read if !reads => sleep(STANDBY_INTERVAL).await,
+            Step::Read if !reads => {
+                drop(turn);
+                sleep(STANDBY_INTERVAL).await;
+            }
             Step::Read => self.poll_row(engine).await,
-            Step::Write(expected) => {
-                let holder = Some(engine.settings.vm.to_string());
-                let asked = clock::now();
-                let written = engine.directory.write(&write(engine, expected, holder)).await;
-                let mut lease = self.lease.borrow_mut();
-                match written {
-                    Ok(WriteOutcome::Done(version)) => {
-                        lease.record_write(version, asked, clock::now());
-                        // Others need not read a row that is known to be renewed.
-                        engine.record_row_observation(RowObservation { version, since: asked });
-                    }
-                    Ok(WriteOutcome::Conflict) => lease.record_conflict(clock::now()),
-                    Err(DirectoryError::TurnedAway | DirectoryError::Unanswered) => {
-                        lease.record_failure(clock::now());
-                    }
-                }
+            Step::Write(expected) => self.write(engine, expected).await,
+        }
+    }
+
+    /// Writes the row with everything that it has to carry, while `calls` is held.
+    async fn write<S: ServerProtocol, D: Directory>(
+        &self,
+        engine: &Engine<S, D>,
+        expected: DirectoryVersion,
+    ) {
+        let holder = Some(engine.settings.vm.to_string());
+        let asked = clock::now();
+        let (record, revision) = self.record(engine);
+        let written = engine.directory.write(&row_write(engine, expected, holder, record)).await;
+        let mut lease = self.lease.borrow_mut();
+        match written {
+            Ok(WriteOutcome::Done(version)) => {
+                lease.record_write(version, asked, clock::now());
+                self.memory.borrow_mut().record_written(revision);
+                // Others need not read a row that is known to be renewed.
+                engine.record_row_observation(RowObservation { version, since: asked });
+            }
+            Ok(WriteOutcome::Conflict) => lease.record_conflict(clock::now()),
+            Err(DirectoryError::TurnedAway | DirectoryError::Unanswered) => {
+                lease.record_failure(clock::now());
             }
         }
     }
 
     async fn poll_row<S: ServerProtocol, D: Directory>(&self, engine: &Engine<S, D>) {
         let rows = engine.directory.rows(COORDINATOR_TABLE).await;
+        let now = clock::now();
         let mut lease = self.lease.borrow_mut();
         match rows {
             Ok(rows) => {
                 let era = rows.version.era();
                 engine.record_era(era);
-                let key = row_key(era);
-                let row = rows.rows.iter().find(|row| row.key == key).map(parse_row);
-                lease.record_row(row.as_ref(), era, engine.row_observation(), clock::now());
+                let stored = StoredRow::find(&rows, era);
+                match &stored {
+                    Some(stored) if lease.is_own(&stored.row) => {}
+                    Some(stored) => {
+                        let version = stored.row.version;
+                        self.memory.borrow_mut().record_row(&stored.record, version, now);
+                    }
+                    None => {
+                        let earlier = StoredRow::find_newest(&rows);
+                        let earlier = earlier.as_ref();
+                        let earlier = earlier.map(|stored| (&stored.record, stored.row.version));
+                        self.memory.borrow_mut().record_absence(era, earlier, now);
+                    }
+                }
+                let row = stored.map(|stored| stored.row);
+                lease.record_row(row.as_ref(), era, engine.row_observation(), now);
                 if let Some(observation) = lease.observation() {
                     engine.record_row_observation(observation);
                 }
             }
-            Err(_) => lease.record_failure(clock::now()),
+            Err(_) => lease.record_failure(now),
         }
     }
 
     async fn release<S: ServerProtocol, D: Directory>(&self, engine: &Engine<S, D>) {
-        let step = self.lease.borrow().version();
-        let Some(expected) = step else { return };
+        let _turn = self.calls.lock().await;
+        let Some(expected) = self.lease.borrow().version() else { return };
+        let (record, _) = self.record(engine);
         // If no answer arrives, the lease expires.
-        let written = engine.directory.write(&write(engine, expected, None)).await;
+        let written = engine.directory.write(&row_write(engine, expected, None, record)).await;
         if let Ok(WriteOutcome::Done(version)) = written {
             // Others learn that the row has changed and is not renewed, and read it at once.
             let since = clock::now() - ROW_TRUST_SPAN;
@@ -171,40 +210,3 @@
         }
     }
 }
-
-fn write<S: ServerProtocol, D: Directory>(
-    engine: &Engine<S, D>,
-    expected: DirectoryVersion,
-    holder: Option<String>,
-) -> RowWrite {
-    let content = Content {
-        holder,
-        incarnation: engine.settings.incarnation,
-        settled: engine.is_era_settled(),
-    };
-    RowWrite {
-        table: COORDINATOR_TABLE,
-        key: row_key(expected.era()),
-        expected: Some(expected),
-        value: serde_json::to_vec(&content).ok(),
-    }
-}
-
-/// Reads whether the last coordinator found the directory complete, in its present era.
-pub(crate) async fn reads_settled_era<S: ServerProtocol, D: Directory>(
-    engine: &Engine<S, D>,
-) -> bool {
-    let Ok(rows) = engine.directory.rows(COORDINATOR_TABLE).await else { return false };
-    let key = row_key(rows.version.era());
-    let row = rows.rows.iter().find(|row| row.key == key);
-    let content = row.and_then(|row| serde_json::from_slice::<Content>(&row.value).ok());
-    content.is_some_and(|content| content.settled)
-}
-
-/// Parses the row. A row that cannot be parsed has no holder.
-fn parse_row(row: &Row) -> CoordinatorRow {
-    let content = serde_json::from_slice::<Content>(&row.value).ok();
-    let incarnation = content.as_ref().map_or(0, |content| content.incarnation);
-    let holder = content.and_then(|content| VmId::new(content.holder?).ok());
-    CoordinatorRow { holder, incarnation, version: row.version }
-}
--- /dev/null
+++ b/crates/engine/src/coordinator/orders.rs
@@ -0,0 +1,171 @@
+//! Promotion orders and missing servers in the coordinator's row.
+//!
+//! An order is sent only after the row that contains it was written. Orders of several groups
+//! that wait for a write at the same time are all in the next one.
+
+use chicoryhollow_core::{
+    GroupId, ServerId, Term, Time,
+    coordinator::{FailoverRecord, FencingToken, FullError, OrderAnswer, Revision, Roster},
+};
+use slog::o;
+
+use super::Coordinator;
+use crate::{
+    clock,
+    engine::Engine,
+    group::Group,
+    log::Event,
+    seam::{Directory, ServerProtocol},
+};
+
+/// Why an order must not be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub(crate) enum OrderError {
+    /// The row has no room for the order.
+    #[error(transparent)]
+    Full(#[from] FullError),
+    /// The row was not written.
+    #[error("the row was not written")]
+    Unwritten,
+    /// This VM is no longer the coordinator.
+    #[error("the role was lost")]
+    RoleLost,
+}
+
+impl Coordinator {
+    /// Writes an order to the row, so that a later holder knows of it, and returns its token.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the order must not be sent.
+    pub(crate) async fn open_order<S: ServerProtocol, D: Directory>(
+        &self,
+        engine: &Engine<S, D>,
+        group: &GroupId,
+        server: &ServerId,
+        replaced: Term,
+    ) -> Result<FencingToken, OrderError> {
+        let (group, server) = (group.clone(), server.clone());
+        let order = self.memory.borrow_mut().prepare(group, server, replaced, clock::now())?;
+        self.write_revision(engine, order).await;
+        let is_written = self.memory.borrow().is_written(order);
+        let token = if is_written { self.order_token() } else { None };
+        match token {
+            Some(token) if self.memory.borrow_mut().record_sent(order, token) => Ok(token),
+            _ => {
+                self.memory.borrow_mut().record_unsent(order);
+                Err(if is_written { OrderError::RoleLost } else { OrderError::Unwritten })
+            }
+        }
+    }
+
+    /// Writes the row unless a write has carried this revision meanwhile.
+    async fn write_revision<S: ServerProtocol, D: Directory>(
+        &self,
+        engine: &Engine<S, D>,
+        revision: Revision,
+    ) {
+        let _turn = self.calls.lock().await;
+        if self.memory.borrow().is_written(revision) {
+            return;
+        }
+        let expected = self.lease.borrow_mut().begin_write(clock::now());
+        if let Some(expected) = expected {
+            self.write(engine, expected).await;
+        }
+    }
+
+    /// Records the platform's answer to an order.
+    pub(crate) fn record_answer(&self, group: &GroupId, token: FencingToken, answer: OrderAnswer) {
+        self.memory.borrow_mut().record_answer(group, token, answer);
+    }
+
+    /// Writes the row before its next renewal, if it lacks a missing server.
+    pub(crate) async fn write_missing<S: ServerProtocol, D: Directory>(
+        &self,
+        engine: &Engine<S, D>,
+    ) {
+        // Whoever calls the directory now is followed by another check.
+        let Ok(_turn) = self.calls.try_lock() else { return };
+        let expected = self.lease.borrow_mut().begin_write(clock::now());
+        if let Some(expected) = expected.filter(|_| self.memory.borrow().needs_write()) {
+            self.write(engine, expected).await;
+        }
+    }
+
+    /// Returns whether a missing server is not in the row yet.
+    pub(crate) fn needs_write(&self) -> bool {
+        self.memory.borrow().needs_write()
+    }
+
+    /// Takes over what the row says about a group, and records what this VM knows. Returns the
+    /// term that open orders of earlier holders replace, if no VM was told of them yet.
+    pub(crate) fn recall(&self, group: &mut Group) -> Option<Term> {
+        let mut memory = self.memory.borrow_mut();
+        let name = &group.view.group;
+        if !group.servers.is_empty() {
+            let present = group.servers.values().map(|entry| entry.registered());
+            group.missing_servers.recall(memory.take_missing(name), present);
+        }
+        memory.update_missing(name, &group.missing_servers);
+        if let Some(primary) = &group.view.primary {
+            memory.record_leader(name, primary, group.view.term);
+        }
+        memory.take_unannounced(name)
+    }
+
+    /// Returns the server of the newest open order of a group, and since when this VM has known
+    /// of the order.
+    pub(crate) fn newest_order(&self, group: &GroupId) -> Option<KnownOrder> {
+        let memory = self.memory.borrow();
+        let open = memory.open_order(group)?;
+        Some(KnownOrder { server: open.server.clone(), known: open.known })
+    }
+
+    /// Returns whether any group may have a missing server of which this VM does not know.
+    pub(crate) fn awaits_unlisted(&self) -> bool {
+        self.memory.borrow().awaits_unlisted(clock::now())
+    }
+
+    /// Returns what the next write of the row carries.
+    pub(super) fn record<S: ServerProtocol, D: Directory>(
+        &self,
+        engine: &Engine<S, D>,
+    ) -> (FailoverRecord, Revision) {
+        let mut memory = self.memory.borrow_mut();
+        let mut roster = None;
+        for group in engine.groups() {
+            let group = group.borrow();
+            for server in group.servers.keys() {
+                roster.get_or_insert_with(Roster::default).add(server);
+            }
+            // Until this VM is the coordinator, the row says which servers are missing.
+            if self.lease.borrow().version().is_some() {
+                memory.update_missing(&group.view.group, &group.missing_servers);
+            }
+        }
+        let written = memory.record(roster, clock::now());
+        let open = i64::try_from(written.0.orders.len()).unwrap_or(i64::MAX);
+        engine.metrics.open_orders.set(open);
+        written
+    }
+
+    /// Logs what this VM has read from the row when it took the role.
+    pub(super) fn report_recalled<S: ServerProtocol, D: Directory>(&self, engine: &Engine<S, D>) {
+        let (orders, missing) = self.memory.borrow().counts();
+        let unlisted = self.awaits_unlisted();
+        if orders > 0 || missing > 0 || unlisted {
+            let fields = o!("orders" => orders, "missing" => missing, "unlisted" => unlisted);
+            engine.event_log.record(Event::FailoversRecalled, fields);
+        }
+    }
+}
+
+/// An order that may still be carried out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct KnownOrder {
+    /// Server to promote.
+    pub(crate) server: ServerId,
+    /// Since when this VM has known of it.
+    pub(crate) known: Time,
+}
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -96,11 +96,15 @@
     PeerLost,
     /// Messages and bytes sent to other VMs since the start.
     PeerTraffic,
+    /// A promotion order was not sent, because the coordinator's row was not written.
+    OrderUnsent,
+    /// A new coordinator has read from the row what an earlier one knew of failovers.
+    FailoversRecalled,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 36] = [
+    pub const ALL: [Event; 38] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -137,6 +141,8 @@
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
+        Event::OrderUnsent,
+        Event::FailoversRecalled,
     ];
 
     /// Returns the number, level and text of the event.
@@ -178,6 +184,8 @@
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
+            Event::OrderUnsent => (643, Level::Warning, "promotion order not sent"),
+            Event::FailoversRecalled => (644, Level::Info, "failovers recalled"),
         }
     }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -27,6 +27,10 @@
     pub(crate) version: IntGauge,
     /// Ordered promotions, by cause.
     pub(crate) promotions: IntCounterVec,
+    /// Promotion orders in the coordinator's row that may still be carried out, on its holder.
+    pub(crate) open_orders: IntGauge,
+    /// Promotion orders that were not sent, because the coordinator's row was not written.
+    pub(crate) unsent_orders: IntCounter,
     /// Acknowledged commits that the logs of new primaries lacked, as far as this VM saw.
     pub(crate) missing_commits: IntCounter,
     /// Commits that a primary acknowledged, by what showed whether they survive a failover.
@@ -65,6 +69,8 @@
             callers: gauge(&registry, "callers", "Connected callers."),
             version: gauge(&registry, "configuration_version", "Configuration in force."),
             promotions: counters(&registry, "promotions_total", "Promotions ordered.", "cause"),
+            open_orders: gauge(&registry, "open_orders", "Open promotion orders."),
+            unsent_orders: counter(&registry, "unsent_orders_total", "Orders not sent."),
             missing_commits: counter(&registry, "missing_commits_total", "Commits found lost."),
             evidence: counters(&registry, "commits_total", "Commits acknowledged.", "evidence"),
             dropped_lines: counter(&registry, "dropped_lines_total", "Log lines dropped."),
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -13,7 +13,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
-    GroupId, Position, Term, Time,
+    GroupId, Position, ServerId, Term, Time,
     failover::{Announcement, Cause, Failover, FailoverNumber, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT},
 };
@@ -94,6 +94,7 @@
             let name = group.borrow().view.group.clone();
             let watched = watches.entry(name).or_default();
             if is_coordinator {
+                recall(&engine, &coordinator, &group);
                 watch(&engine, &coordinator, &group, watched);
             } else {
                 watched.running = None;
@@ -101,6 +102,24 @@
                 watched.record_primary(&group.borrow(), clock::now());
             }
         }
+        if is_coordinator && coordinator.needs_write() {
+            let (engine, coordinator) = (Rc::clone(&engine), Rc::clone(&coordinator));
+            actix::spawn(async move { coordinator.write_missing(&engine).await });
+        }
+    }
+}
+
+/// Takes over what earlier coordinators knew of a group. Orders of them that may still be carried
+/// out are announced as a failover that runs.
+fn recall<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    coordinator: &Coordinator,
+    group: &RefCell<Group>,
+) {
+    let recalled = coordinator.recall(&mut group.borrow_mut());
+    if let Some(replaced) = recalled {
+        let replaced = replaced.max(group.borrow().newest_term());
+        announce(engine, coordinator, group, replaced, clock::now());
     }
 }
 
@@ -125,14 +144,19 @@
     if now < watched.not_before {
         return;
     }
-    let awaits_server = group.borrow().awaits_server(now);
-    let suspicion = assess(engine, &group.borrow(), watched, now).filter(|_| !awaits_server);
+    let awaits_server = group.borrow().awaits_server(now) || coordinator.awaits_unlisted();
+    let order = coordinator.newest_order(&group.borrow().view.group);
+    let known = order.as_ref().map(|order| now.since(order.known));
+    let suspicion = assess(engine, &group.borrow(), watched, known, now);
+    let suspicion = suspicion.filter(|_| !awaits_server);
     if let Some(suspicion) = suspicion {
         let replaced = group.borrow().newest_term();
         if !announce(engine, coordinator, group, replaced, now) {
             return;
         }
-        let running = begin(engine, &group.borrow(), suspicion, watched.highest_term, now);
+        let server = order.map(|order| order.server);
+        let term = watched.highest_term;
+        let running = begin(engine, &group.borrow(), suspicion, server, term, now);
         watched.running = Some(running);
     }
 }
@@ -142,6 +166,7 @@
     engine: &Engine<S, D>,
     group: &Group,
     watched: &mut GroupWatch,
+    open_order: Option<Duration>,
     now: Time,
 ) -> Option<Suspicion> {
     if group.servers.is_empty() {
@@ -151,6 +176,7 @@
     let name = &group.view.group;
     let evidence = Evidence {
         no_primary: watched.no_primary_since.map(|since| now.since(since)),
+        open_order,
         leaving: entry.is_some_and(|entry| !group.accepts_work(entry)),
         has_successor: group.members(now).iter().any(|member| member.preferred),
         failing: group.failing(now),
@@ -166,6 +192,7 @@
     engine: &Engine<S, D>,
     group: &Group,
     suspicion: Suspicion,
+    ordered: Option<ServerId>,
     reported_term: Term,
     now: Time,
 ) -> RunningFailover {
@@ -177,7 +204,8 @@
         Cause::Planned => group.acknowledged.max(group.observed.newest()),
         Cause::Failure => group.acknowledged,
     };
-    let mut failover = Failover::new(suspicion.cause(), members, highest_term, min_position, now);
+    let mut failover = Failover::new(suspicion.cause(), members, highest_term, min_position, now)
+        .with_open_order(ordered);
     if let Some(primary) = group.view.primary.clone() {
         failover = failover.with_primary(primary, group.last_response());
     }
@@ -207,6 +235,7 @@
 ) -> Option<RunningFailover> {
     let name = group.borrow().view.group.clone();
     let progress = {
+        let awaits_unlisted = coordinator.awaits_unlisted();
         let group = group.borrow();
         let mut failover = running.failover.borrow_mut();
         failover.record_acknowledged(group.acknowledged);
@@ -215,7 +244,8 @@
         let has_recovered = running.suspicion == Suspicion::Silent
             && failover.promotion_target().is_none()
             && group.last_response() > running.started;
-        match (has_recovered, failover.promotion_target().is_none() && group.awaits_server(now)) {
+        let awaits_server = awaits_unlisted || group.awaits_server(now);
+        match (has_recovered, failover.promotion_target().is_none() && awaits_server) {
             (true, _) => Progress::Abandoned("the primary answers again"),
             (_, true) => Progress::Abandoned("a server that may hold a commit is missing"),
             _ => failover.progress(now),
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -4,6 +4,7 @@
 
 use chicoryhollow_core::{
     GroupId, ServerId, Term,
+    coordinator::OrderAnswer,
     failover::{Action, Cause, Failover, ReplicationStatus},
 };
 use slog::o;
@@ -42,7 +43,7 @@
                 demote(&engine, &failover, &group, &server, term).await;
             }
             Action::ListServers => list_servers(&engine, &failover, &group).await,
-            Action::Promote(server) => promote(&engine, &role, &failover, group, server).await,
+            Action::Promote(server) => promote(&engine, &role, &failover, &group, &server).await,
         }
     });
 }
@@ -123,10 +124,26 @@
     engine: &Rc<Engine<S, D>>,
     coordinator: &Coordinator,
     failover: &RefCell<Failover>,
-    group: GroupId,
-    server: ServerId,
+    group: &GroupId,
+    server: &ServerId,
 ) {
-    let Some(token) = coordinator.order_token() else { return };
+    let known = engine.group(group).borrow().peers.failover();
+    let announced = known.map(|known| known.replaced).unwrap_or_default();
+    let replaced = announced.max(failover.borrow().reported_term());
+    let token = match coordinator.open_order(engine, group, server, replaced).await {
+        Ok(token) => token,
+        Err(error) => {
+            engine.metrics.unsent_orders.inc();
+            let fields = o!(
+                "group" => group.to_string(),
+                "server" => server.to_string(),
+                "reason" => error.to_string(),
+            );
+            engine.event_log.record(Event::OrderUnsent, fields);
+            failover.borrow_mut().record_promotion_unsent(clock::now());
+            return;
+        }
+    };
     let cause = failover.borrow().cause();
     let label = if cause == Cause::Planned { "planned" } else { "failure" };
     engine.metrics.promotions.with_label_values(&[label]).inc();
@@ -147,8 +164,16 @@
             "answer" => format!("{answer:?}"),
         ),
     );
-    if answer == Ok(PromotionOutcome::Refused) {
-        failover.borrow_mut().record_promotion_refusal();
-        coordinator.record_refusal();
+    match answer {
+        Ok(PromotionOutcome::Accepted) => {
+            coordinator.record_answer(group, token, OrderAnswer::Accepted);
+        }
+        Ok(PromotionOutcome::Refused) => {
+            coordinator.record_answer(group, token, OrderAnswer::Refused);
+            failover.borrow_mut().record_promotion_refusal();
+            coordinator.record_refusal();
+        }
+        // The order stays open: it may be carried out late.
+        Err(_) => {}
     }
 }
