Report the statements of each account by window

Cause: a deployment may want to know how many statements of each account the backend servers ran in each window of true time, and the daemon counted nothing.

Change: every VM counts the statements that it sent to a server, in the window in which each was sent, and sends totals to two collectors of its data centre. The first collector of each data centre and the failover coordinator ask the collectors for sums. The coordinator decides what is reported for a window by a conditional write of a row, and sends it with an order token. The part is enabled by the settings of usage reports together with the duty `usage_report`; without them there is no message and no row.

Weighed: sums that the collectors push to the coordinator would need every collector to know who that is, so the coordinator asks for them. Sums are lower bounds of which the greater is kept, so answers of two collectors, repeats and lost messages need no bookkeeping. Rows at each window's close would cost one store call per VM.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -60,6 +60,8 @@
 * [`batch`] stores what became of batches of statements. A VM sends them to a home of
   the backend server (see [`home`]), and asks for their status after it has lost its
   connection to the home.
+* [`usage`] counts the statements of each account by windows of true time, and decides
+  what is reported for each window.
 * [`time`] has the clock readings that decisions take as arguments.
 
 # Example
@@ -110,6 +112,7 @@
 pub mod time;
 pub mod transfer;
 pub mod unanswered;
+pub mod usage;
 pub mod version;
 pub mod view;
 pub mod waiting;
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -27,6 +27,7 @@
     statement::{
         Access, Answer, Body, Command, Fault, FaultKind, PreparedStatement, Reply, Served,
     },
+    usage::Run,
 };
 
 /// Pause before a statement is retried on the same server.
@@ -310,7 +311,11 @@
         command: Command,
         limit: Duration,
     ) -> Result<Answer, LinkError> {
-        timeout(limit, connection.run(command)).await.unwrap_or(Err(LinkError::TimedOut))
+        let run = Run::new(self.engine, self.account, &command);
+        let answer = timeout(limit, connection.run(command)).await;
+        let answer = answer.unwrap_or(Err(LinkError::TimedOut));
+        run.end(&answer);
+        answer
     }
 
     /// Records why a statement did not run and pauses before the retry; fails when
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -37,7 +37,7 @@
     seam::{CallerProtocol, Directory, LinkError, ServerProtocol},
     session,
     settings::Settings,
-    watch,
+    usage, watch,
 };
 
 /// Time for the last lines of the log to be written before the process ends by itself.
@@ -172,6 +172,7 @@
     let coordinator =
         Rc::new(Coordinator::new(engine.settings.vm.clone(), engine.settings.incarnation));
     spawn_essential(engine, "coordinator", Rc::clone(&coordinator).run(Rc::clone(engine)));
+    spawn_essential(engine, "usage", usage::run(Rc::clone(engine), Rc::clone(&coordinator)));
     spawn_essential(engine, "watch", watch::run(Rc::clone(engine), coordinator));
     spawn_essential(engine, "maintenance", run_maintenance(Rc::clone(engine), health));
     actix::spawn(accept(Rc::clone(engine), protocol, callers))
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -41,6 +41,7 @@
     relay::Relay,
     seam::{Directory, ServerProtocol},
     settings::Settings,
+    usage::Usage,
 };
 
 /// Time for which this VM must be isolated before it stops being ready.
@@ -119,6 +120,8 @@
     pub(crate) watch_wakeup: Notify,
     /// Wakes operations that wait for a token.
     pub(crate) tokens: Notify,
+    /// Counts for usage reports, if they are enabled.
+    pub(crate) usage: Option<Usage>,
 }
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
@@ -132,6 +135,7 @@
     ) -> Self {
         Engine {
             rng: RefCell::new(SmallRng::seed_from_u64(settings.incarnation)),
+            usage: Usage::new(&settings, clock::now()),
             settings,
             started: clock::now(),
             protocol: Rc::new(protocol),
@@ -165,6 +169,11 @@
         }
     }
 
+    /// Returns when this VM learnt of the present era of the directory.
+    pub(crate) fn era_known_at(&self) -> Time {
+        self.era_known_at.get()
+    }
+
     /// Returns the active configuration.
     pub(crate) fn catalog(&self) -> Rc<Catalog> {
         Rc::clone(&self.catalog.borrow())
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -14,6 +14,7 @@
 mod link;
 mod rows;
 mod upkeep;
+mod usage;
 
 use std::{
     cell::{Cell, RefCell},
@@ -43,13 +44,16 @@
 };
 use tokio_util::codec::Framed;
 
-pub(crate) use self::link::Link;
 use self::{
     contact::Questions,
     documents::Recipient,
     link::{Origin, Place, run_link},
     rows::{Renewal, maintain_rows},
 };
+pub(crate) use self::{
+    link::Link,
+    usage::{COLLECTORS, Reached},
+};
 use crate::{
     catalog::ServerEntry,
     clock,
--- a/crates/engine/src/fleet/heartbeat.rs
+++ b/crates/engine/src/fleet/heartbeat.rs
@@ -170,6 +170,9 @@
                 link.send_to_task(message.lease, Body::LeaseCommand(message));
             }
             Body::LeaseEnd(message) => link.send_to_task(message.lease, Body::LeaseEnd(message)),
+            Body::UsageReport(_) | Body::UsageClock(_) | Body::UsageAsk(_) | Body::UsageSums(_) => {
+                self.handle_usage(vm, link, body)
+            }
             // Only the other daemon, `chicoryhollow-proxy`, uses the remaining messages.
             _ => {}
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -31,9 +31,10 @@
 * `admission` limits each client account to its rate.
 * `coordinator` elects the VM that runs failovers, and `watch` detects failed
   primaries and replaces them.
+* `usage` counts the statements of each account and has the sums reported.
 
 The decisions themselves are pure functions and state machines in
-`chicoryhollow_core`: `freshness`, `route`, `failover`, `coordinator` and
+`chicoryhollow_core`: `freshness`, `route`, `failover`, `coordinator`, `usage` and
 `allowance`.
 
 One thread runs everything, so state is shared through `Rc` and `RefCell`. No
@@ -62,4 +63,5 @@
 mod single_flight;
 pub mod statement;
 mod turn;
+mod usage;
 mod watch;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -96,11 +96,21 @@
     PeerLost,
     /// Messages and bytes sent to other VMs since the start.
     PeerTraffic,
+    /// This VM decided on the usage report of a window.
+    UsageDecided,
+    /// The usage report of a window was accepted.
+    UsageReported,
+    /// A usage report cannot be decided on or sent now.
+    UsageDelayed,
+    /// Windows are never reported.
+    UsageSkipped,
+    /// Counts arrived after the decision on their window.
+    UsageLate,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 36] = [
+    pub const ALL: [Event; 41] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -137,6 +147,11 @@
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
+        Event::UsageDecided,
+        Event::UsageReported,
+        Event::UsageDelayed,
+        Event::UsageSkipped,
+        Event::UsageLate,
     ];
 
     /// Returns the number, level and text of the event.
@@ -178,6 +193,11 @@
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
+            Event::UsageDecided => (645, Level::Info, "usage decided"),
+            Event::UsageReported => (646, Level::Info, "usage reported"),
+            Event::UsageDelayed => (647, Level::Warning, "usage report delayed"),
+            Event::UsageSkipped => (648, Level::Warning, "usage windows skipped"),
+            Event::UsageLate => (649, Level::Warning, "usage counts late"),
         }
     }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -31,6 +31,15 @@
     pub(crate) missing_commits: IntCounter,
     /// Commits that a primary acknowledged, by what showed whether they survive a failover.
     pub(crate) evidence: IntCounterVec,
+    /// Windows of usage reports that this VM handled, by step: `decided`, `reported` or
+    /// `skipped`.
+    pub(crate) usage_windows: IntCounterVec,
+    /// Windows whose reports are overdue, on the VM that reports.
+    pub(crate) overdue_usage: IntGauge,
+    /// Statements in the reports that this VM decided on.
+    pub(crate) decided_usage: IntCounter,
+    /// Statements whose counts arrived after the decision on their window.
+    pub(crate) late_usage: IntCounter,
     /// Log lines dropped for exceeding their budget.
     pub(crate) dropped_lines: IntCounter,
     /// Links to other VMs.
@@ -67,6 +76,10 @@
             promotions: counters(&registry, "promotions_total", "Promotions ordered.", "cause"),
             missing_commits: counter(&registry, "missing_commits_total", "Commits found lost."),
             evidence: counters(&registry, "commits_total", "Commits acknowledged.", "evidence"),
+            usage_windows: counters(&registry, "usage_windows_total", "Usage windows.", "step"),
+            overdue_usage: gauge(&registry, "usage_overdue_windows", "Overdue usage windows."),
+            decided_usage: counter(&registry, "usage_statements_total", "Statements reported."),
+            late_usage: counter(&registry, "usage_late_statements_total", "Counts too late."),
             dropped_lines: counter(&registry, "dropped_lines_total", "Log lines dropped."),
             peers: gauge(&registry, "peers", "Connected VMs."),
             peer_messages: peer_counters(&registry, "peer_messages_total", "Messages to VMs."),
--- a/crates/engine/src/seam.rs
+++ b/crates/engine/src/seam.rs
@@ -9,7 +9,7 @@
 
 use chicoryhollow_core::{
     AccountId, DataCentreId, GroupId, Position, ServerId, Term, VmId, coordinator::FencingToken,
-    failover::ReplicationStatus, version::DirectoryVersion,
+    failover::ReplicationStatus, usage::DecidedWindow, version::DirectoryVersion,
 };
 use tokio::{
     net::TcpStream,
@@ -263,6 +263,26 @@
     Refused,
 }
 
+/// A report of the statements of each account in one window.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UsageReport {
+    /// What is reported.
+    pub decided: DecidedWindow,
+    /// VM that reports, the failover coordinator.
+    pub holder: VmId,
+    /// Fencing token of that VM.
+    pub token: FencingToken,
+}
+
+/// The answer to a [`UsageReport`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UsageOutcome {
+    /// The report was accepted, now or before.
+    Accepted,
+    /// A newer fencing token was used before.
+    Refused,
+}
+
 /// Why the directory did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum DirectoryError {
@@ -326,4 +346,14 @@
         &self,
         order: &PromoteOrder,
     ) -> impl Future<Output = Result<PromotionOutcome, DirectoryError>>;
+
+    /// Reports the statements of each account in one window.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no usable answer arrives.
+    fn report_usage(
+        &self,
+        report: &UsageReport,
+    ) -> impl Future<Output = Result<UsageOutcome, DirectoryError>>;
 }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use chicoryhollow_core::{DataCentreId, VmId, failover::ServerTimes};
+use chicoryhollow_core::{DataCentreId, VmId, failover::ServerTimes, usage::Schedule};
 
 /// Settings of one daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,4 +26,17 @@
     pub first_start: bool,
     /// Number that distinguishes this run of the daemon from earlier ones.
     pub incarnation: u64,
+    /// Usage reports, if they are enabled.
+    pub usage: Option<UsageSettings>,
+}
+
+/// Settings of usage reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UsageSettings {
+    /// Windows, and when their reports are due.
+    pub schedule: Schedule,
+    /// Greatest accepted error of an account's count, in thousandths of it.
+    pub tolerance: u32,
+    /// Time for which a VM sends nothing after it has taken the role of the reporter again.
+    pub lease: Duration,
 }
--- a/crates/peer/src/envelope.rs
+++ b/crates/peer/src/envelope.rs
@@ -2,7 +2,7 @@
 
 use prost::Message as _;
 
-use crate::{configuration, fleet, group, member, share, stream};
+use crate::{configuration, fleet, group, member, share, stream, usage};
 
 /// A message between two VMs.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -11,7 +11,7 @@
     /// this kind of message.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 33, 34, 40, 41, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62"
+        tags = "1, 2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 30, 31, 33, 34, 40, 41, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 70, 71, 72, 73"
     )]
     pub body: Option<Body>,
 }
@@ -152,6 +152,18 @@
     /// Answers a [`ContactAsk`](fleet::ContactAsk).
     #[prost(message, tag = "62")]
     ContactAnswer(fleet::ContactAnswer),
+    /// Statements that the sender has counted for usage reports.
+    #[prost(message, tag = "70")]
+    UsageReport(usage::UsageReport),
+    /// Tells the true time.
+    #[prost(message, tag = "71")]
+    UsageClock(usage::UsageClock),
+    /// Asks a collector for its sums.
+    #[prost(message, tag = "72")]
+    UsageAsk(usage::UsageAsk),
+    /// Sums of a collector.
+    #[prost(message, tag = "73")]
+    UsageSums(usage::UsageSums),
 }
 
 impl Body {
@@ -172,6 +184,10 @@
             Body::LeaseEnd(_) => "forward_end",
             Body::ContactAsk(_) => "contact_request",
             Body::ContactAnswer(_) => "contact_answer",
+            Body::UsageReport(_) => "usage_report",
+            Body::UsageClock(_) => "usage_clock",
+            Body::UsageAsk(_) => "usage_request",
+            Body::UsageSums(_) => "usage_sums",
             _ => "other",
         }
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -17,7 +17,8 @@
 * [`configuration`] relays accepted configurations,
 * [`fleet`] carries heartbeats, documents of the directory, tokens and forwarded
   connections between VMs that run the session engine; [`packed`] compresses the
-  documents.
+  documents,
+* [`usage`] carries the counts of usage reports.
 
 A field number is never reused for another meaning, and unknown fields are
 ignored, so that daemons of adjacent versions understand each other.
@@ -32,6 +33,7 @@
 pub mod packed;
 pub mod share;
 pub mod stream;
+pub mod usage;
 
 pub use crate::{
     codec::{CodecError, EnvelopeCodec},
