Keep usage reports right after restores and the end of collectors

A write of an earlier era that is executed after a restore could put another decision into the copied row, and the next holder reported it.

Change: after a restore a VM repeats only decisions that it made itself; the copied row tells only which windows are decided. Statements are counted in books, one for each choice of collectors, and sums are kept by book. There are four collectors in each data centre, of which two know the sums of all others. Accounts are numbered on each connection, so that more collectors do not cost more bytes. A message that a link does not accept is followed by a full one.

Weighed: a wait after a restore until late writes have been executed depends on how late the store may be. Counts by sender at the coordinator would hide nothing, but need memory for VMs times accounts times windows.

--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -23,7 +23,7 @@
     counter::Counter,
     ledger::{DecidedWindow, Ledger, LedgerRow, Restore, Step},
     tenure::Tenure,
-    totals::{CentreAccount, Change, Changes, Sums, Totals},
+    totals::{Book, BookAccount, Change, Changes, Sums, Totals},
     window::{Schedule, TrueTime, WindowId},
 };
 
--- a/crates/core/src/usage/collector.rs
+++ b/crates/core/src/usage/collector.rs
@@ -5,9 +5,9 @@
 use indexmap::IndexMap;
 
 use crate::{
-    id::{AccountId, Incarnation, VmId},
+    id::{Incarnation, VmId},
     time::Time,
-    usage::{Change, Offset, OffsetSamples, Totals, WindowId},
+    usage::{BookAccount, Change, Offset, OffsetSamples, Sums, WindowId},
 };
 
 /// Age up to which the time of day of a VM is used.
@@ -24,7 +24,7 @@
 
 #[derive(Clone, Debug)]
 struct Received {
-    totals: Totals<AccountId>,
+    totals: Sums,
     offset: Offset,
     heard: Time,
 }
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Collector {
     senders: IndexMap<Sender, Received>,
-    sums: Totals<AccountId>,
+    sums: Sums,
 }
 
 impl Collector {
@@ -48,15 +48,20 @@
     pub fn receive(
         &mut self,
         sender: &Sender,
-        change: &Change<AccountId>,
+        change: &Change<BookAccount>,
         now: Time,
-    ) -> Change<AccountId> {
+    ) -> Change<BookAccount> {
         let totals = &mut self.received(sender, now).totals;
         let gained = totals.raise(change.window, &change.key, change.count);
         self.sums.add(change.window, &change.key, gained);
         Change { count: self.sums.count(change.window, &change.key), ..change.clone() }
     }
 
+    /// Returns the sums over all senders.
+    pub fn sums(&self) -> &Sums {
+        &self.sums
+    }
+
     /// Returns the offsets that the senders' times of day give.
     pub fn samples(&self, now: Time) -> OffsetSamples {
         let mut samples = OffsetSamples::default();
@@ -76,7 +81,7 @@
 
     fn received(&mut self, sender: &Sender, now: Time) -> &mut Received {
         self.senders.entry(sender.clone()).or_insert_with(|| Received {
-            totals: Totals::default(),
+            totals: Sums::default(),
             offset: Offset::default(),
             heard: now,
         })
--- a/crates/core/src/usage/counter.rs
+++ b/crates/core/src/usage/counter.rs
@@ -1,9 +1,9 @@
 //! The count of the statements that one VM sent to backend servers.
 
 use crate::{
-    id::AccountId,
+    id::{AccountId, VmId},
     time::Time,
-    usage::{Offset, Schedule, Totals, WindowId},
+    usage::{Book, BookAccount, Offset, Schedule, Sums, WindowId},
 };
 
 /// Maximum number of statements that wait until the VM knows the true time.
@@ -15,15 +15,17 @@
     schedule: Schedule,
     /// Difference between true time and the VM's clock, once it is known.
     offset: Option<Offset>,
-    totals: Totals<AccountId>,
+    book: Book,
+    totals: Sums,
     /// Statements that ran before the true time was known.
     waiting: Vec<(AccountId, Time)>,
 }
 
 impl Counter {
-    /// Creates a count of nothing.
-    pub fn new(schedule: Schedule) -> Self {
-        Counter { schedule, offset: None, totals: Totals::default(), waiting: Vec::new() }
+    /// Creates a count of nothing of the VM `vm`, with a book of its own.
+    pub fn new(schedule: Schedule, vm: &VmId) -> Self {
+        let book = Book::of([vm]);
+        Counter { schedule, offset: None, book, totals: Sums::default(), waiting: Vec::new() }
     }
 
     /// Records a statement that a server began to run at `at`.
@@ -44,8 +46,13 @@
         }
     }
 
+    /// Opens the book in which statements are counted from now on.
+    pub fn open(&mut self, book: Book) {
+        self.book = book;
+    }
+
     /// Returns the counts.
-    pub fn totals(&self) -> &Totals<AccountId> {
+    pub fn totals(&self) -> &Sums {
         &self.totals
     }
 
@@ -56,6 +63,7 @@
 
     fn count(&mut self, account: &AccountId, at: Time, offset: Offset) {
         let window = self.schedule.window_at(offset.convert(at));
-        self.totals.add(window, account, 1);
+        let key = BookAccount { book: self.book, account: account.clone() };
+        self.totals.add(window, &key, 1);
     }
 }
--- a/crates/core/src/usage/ledger.rs
+++ b/crates/core/src/usage/ledger.rs
@@ -21,7 +21,7 @@
 };
 
 /// Number of own decisions that are remembered for a restore of the directory.
-const MAX_REMEMBERED: usize = 16;
+const MAX_REMEMBERED: usize = 64;
 
 /// What is reported for a window.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -73,7 +73,7 @@
     row: LedgerRow,
     /// Last window that was decided or is never reported, in all rows that this VM knew.
     known: Option<WindowId>,
-    /// Own decisions that the directory confirmed.
+    /// Own decisions that the directory confirmed and that are not known to be reported.
     remembered: BTreeMap<WindowId, DecidedWindow>,
 }
 
@@ -143,24 +143,19 @@
         (self.row, self.version) = (row, Some(version));
     }
 
-    /// Records that the era `era` has no row yet. `earlier` is the row of the last era before
-    /// it that has one.
-    pub fn record_missing(&mut self, era: Era, earlier: Option<LedgerRow>, restore: Restore) {
+    /// Records that the era `era` has no row yet. `earlier` is the last window in the row of
+    /// the last era before it that has one.
+    ///
+    /// The decisions in that row may stem from a write that was executed after the restore,
+    /// although others were made in the meantime. Only those that this VM made are kept.
+    pub fn record_missing(&mut self, era: Era, earlier: Option<WindowId>, restore: Restore) {
         self.version = Some(DirectoryVersion::start_of(era));
-        self.row = earlier.unwrap_or_default();
-        if era == Era::default() {
-            return;
+        let mut through = earlier.max(self.known);
+        if era != Era::default() && !restore.knows_all {
+            through = through.max(self.schedule.last_decidable(restore.learnt));
         }
-        let through = self.row.through;
-        let forgotten =
-            self.remembered.range(through.map_or(WindowId::default(), WindowId::next)..);
-        let forgotten: Vec<DecidedWindow> = forgotten.map(|(_, decided)| decided.clone()).collect();
-        self.row.through = through.max(self.known);
-        self.row.open.extend(forgotten);
-        if !restore.knows_all {
-            self.row.through = self.row.through.max(self.schedule.last_decidable(restore.learnt));
-        }
-        self.known = self.known.max(self.row.through);
+        self.known = through;
+        self.row = LedgerRow { through, open: self.remembered.values().cloned().collect() };
     }
 
     /// Returns the row that decides on a window.
@@ -185,6 +180,7 @@
     /// Records that the report of a window was accepted.
     pub fn record_reported(&mut self, window: WindowId) {
         self.row.open.retain(|decided| decided.window != window);
+        self.remembered.remove(&window);
     }
 
     /// Returns the window to decide next. Windows whose counts are no longer kept are left out.
--- a/crates/core/src/usage/totals.rs
+++ b/crates/core/src/usage/totals.rs
@@ -3,9 +3,10 @@
 use std::{collections::BTreeMap, hash::Hash};
 
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    id::{AccountId, DataCentreId},
+    id::{AccountId, VmId},
     usage::WindowId,
 };
 
@@ -129,20 +130,47 @@
     }
 }
 
-/// An account in one data centre.
+/// Number of the book in which statements were counted.
+///
+/// A VM opens another book when its collectors change. The new collectors do not know what
+/// VMs that have ended had counted, so their sums in the old book are too low, and the
+/// greater ones of the old collectors remain. Sums in the new book do not hide behind those.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Book(u64);
+
+impl Book {
+    /// Returns the book for these collectors.
+    pub fn of<'a>(collectors: impl IntoIterator<Item = &'a VmId>) -> Self {
+        // No name contains the separator.
+        let names: Vec<&str> = collectors.into_iter().map(|vm| vm.as_str()).collect();
+        Book(xxh3_64(names.join("+").as_bytes()))
+    }
+
+    /// Creates a book from its number.
+    pub const fn new(number: u64) -> Self {
+        Book(number)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// An account in one book.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct CentreAccount {
-    /// Data centre of the VMs that counted.
-    pub data_centre: DataCentreId,
+pub struct BookAccount {
+    /// Book in which the statements were counted.
+    pub book: Book,
     /// Account whose statements were counted.
     pub account: AccountId,
 }
 
-/// Sums over the VMs of each data centre. Each is a lower bound, so of two the greater is kept.
-pub type Sums = Totals<CentreAccount>;
+/// Sums over VMs in each book. Each is a lower bound, so of two the greater is kept.
+pub type Sums = Totals<BookAccount>;
 
 impl Sums {
-    /// Returns the counts of a window over all data centres, in the order of the accounts.
+    /// Returns the counts of a window over all books, in the order of the accounts.
     pub fn accounts(&self, window: WindowId) -> IndexMap<AccountId, u64> {
         let mut counts: BTreeMap<&AccountId, u64> = BTreeMap::new();
         for (key, count) in self.window(window) {
--- a/crates/engine/src/fleet/usage.rs
+++ b/crates/engine/src/fleet/usage.rs
@@ -9,11 +9,12 @@
 /// Role for which collectors are ranked.
 const COLLECTOR_ROLE: &str = "usage";
 
-/// Number of collectors of a data centre.
-pub(crate) const COLLECTORS: usize = 2;
+/// Number of collectors of a data centre. When half of the VMs lose power at once, each of
+/// four is gone in one data centre out of sixteen.
+pub(crate) const COLLECTORS: usize = 4;
 
 /// Number of VMs of a data centre among which its collectors are: some may be unreachable.
-const MAX_CANDIDATES: usize = 6;
+const MAX_CANDIDATES: usize = 8;
 
 /// A VM that can be reached.
 pub(crate) enum Reached {
--- a/crates/engine/src/usage.rs
+++ b/crates/engine/src/usage.rs
@@ -21,7 +21,7 @@
         Collector, Counter, MAX_WINDOWS, Offset, OffsetSamples, Quantiles, Sender, Sums, WindowId,
     },
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     clock,
@@ -48,6 +48,10 @@
 #[derive(Default)]
 struct Recipient {
     link: Weak<Link>,
+    /// Distinguishes the numbers of accounts from those on earlier links.
+    numbering: u32,
+    /// Accounts by the numbers under which the recipient knows them.
+    names: IndexSet<AccountId>,
     /// Number of the last change that was sent.
     after: u64,
     sent_at: Option<Time>,
@@ -55,7 +59,22 @@
     pause: Duration,
 }
 
-/// A VM from which this one asks sums.
+/// Accounts by the numbers that a sender gave them.
+#[derive(Default)]
+struct Numbered {
+    numbering: u32,
+    names: Vec<AccountId>,
+}
+
+/// Sums for which this VM asks another one.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct SourceKey {
+    vm: VmId,
+    /// Whether it also asks for those that the other VM has from other collectors.
+    all: bool,
+}
+
+/// What this VM received from another one.
 #[derive(Default)]
 struct Source {
     incarnation: u64,
@@ -77,11 +96,13 @@
     collector: RefCell<Collector>,
     sums: RefCell<Sums>,
     recipients: RefCell<IndexMap<VmId, Recipient>>,
-    sources: RefCell<IndexMap<VmId, Source>>,
+    sources: RefCell<IndexMap<SourceKey, Source>>,
     /// When all sums of each data centre were last received.
     heard: RefCell<IndexMap<DataCentreId, Time>>,
     /// True time that other VMs told, and when.
     told: RefCell<IndexMap<VmId, (Offset, Time)>>,
+    /// Numbers of the accounts in the messages of each sender.
+    numbered: RefCell<IndexMap<VmId, Numbered>>,
     /// When each sender was last told the true time.
     tells: RefCell<IndexMap<VmId, Time>>,
     /// Whether this VM asks for sums.
@@ -102,13 +123,14 @@
             started: now,
             me: Sender { vm: settings.vm.clone(), incarnation },
             data_centre: settings.data_centre.clone(),
-            counter: RefCell::new(Counter::new(usage.schedule)),
+            counter: RefCell::new(Counter::new(usage.schedule, &settings.vm)),
             collector: RefCell::default(),
             sums: RefCell::default(),
             recipients: RefCell::default(),
             sources: RefCell::default(),
             heard: RefCell::default(),
             told: RefCell::default(),
+            numbered: RefCell::default(),
             tells: RefCell::default(),
             asks: Cell::new(false),
             decides: Cell::new(false),
--- a/crates/engine/src/usage/exchange.rs
+++ b/crates/engine/src/usage/exchange.rs
@@ -7,7 +7,7 @@
 
 use chicoryhollow_core::{
     AccountId, DataCentreId, Incarnation, Time, VmId,
-    usage::{CentreAccount, Change, Offset, Quantiles, Sender, TrueTime, WindowId},
+    usage::{Book, BookAccount, Change, Offset, Quantiles, Sender, TrueTime, WindowId},
 };
 use chicoryhollow_peer::{
     Body, Message,
@@ -17,7 +17,7 @@
 use slog::o;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::{Recipient, Usage};
+use super::{Numbered, Recipient, SourceKey, Usage};
 use crate::{
     clock,
     engine::Engine,
@@ -36,11 +36,18 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(2_000);
 
 /// Rate of counts that a VM sends to one collector when it has many accounts.
-const SEND_BYTES_PER_SECOND: u64 = 600;
+const SEND_BYTES_PER_SECOND: u64 = 1_000;
 
 /// Number of [`SEND_INTERVAL`]s between two requests for sums.
 const ASK_ROUNDS: u32 = 2;
 
+/// Number of [`SEND_INTERVAL`]s between two requests for the sums that a collector has from
+/// others, which are needed only if all collectors of a data centre are gone.
+const ASK_ALL_ROUNDS: u32 = 8;
+
+/// Number of collectors of each data centre that know the sums of all data centres.
+const STANDBYS: usize = 2;
+
 /// Interval at which a sender is told the true time.
 const TELL_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -63,7 +70,7 @@
         usage.refresh(clock::now());
         engine.send_counts(usage);
         if round.is_multiple_of(ASK_ROUNDS) {
-            engine.ask_sums(usage);
+            engine.ask_sums(usage, round);
         }
     }
 }
@@ -74,43 +81,55 @@
         let collectors = self.fleet.collectors();
         let Some(near) = collectors.get(&usage.data_centre) else { return };
         let reached = self.fleet.reach(near, COLLECTORS);
-        let is_reached = |vm: &VmId| {
-            reached.iter().any(|reached| match reached {
-                Reached::Here => *vm == usage.me.vm,
-                Reached::Linked(other, _) => other == vm,
+        let names = || {
+            reached.iter().map(|reached| match reached {
+                Reached::Here => &usage.me.vm,
+                Reached::Linked(vm, _) => vm,
             })
         };
-        usage.recipients.borrow_mut().retain(|vm, _| is_reached(vm));
+        usage.counter.borrow_mut().open(Book::of(names()));
+        usage.recipients.borrow_mut().retain(|vm, _| names().any(|name| name == vm));
         for collector in &reached {
             match collector {
                 Reached::Here => usage.collect_own(clock::now()),
                 Reached::Linked(vm, link) => {
                     let Some(report) = usage.next_report(vm, link, clock::now()) else { continue };
                     self.use_link(link);
-                    link.send(Body::UsageReport(report));
+                    if !link.send(Body::UsageReport(report)) {
+                        // All is sent again, as after the loss of the link.
+                        usage.recipients.borrow_mut().swap_remove(vm);
+                    }
                 }
             }
         }
     }
 
     /// Asks collectors for their sums if this VM decides on the reports or may do so next.
-    fn ask_sums(&self, usage: &Usage) {
+    fn ask_sums(&self, usage: &Usage, round: u32) {
         let collectors = self.fleet.collectors();
-        let near = collectors.get(&usage.data_centre).and_then(|vms| vms.first());
-        let asks = usage.decides.get() || near == Some(&usage.me.vm);
-        usage.asks.set(asks);
-        if !asks {
+        let decides = usage.decides.get();
+        let near = collectors.get(&usage.data_centre).into_iter().flatten();
+        let stands_by = near.take(STANDBYS).any(|vm| *vm == usage.me.vm);
+        usage.asks.set(decides || stands_by);
+        if !usage.asks.get() {
             usage.sources.borrow_mut().clear();
             return;
         }
-        let now = clock::now();
-        usage.sources.borrow_mut().retain(|vm, _| collectors.values().any(|vms| vms.contains(vm)));
+        let is_known = |vm: &VmId| collectors.values().any(|vms| vms.contains(vm));
+        usage.sources.borrow_mut().retain(|key, _| is_known(&key.vm));
         for (data_centre, vms) in &collectors {
-            for collector in self.fleet.reach(vms, COLLECTORS) {
+            // What the others of its data centre were sent, a collector was sent too.
+            if !decides && *data_centre == usage.data_centre {
+                continue;
+            }
+            let count = if decides { STANDBYS } else { 1 };
+            for collector in self.fleet.reach(vms, count) {
                 let Reached::Linked(vm, link) = collector else { continue };
-                let ask = usage.next_ask(&vm, data_centre, now);
                 self.use_link(&link);
-                link.send(Body::UsageAsk(ask));
+                link.send(Body::UsageAsk(usage.next_ask(&vm, data_centre, false)));
+                if decides && round.is_multiple_of(ASK_ALL_ROUNDS) {
+                    link.send(Body::UsageAsk(usage.next_ask(&vm, data_centre, true)));
+                }
             }
         }
     }
@@ -121,7 +140,7 @@
         let now = clock::now();
         match body {
             Body::UsageReport(report) => {
-                if let Some(clock) = usage.record_report(vm, &report, now) {
+                if let Some(clock) = usage.record_report(vm, report, now) {
                     link.send(Body::UsageClock(clock));
                 }
             }
@@ -158,13 +177,11 @@
         self.collector.borrow_mut().record_clock(&self.me, offset, now);
     }
 
-    fn collect(&self, sender: &Sender, totals: Vec<Change<AccountId>>, now: Time) {
+    fn collect(&self, sender: &Sender, totals: Vec<Change<BookAccount>>, now: Time) {
         let (mut collector, mut sums) = (self.collector.borrow_mut(), self.sums.borrow_mut());
         for total in totals {
             let sum = collector.receive(sender, &total, now);
-            let data_centre = self.data_centre.clone();
-            let key = CentreAccount { data_centre, account: sum.key };
-            sums.raise(sum.window, &key, sum.count);
+            sums.raise(sum.window, &sum.key, sum.count);
         }
     }
 
@@ -174,7 +191,8 @@
         let recipient = recipients.entry(vm.clone()).or_default();
         if !std::ptr::eq(recipient.link.as_ptr(), Rc::as_ptr(link)) {
             // What was sent over an earlier link may have been lost.
-            *recipient = Recipient { link: Rc::downgrade(link), ..Recipient::default() };
+            let numbering = rand::random();
+            *recipient = Recipient { link: Rc::downgrade(link), numbering, ..Recipient::default() };
         }
         let counter = self.counter.borrow();
         let waited = recipient.sent_at.map_or(Duration::MAX, |sent_at| now.since(sent_at));
@@ -183,10 +201,21 @@
             return None;
         }
         let changes = counter.totals().changes(recipient.after, MAX_SENT_TOTALS);
+        let first = recipient.names.len();
+        let mut windows = encode(changes.totals);
+        for window in &mut windows {
+            let accounts = std::mem::take(&mut window.accounts);
+            let accounts = accounts.into_iter().filter_map(|name| AccountId::new(&name).ok());
+            let number = |account| recipient.names.insert_full(account).0 as u32;
+            window.numbers = accounts.map(number).collect();
+        }
         let report = UsageReport {
             incarnation: self.me.incarnation.get(),
             time_us: clock::time_of_day().as_micros(),
-            windows: encode(changes.totals, |account| (String::new(), account)),
+            windows,
+            numbering: recipient.numbering,
+            first: first as u32,
+            names: recipient.names.iter().skip(first).map(|name| name.to_string()).collect(),
         };
         let bytes = report.encoded_len() as u64;
         let pause = Duration::from_millis(bytes * 1_000 / SEND_BYTES_PER_SECOND);
@@ -196,12 +225,13 @@
     }
 
     /// Records the counts of another VM. Returns the true time if the sender is told now.
-    fn record_report(&self, vm: &VmId, report: &UsageReport, now: Time) -> Option<UsageClock> {
+    fn record_report(&self, vm: &VmId, mut report: UsageReport, now: Time) -> Option<UsageClock> {
         let incarnation = Incarnation::new(report.incarnation);
         let sender = Sender { vm: vm.clone(), incarnation };
         let offset = Offset::between(TrueTime::from_micros(report.time_us), now);
         self.collector.borrow_mut().record_clock(&sender, offset, now);
-        self.collect(&sender, decode(&report.windows, |_, account| Some(account)), now);
+        self.restore_names(vm, &mut report);
+        self.collect(&sender, decode(&report.windows), now);
         let mut tells = self.tells.borrow_mut();
         if tells.get(vm).is_some_and(|told| now.since(*told) < TELL_INTERVAL) {
             return None;
@@ -211,6 +241,25 @@
         Some(clock)
     }
 
+    /// Replaces the numbers of accounts in a report by their names. A message of an earlier
+    /// link is left without accounts, as all is sent again over the new one.
+    fn restore_names(&self, vm: &VmId, report: &mut UsageReport) {
+        let mut numbered = self.numbered.borrow_mut();
+        let known = numbered.entry(vm.clone()).or_default();
+        if known.numbering != report.numbering && report.first == 0 {
+            *known = Numbered { numbering: report.numbering, names: Vec::new() };
+        }
+        if known.numbering != report.numbering || known.names.len() != report.first as usize {
+            return;
+        }
+        let names = std::mem::take(&mut report.names);
+        known.names.extend(names.iter().filter_map(|name| AccountId::new(name).ok()));
+        for window in &mut report.windows {
+            let names = window.numbers.iter().map(|number| known.names.get(*number as usize));
+            window.accounts = names.flatten().map(AccountId::to_string).collect();
+        }
+    }
+
     /// Returns what this VM knows of the time and of the decisions.
     fn clock(&self, now: Time) -> Option<UsageClock> {
         let true_us = self.offset(now)?.convert(now).as_micros();
@@ -223,54 +272,50 @@
         self.record_decided(Some(WindowId::new(clock.decided)).filter(|_| clock.decided > 0));
     }
 
-    fn next_ask(&self, vm: &VmId, data_centre: &DataCentreId, now: Time) -> UsageAsk {
-        let clock = self.clock(now);
+    fn next_ask(&self, vm: &VmId, data_centre: &DataCentreId, all: bool) -> UsageAsk {
+        let clock = self.clock(clock::now());
         let mut sources = self.sources.borrow_mut();
-        let source = sources.entry(vm.clone()).or_default();
+        let source = sources.entry(SourceKey { vm: vm.clone(), all }).or_default();
         source.data_centre = Some(data_centre.clone());
-        UsageAsk { incarnation: source.incarnation, after: source.after, clock }
+        UsageAsk { incarnation: source.incarnation, after: source.after, clock, all }
     }
 
     fn answer(&self, ask: &UsageAsk, now: Time) -> UsageSums {
         let incarnation = self.me.incarnation.get();
         let after = if ask.incarnation == incarnation { ask.after } else { 0 };
-        let changes = self.sums.borrow().changes(after, MAX_SENT_SUMS);
-        let clocks = self.collector.borrow().samples(now).quantiles(now);
-        let place = |key: CentreAccount| {
-            let is_near = key.data_centre == self.data_centre;
-            let place = if is_near { String::new() } else { key.data_centre.to_string() };
-            (place, key.account)
+        let collector = self.collector.borrow();
+        let changes = match ask.all {
+            true => self.sums.borrow().changes(after, MAX_SENT_SUMS),
+            false => collector.sums().changes(after, MAX_SENT_SUMS),
         };
+        let clocks = collector.samples(now).quantiles(now);
         UsageSums {
             incarnation,
             last: changes.last,
             has_more: changes.has_more,
-            windows: encode(changes.totals, place),
+            windows: encode(changes.totals),
             vms: clocks.vms,
             times_us: clocks.times.iter().map(|time| time.as_micros()).collect(),
+            all: ask.all,
         }
     }
 
     /// Records sums, and returns how many statements of decided windows they add.
     fn record_sums(&self, vm: &VmId, answer: UsageSums, now: Time) -> u64 {
         let mut sources = self.sources.borrow_mut();
-        let Some(source) = sources.get_mut(vm) else { return 0 };
+        let key = SourceKey { vm: vm.clone(), all: answer.all };
+        let Some(source) = sources.get_mut(&key) else { return 0 };
         let Some(near) = source.data_centre.clone() else { return 0 };
         (source.incarnation, source.after) = (answer.incarnation, answer.last);
-        if !answer.has_more {
+        if !answer.has_more && !answer.all {
             source.heard = now;
             self.heard.borrow_mut().insert(near.clone(), now);
         }
         let times = answer.times_us.into_iter().map(TrueTime::from_micros).collect();
         source.clocks = Quantiles { vms: answer.vms, times };
-        let totals = decode(&answer.windows, |place, account| {
-            let named = || DataCentreId::new(place).ok();
-            let data_centre = if place.is_empty() { near.clone() } else { named()? };
-            Some(CentreAccount { data_centre, account })
-        });
         let mut sums = self.sums.borrow_mut();
         let mut late = 0;
-        for total in totals {
+        for total in decode(&answer.windows) {
             let gained = sums.raise(total.window, &total.key, total.count);
             if self.decided.get().is_some_and(|decided| total.window <= decided) {
                 late += gained;
@@ -280,34 +325,29 @@
     }
 }
 
-/// Groups totals by window and data centre.
-fn encode<K>(totals: Vec<Change<K>>, split: impl Fn(K) -> (String, AccountId)) -> Vec<UsageWindow> {
-    let mut windows: IndexMap<(WindowId, String), UsageWindow> = IndexMap::new();
+/// Groups totals by window and book.
+fn encode(totals: Vec<Change<BookAccount>>) -> Vec<UsageWindow> {
+    let mut windows: IndexMap<(WindowId, Book), UsageWindow> = IndexMap::new();
     for Change { window, key, count } in totals {
-        let (data_centre, account) = split(key);
-        let entry = windows.entry((window, data_centre.clone())).or_insert_with(|| UsageWindow {
+        let entry = windows.entry((window, key.book)).or_insert_with(|| UsageWindow {
             window: window.get(),
-            data_centre,
+            book: key.book.get(),
             ..UsageWindow::default()
         });
-        entry.accounts.push(account.to_string());
+        entry.accounts.push(key.account.to_string());
         entry.counts.push(count);
     }
     windows.into_values().collect()
 }
 
 /// Returns the totals of a message. Names that are not valid are left out.
-fn decode<K>(
-    windows: &[UsageWindow],
-    join: impl Fn(&str, AccountId) -> Option<K>,
-) -> Vec<Change<K>> {
+fn decode(windows: &[UsageWindow]) -> Vec<Change<BookAccount>> {
     let mut totals = Vec::new();
     for window in windows {
+        let book = Book::new(window.book);
         for (account, count) in window.accounts.iter().zip(&window.counts) {
-            let key = AccountId::new(account).ok();
-            let Some(key) = key.and_then(|account| join(&window.data_centre, account)) else {
-                continue;
-            };
+            let Ok(account) = AccountId::new(account) else { continue };
+            let key = BookAccount { book, account };
             totals.push(Change { window: WindowId::new(window.window), key, count: *count });
         }
     }
--- a/crates/engine/src/usage/rows.rs
+++ b/crates/engine/src/usage/rows.rs
@@ -81,8 +81,8 @@
     pub(super) era: Era,
     /// Row of the era and its version.
     pub(super) present: Option<(LedgerRow, DirectoryVersion)>,
-    /// Row of the last era before that has one.
-    pub(super) earlier: Option<LedgerRow>,
+    /// Last window in the row of the last era before that has one.
+    pub(super) earlier: Option<WindowId>,
 }
 
 /// Reads and writes the rows.
@@ -116,7 +116,7 @@
         let content = self.parse(row, &rows.rows)?;
         match newest == era {
             true => Ok(Read { era, present: Some((content, row.version)), earlier: None }),
-            false => Ok(Read { era, present: None, earlier: Some(content) }),
+            false => Ok(Read { era, present: None, earlier: content.through }),
         }
     }
 
--- a/crates/peer/src/usage.rs
+++ b/crates/peer/src/usage.rs
@@ -10,15 +10,18 @@
     /// Number of the window.
     #[prost(uint64, tag = "1")]
     pub window: u64,
-    /// Data centre of the VMs that counted; empty for that of the sender.
-    #[prost(string, tag = "2")]
-    pub data_centre: String,
-    /// Names of accounts.
+    /// Number of the book in which the statements were counted.
+    #[prost(fixed64, tag = "2")]
+    pub book: u64,
+    /// Names of accounts; empty in a [`UsageReport`].
     #[prost(string, repeated, tag = "3")]
     pub accounts: Vec<String>,
     /// Statements of each of these accounts.
     #[prost(uint64, repeated, tag = "4")]
     pub counts: Vec<u64>,
+    /// Numbers of the accounts in a [`UsageReport`].
+    #[prost(uint32, repeated, tag = "5")]
+    pub numbers: Vec<u32>,
 }
 
 /// Statements that the sender has counted itself.
@@ -33,6 +36,15 @@
     /// Counts that have changed.
     #[prost(message, repeated, tag = "3")]
     pub windows: Vec<UsageWindow>,
+    /// Distinguishes the numbers of accounts on this connection from earlier ones.
+    #[prost(fixed32, tag = "4")]
+    pub numbering: u32,
+    /// Number of the first of [`UsageReport::names`].
+    #[prost(uint32, tag = "5")]
+    pub first: u32,
+    /// Names of accounts that have not been sent before on this connection.
+    #[prost(string, repeated, tag = "6")]
+    pub names: Vec<String>,
 }
 
 /// Tells the true time.
@@ -59,6 +71,9 @@
     /// the time.
     #[prost(message, optional, tag = "3")]
     pub clock: Option<UsageClock>,
+    /// Whether the sender also asks for sums that the receiver has from other collectors.
+    #[prost(bool, tag = "4")]
+    pub all: bool,
 }
 
 /// Sums of a collector.
@@ -82,4 +97,7 @@
     /// Quantiles of their times of day, in microseconds since the start of 1970.
     #[prost(fixed64, repeated, tag = "6")]
     pub times_us: Vec<u64>,
+    /// Whether these are also sums that the sender has from other collectors.
+    #[prost(bool, tag = "7")]
+    pub all: bool,
 }
