--- a/crates/core/src/usage/clock.rs
+++ b/crates/core/src/usage/clock.rs
@@ -22,7 +22,7 @@
 }
 
 /// Maximum number of quantiles that stand for the offsets of many VMs.
-const MAX_QUANTILES: usize = 33;
+const MAX_QUANTILES: usize = 9;
 
 /// Quantiles of the times of day of several VMs at one point in time.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/crates/engine/src/usage.rs
+++ b/crates/engine/src/usage.rs
@@ -82,6 +82,9 @@
     after: u64,
     data_centre: Option<DataCentreId>,
     clocks: Quantiles,
+    asked_at: Option<Time>,
+    /// Time until the next request.
+    pause: Duration,
     /// When the last answer that contained all changes arrived.
     heard: Time,
 }
--- a/crates/engine/src/usage/exchange.rs
+++ b/crates/engine/src/usage/exchange.rs
@@ -36,7 +36,7 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(2_000);
 
 /// Rate of counts that a VM sends to one collector when it has many accounts.
-const SEND_BYTES_PER_SECOND: u64 = 1_000;
+const SEND_BYTES_PER_SECOND: u64 = 400;
 
 /// Number of [`SEND_INTERVAL`]s between two requests for sums.
 const ASK_ROUNDS: u32 = 2;
@@ -55,7 +55,22 @@
 const MAX_SENT_TOTALS: usize = 500;
 
 /// Maximum number of sums in one message.
-const MAX_SENT_SUMS: usize = 2_000;
+const MAX_SENT_SUMS: usize = 10_000;
+
+/// Rate of sums that one VM asks of another one when there are many accounts.
+const ASK_BYTES_PER_SECOND: u64 = 32_000;
+
+/// Shortest pause between the messages of a VM to a collector, for each VM of the data centre.
+/// It bounds the work of a collector.
+const SEND_PAUSE_PER_VM: Duration = Duration::from_millis(1);
+
+/// Counts that arrived after the decision on their windows.
+#[derive(Default)]
+struct Late {
+    statements: u64,
+    /// Whether they are within the tolerance in each window.
+    is_tolerated: bool,
+}
 
 /// Sends this VM's counts and asks for sums, until dropped.
 pub(super) async fn run<S: ServerProtocol, D: Directory>(engine: Rc<Engine<S, D>>) {
@@ -81,6 +96,8 @@
         let collectors = self.fleet.collectors();
         let Some(near) = collectors.get(&usage.data_centre) else { return };
         let reached = self.fleet.reach(near, COLLECTORS);
+        let vms = self.fleet.vms_in(&usage.data_centre).len() as u32;
+        let min_pause = SEND_INTERVAL.max(SEND_PAUSE_PER_VM * vms);
         let names = || {
             reached.iter().map(|reached| match reached {
                 Reached::Here => &usage.me.vm,
@@ -93,7 +110,7 @@
             match collector {
                 Reached::Here => usage.collect_own(clock::now()),
                 Reached::Linked(vm, link) => {
-                    let Some(report) = usage.next_report(vm, link, clock::now()) else { continue };
+                    let Some(report) = usage.next_report(vm, link, min_pause) else { continue };
                     self.use_link(link);
                     if !link.send(Body::UsageReport(report)) {
                         // All is sent again, as after the loss of the link.
@@ -126,9 +143,10 @@
             for collector in self.fleet.reach(vms, count) {
                 let Reached::Linked(vm, link) = collector else { continue };
                 self.use_link(&link);
-                link.send(Body::UsageAsk(usage.next_ask(&vm, data_centre, false)));
-                if decides && round.is_multiple_of(ASK_ALL_ROUNDS) {
-                    link.send(Body::UsageAsk(usage.next_ask(&vm, data_centre, true)));
+                let asks_all = decides && round.is_multiple_of(ASK_ALL_ROUNDS);
+                for all in [false, true].into_iter().take(1 + usize::from(asks_all)) {
+                    let ask = usage.next_ask(&vm, data_centre, all);
+                    ask.map(|ask| link.send(Body::UsageAsk(ask)));
                 }
             }
         }
@@ -153,11 +171,13 @@
             }
             Body::UsageSums(sums) => {
                 let late = usage.record_sums(vm, sums, now);
-                if usage.decides.get() && late > 0 {
-                    self.metrics.late_usage.inc_by(late);
-                    let vm = vm.to_string();
-                    self.event_log
-                        .record(Event::UsageLate, o!("collector" => vm, "statements" => late));
+                if usage.decides.get() && late.statements > 0 {
+                    self.metrics.late_usage.inc_by(late.statements);
+                    self.event_log.record(
+                        Event::UsageLate,
+                        o!("collector" => vm.to_string(), "statements" => late.statements,
+                            "tolerated" => late.is_tolerated),
+                    );
                 }
             }
             _ => {}
@@ -186,7 +206,8 @@
     }
 
     /// Returns the message to send to a collector now, if there is one.
-    fn next_report(&self, vm: &VmId, link: &Rc<Link>, now: Time) -> Option<UsageReport> {
+    fn next_report(&self, vm: &VmId, link: &Rc<Link>, min_pause: Duration) -> Option<UsageReport> {
+        let now = clock::now();
         let mut recipients = self.recipients.borrow_mut();
         let recipient = recipients.entry(vm.clone()).or_default();
         if !std::ptr::eq(recipient.link.as_ptr(), Rc::as_ptr(link)) {
@@ -219,7 +240,7 @@
         };
         let bytes = report.encoded_len() as u64;
         let pause = Duration::from_millis(bytes * 1_000 / SEND_BYTES_PER_SECOND);
-        recipient.pause = pause.clamp(SEND_INTERVAL, MAX_SEND_PAUSE);
+        recipient.pause = pause.min(MAX_SEND_PAUSE).max(min_pause);
         (recipient.after, recipient.sent_at) = (changes.last, Some(now));
         Some(report)
     }
@@ -272,12 +293,18 @@
         self.record_decided(Some(WindowId::new(clock.decided)).filter(|_| clock.decided > 0));
     }
 
-    fn next_ask(&self, vm: &VmId, data_centre: &DataCentreId, all: bool) -> UsageAsk {
-        let clock = self.clock(clock::now());
+    /// Returns the request to send to a collector now, if there is one.
+    fn next_ask(&self, vm: &VmId, data_centre: &DataCentreId, all: bool) -> Option<UsageAsk> {
+        let now = clock::now();
+        let clock = self.clock(now);
         let mut sources = self.sources.borrow_mut();
         let source = sources.entry(SourceKey { vm: vm.clone(), all }).or_default();
+        if source.asked_at.is_some_and(|asked_at| now.since(asked_at) < source.pause) {
+            return None;
+        }
+        source.asked_at = Some(now);
         source.data_centre = Some(data_centre.clone());
-        UsageAsk { incarnation: source.incarnation, after: source.after, clock, all }
+        Some(UsageAsk { incarnation: source.incarnation, after: source.after, clock, all })
     }
 
     fn answer(&self, ask: &UsageAsk, now: Time) -> UsageSums {
@@ -300,13 +327,15 @@
         }
     }
 
-    /// Records sums, and returns how many statements of decided windows they add.
-    fn record_sums(&self, vm: &VmId, answer: UsageSums, now: Time) -> u64 {
+    /// Records sums, and returns what they add to decided windows.
+    fn record_sums(&self, vm: &VmId, answer: UsageSums, now: Time) -> Late {
         let mut sources = self.sources.borrow_mut();
         let key = SourceKey { vm: vm.clone(), all: answer.all };
-        let Some(source) = sources.get_mut(&key) else { return 0 };
-        let Some(near) = source.data_centre.clone() else { return 0 };
+        let Some(source) = sources.get_mut(&key) else { return Late::default() };
+        let Some(near) = source.data_centre.clone() else { return Late::default() };
         (source.incarnation, source.after) = (answer.incarnation, answer.last);
+        let bytes = answer.encoded_len() as u64;
+        source.pause = Duration::from_millis(bytes * 1_000 / ASK_BYTES_PER_SECOND);
         if !answer.has_more && !answer.all {
             source.heard = now;
             self.heard.borrow_mut().insert(near.clone(), now);
@@ -314,14 +343,18 @@
         let times = answer.times_us.into_iter().map(TrueTime::from_micros).collect();
         source.clocks = Quantiles { vms: answer.vms, times };
         let mut sums = self.sums.borrow_mut();
-        let mut late = 0;
+        let mut late: IndexMap<WindowId, u64> = IndexMap::new();
         for total in decode(&answer.windows) {
             let gained = sums.raise(total.window, &total.key, total.count);
-            if self.decided.get().is_some_and(|decided| total.window <= decided) {
-                late += gained;
+            if gained > 0 && self.decided.get().is_some_and(|decided| total.window <= decided) {
+                *late.entry(total.window).or_default() += gained;
             }
         }
-        late
+        let is_tolerated = |(window, gained): (&WindowId, &u64)| {
+            let total: u64 = sums.window(*window).map(|(_, count)| count).sum();
+            gained * 1_000 <= u64::from(self.settings.tolerance) * total
+        };
+        Late { statements: late.values().sum(), is_tolerated: late.iter().all(is_tolerated) }
     }
 }
 
