Send the last counts of a daemon that stops

Cause: a daemon that was stopped as planned ended with counts that it had not sent, and a directory that counts no eras could come back from a copy unnoticed.

Change: the counts are sent before the process ends. A holder that reads a row which is behind what it knows keeps what it knows. Each has a test.

--- a/crates/core/src/usage/ledger.rs
+++ b/crates/core/src/usage/ledger.rs
@@ -138,9 +138,17 @@
     }
 
     /// Records the row that was read in this era.
+    ///
+    /// A row that is behind what this VM knows came back from a copy of a directory that
+    /// counts no eras.
     pub fn record_row(&mut self, row: LedgerRow, version: DirectoryVersion) {
+        let is_forgotten = |window: &WindowId| row.through.is_none_or(|through| *window > through);
+        let own = self.remembered.iter().filter(|(window, _)| is_forgotten(window));
+        let forgotten: Vec<DecidedWindow> = own.map(|(_, decided)| decided.clone()).collect();
         self.known = self.known.max(row.through);
-        (self.row, self.version) = (row, Some(version));
+        self.row = LedgerRow { through: self.known, open: row.open };
+        self.row.open.extend(forgotten);
+        self.version = Some(version);
     }
 
     /// Records that the era `era` has no row yet. `earlier` is the last window in the row of
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -123,6 +123,19 @@
     assert_eq!(other.version(), Some(DirectoryVersion::start_of(era)));
 }
 
+/// Guards against another decision on a window when a directory that counts no eras came back
+/// from a copy.
+#[test]
+fn a_row_that_is_behind_does_not_change_what_was_decided() {
+    let mut holder = new_ledger();
+    let copy = decide(&mut holder, decided(FIRST, 7), version(0, 1));
+    decide(&mut holder, decided(FIRST.next(), 9), version(0, 2));
+    holder.record_reported(FIRST);
+    holder.record_row(copy, version(0, 1));
+    assert_eq!(holder.through(), Some(FIRST.next()));
+    assert_eq!(holder.open(), [decided(FIRST, 7), decided(FIRST.next(), 9)]);
+}
+
 /// Guards against counts that are lost, or counted twice, when a daemon starts anew.
 #[test]
 fn a_restarted_vm_counts_anew_and_repeats_do_no_harm() {
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -148,6 +148,7 @@
         }
     }
     drain(&engine, grace, accepting).await;
+    usage::flush(&engine).await;
     engine.event_log.record(Event::Stopped, o!());
     Ok(())
 }
--- a/crates/engine/src/usage.rs
+++ b/crates/engine/src/usage.rs
@@ -22,6 +22,7 @@
     },
 };
 use indexmap::{IndexMap, IndexSet};
+use tokio::time::sleep;
 
 use crate::{
     clock,
@@ -44,6 +45,9 @@
 /// arrive too late.
 const KEPT_DECIDED_WINDOWS: u64 = 12;
 
+/// Time for the last counts of a daemon that ends to be sent.
+const FLUSH_SPAN: Duration = Duration::from_millis(50);
+
 /// A VM to which this one sends its counts.
 #[derive(Default)]
 struct Recipient {
@@ -247,3 +251,12 @@
     let reported = report::run(engine, coordinator);
     futures_util::join!(exchanged, reported);
 }
+
+/// Sends the last counts of a daemon that is about to end, if reports are enabled.
+pub(crate) async fn flush<S: ServerProtocol, D: Directory>(engine: &Engine<S, D>) {
+    if let Some(usage) = &engine.usage {
+        usage.recipients.borrow_mut().values_mut().for_each(|to| to.pause = Duration::ZERO);
+        engine.send_counts(usage);
+        sleep(FLUSH_SPAN).await;
+    }
+}
--- a/crates/engine/src/usage/exchange.rs
+++ b/crates/engine/src/usage/exchange.rs
@@ -92,7 +92,7 @@
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
     /// Sends this VM's counts to the collectors of its data centre.
-    fn send_counts(&self, usage: &Usage) {
+    pub(super) fn send_counts(&self, usage: &Usage) {
         let collectors = self.fleet.collectors();
         let Some(near) = collectors.get(&usage.data_centre) else { return };
         let reached = self.fleet.reach(near, COLLECTORS);
