--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -100,11 +100,21 @@
     OrderUnsent,
     /// A new coordinator has read from the row what an earlier one knew of failovers.
     FailoversRecalled,
+    /// This VM decided on the usage report of a window.
+    UsageDecided,
+    /// The usage report of a window was accepted.
+    UsageReported,
+    /// A usage report cannot be decided on or sent now.
+    UsageDelayed,
+    /// Windows are never reported.
+    UsageSkipped,
+    /// Counts arrived after the decision on their window.
+    UsageLate,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 38] = [
+    pub const ALL: [Event; 43] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -143,6 +153,11 @@
         Event::PeerTraffic,
         Event::OrderUnsent,
         Event::FailoversRecalled,
+        Event::UsageDecided,
+        Event::UsageReported,
+        Event::UsageDelayed,
+        Event::UsageSkipped,
+        Event::UsageLate,
     ];
 
     /// Returns the number, level and text of the event.
@@ -186,6 +201,11 @@
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
             Event::OrderUnsent => (643, Level::Warning, "promotion order not sent"),
             Event::FailoversRecalled => (644, Level::Info, "failovers recalled"),
+            Event::UsageDecided => (645, Level::Info, "usage decided"),
+            Event::UsageReported => (646, Level::Info, "usage reported"),
+            Event::UsageDelayed => (647, Level::Warning, "usage report delayed"),
+            Event::UsageSkipped => (648, Level::Warning, "usage windows skipped"),
+            Event::UsageLate => (649, Level::Warning, "usage counts late"),
         }
     }
 
