Count operations instead of statements in usage reports

Cause: what the platform counts as a request is an operation, one statement outside of a transaction or one transaction. Change: only the statement that begins an operation is counted, when a server began to run it.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -73,6 +73,8 @@
     pub(crate) seen: &'a SessionToken,
     /// When the attempt began, from which its time limits count.
     pub(crate) start: Time,
+    /// Whether the statement begins an operation. Usage reports count operations.
+    pub(crate) begins: bool,
 }
 
 impl<S: ServerProtocol, D: Directory> Attempt<'_, S, D> {
@@ -311,10 +313,12 @@
         command: Command,
         limit: Duration,
     ) -> Result<Answer, LinkError> {
-        let run = Run::new(self.engine, self.account, &command);
+        let run = self.begins.then(|| Run::new(self.engine, self.account, &command));
         let answer = timeout(limit, connection.run(command)).await;
         let answer = answer.unwrap_or(Err(LinkError::TimedOut));
-        run.end(&answer);
+        if let Some(run) = run {
+            run.end(&answer);
+        }
         answer
     }
 
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -362,6 +362,7 @@
             values: &self.values,
             seen: &self.seen,
             start: clock::now(),
+            begins: true,
         }
     }
 
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -4,7 +4,7 @@
 
 use super::{Flow, Session, local};
 use crate::{
-    attempt::Failure,
+    attempt::{Attempt, Failure},
     catalog::Route,
     clock,
     connection::Connection,
@@ -109,7 +109,8 @@
         body: &Body,
         is_commit: bool,
     ) -> Result<(Reply, Option<Position>), Failure> {
-        let attempt = self.attempt(&request.id, &open.route, &open.account);
+        let begins = open.connection.is_none();
+        let attempt = Attempt { begins, ..self.attempt(&request.id, &open.route, &open.account) };
         let mut connection = match open.connection.take() {
             Some(connection) => connection,
             None => attempt.begin(open.access).await?,
