Let waiting requests go first whose account has an idle connection

Cause: at a home whose connections are all in use, each admitted request found no idle connection of its account and opened a new one, which takes 12 ms of a slot. Change: among waiting requests of one priority, one whose account has an idle connection goes first, at most eight times in a row. The overload that remains is the primary's: it serves the reads of its group alone.

--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -6,6 +6,11 @@
 //! and most of them end late. Here they wait in the order of their priority and arrival.
 //! A request whose wait is expected to be longer than it may take is refused on arrival,
 //! so that its caller can go elsewhere at once.
+//!
+//! A connection runs statements of one account. If requests of several accounts wait, their
+//! order of arrival would open a new connection for nearly every one, which takes as much of the
+//! server's time as a statement, and the overload would feed itself. So among requests of one
+//! priority, one whose account has an idle connection goes first, up to a limit.
 
 use std::{collections::BTreeMap, fmt, str::FromStr, time::Duration};
 
@@ -17,6 +22,10 @@
 /// Factor by which each admission reduces the weight of those before it.
 const ADMISSION_DECAY: f64 = 1.0 - 1.0 / AVERAGED_RELEASES as f64;
 
+/// Number of requests that may go before the first one of their priority in a row, because their
+/// accounts have idle connections.
+const MAX_OVERTAKING: u32 = 8;
+
 /// Priority of a request; 0 is the most urgent.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Priority(u8);
@@ -101,6 +110,8 @@
     interval_start: Time,
     /// Recent admissions of waiting requests by priority; older ones weigh less.
     admissions: BTreeMap<Priority, f64>,
+    /// Number of requests that have gone before the first one since the last that was first.
+    overtaking: u32,
 }
 
 impl<W> WaitingList<W> {
@@ -114,6 +125,7 @@
             interval: Average::new().with_inverse_weight(AVERAGED_RELEASES),
             interval_start: Time::default(),
             admissions: BTreeMap::new(),
+            overtaking: 0,
         }
     }
 
@@ -175,15 +187,33 @@
     /// Gives a free connection to the next request and returns its waker. Requests whose
     /// time is up are removed.
     pub fn next(&mut self, now: Time) -> Option<W> {
-        while self.in_use < self.limit {
-            let (ticket, waiter) = self.waiters.pop_first()?;
-            if now <= waiter.deadline {
-                self.in_use += 1;
-                self.record_admission(ticket.priority);
-                return Some(waiter.waker);
-            }
+        self.next_preferring(now, |_| false)
+    }
+
+    /// Does the same as [`WaitingList::next`]. Among the requests of the most urgent priority,
+    /// one whose waker satisfies `is_ready` goes first, since it needs no new connection.
+    pub fn next_preferring(&mut self, now: Time, is_ready: impl Fn(&W) -> bool) -> Option<W> {
+        self.waiters.retain(|_, waiter| now <= waiter.deadline);
+        if self.in_use >= self.limit {
+            return None;
         }
-        None
+        let ticket = self.choose(is_ready)?;
+        let waiter = self.waiters.remove(&ticket)?;
+        self.in_use += 1;
+        self.record_admission(ticket.priority);
+        Some(waiter.waker)
+    }
+
+    fn choose(&mut self, is_ready: impl Fn(&W) -> bool) -> Option<Ticket> {
+        let first = *self.waiters.keys().next()?;
+        let same_priority = self.waiters.iter().take_while(|(t, _)| t.priority == first.priority);
+        let ready = same_priority.into_iter().find(|(_, waiter)| is_ready(&waiter.waker));
+        let chosen = match ready {
+            Some((ticket, _)) if self.overtaking < MAX_OVERTAKING => *ticket,
+            _ => first,
+        };
+        self.overtaking = if chosen == first { 0 } else { self.overtaking + 1 };
+        Some(chosen)
     }
 
     fn record_admission(&mut self, priority: Priority) {
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -25,7 +25,7 @@
     catalog::ServerEntry,
     clock,
     seam::{LinkError, ServerProtocol, Target},
-    turn::{Turn, TurnQueue},
+    turn::{IdleConnections, Turn, TurnQueue},
 };
 
 pub(crate) use self::pooled::PooledConnection;
@@ -63,10 +63,10 @@
 pub(crate) struct Pool<S: ServerProtocol> {
     protocol: Rc<S>,
     entry: RefCell<ServerEntry>,
-    idle: RefCell<Vec<ServerConnection<S::Link>>>,
+    idle: Rc<IdleList<S::Link>>,
     open: Cell<u32>,
     limit: Cell<u32>,
-    turns: Rc<TurnQueue>,
+    turns: Rc<TurnQueue<IdleList<S::Link>>>,
     /// Number of connections that the server accepted when it accepted no more, and until
     /// when this limits the pool.
     ceiling: Cell<Option<(u32, Time)>>,
@@ -76,6 +76,18 @@
     connects: Cell<u64>,
 }
 
+/// Idle connections. The one that was idle longest comes first.
+struct IdleList<L>(RefCell<Vec<ServerConnection<L>>>);
+
+impl<L> IdleConnections for IdleList<L> {
+    fn has(&self, account: &AccountId) -> bool {
+        self.0.borrow().iter().any(|connection| connection.account == *account)
+    }
+}
+
+/// The right to use one connection of a pool.
+type PoolTurn<S> = Turn<IdleList<<S as ServerProtocol>::Link>>;
+
 /// A request for a connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionRequest<'a> {
@@ -104,13 +116,14 @@
 impl<S: ServerProtocol> Pool<S> {
     /// Creates a pool of at most `limit` connections to the server of `entry`.
     pub(crate) fn new(protocol: Rc<S>, entry: ServerEntry, limit: u32) -> Self {
+        let idle = Rc::new(IdleList(RefCell::new(Vec::new())));
         Pool {
             protocol,
             entry: RefCell::new(entry),
-            idle: RefCell::new(Vec::new()),
+            turns: TurnQueue::new(limit, Rc::clone(&idle)),
+            idle,
             open: Cell::new(0),
             limit: Cell::new(limit),
-            turns: TurnQueue::new(limit),
             ceiling: Cell::new(None),
             unreachable_until: Cell::new(Time::default()),
             opening: Cell::new((0, Time::default())),
@@ -152,7 +165,7 @@
 
     /// Closes all idle connections.
     pub(crate) fn clear(&self) {
-        let closed = self.idle.take().len() as u32;
+        let closed = self.idle.0.take().len() as u32;
         self.open.set(self.open.get().saturating_sub(closed));
     }
 
@@ -165,7 +178,7 @@
         }
         let is_fallback = self.limit.get() <= FALLBACK_CONNECTIONS;
         let limit = if is_fallback { FALLBACK_IDLE_LIMIT } else { HOME_IDLE_LIMIT };
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.idle.0.borrow_mut();
         let before = idle.len();
         let mut excess = self.open.get().saturating_sub(kept_connections(self.limit.get()));
         // The connection that was idle longest comes first.
@@ -199,9 +212,10 @@
         self: &Rc<Self>,
         request: ConnectionRequest<'_>,
     ) -> Result<PooledConnection<S>, PoolError> {
-        let turn = self.turns.wait(request.priority, request.patience).await;
+        let ConnectionRequest { account, priority, patience } = request;
+        let turn = self.turns.wait(account, priority, patience).await;
         let turn = turn.ok_or(PoolError::Exhausted)?;
-        self.take_in_turn(request.account, Some(turn)).await
+        self.take_in_turn(account, Some(turn)).await
     }
 
     /// Takes a connection regardless of the limit, for a command of the daemon to
@@ -214,14 +228,14 @@
         self: &Rc<Self>,
         account: &AccountId,
     ) -> Result<PooledConnection<S>, PoolError> {
-        let any = self.idle.borrow().last().map(|connection| connection.account.clone());
+        let any = self.idle.0.borrow().last().map(|connection| connection.account.clone());
         self.take_in_turn(any.as_ref().unwrap_or(account), None).await
     }
 
     async fn take_in_turn(
         self: &Rc<Self>,
         account: &AccountId,
-        turn: Option<Turn>,
+        turn: Option<PoolTurn<S>>,
     ) -> Result<PooledConnection<S>, PoolError> {
         let Some(connection) = self.reuse(account) else {
             return self.connect(account, turn).await;
@@ -238,7 +252,7 @@
     }
 
     fn reuse(&self, account: &AccountId) -> Option<ServerConnection<S::Link>> {
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.idle.0.borrow_mut();
         let found = idle.iter().rposition(|connection| connection.account == *account)?;
         Some(idle.remove(found))
     }
@@ -246,7 +260,7 @@
     async fn connect(
         self: &Rc<Self>,
         account: &AccountId,
-        turn: Option<Turn>,
+        turn: Option<PoolTurn<S>>,
     ) -> Result<PooledConnection<S>, PoolError> {
         let now = clock::now();
         if turn.is_some() && self.is_hard_to_reach(now) {
@@ -280,7 +294,7 @@
     /// Closes the connection that was idle longest, to make room for one of another
     /// account.
     fn close_oldest(&self) {
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.idle.0.borrow_mut();
         if !idle.is_empty() {
             drop(idle.remove(0));
             self.open.set(self.open.get().saturating_sub(1));
--- a/crates/engine/src/pool/pooled.rs
+++ b/crates/engine/src/pool/pooled.rs
@@ -6,12 +6,11 @@
 use indexmap::IndexMap;
 use tokio::time::timeout;
 
-use super::{Pool, SETUP_TIMEOUT};
+use super::{Pool, PoolTurn, SETUP_TIMEOUT};
 use crate::{
     clock,
     seam::{LinkError, ServerLink, ServerProtocol},
     statement::{Answer, Command, PreparedStatement, TransactionState},
-    turn::Turn,
 };
 
 /// Number of prepared statements at which a connection is reset before its next
@@ -47,7 +46,7 @@
 pub(crate) struct PooledConnection<S: ServerProtocol> {
     connection: Option<ServerConnection<S::Link>>,
     pool: Rc<Pool<S>>,
-    pub(super) turn: Option<Turn>,
+    pub(super) turn: Option<PoolTurn<S>>,
 }
 
 impl<S: ServerProtocol> PooledConnection<S> {
@@ -55,7 +54,7 @@
     pub(super) fn new(
         connection: ServerConnection<S::Link>,
         pool: &Rc<Pool<S>>,
-        turn: Option<Turn>,
+        turn: Option<PoolTurn<S>>,
     ) -> Self {
         PooledConnection { connection: Some(connection), pool: Rc::clone(pool), turn }
     }
@@ -179,7 +178,7 @@
             self.pool.open.set(self.pool.open.get().saturating_sub(1));
             return;
         }
-        self.pool.idle.borrow_mut().push(connection);
+        self.pool.idle.0.borrow_mut().push(connection);
     }
 
     /// Reads the outstanding answers that nobody waits for.
