--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -24,6 +24,9 @@
     /// Whether the whole fleet starts for the first time, so that no VM knows a newer
     /// configuration than the directory.
     pub first_start: bool,
+    /// Whether load decides what a server gets: bounded statements, fairness between
+    /// accounts and a budget of retries. If false, every decision is made without it.
+    pub load_aware: bool,
     /// Number that distinguishes this run of the daemon from earlier ones.
     pub incarnation: u64,
 }
