Schedule what a home sends to a server by slots, accounts and deadlines

Cause: a home bounds connections and not statements, so under overload the server's own first-come queue decides, statements time out there and are retried, and nearly every admitted request opens a connection, which takes 12 ms of a slot. Change: core::admission bounds the statements of a home to twice its even part of the slots plus one, orders the rest by priority and fairly between accounts, charges accounts for the connections that they open, refuses what cannot be in time, lets open transactions go on at once and keeps a quarter of the connections from accounts with idle transactions. When a connection has to be closed, it is one of an account that has several.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -73,6 +73,7 @@
 ```
 */
 
+pub mod admission;
 pub mod allowance;
 pub mod average;
 pub mod batch;
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -36,6 +36,11 @@
         Priority(priority)
     }
 
+    /// Returns the next less urgent priority.
+    pub const fn lowered(self) -> Self {
+        Priority(self.0.saturating_add(1))
+    }
+
     /// Returns the priority as a number.
     pub const fn get(self) -> u8 {
         self.0
