Let the scheduler decide in the pools if load decides

Change: with Settings::load_aware, a pool's turns come from core::admission. A turn holds a slot from its admission to the answer, an idle transaction holds only its connection. The slots of a server are kept in its entry, absent in documents of older VMs, which bounds nothing. Reads that a replica may run go after the others on the primary. Retries of statements that a server rejected as busy take from one budget of the VM, and the pauses before retries vary by half. Without the switch, all decisions are those of the waiting list. Ruled out: a budget for retries after a failover, which would turn it into errors; a message field for reads that yield, since a lower priority needs none.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -14,6 +14,7 @@
     AccountId, Position, Refusal, ServerId, SessionToken, Time, waiting::Priority,
 };
 use indexmap::IndexMap;
+use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -77,6 +78,7 @@
 impl<S: ServerProtocol, D: Directory> Attempt<'_, S, D> {
     /// Runs a read outside of a transaction.
     pub(crate) async fn read(&self, body: &Body) -> Result<Completed, Failure> {
+        self.engine.retry_budget.borrow_mut().record_request();
         if self.route.freshness == Freshness::Newest {
             return self.read_newest(body).await;
         }
@@ -88,6 +90,7 @@
 
     /// Runs a write outside of a transaction.
     pub(crate) async fn write(&self, body: &Body) -> Result<Completed, Failure> {
+        self.engine.retry_budget.borrow_mut().record_request();
         loop {
             let mut connection = self.connect_primary(body.prepared_statement(), false).await?;
             let server = connection.server();
@@ -115,6 +118,7 @@
 
     /// Begins a transaction and returns the connection on which it is open.
     pub(crate) async fn begin(&self, access: Access) -> Result<Connection<S>, Failure> {
+        self.engine.retry_budget.borrow_mut().record_request();
         if access == Access::Write || self.route.freshness == Freshness::Newest {
             return self.connect_primary(None, true).await;
         }
@@ -158,7 +162,7 @@
             match &answer.result {
                 Err(fault) if fault.kind == FaultKind::Busy && self.has_time_left() => {
                     self.record_retry(fault.kind.label(), server.as_str());
-                    sleep(RETRY_PAUSE).await;
+                    self.pause().await;
                 }
                 Err(fault) => {
                     if fault.kind == FaultKind::NotPrimary {
@@ -207,6 +211,7 @@
         statement: Option<&PreparedStatement>,
         in_transaction: bool,
     ) -> Result<Connection<S>, Failure> {
+        let priority = Priority::new(self.route.priority);
         loop {
             let primary = self.group.borrow().primary().map(|entry| entry.server.clone());
             let Some(server) = primary else {
@@ -215,7 +220,7 @@
             };
             let waited = clock::now();
             let taken = tokio::select! {
-                taken = self.connect(&server, self.retry_time(), statement) => taken,
+                taken = self.connect_as(priority, &server, self.retry_time(), statement) => taken,
                 // Nothing was sent yet, so the statement goes on to the new primary.
                 () = self.wait_for_other_primary(&server) => continue,
             };
@@ -228,7 +233,7 @@
                     if matches!(error, PoolError::Exhausted) || !self.has_time_left() {
                         return Err(Failure::Refused(refusal_for(&error)));
                     }
-                    sleep(RETRY_PAUSE).await;
+                    self.pause().await;
                     continue;
                 }
             };
@@ -245,6 +250,8 @@
         }
     }
 
+    /// Returns a connection for a read that a replica may run. If load decides, what only the
+    /// primary can run goes before such reads there.
     async fn connect(
         &self,
         server: &ServerId,
@@ -252,6 +259,19 @@
         statement: Option<&PreparedStatement>,
     ) -> Result<Connection<S>, PoolError> {
         let priority = Priority::new(self.route.priority);
+        let is_primary = self.group.borrow().view.primary.as_ref() == Some(server);
+        let yields = self.engine.settings.load_aware && is_primary;
+        let priority = if yields { priority.lowered() } else { priority };
+        self.connect_as(priority, server, patience, statement).await
+    }
+
+    async fn connect_as(
+        &self,
+        priority: Priority,
+        server: &ServerId,
+        patience: Duration,
+        statement: Option<&PreparedStatement>,
+    ) -> Result<Connection<S>, PoolError> {
         let request = ConnectionRequest { account: self.account, priority, patience };
         self.engine.connect(server, request, self.values, statement).await
     }
@@ -320,13 +340,34 @@
             self.record_denial(server);
         }
         self.record_retry(fault.kind.label(), server.as_str());
-        if !self.has_time_left() {
+        if !self.has_time_left() || !self.may_retry(fault.kind) {
             return Err(Failure::Fault(fault.clone()));
         }
-        sleep(RETRY_PAUSE).await;
+        self.pause().await;
         Ok(())
     }
 
+    /// Returns whether the VM's budget allows a retry after `kind`. Retries during a failover
+    /// are not limited, since they do not add to the load of a server that has too much.
+    fn may_retry(&self, kind: FaultKind) -> bool {
+        let is_limited = self.engine.settings.load_aware && kind == FaultKind::Busy;
+        if !is_limited || self.engine.retry_budget.borrow_mut().try_take() {
+            return true;
+        }
+        self.engine.metrics.retries.with_label_values(&["budget_empty"]).inc();
+        false
+    }
+
+    /// Pauses before a retry. If load decides, the pauses vary, so that statements that failed
+    /// together are not retried together.
+    async fn pause(&self) {
+        let pause = match self.engine.settings.load_aware {
+            true => RETRY_PAUSE.mul_f64(self.engine.rng.borrow_mut().random_range(0.5..1.5)),
+            false => RETRY_PAUSE,
+        };
+        sleep(pause).await;
+    }
+
     /// Returns the time left until the statement's timeout.
     fn remaining(&self) -> Duration {
         (self.start + self.route.timeout).since(clock::now())
--- a/crates/engine/src/catalog.rs
+++ b/crates/engine/src/catalog.rs
@@ -103,6 +103,9 @@
     pub primary: bool,
     /// How much longer it is slow after its start, as it last reported.
     pub cold: Duration,
+    /// Statements that it runs at once, if the document that passed the entry on tells.
+    #[serde(default)]
+    pub slots: Option<u32>,
     /// When it started, in milliseconds of its own wall clock. The value
     /// distinguishes a restarted server from its earlier run.
     pub born: u64,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -17,11 +17,13 @@
 
 use chicoryhollow_core::{
     AccountId, DataCentreId, GroupId, ServerId, Time,
+    admission::{Limits, home_slots},
     coordinator::RowObservation,
     drain::Drain,
     evacuation::Evacuations,
     home::{FALLBACK_CONNECTIONS, connection_limit, rank_homes},
     isolation::is_isolated,
+    retry::RetryBudget,
     version::Era,
 };
 use indexmap::{IndexMap, IndexSet};
@@ -79,6 +81,8 @@
     pub(crate) admission: RefCell<Admission>,
     pub(crate) fleet: Fleet,
     pub(crate) rng: RefCell<SmallRng>,
+    /// Retries that this VM may still make of statements that a server rejected.
+    pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) relay: RefCell<Relay>,
     catalog: watch::Sender<Rc<Catalog>>,
     /// Configuration that was read at the start and is not used yet.
@@ -139,6 +143,7 @@
             event_log,
             metrics,
             admission: RefCell::default(),
+            retry_budget: RefCell::default(),
             relay: RefCell::new(Relay::new()),
             fleet: Fleet::default(),
             catalog: watch::Sender::new(Rc::default()),
@@ -289,17 +294,21 @@
         let now = clock::now();
         self.admission.borrow_mut().configure(&catalog, &self.settings.vm, &vms, now);
         for pool in self.pools() {
-            pool.set_limit(self.connection_limit(&pool.entry(), &catalog));
+            pool.set_limits(self.pool_limits(&pool.entry(), &catalog));
         }
     }
 
-    /// Returns the limit of this VM's connections to a server.
-    fn connection_limit(&self, entry: &ServerEntry, catalog: &Catalog) -> u32 {
+    /// Returns the limits of what this VM uses of a server.
+    fn pool_limits(&self, entry: &ServerEntry, catalog: &Catalog) -> Limits {
         let limit = catalog.groups.get(&entry.group).map_or(0, |group| group.connections);
         let homes = self.fleet.homes(entry, limit);
         match homes.contains(&self.settings.vm) {
-            true => connection_limit(limit, homes.len()),
-            false => FALLBACK_CONNECTIONS,
+            true => {
+                let connections = connection_limit(limit, homes.len());
+                let slots = entry.slots.map_or(connections, |slots| home_slots(slots, homes.len()));
+                Limits { connections, slots }
+            }
+            false => Limits { connections: FALLBACK_CONNECTIONS, slots: FALLBACK_CONNECTIONS },
         }
     }
 
--- a/crates/engine/src/engine/servers.rs
+++ b/crates/engine/src/engine/servers.rs
@@ -87,12 +87,17 @@
         }
         let catalog = self.catalog();
         for entry in servers.values() {
-            let limit = self.connection_limit(entry, &catalog);
+            let limits = self.pool_limits(entry, &catalog);
             let mut pools = self.pools.borrow_mut();
             match pools.get(&entry.server) {
-                Some(pool) => pool.set_entry(entry.clone()),
+                Some(pool) => {
+                    pool.set_entry(entry.clone());
+                    pool.set_slots(limits.slots);
+                }
                 None => {
-                    let pool = Pool::new(Rc::clone(&self.protocol), entry.clone(), limit);
+                    let protocol = Rc::clone(&self.protocol);
+                    let load_aware = self.settings.load_aware;
+                    let pool = Pool::new(protocol, entry.clone(), limits, load_aware);
                     pools.insert(entry.server.clone(), Rc::new(pool));
                 }
             }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -16,6 +16,7 @@
 
 use chicoryhollow_core::{
     AccountId, ServerId, Time,
+    admission::{Limits, Request, least_useful},
     home::{FALLBACK_CONNECTIONS, kept_connections},
     waiting::Priority,
 };
@@ -66,6 +67,8 @@
     idle: Rc<IdleList<S::Link>>,
     open: Cell<u32>,
     limit: Cell<u32>,
+    /// Statements that may run at once, if load decides.
+    slots: Cell<u32>,
     turns: Rc<TurnQueue<IdleList<S::Link>>>,
     /// Number of connections that the server accepted when it accepted no more, and until
     /// when this limits the pool.
@@ -80,8 +83,9 @@
 struct IdleList<L>(RefCell<Vec<ServerConnection<L>>>);
 
 impl<L> IdleConnections for IdleList<L> {
-    fn has(&self, account: &AccountId) -> bool {
-        self.0.borrow().iter().any(|connection| connection.account == *account)
+    fn count(&self, account: &AccountId) -> u32 {
+        let idle = self.0.borrow();
+        idle.iter().filter(|connection| connection.account == *account).count() as u32
     }
 }
 
@@ -114,16 +118,23 @@
 }
 
 impl<S: ServerProtocol> Pool<S> {
-    /// Creates a pool of at most `limit` connections to the server of `entry`.
-    pub(crate) fn new(protocol: Rc<S>, entry: ServerEntry, limit: u32) -> Self {
+    /// Creates a pool within `limits` for the server of `entry`. `load_aware` tells whether
+    /// load decides who gets the next connection.
+    pub(crate) fn new(
+        protocol: Rc<S>,
+        entry: ServerEntry,
+        limits: Limits,
+        load_aware: bool,
+    ) -> Self {
         let idle = Rc::new(IdleList(RefCell::new(Vec::new())));
         Pool {
             protocol,
             entry: RefCell::new(entry),
-            turns: TurnQueue::new(limit, Rc::clone(&idle)),
+            turns: TurnQueue::new(limits, Rc::clone(&idle), load_aware),
             idle,
             open: Cell::new(0),
-            limit: Cell::new(limit),
+            limit: Cell::new(limits.connections),
+            slots: Cell::new(limits.slots),
             ceiling: Cell::new(None),
             unreachable_until: Cell::new(Time::default()),
             opening: Cell::new((0, Time::default())),
@@ -140,12 +151,20 @@
         }
     }
 
-    /// Changes the limit of connections.
-    pub(crate) fn set_limit(&self, limit: u32) {
-        self.limit.set(limit);
+    /// Changes the limits.
+    pub(crate) fn set_limits(&self, limits: Limits) {
+        self.limit.set(limits.connections);
+        self.slots.set(limits.slots);
         self.apply_limit();
     }
 
+    /// Changes the number of statements that may run at once.
+    pub(crate) fn set_slots(&self, slots: u32) {
+        if self.slots.replace(slots) != slots {
+            self.apply_limit();
+        }
+    }
+
     /// Returns how many connections may be open now.
     fn current_limit(&self) -> u32 {
         let ceiling = self.ceiling.get().map_or(u32::MAX, |(open, _)| open.max(1));
@@ -153,7 +172,8 @@
     }
 
     fn apply_limit(&self) {
-        self.turns.set_limit(self.current_limit());
+        let limits = Limits { connections: self.current_limit(), slots: self.slots.get() };
+        self.turns.set_limits(limits);
     }
 
     /// Limits the pool to its open connections for a while, because the server accepts no
@@ -213,7 +233,7 @@
         request: ConnectionRequest<'_>,
     ) -> Result<PooledConnection<S>, PoolError> {
         let ConnectionRequest { account, priority, patience } = request;
-        let turn = self.turns.wait(account, priority, patience).await;
+        let turn = self.turns.wait(Request { account, priority, patience }).await;
         let turn = turn.ok_or(PoolError::Exhausted)?;
         self.take_in_turn(account, Some(turn)).await
     }
@@ -235,9 +255,13 @@
     async fn take_in_turn(
         self: &Rc<Self>,
         account: &AccountId,
-        turn: Option<PoolTurn<S>>,
+        mut turn: Option<PoolTurn<S>>,
     ) -> Result<PooledConnection<S>, PoolError> {
-        let Some(connection) = self.reuse(account) else {
+        let reused = self.reuse(account);
+        if let Some(turn) = &mut turn {
+            turn.settle();
+        }
+        let Some(connection) = reused else {
             return self.connect(account, turn).await;
         };
         let mut pooled = PooledConnection::new(connection, self, turn);
@@ -260,14 +284,14 @@
     async fn connect(
         self: &Rc<Self>,
         account: &AccountId,
-        turn: Option<PoolTurn<S>>,
+        mut turn: Option<PoolTurn<S>>,
     ) -> Result<PooledConnection<S>, PoolError> {
         let now = clock::now();
         if turn.is_some() && self.is_hard_to_reach(now) {
             return Err(PoolError::Connect(LinkError::TimedOut));
         }
         if self.open.get() >= self.current_limit() {
-            self.close_oldest();
+            self.close_one();
         }
         let target = self.target(account);
         self.open.set(self.open.get() + 1);
@@ -277,6 +301,9 @@
         match connected.unwrap_or(Err(LinkError::TimedOut)) {
             Ok(link) => {
                 opening.finish();
+                if let Some(turn) = &mut turn {
+                    turn.record_opening(clock::now().since(now));
+                }
                 Ok(PooledConnection::new(ServerConnection::new(link, account.clone()), self, turn))
             }
             Err(LinkError::Full) => {
@@ -291,12 +318,17 @@
         }
     }
 
-    /// Closes the connection that was idle longest, to make room for one of another
-    /// account.
-    fn close_oldest(&self) {
+    /// Closes an idle connection to make room for one of another account: the one that was idle
+    /// longest, or that is least useful if load decides.
+    fn close_one(&self) {
         let mut idle = self.idle.0.borrow_mut();
-        if !idle.is_empty() {
-            drop(idle.remove(0));
+        let accounts = || idle.iter().map(|connection| &connection.account);
+        let closed = match self.turns.is_load_aware() {
+            true => least_useful(accounts()),
+            false => (!idle.is_empty()).then_some(0),
+        };
+        if let Some(closed) = closed {
+            drop(idle.remove(closed));
             self.open.set(self.open.get().saturating_sub(1));
         }
     }
--- a/crates/engine/src/pool/pooled.rs
+++ b/crates/engine/src/pool/pooled.rs
@@ -88,8 +88,20 @@
     ///
     /// Fails when the connection fails.
     pub(crate) async fn run(&mut self, command: Command) -> Result<Answer, LinkError> {
+        let uses_slot = matches!(command, Command::Pass { .. });
+        if let Some(turn) = self.turn.as_mut().filter(|_| uses_slot) {
+            turn.resume();
+        }
+        let sent = clock::now();
         self.send(&[command]).await?;
-        self.receive().await
+        let answer = self.receive().await?;
+        if let Some(turn) = self.turn.as_mut().filter(|_| uses_slot) {
+            turn.record_work(clock::now().since(sent));
+            if answer.state != TransactionState::Idle {
+                turn.pause();
+            }
+        }
+        Ok(answer)
     }
 
     /// Runs a command that does not count against the server's limit of
