--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -13,16 +13,21 @@
 //! * A request that cannot be answered in time is refused on arrival, or as soon as this is known.
 
 mod account;
+mod activity;
 mod request;
 mod shares;
+mod times;
 
 use std::{collections::BTreeMap, time::Duration};
 
 use indexmap::IndexMap;
 
-pub use self::request::{Arrival, Grant, Limits, Request, Ticket};
-use self::{account::Account, shares::Shares};
-use crate::{average::Average, id::AccountId, time::Time, waiting::Priority};
+use self::{account::Account, shares::Shares, times::Times};
+pub use self::{
+    activity::Activity,
+    request::{Arrival, Grant, Limits, Request, Ticket},
+};
+use crate::{id::AccountId, time::Time, waiting::Priority};
 
 /// Part of a server's slots that all of its homes together may use. Accounts are spread unevenly
 /// over homes, so a home may use more than an even part.
@@ -32,19 +37,6 @@
 /// take.
 const RESERVE_DIVISOR: u32 = 4;
 
-/// Maximum factor by which statements exceed the slots because a slot is also held while
-/// messages travel to another VM.
-const MAX_TRAVEL_FACTOR: f64 = 3.0;
-
-/// Number of samples over which times are averaged.
-const AVERAGED_SAMPLES: u32 = 16;
-
-/// Time that opening a connection is assumed to take before one was opened.
-const ASSUMED_CONNECT: Duration = Duration::from_millis(10);
-
-/// Time that a statement is assumed to take before one has finished.
-const ASSUMED_SERVICE: Duration = Duration::from_millis(10);
-
 /// Returns how many statements one of `homes` homes may run at once on a server with `slots`
 /// slots. One more than its slots keeps the server busy between two statements.
 pub fn home_slots(slots: u32, homes: usize) -> u32 {
@@ -83,13 +75,8 @@
     /// Virtual time at which an account starts that was not active.
     virtual_time: Duration,
     shares: Shares,
-    /// Time for which a statement holds a slot.
-    held: Average,
-    /// The part of this time in which the server works.
-    worked: Average,
-    /// Time for which a statement holds a slot, by priority.
-    service: BTreeMap<Priority, Average>,
-    connect: Average,
+    times: Times,
+    activity: BTreeMap<Priority, Activity>,
 }
 
 impl<W> Scheduler<W> {
@@ -104,10 +91,8 @@
             accounts: IndexMap::new(),
             virtual_time: Duration::ZERO,
             shares: Shares::default(),
-            held: average(),
-            worked: average(),
-            service: BTreeMap::new(),
-            connect: average(),
+            times: Times::default(),
+            activity: BTreeMap::new(),
         }
     }
 
@@ -151,9 +136,10 @@
             return Arrival::Admitted(self.grant(account.clone(), priority, now, &idle));
         }
         // A late estimate of the service time must not refuse everything.
-        let service = (self.service(priority) * 2).min(patience / 2);
+        let service = (self.times.service(priority) * 2).min(patience / 2);
         let expected = self.expected_wait(account, priority, now);
         if expected + service > patience {
+            self.activity(priority).refused += 1;
             return Arrival::Refused(expected);
         }
         self.activate(account);
@@ -163,6 +149,7 @@
         let waiter = Waiter { account: account.clone(), arrived: now, latest, waker: waker() };
         self.waiters.insert(ticket, waiter);
         self.account(account).waiting += 1;
+        self.activity(priority).waiting += 1;
         Arrival::Waiting(ticket)
     }
 
@@ -170,6 +157,7 @@
     pub fn cancel(&mut self, ticket: Ticket) {
         if let Some(waiter) = self.waiters.remove(&ticket) {
             self.account(&waiter.account).waiting -= 1;
+            self.activity(ticket.priority).waiting -= 1;
             self.forget(&waiter.account);
         }
     }
@@ -184,6 +172,7 @@
         let ticket = self.choose(now, &idle)?;
         let waiter = self.waiters.remove(&ticket)?;
         self.account(&waiter.account).waiting -= 1;
+        self.activity(ticket.priority).waiting -= 1;
         let lower = self.waiters.keys().map(|other| other.priority);
         let lower: Vec<Priority> = lower.filter(|other| *other > ticket.priority).collect();
         self.shares.charge(ticket.priority, &lower);
@@ -199,8 +188,8 @@
 
     /// Records that a connection was opened for `grant` within `span`.
     pub fn record_opening(&mut self, grant: &mut Grant, span: Duration) {
-        self.connect.add(span);
-        grant.record_work(span);
+        self.times.record_opening(span);
+        grant.worked += span;
     }
 
     /// Frees the slot of `grant`, whose transaction is idle.
@@ -215,6 +204,7 @@
         if grant.since.is_none() {
             grant.since = Some(now);
             self.running += 1;
+            self.activity(grant.priority).running += 1;
             self.account(&grant.account).idle -= 1;
         }
     }
@@ -235,11 +225,10 @@
         let Some(since) = grant.since.take() else { return false };
         let (held, worked) = (now.since(since), std::mem::take(&mut grant.worked));
         self.running -= 1;
-        // A request that failed before the server worked shows nothing about the server.
-        if !worked.is_zero() {
-            self.held.add(held);
-            self.worked.add(worked.min(held));
-            self.service.entry(grant.priority).or_insert_with(average).add(held);
+        self.activity(grant.priority).running -= 1;
+        // A statement without an answer would pass for one that waits for messages.
+        if std::mem::take(&mut grant.answered) {
+            self.times.record(grant.priority, held, worked.min(held));
         }
         let charged = std::mem::take(&mut grant.charged);
         let account = self.account(&grant.account);
@@ -256,10 +245,11 @@
     ) -> Grant {
         self.activate(&name);
         let opens = !self.is_ready(&name, &idle);
-        let work = self.worked.get().unwrap_or(ASSUMED_SERVICE);
-        let charged = if opens { work + self.connect_time() } else { work };
+        let work = self.times.worked();
+        let charged = if opens { work + self.times.connect() } else { work };
         self.in_use += 1;
         self.running += 1;
+        self.activity(priority).running += 1;
         self.shares.record(priority, now);
         let account = self.account(&name);
         let start = account.virtual_time;
@@ -267,8 +257,15 @@
         account.in_use += 1;
         account.unconnected += 1;
         self.virtual_time = self.virtual_time.max(start);
-        let (since, worked) = (Some(now), Duration::ZERO);
-        Grant { account: name, priority, since, worked, charged, connected: false }
+        Grant {
+            account: name,
+            priority,
+            since: Some(now),
+            worked: Duration::ZERO,
+            answered: false,
+            charged,
+            connected: false,
+        }
     }
 
     /// Returns the request that goes next, if one may.
@@ -284,7 +281,7 @@
             let virtual_time = known.map_or(self.virtual_time, |account| account.virtual_time);
             let cost = match self.is_ready(&waiter.account, &idle) {
                 true => Duration::ZERO,
-                false => self.connect_time(),
+                false => self.times.opening_cost(),
             };
             let key = (virtual_time + cost, *ticket);
             let entry = best.entry(ticket.priority).or_insert(key);
@@ -308,7 +305,8 @@
             0 => 0,
             _ => self.limits.connections / RESERVE_DIVISOR,
         };
-        let is_cheap = || self.is_ready(name, &idle) || now.since(arrived) >= self.opening_cost();
+        let is_cheap =
+            || self.is_ready(name, &idle) || now.since(arrived) >= self.times.opening_cost();
         free > reserve && (is_cheap() || self.is_worth_opening(account))
     }
 
@@ -316,14 +314,8 @@
     /// statements of the account use.
     fn is_worth_opening(&self, account: &Account) -> bool {
         let busy = account.in_use - account.idle;
-        let held = self.held.get().unwrap_or(ASSUMED_SERVICE);
-        busy == 0 || held / busy > self.opening_cost()
-    }
-
-    /// Returns the server's time that a new connection costs. It replaces one of another
-    /// account, which has to be opened again.
-    fn opening_cost(&self) -> Duration {
-        self.connect_time() * 2
+        let held = self.times.held();
+        busy == 0 || held / busy > self.times.opening_cost()
     }
 
     /// Returns whether the account has an idle connection that no admitted request will take.
@@ -331,10 +323,6 @@
         idle(name) > self.accounts.get(name).map_or(0, |account| account.unconnected)
     }
 
-    fn connect_time(&self) -> Duration {
-        self.connect.get().unwrap_or(ASSUMED_CONNECT)
-    }
-
     fn has_slot(&self) -> bool {
         self.in_use < self.limits.connections && self.running < self.slot_limit()
     }
@@ -342,17 +330,7 @@
     /// Returns how many statements may hold a slot, so that the server works on as many as the
     /// limit allows.
     fn slot_limit(&self) -> u32 {
-        let (Some(held), Some(worked)) = (self.held.get(), self.worked.get()) else {
-            return self.limits.slots;
-        };
-        let factor = held.as_secs_f64() / worked.as_secs_f64().max(1e-6);
-        let factor = factor.clamp(1.0, MAX_TRAVEL_FACTOR);
-        (f64::from(self.limits.slots) * factor).round() as u32
-    }
-
-    /// Returns the time for which a statement of this priority holds a slot.
-    fn service(&self, priority: Priority) -> Duration {
-        self.service.get(&priority).and_then(Average::get).unwrap_or(ASSUMED_SERVICE)
+        (f64::from(self.limits.slots) * self.times.travel_factor()).round() as u32
     }
 
     /// Returns how long a request that arrives now is expected to wait.
@@ -363,7 +341,7 @@
         let active = active.count() + usize::from(own == 0);
         // Each account waits for its own requests and for as many of the others.
         let turns = ((own as usize + 1) * active).min(ahead + 1);
-        let held = self.held.get().unwrap_or(ASSUMED_SERVICE);
+        let held = self.times.held();
         let interval = held.as_secs_f64() / f64::from(self.running.max(1));
         let left = self.shares.left(priority, now);
         Duration::try_from_secs_f64(interval * turns as f64 / left).unwrap_or(Duration::MAX)
@@ -373,7 +351,10 @@
     fn expire(&mut self, now: Time) {
         let late = self.waiters.iter().filter(|(_, waiter)| now > waiter.latest);
         let late: Vec<Ticket> = late.map(|(ticket, _)| *ticket).collect();
-        late.into_iter().for_each(|ticket| self.cancel(ticket));
+        for ticket in late {
+            self.activity(ticket.priority).expired += 1;
+            self.cancel(ticket);
+        }
     }
 
     /// Lets an account that was not active start without credit or debt.
@@ -385,6 +366,17 @@
         }
     }
 
+    /// Returns what requests of each priority do now and had refused since the last call.
+    pub fn take_activity(&mut self) -> BTreeMap<Priority, Activity> {
+        let taken = self.activity.clone();
+        self.activity.values_mut().for_each(Activity::restart);
+        taken
+    }
+
+    fn activity(&mut self, priority: Priority) -> &mut Activity {
+        self.activity.entry(priority).or_default()
+    }
+
     fn account(&mut self, name: &AccountId) -> &mut Account {
         self.accounts.entry(name.clone()).or_default()
     }
@@ -399,7 +391,3 @@
         }
     }
 }
-
-fn average() -> Average {
-    Average::new().with_inverse_weight(AVERAGED_SAMPLES)
-}
--- a/crates/core/src/admission/request.rs
+++ b/crates/core/src/admission/request.rs
@@ -51,6 +51,8 @@
     pub(super) since: Option<Time>,
     /// Time for which the server worked for it since then.
     pub(super) worked: Duration,
+    /// Whether the server answered a statement since then.
+    pub(super) answered: bool,
     /// Service time that the account was charged in advance.
     pub(super) charged: Duration,
     /// Whether a connection was taken for it.
@@ -58,8 +60,9 @@
 }
 
 impl Grant {
-    /// Records that the server worked for the request for a while.
+    /// Records that the server answered a statement of the request after it worked for `span`.
     pub fn record_work(&mut self, span: Duration) {
         self.worked += span;
+        self.answered = true;
     }
 }
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -16,6 +16,7 @@
         factor: Box::new(factor),
         offender: None,
         classes: 0..3,
+        travel: 0,
         seconds: 3.0,
         seed: 1,
     }
@@ -76,6 +77,14 @@
     }
 }
 
+/// A slot that is held while messages travel must not leave the server idle.
+#[test]
+fn servers_stay_busy_when_messages_travel() {
+    let load = |travel| Scenario { travel, ..scenario(Rules::Admission, |_| 2.6) };
+    let (near, far) = (goodput(&replay(load(0))), goodput(&replay(load(5_000))));
+    assert!(far >= 0.96 * near, "{near} {far}");
+}
+
 /// One account at 7.5 times its load must not displace the others.
 #[test]
 fn other_accounts_are_served_beside_one_that_exceeds_its_part() {
--- a/crates/core/tests/overload/model.rs
+++ b/crates/core/tests/overload/model.rs
@@ -1,6 +1,9 @@
 //! A model of backend servers, their homes and callers that retry.
 //!
-//! The homes use the decision types of the crate. Networks have no delay.
+//! The homes use the decision types of the crate.
+
+mod home;
+mod report;
 
 use std::{
     cmp::Reverse,
@@ -9,13 +12,16 @@
 };
 
 use chicoryhollow_core::{
-    AccountId, Time,
-    admission::{self, Grant, Limits, Request, Scheduler, home_slots, least_useful},
-    home::connection_limit,
-    waiting::{self, Priority, WaitingList},
+    AccountId, Time, admission::Request, home::connection_limit, waiting::Priority,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+pub(crate) use self::report::Report;
+use self::{
+    home::{Entry, Home},
+    report::Operation,
+};
+
 /// Servers of a group; the first one is the primary.
 const REPLICATION: usize = 3;
 const HOMES: usize = 2;
@@ -66,33 +72,12 @@
     pub(crate) offender: Option<(usize, f64)>,
     /// The classes that have load.
     pub(crate) classes: std::ops::Range<usize>,
+    /// Time that a message between a VM and a home takes, in microseconds.
+    pub(crate) travel: u64,
     pub(crate) seconds: f64,
     pub(crate) seed: u64,
 }
 
-/// An operation of a caller and what became of it.
-#[derive(Debug)]
-struct Operation {
-    class: usize,
-    account: usize,
-    group: usize,
-    born: u64,
-    answered: Option<u64>,
-    tries: u32,
-    /// Number of the current step; events of earlier ones no longer apply.
-    step: u32,
-    started: u64,
-    home: usize,
-    ticket: Option<Ticket>,
-    grant: Option<Grant>,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Ticket {
-    List(waiting::Ticket),
-    Scheduler(admission::Ticket),
-}
-
 /// An event at an operation, with the number of its step.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
@@ -101,6 +86,8 @@
     Retry(usize, u32),
     WaitEnds(usize, u32),
     TimesOut(usize, u32),
+    Send(usize, u32),
+    GiveBack(usize, u32),
     Done(usize, Job),
 }
 
@@ -119,71 +106,6 @@
     queue: VecDeque<Job>,
 }
 
-enum Queue {
-    List(WaitingList<usize>),
-    Scheduler(Box<Scheduler<usize>>),
-}
-
-struct Home {
-    server: usize,
-    queue: Queue,
-    /// Accounts of the idle connections; the one that was idle longest comes first.
-    idle: Vec<usize>,
-    open: u32,
-}
-
-/// What became of the operations of a replay.
-pub(crate) struct Report {
-    operations: Vec<Operation>,
-    opened: usize,
-    rejected: usize,
-}
-
-impl Report {
-    fn began(&self, from: f64, to: f64) -> impl Iterator<Item = &Operation> {
-        let span = (from * 1e6) as u64..(to * 1e6) as u64;
-        self.operations.iter().filter(move |operation| span.contains(&operation.born))
-    }
-
-    /// Returns the operations answered within their objective, per second.
-    pub(crate) fn goodput(&self, from: f64, to: f64) -> f64 {
-        self.began(from, to).filter(|one| one.is_in_time()).count() as f64 / (to - from)
-    }
-
-    /// Returns the share that was answered within its objective, of the operations of a class
-    /// by an account that satisfies `is_counted`.
-    pub(crate) fn share(
-        &self,
-        class: usize,
-        from: f64,
-        to: f64,
-        is_counted: fn(usize) -> bool,
-    ) -> f64 {
-        let all = self.began(from, to).filter(|one| one.class == class && is_counted(one.account));
-        let (all, in_time) = all.fold((0.0, 0.0), |(all, in_time), one| {
-            (all + 1.0, in_time + f64::from(u8::from(one.is_in_time())))
-        });
-        in_time / f64::max(all, 1.0)
-    }
-
-    /// Returns the connections opened for each operation.
-    pub(crate) fn opened_share(&self) -> f64 {
-        self.opened as f64 / self.operations.len() as f64
-    }
-
-    /// Returns the rejections by servers for each operation.
-    pub(crate) fn rejected_share(&self) -> f64 {
-        self.rejected as f64 / self.operations.len() as f64
-    }
-}
-
-impl Operation {
-    fn is_in_time(&self) -> bool {
-        let objective = CLASSES[self.class].objective;
-        self.answered.is_some_and(|answered| answered - self.born <= objective)
-    }
-}
-
 struct World {
     now: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
@@ -195,7 +117,6 @@
     parts: Vec<f64>,
     servers: Vec<Server>,
     homes: Vec<Home>,
-    limit: u32,
     report: Report,
 }
 
@@ -217,18 +138,6 @@
     fn new(scenario: Scenario) -> Self {
         let limit = connection_limit(scenario.connections, HOMES);
         let servers = scenario.groups * REPLICATION;
-        let home = |index: usize| Home {
-            server: index / HOMES,
-            queue: match scenario.rules {
-                Rules::Admission => Queue::Scheduler(Box::new(Scheduler::new(Limits {
-                    connections: limit,
-                    slots: home_slots(SLOTS as u32, HOMES),
-                }))),
-                _ => Queue::List(WaitingList::new(limit)),
-            },
-            idle: Vec::new(),
-            open: 0,
-        };
         let weight = |account: usize| {
             let factor = scenario.offender.filter(|(offender, _)| *offender == account);
             ((account + 1) as f64).powf(-ZIPF) * factor.map_or(1.0, |(_, factor)| factor)
@@ -239,7 +148,7 @@
         });
         let parts = parts.collect();
         let name = |account| AccountId::new(format!("account-{account}")).expect("a valid name");
-        let homes = (0..servers * HOMES).map(home).collect();
+        let homes = (0..servers * HOMES).map(|_| Home::new(scenario.rules, limit)).collect();
         World {
             now: 0,
             events: BinaryHeap::new(),
@@ -250,7 +159,6 @@
             accounts: (0..ACCOUNTS).map(name).collect(),
             servers: (0..servers).map(|_| Server::default()).collect(),
             homes,
-            limit,
             report: Report { operations: Vec::new(), opened: 0, rejected: 0 },
         }
     }
@@ -274,7 +182,10 @@
                 self.enter(index);
             }
             Event::WaitEnds(index, step) if is_current(self, index, step) => {
-                self.stop_waiting(index);
+                let operation = &mut self.report.operations[index];
+                if let Some(ticket) = operation.ticket.take() {
+                    self.homes[operation.home].cancel(ticket);
+                }
                 self.fail(index);
             }
             Event::TimesOut(index, step) if is_current(self, index, step) => {
@@ -283,6 +194,8 @@
                 self.release(index);
                 self.fail(index);
             }
+            Event::Send(index, step) if is_current(self, index, step) => self.send(index),
+            Event::GiveBack(index, step) if is_current(self, index, step) => self.give_back(index),
             Event::Done(server, job) => self.finish(server, job),
             _ => {}
         }
@@ -342,103 +255,54 @@
     fn enter(&mut self, index: usize) {
         let now = self.time();
         let operation = &mut self.report.operations[index];
-        let class = &CLASSES[operation.class];
-        let waited = self.now - operation.started;
-        let patience =
-            Duration::from_micros(class.objective.min(class.timeout).saturating_sub(waited));
-        let priority = Priority::new(operation.class as u8);
-        let home = &mut self.homes[operation.home];
-        let admitted = match &mut home.queue {
-            Queue::List(list) => match list.arrive(priority, patience, now, || index) {
-                waiting::Arrival::Admitted => Some(None),
-                waiting::Arrival::Refused(_) => return self.fail(index),
-                waiting::Arrival::Waiting(ticket) => {
-                    operation.ticket = Some(Ticket::List(ticket));
-                    None
-                }
-            },
-            Queue::Scheduler(scheduler) => {
-                let account = &self.accounts[operation.account];
-                let request = Request { account, priority, patience };
-                let idle = idle_counter(&self.accounts, &home.idle);
-                match scheduler.arrive(request, now, idle, || index) {
-                    admission::Arrival::Admitted(grant) => Some(Some(grant)),
-                    admission::Arrival::Refused(_) => return self.fail(index),
-                    admission::Arrival::Waiting(ticket) => {
-                        operation.ticket = Some(Ticket::Scheduler(ticket));
-                        None
-                    }
-                }
-            }
+        let objective = CLASSES[operation.class].objective;
+        let left = (operation.started + objective).saturating_sub(self.now);
+        let request = Request {
+            account: &self.accounts[operation.account],
+            priority: Priority::new(operation.class as u8),
+            patience: Duration::from_micros(left),
         };
-        match admitted {
-            Some(grant) => {
+        let (home, step) = (operation.home, operation.step);
+        match self.homes[home].arrive(request, now, index) {
+            Entry::Admitted(grant) => {
                 operation.grant = grant;
                 self.connect(index);
             }
-            None => {
-                let (home, step) = (operation.home, operation.step);
-                self.schedule(patience.as_micros() as u64, Event::WaitEnds(index, step));
+            Entry::Waiting(ticket) => {
+                operation.ticket = Some(ticket);
+                self.schedule(left, Event::WaitEnds(index, step));
                 self.admit_next(home);
             }
+            Entry::Refused => self.fail(index),
         }
     }
 
-    fn admit_next(&mut self, index: usize) {
-        loop {
-            let (now, home) = (self.time(), &mut self.homes[index]);
-            let (operations, idle) = (&self.report.operations, &home.idle);
-            let next = match &mut home.queue {
-                Queue::List(list) if self.scenario.rules == Rules::Arrival => {
-                    list.next(now).map(|one| (one, None))
-                }
-                Queue::List(list) => list
-                    .next_preferring(now, |one| idle.contains(&operations[*one].account))
-                    .map(|one| (one, None)),
-                Queue::Scheduler(scheduler) => scheduler
-                    .next(now, idle_counter(&self.accounts, idle))
-                    .map(|(one, grant)| (one, Some(grant))),
-            };
-            let Some((one, grant)) = next else { return };
-            let operation = &mut self.report.operations[one];
+    fn admit_next(&mut self, home: usize) {
+        let now = self.time();
+        while let Some((index, grant)) = self.homes[home].next(now) {
+            let operation = &mut self.report.operations[index];
             (operation.ticket, operation.grant) = (None, grant);
             operation.step += 1;
-            self.connect(one);
+            self.connect(index);
         }
     }
 
     /// Takes an idle connection, or opens one.
     fn connect(&mut self, index: usize) {
         let operation = &mut self.report.operations[index];
-        let home = &mut self.homes[operation.home];
-        if let (Queue::Scheduler(scheduler), Some(grant)) = (&mut home.queue, &mut operation.grant)
-        {
-            scheduler.settle(grant);
-        }
-        if let Some(found) = home.idle.iter().rposition(|account| *account == operation.account) {
-            home.idle.remove(found);
-            return self.send(index);
+        let account = &self.accounts[operation.account];
+        let (home, step) = (operation.home, operation.step);
+        if !self.homes[home].connect(account, &mut operation.grant) {
+            return self.schedule(2 * self.scenario.travel, Event::Send(index, step));
         }
-        if home.open >= self.limit && !home.idle.is_empty() {
-            let accounts = home.idle.iter().map(|account| &self.accounts[*account]);
-            let closed = match home.queue {
-                Queue::Scheduler(_) => least_useful(accounts).unwrap_or(0),
-                Queue::List(_) => 0,
-            };
-            home.idle.remove(closed);
-            home.open -= 1;
-        }
-        home.open += 1;
         self.report.opened += 1;
-        let job = Job { operation: index, step: operation.step, connects: true, begun: self.now };
-        let server = home.server;
-        self.run(server, job);
+        self.run(home / HOMES, Job { operation: index, step, connects: true, begun: self.now });
     }
 
     fn send(&mut self, index: usize) {
         let operation = &mut self.report.operations[index];
         let class = &CLASSES[operation.class];
-        let server = self.homes[operation.home].server;
+        let server = operation.home / HOMES;
         if self.servers[server].queue.len() >= QUEUE {
             self.report.rejected += 1;
             return self.retry_soon(index);
@@ -452,13 +316,11 @@
 
     /// Tries again after a rejection by the server, while there is time.
     fn retry_soon(&mut self, index: usize) {
+        self.give_back(index);
         let operation = &mut self.report.operations[index];
-        let (home, account) = (operation.home, operation.account);
         let is_over = self.now - operation.started >= CLASSES[operation.class].objective;
         operation.step += 1;
         let event = Event::Retry(index, operation.step);
-        self.homes[home].idle.push(account);
-        self.give_up(index);
         if is_over {
             return self.fail(index);
         }
@@ -486,50 +348,35 @@
         if operation.step != job.step {
             return;
         }
-        let home = &mut self.homes[operation.home];
-        if let (Queue::Scheduler(scheduler), Some(grant)) = (&mut home.queue, &mut operation.grant)
-        {
-            if job.connects {
-                scheduler.record_opening(grant, span);
-            } else {
-                grant.record_work(span);
-            }
-        }
+        let (home, travel) = (operation.home, self.scenario.travel);
         if job.connects {
-            return self.send(job.operation);
+            self.homes[home].record_opening(&mut operation.grant, span);
+            return self.schedule(2 * travel, Event::Send(job.operation, job.step));
+        }
+        if let Some(grant) = &mut operation.grant {
+            grant.record_work(span);
         }
-        home.idle.push(operation.account);
-        operation.answered = Some(self.now);
+        operation.answered = Some(self.now + travel);
         operation.step += 1;
-        self.release(job.operation);
+        let event = Event::GiveBack(job.operation, operation.step);
+        self.schedule(2 * travel, event);
     }
 
-    fn release(&mut self, index: usize) {
-        let home = self.report.operations[index].home;
-        self.give_up(index);
-        self.admit_next(home);
+    /// Returns a connection to its home.
+    fn give_back(&mut self, index: usize) {
+        let operation = &self.report.operations[index];
+        let account = self.accounts[operation.account].clone();
+        self.homes[operation.home].idle.push(account);
+        self.release(index);
     }
 
     /// Gives up the use of a connection.
-    fn give_up(&mut self, index: usize) {
+    fn release(&mut self, index: usize) {
         let now = self.time();
         let operation = &mut self.report.operations[index];
-        match (&mut self.homes[operation.home].queue, operation.grant.take()) {
-            (Queue::List(list), _) => list.release(now),
-            (Queue::Scheduler(scheduler), Some(grant)) => scheduler.release(grant, now),
-            (Queue::Scheduler(_), None) => unreachable!("an admitted request has a grant"),
-        }
-    }
-
-    fn stop_waiting(&mut self, index: usize) {
-        let operation = &mut self.report.operations[index];
-        match (&mut self.homes[operation.home].queue, operation.ticket.take()) {
-            (Queue::List(list), Some(Ticket::List(ticket))) => list.cancel(ticket),
-            (Queue::Scheduler(scheduler), Some(Ticket::Scheduler(ticket))) => {
-                scheduler.cancel(ticket)
-            }
-            _ => {}
-        }
+        let (home, grant) = (operation.home, operation.grant.take());
+        self.homes[home].release(grant, now);
+        self.admit_next(home);
     }
 
     /// Reports a failure to the caller, who tries again or gives up.
@@ -544,10 +391,3 @@
         }
     }
 }
-
-fn idle_counter<'a>(
-    accounts: &'a [AccountId],
-    idle: &'a [usize],
-) -> impl Fn(&AccountId) -> u32 + 'a {
-    |name| idle.iter().filter(|account| accounts[**account] == *name).count() as u32
-}
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -354,7 +354,7 @@
         if !is_limited || self.engine.retry_budget.borrow_mut().try_take() {
             return true;
         }
-        self.engine.metrics.retries.with_label_values(&["budget_empty"]).inc();
+        self.engine.record_denied_retry();
         false
     }
 
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -305,6 +305,7 @@
         engine.event_log.report_dropped();
         let now = clock::now();
         engine.pools().iter().for_each(|pool| pool.expire(now));
+        engine.report_load();
         let opened: u64 = engine.pools().iter().map(|pool| pool.connects()).sum();
         let counted = engine.metrics.connects.get();
         engine.metrics.connects.inc_by(opened.saturating_sub(counted));
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -39,6 +39,7 @@
     group::Group,
     log::EventLog,
     metrics::Metrics,
+    overload::LoadReports,
     pool::Pool,
     relay::Relay,
     seam::{Directory, ServerProtocol},
@@ -83,6 +84,7 @@
     pub(crate) rng: RefCell<SmallRng>,
     /// Retries that this VM may still make of statements that a server rejected.
     pub(crate) retry_budget: RefCell<RetryBudget>,
+    pub(crate) load_reports: RefCell<LoadReports>,
     pub(crate) relay: RefCell<Relay>,
     catalog: watch::Sender<Rc<Catalog>>,
     /// Configuration that was read at the start and is not used yet.
@@ -144,6 +146,7 @@
             metrics,
             admission: RefCell::default(),
             retry_budget: RefCell::default(),
+            load_reports: RefCell::default(),
             relay: RefCell::new(Relay::new()),
             fleet: Fleet::default(),
             catalog: watch::Sender::new(Rc::default()),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod linger;
 pub mod log;
 pub mod metrics;
+mod overload;
 mod pool;
 mod relay;
 pub mod seam;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -96,11 +96,17 @@
     PeerLost,
     /// Messages and bytes sent to other VMs since the start.
     PeerTraffic,
+    /// A server gets more requests than it can run in time.
+    ServerOverloaded,
+    /// A server was overloaded and no longer rejects requests.
+    ServerRelieved,
+    /// Statements were not retried, because the budget of retries was used up.
+    RetriesDenied,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 36] = [
+    pub const ALL: [Event; 39] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -137,6 +143,9 @@
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
+        Event::ServerOverloaded,
+        Event::ServerRelieved,
+        Event::RetriesDenied,
     ];
 
     /// Returns the number, level and text of the event.
@@ -178,6 +187,9 @@
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
+            Event::ServerOverloaded => (650, Level::Warning, "server overloaded"),
+            Event::ServerRelieved => (651, Level::Info, "server no longer overloaded"),
+            Event::RetriesDenied => (652, Level::Warning, "retries denied"),
         }
     }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -1,8 +1,8 @@
 //! The daemon's metrics, in the Prometheus text format.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector, exponential_buckets,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, core::Collector, exponential_buckets,
 };
 
 /// All metrics of the engine.
@@ -19,6 +19,12 @@
     pub(crate) latency: HistogramVec,
     /// Seconds that a statement waited for a connection.
     pub(crate) waits: Histogram,
+    /// Requests that wait at this home, by priority.
+    pub(crate) waiting: IntGaugeVec,
+    /// Statements that hold a slot at this home, by priority.
+    pub(crate) running: IntGaugeVec,
+    /// Requests that this home or this VM's budget of retries rejected, by priority and reason.
+    pub(crate) rejections: IntCounterVec,
     /// Connections opened to backend servers.
     pub(crate) connects: IntCounter,
     /// Connected callers.
@@ -61,6 +67,14 @@
             ),
             latency: latencies(&registry),
             waits: waits(&registry),
+            waiting: gauges(&registry, "admission_waiting", "Waiting requests.", "priority"),
+            running: gauges(&registry, "admission_running", "Running statements.", "priority"),
+            rejections: labelled_counters(
+                &registry,
+                "admission_rejections_total",
+                "Requests rejected because of load.",
+                &["priority", "reason"],
+            ),
             connects: counter(&registry, "connects_total", "Connections opened to servers."),
             callers: gauge(&registry, "callers", "Connected callers."),
             version: gauge(&registry, "configuration_version", "Configuration in force."),
@@ -120,6 +134,13 @@
     family
 }
 
+fn gauges(registry: &Registry, id: &str, help: &str, label: &str) -> IntGaugeVec {
+    let family =
+        IntGaugeVec::new(Opts::new(name(id), help), &[label]).expect("metric names are valid");
+    registry.register(Box::new(family.clone())).expect("metric names are unique");
+    family
+}
+
 fn counter(registry: &Registry, id: &str, help: &str) -> IntCounter {
     let counter = IntCounter::new(name(id), help).expect("metric names are valid");
     registry.register(Box::new(counter.clone())).expect("metric names are unique");
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -10,13 +10,14 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
 
 use chicoryhollow_core::{
     AccountId, ServerId, Time,
-    admission::{Limits, Request, least_useful},
+    admission::{Activity, Limits, Request, least_useful},
     home::{FALLBACK_CONNECTIONS, kept_connections},
     waiting::Priority,
 };
@@ -212,6 +213,11 @@
         self.open.set(self.open.get().saturating_sub(closed));
     }
 
+    /// Returns what requests of each priority do now and had refused since the last call.
+    pub(crate) fn take_activity(&self) -> BTreeMap<Priority, Activity> {
+        self.turns.take_activity()
+    }
+
     /// Returns the server's name.
     pub(crate) fn server(&self) -> ServerId {
         self.entry.borrow().server.clone()
--- a/crates/engine/src/turn.rs
+++ b/crates/engine/src/turn.rs
@@ -3,12 +3,12 @@
 //! `chicoryhollow_core::admission` decides who gets the next turn if load decides what a server
 //! gets, and `chicoryhollow_core::waiting` otherwise.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
     AccountId,
-    admission::{self, Grant, Limits, Request, Scheduler},
-    waiting::{self, WaitingList},
+    admission::{self, Activity, Grant, Limits, Request, Scheduler},
+    waiting::{self, Priority, WaitingList},
 };
 use tokio::{sync::oneshot, time::timeout};
 
@@ -149,6 +149,15 @@
         self.admit_next();
     }
 
+    /// Returns what requests of each priority do now and had refused since the last call; empty
+    /// unless load decides.
+    pub(crate) fn take_activity(&self) -> BTreeMap<Priority, Activity> {
+        match &mut *self.order.borrow_mut() {
+            Order::Arrival(_) => BTreeMap::new(),
+            Order::Load(scheduler) => scheduler.take_activity(),
+        }
+    }
+
     /// Returns whether load decides who is next.
     pub(crate) fn is_load_aware(&self) -> bool {
         matches!(&*self.order.borrow(), Order::Load(_))
