--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -110,11 +110,17 @@
     UsageSkipped,
     /// Counts arrived after the decision on their window.
     UsageLate,
+    /// A server gets more requests than it can run in time.
+    ServerOverloaded,
+    /// A server was overloaded and no longer rejects requests.
+    ServerRelieved,
+    /// Statements were not retried, because the budget of retries was used up.
+    RetriesDenied,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 43] = [
+    pub const ALL: [Event; 46] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -158,6 +164,9 @@
         Event::UsageDelayed,
         Event::UsageSkipped,
         Event::UsageLate,
+        Event::ServerOverloaded,
+        Event::ServerRelieved,
+        Event::RetriesDenied,
     ];
 
     /// Returns the number, level and text of the event.
@@ -206,6 +215,9 @@
             Event::UsageDelayed => (647, Level::Warning, "usage report delayed"),
             Event::UsageSkipped => (648, Level::Warning, "usage windows skipped"),
             Event::UsageLate => (649, Level::Warning, "usage counts late"),
+            Event::ServerOverloaded => (650, Level::Warning, "server overloaded"),
+            Event::ServerRelieved => (651, Level::Info, "server no longer overloaded"),
+            Event::RetriesDenied => (652, Level::Warning, "retries denied"),
         }
     }
 
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -10,12 +10,14 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
 
 use chicoryhollow_core::{
     AccountId, ServerId, Time,
+    admission::{Activity, Limits, Request, least_useful},
     home::{FALLBACK_CONNECTIONS, kept_connections},
     waiting::Priority,
 };
@@ -25,7 +27,7 @@
     catalog::ServerEntry,
     clock,
     seam::{LinkError, ServerProtocol, Target},
-    turn::{Turn, TurnQueue},
+    turn::{IdleConnections, Turn, TurnQueue},
 };
 
 pub(crate) use self::pooled::PooledConnection;
@@ -63,10 +65,12 @@
 pub(crate) struct Pool<S: ServerProtocol> {
     protocol: Rc<S>,
     entry: RefCell<ServerEntry>,
-    idle: RefCell<Vec<ServerConnection<S::Link>>>,
+    idle: Rc<IdleList<S::Link>>,
     open: Cell<u32>,
     limit: Cell<u32>,
-    turns: Rc<TurnQueue>,
+    /// Statements that may run at once, if load decides.
+    slots: Cell<u32>,
+    turns: Rc<TurnQueue<IdleList<S::Link>>>,
     /// Number of connections that the server accepted when it accepted no more, and until
     /// when this limits the pool.
     ceiling: Cell<Option<(u32, Time)>>,
@@ -76,6 +80,19 @@
     connects: Cell<u64>,
 }
 
+/// Idle connections. The one that was idle longest comes first.
+struct IdleList<L>(RefCell<Vec<ServerConnection<L>>>);
+
+impl<L> IdleConnections for IdleList<L> {
+    fn count(&self, account: &AccountId) -> u32 {
+        let idle = self.0.borrow();
+        idle.iter().filter(|connection| connection.account == *account).count() as u32
+    }
+}
+
+/// The right to use one connection of a pool.
+type PoolTurn<S> = Turn<IdleList<<S as ServerProtocol>::Link>>;
+
 /// A request for a connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionRequest<'a> {
@@ -102,15 +119,23 @@
 }
 
 impl<S: ServerProtocol> Pool<S> {
-    /// Creates a pool of at most `limit` connections to the server of `entry`.
-    pub(crate) fn new(protocol: Rc<S>, entry: ServerEntry, limit: u32) -> Self {
+    /// Creates a pool within `limits` for the server of `entry`. `load_aware` tells whether
+    /// load decides who gets the next connection.
+    pub(crate) fn new(
+        protocol: Rc<S>,
+        entry: ServerEntry,
+        limits: Limits,
+        load_aware: bool,
+    ) -> Self {
+        let idle = Rc::new(IdleList(RefCell::new(Vec::new())));
         Pool {
             protocol,
             entry: RefCell::new(entry),
-            idle: RefCell::new(Vec::new()),
+            turns: TurnQueue::new(limits, Rc::clone(&idle), load_aware),
+            idle,
             open: Cell::new(0),
-            limit: Cell::new(limit),
-            turns: TurnQueue::new(limit),
+            limit: Cell::new(limits.connections),
+            slots: Cell::new(limits.slots),
             ceiling: Cell::new(None),
             unreachable_until: Cell::new(Time::default()),
             opening: Cell::new((0, Time::default())),
@@ -127,12 +152,20 @@
         }
     }
 
-    /// Changes the limit of connections.
-    pub(crate) fn set_limit(&self, limit: u32) {
-        self.limit.set(limit);
+    /// Changes the limits.
+    pub(crate) fn set_limits(&self, limits: Limits) {
+        self.limit.set(limits.connections);
+        self.slots.set(limits.slots);
         self.apply_limit();
     }
 
+    /// Changes the number of statements that may run at once.
+    pub(crate) fn set_slots(&self, slots: u32) {
+        if self.slots.replace(slots) != slots {
+            self.apply_limit();
+        }
+    }
+
     /// Returns how many connections may be open now.
     fn current_limit(&self) -> u32 {
         let ceiling = self.ceiling.get().map_or(u32::MAX, |(open, _)| open.max(1));
@@ -140,7 +173,8 @@
     }
 
     fn apply_limit(&self) {
-        self.turns.set_limit(self.current_limit());
+        let limits = Limits { connections: self.current_limit(), slots: self.slots.get() };
+        self.turns.set_limits(limits);
     }
 
     /// Limits the pool to its open connections for a while, because the server accepts no
@@ -152,7 +186,7 @@
 
     /// Closes all idle connections.
     pub(crate) fn clear(&self) {
-        let closed = self.idle.take().len() as u32;
+        let closed = self.idle.0.take().len() as u32;
         self.open.set(self.open.get().saturating_sub(closed));
     }
 
@@ -165,7 +199,7 @@
         }
         let is_fallback = self.limit.get() <= FALLBACK_CONNECTIONS;
         let limit = if is_fallback { FALLBACK_IDLE_LIMIT } else { HOME_IDLE_LIMIT };
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.idle.0.borrow_mut();
         let before = idle.len();
         let mut excess = self.open.get().saturating_sub(kept_connections(self.limit.get()));
         // The connection that was idle longest comes first.
@@ -179,6 +213,11 @@
         self.open.set(self.open.get().saturating_sub(closed));
     }
 
+    /// Returns what requests of each priority do now and had refused since the last call.
+    pub(crate) fn take_activity(&self) -> BTreeMap<Priority, Activity> {
+        self.turns.take_activity()
+    }
+
     /// Returns the server's name.
     pub(crate) fn server(&self) -> ServerId {
         self.entry.borrow().server.clone()
@@ -199,9 +238,10 @@
         self: &Rc<Self>,
         request: ConnectionRequest<'_>,
     ) -> Result<PooledConnection<S>, PoolError> {
-        let turn = self.turns.wait(request.priority, request.patience).await;
+        let ConnectionRequest { account, priority, patience } = request;
+        let turn = self.turns.wait(Request { account, priority, patience }).await;
         let turn = turn.ok_or(PoolError::Exhausted)?;
-        self.take_in_turn(request.account, Some(turn)).await
+        self.take_in_turn(account, Some(turn)).await
     }
 
     /// Takes a connection regardless of the limit, for a command of the daemon to
@@ -214,16 +254,20 @@
         self: &Rc<Self>,
         account: &AccountId,
     ) -> Result<PooledConnection<S>, PoolError> {
-        let any = self.idle.borrow().last().map(|connection| connection.account.clone());
+        let any = self.idle.0.borrow().last().map(|connection| connection.account.clone());
         self.take_in_turn(any.as_ref().unwrap_or(account), None).await
     }
 
     async fn take_in_turn(
         self: &Rc<Self>,
         account: &AccountId,
-        turn: Option<Turn>,
+        mut turn: Option<PoolTurn<S>>,
     ) -> Result<PooledConnection<S>, PoolError> {
-        let Some(connection) = self.reuse(account) else {
+        let reused = self.reuse(account);
+        if let Some(turn) = &mut turn {
+            turn.settle();
+        }
+        let Some(connection) = reused else {
             return self.connect(account, turn).await;
         };
         let mut pooled = PooledConnection::new(connection, self, turn);
@@ -238,7 +282,7 @@
     }
 
     fn reuse(&self, account: &AccountId) -> Option<ServerConnection<S::Link>> {
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.idle.0.borrow_mut();
         let found = idle.iter().rposition(|connection| connection.account == *account)?;
         Some(idle.remove(found))
     }
@@ -246,14 +290,14 @@
     async fn connect(
         self: &Rc<Self>,
         account: &AccountId,
-        turn: Option<Turn>,
+        mut turn: Option<PoolTurn<S>>,
     ) -> Result<PooledConnection<S>, PoolError> {
         let now = clock::now();
         if turn.is_some() && self.is_hard_to_reach(now) {
             return Err(PoolError::Connect(LinkError::TimedOut));
         }
         if self.open.get() >= self.current_limit() {
-            self.close_oldest();
+            self.close_one();
         }
         let target = self.target(account);
         self.open.set(self.open.get() + 1);
@@ -263,6 +307,9 @@
         match connected.unwrap_or(Err(LinkError::TimedOut)) {
             Ok(link) => {
                 opening.finish();
+                if let Some(turn) = &mut turn {
+                    turn.record_opening(clock::now().since(now));
+                }
                 Ok(PooledConnection::new(ServerConnection::new(link, account.clone()), self, turn))
             }
             Err(LinkError::Full) => {
@@ -277,12 +324,17 @@
         }
     }
 
-    /// Closes the connection that was idle longest, to make room for one of another
-    /// account.
-    fn close_oldest(&self) {
-        let mut idle = self.idle.borrow_mut();
-        if !idle.is_empty() {
-            drop(idle.remove(0));
+    /// Closes an idle connection to make room for one of another account: the one that was idle
+    /// longest, or that is least useful if load decides.
+    fn close_one(&self) {
+        let mut idle = self.idle.0.borrow_mut();
+        let accounts = || idle.iter().map(|connection| &connection.account);
+        let closed = match self.turns.is_load_aware() {
+            true => least_useful(accounts()),
+            false => (!idle.is_empty()).then_some(0),
+        };
+        if let Some(closed) = closed {
+            drop(idle.remove(closed));
             self.open.set(self.open.get().saturating_sub(1));
         }
     }
