Report the load of servers from their homes, and place reads by it

Cause: each VM ranks the servers by its own averages, so 64 to 73 VMs each learn by themselves that a server is slow or busy. The busiest server gets 2 to 2.75 times the mean.

Change: a home measures its connections to a server (connections in use, waits by priority, service time, failures by kind, position applied) and reports this on LeaseState and LeaseAnswer. A VM keeps the newest report of each home; its weight halves every 1.5 s in favour of what the VM has measured itself. Reads are placed by expected completion: network, wait, service and catching up. An account keeps its ranked server while its load is within a bound of the mean; other reads take the better of two of the four best. The primary gets reads only if the replicas need longer to catch up than its reserve.

Weighed: reports in heartbeats reach only neighbours, reports on every answer exceed the data rate at 2,900 VMs. A report is sent at most every 250 ms for each server and VM, and at most 768 bytes per second for each VM.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,8 @@
 * [`route`] chooses the backend server for a read by its expected time: the
   [`average`] of observed response times plus the time until a replica reaches the
   required position.
+* [`load`] is what homes report about the load of backend servers, and [`placement`]
+  chooses among the servers of a group by it.
 * [`retry`] decides whether a refused request is tried again, and when.
 * [`watch`] replaces the primary of a group in which a majority confirms each
   position. Its state machine detects the failure and promotes another server once
@@ -89,10 +91,12 @@
 pub mod id;
 pub mod isolation;
 pub mod liveness;
+pub mod load;
 pub mod naming;
 pub mod neighbour;
 pub mod outcome;
 pub mod pace;
+pub mod placement;
 pub mod pool;
 pub mod position;
 pub mod prelude;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -259,7 +259,7 @@
     ) -> Score {
         let primary = view.primary.as_ref() == Some(&candidate.server);
         let estimate = self.servers.get(&candidate.server);
-        let assumed = if candidate.near { NEAR_RESPONSE_US } else { FAR_RESPONSE_US };
+        let assumed = micros(assumed_response(candidate.near));
         let response_time = estimate.and_then(|e| e.response_time.get()).map_or(assumed, micros);
         let wait = match needed {
             Some(needed) if !primary => micros(self.wait(view, estimate, needed, now)),
@@ -324,6 +324,11 @@
     }
 }
 
+/// Returns the response time that is assumed of a server while none is known.
+pub fn assumed_response(near: bool) -> Duration {
+    Duration::from_micros(if near { NEAR_RESPONSE_US } else { FAR_RESPONSE_US })
+}
+
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX / 4).min(u64::MAX / 4)
 }
--- a/crates/engine/src/attempt/read.rs
+++ b/crates/engine/src/attempt/read.rs
@@ -8,6 +8,7 @@
 use chicoryhollow_core::{
     Position, Refusal, Time,
     route::{Choice, Permit},
+    waiting::Priority,
 };
 use tokio::time::sleep;
 
@@ -16,7 +17,7 @@
     catalog::Freshness,
     clock,
     connection::Connection,
-    group::Group,
+    group::{Group, Read},
     seam::{Directory, LinkError, ServerProtocol},
     statement::{Answer, Command, FaultKind, PreparedStatement},
 };
@@ -91,7 +92,13 @@
         let mut rng = self.engine.rng.borrow_mut();
         let here = &self.engine.settings.data_centre;
         let is_unreachable = |data_centre: &_| self.engine.fleet.is_unreachable(data_centre);
-        self.group.borrow().choose(here, is_unreachable, min_position, clock::now(), &mut *rng)
+        let now = clock::now();
+        if !self.engine.settings.load_aware {
+            return self.group.borrow().choose(here, is_unreachable, min_position, now, &mut *rng);
+        }
+        let priority = Priority::new(self.route.priority);
+        let read = Read { here, account: self.account, priority, min_position };
+        self.group.borrow_mut().place(read, is_unreachable, now, &mut *rng)
     }
 
     /// Returns false at once if no request may be sent to a server. Otherwise waits
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -8,13 +8,17 @@
 //! The peer messages call a forwarded connection a lease (`LeaseOpen`,
 //! `LeaseCommand` and so on), and their field `lease` is its number on the link.
 
+mod serving;
+
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use chicoryhollow_core::{AccountId, ServerId, waiting::Priority};
+use chicoryhollow_core::{ServerId, Time};
 use chicoryhollow_peer::{
     Body,
-    fleet::{LeaseAnswer, LeaseCommand, LeaseEnd, LeaseOpen, LeasePrepare, LeaseSetup, LeaseState},
+    fleet::{
+        LeaseAnswer, LeaseCommand, LeaseEnd, LeaseOpen, LeasePrepare, LeaseSetup, LeaseState,
+        ServerReport,
+    },
 };
 use indexmap::IndexMap;
 use tokio::{
@@ -23,8 +27,10 @@
 };
 
 use crate::{
+    clock,
     engine::Engine,
     fleet::Link,
+    load::{HomeMeter, ReportRecord, take_measured},
     pool::{ConnectionRequest, PoolError, PooledConnection, SETUP_TIMEOUT},
     seam::{Directory, LinkError, ServerProtocol},
     statement::{Access, Answer, Command, PreparedStatement},
@@ -56,8 +62,8 @@
 
 /// A connection in use.
 pub(crate) enum Connection<S: ServerProtocol> {
-    /// A pooled connection of this VM.
-    Local(PooledConnection<S>),
+    /// A pooled connection of this VM, with what measures its use.
+    Local(PooledConnection<S>, Option<HomeMeter<S>>),
     /// A connection forwarded to another VM.
     Remote(RemoteConnection),
 }
@@ -70,13 +76,15 @@
     server: ServerId,
     answers: UnboundedReceiver<HomeMessage>,
     ended: bool,
+    /// Records what the home reports, if decisions depend on it.
+    reports: Option<ReportRecord>,
 }
 
 impl<S: ServerProtocol> Connection<S> {
     /// Returns the server of the connection.
     pub(crate) fn server(&self) -> ServerId {
         match self {
-            Connection::Local(pooled) => pooled.server(),
+            Connection::Local(pooled, _) => pooled.server(),
             Connection::Remote(remote) => remote.server.clone(),
         }
     }
@@ -88,7 +96,8 @@
     /// Fails when the connection fails.
     pub(crate) async fn run(&mut self, command: Command) -> Result<Answer, LinkError> {
         match self {
-            Connection::Local(pooled) => pooled.run(command).await,
+            Connection::Local(pooled, Some(meter)) => meter.run_own(pooled, command).await,
+            Connection::Local(pooled, None) => pooled.run(command).await,
             Connection::Remote(remote) => remote.run(command).await,
         }
     }
@@ -115,7 +124,7 @@
         statement: Option<&PreparedStatement>,
     ) -> Result<(), LinkError> {
         match self {
-            Connection::Local(pooled) => pooled.prepare(values, statement).await,
+            Connection::Local(pooled, _) => pooled.prepare(values, statement).await,
             Connection::Remote(remote) => {
                 if values.is_empty() && statement.is_none() {
                     return Ok(());
@@ -128,7 +137,7 @@
     /// Rolls back the open transaction and returns the connection to its pool.
     pub(crate) async fn roll_back(self) {
         match self {
-            Connection::Local(pooled) => pooled.roll_back().await,
+            Connection::Local(pooled, _) => pooled.roll_back().await,
             Connection::Remote(remote) => remote.end(END_ROLL_BACK),
         }
     }
@@ -136,7 +145,7 @@
     /// Returns the connection, which must be outside of a transaction, to its pool.
     pub(crate) fn give_back(self) {
         match self {
-            Connection::Local(pooled) => pooled.give_back(),
+            Connection::Local(pooled, _) => pooled.give_back(),
             Connection::Remote(remote) => remote.end(END_GIVE_BACK),
         }
     }
@@ -145,9 +154,11 @@
 impl RemoteConnection {
     async fn run(&mut self, command: Command) -> Result<Answer, LinkError> {
         let json = serde_json::to_vec(&command).map_err(|_| LinkError::Malformed("command"))?;
+        let asked = clock::now();
         self.send(Body::LeaseCommand(LeaseCommand { lease: self.lease, command: json.into() }))?;
         match self.answers.recv().await {
-            Some(HomeMessage::Answer(LeaseAnswer { answer: Some(json), .. })) => {
+            Some(HomeMessage::Answer(LeaseAnswer { answer: Some(json), report, .. })) => {
+                self.record_run(&command, report.as_ref(), asked);
                 serde_json::from_slice(&json).map_err(|_| LinkError::Malformed("answer"))
             }
             _ => {
@@ -171,6 +182,18 @@
         }
     }
 
+    fn record_opened(&mut self, report: Option<&ServerReport>, asked: Time) {
+        if let Some(reports) = &mut self.reports {
+            reports.record_opened(&self.link.vm, report, asked);
+        }
+    }
+
+    fn record_run(&mut self, command: &Command, report: Option<&ServerReport>, asked: Time) {
+        if let Some(reports) = &mut self.reports {
+            reports.record_run(&self.link.vm, command, report, asked);
+        }
+    }
+
     fn send(&self, body: Body) -> Result<(), LinkError> {
         if self.link.send(body) { Ok(()) } else { Err(LinkError::Closed) }
     }
@@ -217,9 +240,10 @@
             }
             None => {
                 let pool = self.pool(server).ok_or(PoolError::Connect(LinkError::Closed))?;
-                let mut pooled = pool.take(request).await?;
+                let meter = self.home_meter(&pool);
+                let mut pooled = take_measured(&pool, meter.as_ref(), request).await?;
                 pooled.prepare(values, statement).await.map_err(PoolError::Connect)?;
-                Ok(Connection::Local(pooled))
+                Ok(Connection::Local(pooled, meter))
             }
         }
     }
@@ -234,8 +258,15 @@
         self.use_link(&link);
         let (sender, answers) = unbounded_channel();
         let lease = link.register_forwarded(sender);
-        let mut remote =
-            RemoteConnection { link, lease, server: server.clone(), answers, ended: false };
+        let reports = self.report_record(server);
+        let mut remote = RemoteConnection {
+            link,
+            lease,
+            server: server.clone(),
+            answers,
+            ended: false,
+            reports,
+        };
         let open = LeaseOpen {
             lease,
             server: server.to_string(),
@@ -244,10 +275,14 @@
             setup: Some(setup),
             priority: request.priority.get().into(),
         };
+        let asked = clock::now();
         remote.send(Body::LeaseOpen(open)).map_err(PoolError::Connect)?;
         let state = timeout(request.patience + OPEN_MARGIN, remote.answers.recv()).await;
         let error = match state {
-            Ok(Some(HomeMessage::State(state))) => state.error,
+            Ok(Some(HomeMessage::State(state))) => {
+                remote.record_opened(state.report.as_ref(), asked);
+                state.error
+            }
             _ => ERROR_UNREACHABLE,
         };
         match error {
@@ -257,97 +292,6 @@
             _ => Err(PoolError::Connect(LinkError::Closed)),
         }
     }
-
-    /// Serves a forwarded connection of another VM: takes a pooled connection of
-    /// this VM and runs the commands in `messages`, which arrived over `link`.
-    pub(crate) async fn serve_forwarded(
-        self: Rc<Self>,
-        link: Rc<Link>,
-        open: LeaseOpen,
-        mut messages: UnboundedReceiver<Body>,
-    ) {
-        let lease = open.lease;
-        match self.take_requested(&open).await {
-            Ok(mut pooled) => {
-                link.send(Body::LeaseState(LeaseState { lease, error: NO_ERROR }));
-                while let Some(message) = messages.recv().await {
-                    match self.execute_message(&link, pooled, message, &mut messages).await {
-                        Some(kept) => pooled = kept,
-                        None => break,
-                    }
-                }
-            }
-            Err(error) => {
-                let error = match error {
-                    PoolError::Exhausted => ERROR_EXHAUSTED,
-                    PoolError::Full => ERROR_FULL,
-                    PoolError::Connect(_) => ERROR_UNREACHABLE,
-                };
-                link.send(Body::LeaseState(LeaseState { lease, error }));
-            }
-        }
-        link.remove_served(lease);
-    }
-
-    async fn take_requested(&self, open: &LeaseOpen) -> Result<PooledConnection<S>, PoolError> {
-        let unknown = || PoolError::Connect(LinkError::WrongServer);
-        let server = ServerId::new(&open.server).map_err(|_| unknown())?;
-        let account = AccountId::new(&open.account).map_err(|_| unknown())?;
-        let pool = self.pool(&server).ok_or_else(unknown)?;
-        let request = ConnectionRequest {
-            account: &account,
-            priority: Priority::new(u8::try_from(open.priority).unwrap_or(u8::MAX)),
-            patience: Duration::from_millis(open.patience_ms.into()),
-        };
-        let mut pooled = pool.take(request).await?;
-        if let Some((values, statement)) = open.setup.as_ref().map(read_setup) {
-            pooled.prepare(&values, statement.as_ref()).await.map_err(PoolError::Connect)?;
-        }
-        Ok(pooled)
-    }
-
-    /// Executes one message of the other VM; returns the pooled connection unless
-    /// the message ends its use.
-    async fn execute_message(
-        &self,
-        link: &Link,
-        mut pooled: PooledConnection<S>,
-        message: Body,
-        messages: &mut UnboundedReceiver<Body>,
-    ) -> Option<PooledConnection<S>> {
-        match message {
-            Body::LeaseCommand(command) => {
-                let lease = command.lease;
-                let parsed = serde_json::from_slice::<Command>(&command.command).ok()?;
-                let answer = tokio::select! {
-                    answer = pooled.run(parsed) => answer,
-                    // A message before the answer means that the other VM ends the
-                    // connection, because it no longer waits for the answer.
-                    _ = messages.recv() => return None,
-                };
-                let json = answer.ok().and_then(|answer| serde_json::to_vec(&answer).ok());
-                let lost = json.is_none();
-                link.send(Body::LeaseAnswer(LeaseAnswer { lease, answer: json.map(Bytes::from) }));
-                (!lost).then_some(pooled)
-            }
-            Body::LeasePrepare(prepare) => {
-                let (values, statement) = read_setup(&prepare.setup?);
-                let prepared = pooled.prepare(&values, statement.as_ref()).await;
-                let error = if prepared.is_ok() { NO_ERROR } else { ERROR_UNREACHABLE };
-                link.send(Body::LeaseState(LeaseState { lease: prepare.lease, error }));
-                prepared.ok().map(|()| pooled)
-            }
-            Body::LeaseEnd(end) => {
-                match end.how {
-                    END_GIVE_BACK => pooled.give_back(),
-                    END_ROLL_BACK => pooled.roll_back().await,
-                    _ => drop(pooled),
-                }
-                None
-            }
-            _ => None,
-        }
-    }
 }
 
 fn setup(values: &IndexMap<String, String>, statement: Option<&PreparedStatement>) -> LeaseSetup {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -22,6 +22,7 @@
     evacuation::Evacuations,
     home::{FALLBACK_CONNECTIONS, connection_limit, rank_homes},
     isolation::is_isolated,
+    load::ReportPacer,
     version::Era,
 };
 use indexmap::{IndexMap, IndexSet};
@@ -80,6 +81,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) relay: RefCell<Relay>,
+    /// Keeps reports on the load of servers within their data rate.
+    pub(crate) report_pacer: RefCell<ReportPacer>,
     catalog: watch::Sender<Rc<Catalog>>,
     /// Configuration that was read at the start and is not used yet.
     held_catalog: RefCell<Option<HeldCatalog>>,
@@ -140,6 +143,7 @@
             metrics,
             admission: RefCell::default(),
             relay: RefCell::new(Relay::new()),
+            report_pacer: RefCell::new(ReportPacer::new(clock::now())),
             fleet: Fleet::default(),
             catalog: watch::Sender::new(Rc::default()),
             held_catalog: RefCell::default(),
--- a/crates/engine/src/fleet/link.rs
+++ b/crates/engine/src/fleet/link.rs
@@ -12,9 +12,10 @@
 };
 
 use chicoryhollow_core::{
-    GroupId, Time, VmId,
+    GroupId, ServerId, Time, VmId,
     gossip::LastSent,
     liveness::Liveness,
+    load::SentReport,
     naming::{ReceivedNames, SentNames},
     transfer::Assembly,
 };
@@ -66,6 +67,10 @@
 
 /// A link to another VM.
 pub(crate) struct Link {
+    /// The other VM.
+    pub(crate) vm: VmId,
+    /// Last report on the load of each server that the other VM was sent.
+    pub(crate) sent_reports: RefCell<HashMap<ServerId, SentReport>>,
     sender: mpsc::Sender<Envelope>,
     pub(super) liveness: Cell<Liveness>,
     /// Number of the newest heartbeat received, and when it was received.
@@ -118,8 +123,16 @@
 }
 
 impl Link {
-    fn new(sender: mpsc::Sender<Envelope>, place: Place, dialled: bool, now: Time) -> Self {
+    fn new(
+        vm: VmId,
+        sender: mpsc::Sender<Envelope>,
+        place: Place,
+        dialled: bool,
+        now: Time,
+    ) -> Self {
         Link {
+            vm,
+            sent_reports: RefCell::default(),
             sender,
             liveness: Cell::new(Liveness::new(now)),
             last_heartbeat: Cell::new((0, now)),
@@ -284,7 +297,8 @@
     }
     let (sender, receiver) = mpsc::channel(LINK_QUEUE_MESSAGES);
     let dialled = matches!(origin, Origin::Dialled);
-    let link = Rc::new(Link::new(sender, engine.fleet.place(&vm), dialled, clock::now()));
+    let place = engine.fleet.place(&vm);
+    let link = Rc::new(Link::new(vm.clone(), sender, place, dialled, clock::now()));
     // The other side learns from the first message which VM has connected. The link
     // is registered only afterwards, so that no statement is sent before it.
     let hello = Envelope::new(Body::Beat(engine.heartbeat(&link)));
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -3,6 +3,7 @@
 //! The state combines the servers' entries in the directory, the answers of the
 //! servers, and what other VMs report. The newest term decides who is primary.
 
+mod placing;
 mod replicas;
 mod reports;
 
@@ -15,11 +16,14 @@
     freshness::ObservedPositions,
     gossip::GroupSummary,
     isolation::PrimaryReachability,
+    load::{Loads, Meter},
+    placement::Affinity,
     route::{Candidate, Choice, Estimates},
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
+pub(crate) use self::placing::Read;
 use self::{replicas::Replicas, reports::PeerReports};
 use crate::{catalog::ServerEntry, single_flight::SingleFlight};
 
@@ -84,6 +88,12 @@
     /// What other VMs have told about failovers.
     pub(crate) peers: PeerReports,
     pub(crate) missing_servers: MissingServers,
+    /// Reported load of the servers.
+    pub(crate) loads: Loads,
+    /// What this VM has measured as a home, by server.
+    meters: IndexMap<ServerId, Meter>,
+    /// Shares of the reads that stay on the servers which accounts prefer.
+    affinity: Affinity,
 }
 
 impl Group {
@@ -108,6 +118,9 @@
             replicas: Replicas::default(),
             peers: PeerReports::default(),
             missing_servers: MissingServers::new().with_times(times),
+            loads: Loads::new(),
+            meters: IndexMap::new(),
+            affinity: Affinity::new(),
         }
     }
 
@@ -125,6 +138,8 @@
         self.missing_servers.update(before, after, silence, now);
         self.replicas.update(&self.servers, &servers, now);
         self.servers = servers;
+        self.loads.retain(|server| self.servers.contains_key(server));
+        self.meters.retain(|server, _| self.servers.contains_key(server));
         let current = self.view.primary.as_ref().and_then(|primary| self.servers.get(primary));
         match current {
             Some(entry) if entry.primary => false,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -25,6 +25,7 @@
   their `turn`, and `connection`
   forwards statements to connections of another VM.
 * `group` holds the current knowledge about one database group.
+* `load` measures the load of backend servers at their homes and records their reports.
 * `fleet` exchanges messages with the other VMs, and `relay` passes on the
   documents of the directory.
 * `confirmation` withholds writes that a failover elsewhere would lose.
@@ -52,6 +53,7 @@
 mod fleet;
 mod group;
 pub mod linger;
+mod load;
 pub mod log;
 pub mod metrics;
 mod pool;
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -17,6 +17,7 @@
 use chicoryhollow_core::{
     AccountId, ServerId, Time,
     home::{FALLBACK_CONNECTIONS, kept_connections},
+    load::Counts,
     waiting::Priority,
 };
 use tokio::time::timeout;
@@ -184,6 +185,11 @@
         self.entry.borrow().server.clone()
     }
 
+    /// Returns the connections in use and the requests that wait for one.
+    pub(crate) fn counts(&self) -> Counts {
+        self.turns.counts()
+    }
+
     /// Returns how many connections the pool has opened so far.
     pub(crate) fn connects(&self) -> u64 {
         self.connects.get()
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -24,6 +24,8 @@
     /// Whether the whole fleet starts for the first time, so that no VM knows a newer
     /// configuration than the directory.
     pub first_start: bool,
+    /// Whether reads are placed by the reported load of the servers.
+    pub load_aware: bool,
     /// Number that distinguishes this run of the daemon from earlier ones.
     pub incarnation: u64,
 }
--- a/crates/engine/src/turn.rs
+++ b/crates/engine/src/turn.rs
@@ -4,7 +4,10 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use chicoryhollow_core::waiting::{Arrival, Priority, Ticket, WaitingList};
+use chicoryhollow_core::{
+    load::Counts,
+    waiting::{Arrival, Priority, Ticket, WaitingList},
+};
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::clock;
@@ -50,6 +53,12 @@
         self.admit_next();
     }
 
+    /// Returns the turns in use and the requests that wait for one.
+    pub(crate) fn counts(&self) -> Counts {
+        let list = self.list.borrow();
+        Counts { in_use: list.in_use(), waiting: u32::try_from(list.waiting()).unwrap_or(u32::MAX) }
+    }
+
     /// Waits for a turn. Returns `None` if there is none in time, at once if none is
     /// expected in time.
     pub(crate) async fn wait(
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -228,6 +228,51 @@
     /// the server accepts no more connections, 3 if it could not be reached.
     #[prost(uint32, tag = "2")]
     pub error: u32,
+    /// What the home knows of the server's load, if a report is due.
+    #[prost(message, optional, tag = "3")]
+    pub report: Option<ServerReport>,
+}
+
+/// What a home of a backend server knows of the server's load. It is sent only along with
+/// other messages.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ServerReport {
+    /// Average number of connections of the home that are in use, in hundredths.
+    #[prost(uint32, tag = "1")]
+    pub in_flight: u32,
+    /// Requests that wait for a connection of the home.
+    #[prost(uint32, tag = "2")]
+    pub waiting: u32,
+    /// Expected wait for a connection in microseconds, by priority; empty if there is none.
+    #[prost(uint32, repeated, tag = "3")]
+    pub waits_us: Vec<u32>,
+    /// Mean service time of the server, in microseconds.
+    #[prost(uint32, tag = "4")]
+    pub service_us: u32,
+    /// Lowest recent mean service time, in microseconds.
+    #[prost(uint32, tag = "5")]
+    pub quiet_us: u32,
+    /// Share of recent statements that the server rejected, in thousandths.
+    #[prost(uint32, tag = "6")]
+    pub rejected: u32,
+    /// Share of recent statements whose connection broke, in thousandths.
+    #[prost(uint32, tag = "7")]
+    pub broken: u32,
+    /// Share of recent statements that got no answer in time, in thousandths.
+    #[prost(uint32, tag = "8")]
+    pub unanswered: u32,
+    /// Term of the newest position that the server is known to have applied.
+    #[prost(uint64, tag = "9")]
+    pub term: u64,
+    /// Log position of it.
+    #[prost(uint64, tag = "10")]
+    pub lsn: u64,
+    /// Milliseconds since the newest measurement.
+    #[prost(uint32, tag = "11")]
+    pub age_ms: u32,
+    /// Microseconds in which the home carried out what this message answers.
+    #[prost(uint32, tag = "12")]
+    pub ran_us: u32,
 }
 
 /// Prepares a forwarded connection for the next statement.
@@ -261,6 +306,9 @@
     /// The answer as JSON.
     #[prost(bytes = "bytes", optional, tag = "2")]
     pub answer: Option<bytes::Bytes>,
+    /// What the home knows of the server's load, if a report is due.
+    #[prost(message, optional, tag = "3")]
+    pub report: Option<ServerReport>,
 }
 
 /// Ends the use of a forwarded connection.
