--- a/crates/core/src/load/meter.rs
+++ b/crates/core/src/load/meter.rs
@@ -6,7 +6,7 @@
 use crate::{average::Average, position::Position, time::Time, waiting::Priority};
 
 /// Time in which the weight of an earlier number of connections in use halves.
-const IN_FLIGHT_HALF_LIFE: Duration = Duration::from_millis(500);
+const IN_FLIGHT_HALF_LIFE: Duration = Duration::from_secs(1);
 
 /// Inverse of the weight of one statement in the mean service time.
 const SERVICE_INVERSE_WEIGHT: u32 = 16;
