--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use placement_replay::{Figures, Rule, Scene, World};
+use placement_replay::{Figures, Leaving, Rule, Scene, Trouble, World};
 
 /// Objective of most reads.
 const OBJECTIVE: Duration = Duration::from_millis(250);
@@ -13,7 +13,9 @@
 fn play(rule: Rule, part: f64) -> Figures {
     let rate = 24.0 * 4.0 / 0.018 * part;
     let servers = vec![8, 8, 8];
-    World::new(Scene { rule, servers, vms: 64, accounts: 74, rate, seconds: 20 }, 1).play()
+    let (leaving, trouble) = (Leaving::Share, Trouble::Calm);
+    let scene = Scene { rule, leaving, trouble, servers, vms: 64, accounts: 74, rate, seconds: 20 };
+    World::new(scene, 1).play()
 }
 
 /// Guards against accounts and VMs that meet on few servers, new connections of each account
@@ -39,3 +41,45 @@
     assert!(figures.far > figures.answered / 2, "{figures}");
     assert!(figures.connects_per_read() > 0.125, "{figures}");
 }
+
+/// Plays trouble with 12 servers in three data centres, with demand up to 1.5 times what the
+/// servers of a data centre run.
+fn play_trouble(leaving: Leaving, trouble: Trouble) -> Figures {
+    let rate = 12.0 * 4.0 / 0.018 * 1.5;
+    let (rule, servers) = (Rule::Loads, vec![4, 4, 4]);
+    let scene = Scene { rule, leaving, trouble, servers, vms: 24, accounts: 20, rate, seconds: 40 };
+    World::new(scene, 2).play()
+}
+
+#[test]
+fn alternatives() {
+    let troubles = [
+        Trouble::Waves,
+        Trouble::Slow,
+        Trouble::HalfGone,
+        Trouble::TwoFull,
+        Trouble::Partition,
+        Trouble::Silence,
+    ];
+    let only = std::env::var("ONLY").unwrap_or_default();
+    for trouble in troubles {
+        for leaving in
+            [Leaving::Never, Leaving::ByTime, Leaving::Alike, Leaving::Above(15), Leaving::Share]
+        {
+            if !format!("{leaving:?}").starts_with(&only) {
+                continue;
+            }
+            let f = play_trouble(leaving, trouble);
+            println!(
+                "ROW {trouble:?} {leaving:?} good {:.3} {:.3} {:.3} far {:.3} across {} turns/min/vm {:.2} ans {}",
+                f.good(0),
+                f.good(1),
+                f.good(2),
+                f.far as f64 / f.answered as f64,
+                f.across,
+                f.turns as f64 / 24.0 * 3.0,
+                f.answered
+            );
+        }
+    }
+}
