--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,9 @@
 * [`route`] chooses the backend server for a read by its expected time: the
   [`average`] of observed response times plus the time until a replica reaches the
   required position.
+* [`load`] is what homes report about the load of backend servers, and [`placement`]
+  chooses among the servers of a group by it. [`spill`] decides which part of the reads
+  goes to other data centres, and [`outlier`] which replicas get none for a while.
 * [`retry`] decides whether a refused request is tried again, and when.
 * [`watch`] replaces the primary of a group in which a majority confirms each
   position. Its state machine detects the failure and promotes another server once
@@ -92,10 +95,13 @@
 pub mod id;
 pub mod isolation;
 pub mod liveness;
+pub mod load;
 pub mod naming;
 pub mod neighbour;
 pub mod outcome;
+pub mod outlier;
 pub mod pace;
+pub mod placement;
 pub mod pool;
 pub mod position;
 pub mod prelude;
@@ -108,6 +114,7 @@
 pub mod route;
 pub mod session;
 pub mod share;
+pub mod spill;
 pub mod startup;
 pub mod suspicion;
 pub mod time;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -24,6 +24,7 @@
     home::{FALLBACK_CONNECTIONS, connection_limit, rank_homes},
     isolation::is_isolated,
     retry::RetryBudget,
+    load::ReportPacer,
     version::Era,
 };
 use indexmap::{IndexMap, IndexSet};
@@ -87,6 +88,8 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) load_reports: RefCell<LoadReports>,
     pub(crate) relay: RefCell<Relay>,
+    /// Keeps reports on the load of servers within their data rate.
+    pub(crate) report_pacer: RefCell<ReportPacer>,
     catalog: watch::Sender<Rc<Catalog>>,
     /// Configuration that was read at the start and is not used yet.
     held_catalog: RefCell<Option<HeldCatalog>>,
@@ -152,6 +155,7 @@
             retry_budget: RefCell::default(),
             load_reports: RefCell::default(),
             relay: RefCell::new(Relay::new()),
+            report_pacer: RefCell::new(ReportPacer::new(clock::now())),
             fleet: Fleet::default(),
             catalog: watch::Sender::new(Rc::default()),
             held_catalog: RefCell::default(),
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -116,11 +116,19 @@
     ServerRelieved,
     /// Statements were not retried, because the budget of retries was used up.
     RetriesDenied,
+    /// Reads of a group begin to go to another data centre.
+    ReadsLeave,
+    /// Reads of a group cease to go to another data centre.
+    ReadsReturn,
+    /// A replica that fails or is slow gets no reads for a while.
+    ServerEjected,
+    /// An ejected replica gets reads again.
+    ServerReadmitted,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 46] = [
+    pub const ALL: [Event; 50] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -167,6 +175,10 @@
         Event::ServerOverloaded,
         Event::ServerRelieved,
         Event::RetriesDenied,
+        Event::ReadsLeave,
+        Event::ReadsReturn,
+        Event::ServerEjected,
+        Event::ServerReadmitted,
     ];
 
     /// Returns the number, level and text of the event.
@@ -218,6 +230,10 @@
             Event::ServerOverloaded => (650, Level::Warning, "server overloaded"),
             Event::ServerRelieved => (651, Level::Info, "server no longer overloaded"),
             Event::RetriesDenied => (652, Level::Warning, "retries denied"),
+            Event::ReadsLeave => (654, Level::Info, "reads leave data centre"),
+            Event::ReadsReturn => (655, Level::Info, "reads return to data centre"),
+            Event::ServerEjected => (656, Level::Warning, "server ejected"),
+            Event::ServerReadmitted => (657, Level::Info, "server readmitted"),
         }
     }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -50,6 +50,13 @@
     pub(crate) decided_usage: IntCounter,
     /// Statements whose counts arrived after the decision on their window.
     pub(crate) late_usage: IntCounter,
+    /// Reads placed by reported load, by the kind of the first server and its place as seen
+    /// from this VM.
+    pub(crate) placed_reads: IntCounterVec,
+    /// Replicas that were ejected, by reason.
+    pub(crate) ejections: IntCounterVec,
+    /// Reports on the load of servers received from homes.
+    pub(crate) server_reports: IntCounter,
     /// Log lines dropped for exceeding their budget.
     pub(crate) dropped_lines: IntCounter,
     /// Links to other VMs.
@@ -100,6 +107,14 @@
             overdue_usage: gauge(&registry, "usage_overdue_windows", "Overdue usage windows."),
             decided_usage: counter(&registry, "usage_statements_total", "Statements reported."),
             late_usage: counter(&registry, "usage_late_statements_total", "Counts too late."),
+            placed_reads: labelled_counters(
+                &registry,
+                "placed_reads_total",
+                "Reads placed by load.",
+                &["kind", "place"],
+            ),
+            ejections: counters(&registry, "ejections_total", "Servers ejected.", "reason"),
+            server_reports: counter(&registry, "server_reports_total", "Load reports received."),
             dropped_lines: counter(&registry, "dropped_lines_total", "Log lines dropped."),
             peers: gauge(&registry, "peers", "Connected VMs."),
             peer_messages: peer_counters(&registry, "peer_messages_total", "Messages to VMs."),
--- a/crates/engine/src/turn.rs
+++ b/crates/engine/src/turn.rs
@@ -8,6 +8,7 @@
 use chicoryhollow_core::{
     AccountId,
     admission::{self, Activity, Grant, Limits, Request, Scheduler},
+    load::Counts,
     waiting::{self, Priority, WaitingList},
 };
 use tokio::{sync::oneshot, time::timeout};
@@ -163,6 +164,16 @@
         matches!(&*self.order.borrow(), Order::Load(_))
     }
 
+    /// Returns the statements that run, or the turns in use unless load decides, and the requests
+    /// that wait for one.
+    pub(crate) fn counts(&self) -> Counts {
+        let (in_use, waiting) = match &*self.order.borrow() {
+            Order::Arrival(list) => (list.in_use(), list.waiting()),
+            Order::Load(scheduler) => (scheduler.running(), scheduler.waiting()),
+        };
+        Counts { in_use, waiting: u32::try_from(waiting).unwrap_or(u32::MAX) }
+    }
+
     /// Waits for a turn. Returns `None` if there is none in time, at once if none is
     /// expected in time.
     pub(crate) async fn wait(self: &Rc<Self>, request: Request<'_>) -> Option<Turn<I>> {
