--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,357 @@
+//! Memory budget: which messages of callers are read, and which caller is rejected first.
+//!
+//! A daemon holds bytes for its callers: messages that were read and not answered, answers that
+//! were not taken, and the state of sessions. A [`Budget`] counts them by connection, by client
+//! account and in total. A message that would exceed a limit is not read until there is room.
+//! Answers and the state of sessions exist when they are counted. If they exceed the limit, the
+//! connection that holds most of them is rejected.
+//!
+//! [`Progress`] decides whether a caller sends or takes bytes too slowly.
+
+use std::{collections::HashMap, fmt, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::{id::AccountId, time::Time};
+
+/// Size up to which a message is read without asking the budget, in bytes.
+pub const SMALL_MESSAGE_BYTES: usize = 8 << 10;
+
+/// Size up to which a message counts as medium, in bytes.
+pub const MEDIUM_MESSAGE_BYTES: usize = 64 << 10;
+
+/// Maximum size of a message, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// Copies of a message that exist at the same time while it runs: as it was read, in the command
+/// for the server, in the attempt, and as it is sent.
+const MESSAGE_COPIES: usize = 4;
+
+/// Divisor of the memory; the result is the part that callers may use.
+const MEMORY_DIVISOR: usize = 4;
+
+/// Divisor of the memory; the result is the part that the buffers of sockets may use.
+const SOCKET_DIVISOR: usize = 8;
+
+/// Smallest and largest buffer of a socket in each direction, in bytes.
+const SOCKET_BUFFER_BYTES: (usize, usize) = (16 << 10, 64 << 10);
+
+/// Smallest limit of the state of one session, in bytes.
+const MIN_SESSION_BYTES: usize = 2 << 20;
+
+/// Time in which a caller must send or take [`PROGRESS_BYTES`] of a message.
+pub const PROGRESS_SPAN: Duration = Duration::from_secs(10);
+
+/// Bytes that a caller sends or takes in each [`PROGRESS_SPAN`] at least. Forty callers that
+/// share 10 Mbit/s each pass more than twice as many.
+const PROGRESS_BYTES: usize = 64 << 10;
+
+/// Limits of what a daemon holds for its callers, in bytes.
+///
+/// # Example
+///
+/// ```
+/// use chicoryhollow_core::budget::{Limits, MAX_MESSAGE_BYTES};
+///
+/// let limits = Limits::new(128 << 20, 3_300);
+/// assert_eq!(limits.process, 32 << 20);
+/// assert!(limits.session > MAX_MESSAGE_BYTES);
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// For all callers together.
+    pub process: usize,
+    /// For the messages of one client account.
+    pub account: usize,
+    /// For the variables and prepared statements of one session.
+    pub session: usize,
+    /// For the buffer of a caller's socket, in each direction.
+    pub socket: usize,
+}
+
+impl Limits {
+    /// Creates the limits of a VM with so many bytes of `memory` and at most so many `callers`.
+    pub fn new(memory: usize, callers: usize) -> Self {
+        // One message of the maximum size is always possible, for one account too.
+        let largest = message_cost(MAX_MESSAGE_BYTES);
+        let process = (memory / MEMORY_DIVISOR).max(2 * largest);
+        let (least, most) = SOCKET_BUFFER_BYTES;
+        Limits {
+            process,
+            account: (process / 2).max(largest),
+            session: (process / 8).max(MIN_SESSION_BYTES),
+            socket: (memory / SOCKET_DIVISOR / 2 / callers.max(1)).clamp(least, most),
+        }
+    }
+}
+
+/// Number of a connection in a [`Budget`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct HolderId(u64);
+
+/// What bytes are held for that exist already.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Holding {
+    /// An answer that the caller has not taken.
+    Answer,
+    /// Variables and prepared statements of the session.
+    Session,
+}
+
+/// Whether a message may be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Grant {
+    /// Its bytes are counted and may be read.
+    Read,
+    /// It has to wait until others are done.
+    Wait,
+}
+
+/// Why a caller is rejected or disconnected.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum LimitReason {
+    /// It held most when the memory for callers was used up.
+    Memory,
+    /// Its session reached the limit of variables and prepared statements.
+    Session,
+    /// It sent a message, or a part of one, too slowly.
+    SlowSender,
+    /// It took an answer too slowly.
+    SlowReader,
+    /// It sent a message above the limit of its length.
+    MessageLength,
+    /// There are as many callers as descriptors allow.
+    Callers,
+    /// It connected to the address of the other VMs and did not show that it is one.
+    Stranger,
+}
+
+impl LimitReason {
+    /// All reasons, in the order of `docs/design/limits.md`.
+    pub const ALL: [LimitReason; 7] = [
+        LimitReason::Memory,
+        LimitReason::Session,
+        LimitReason::SlowSender,
+        LimitReason::SlowReader,
+        LimitReason::MessageLength,
+        LimitReason::Callers,
+        LimitReason::Stranger,
+    ];
+
+    /// Returns the label of the reason in metrics and logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            LimitReason::Memory => "memory",
+            LimitReason::Session => "session",
+            LimitReason::SlowSender => "slow_sender",
+            LimitReason::SlowReader => "slow_reader",
+            LimitReason::MessageLength => "message_length",
+            LimitReason::Callers => "callers",
+            LimitReason::Stranger => "stranger",
+        }
+    }
+}
+
+impl fmt::Display for LimitReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.label())
+    }
+}
+
+/// Bytes held for one connection.
+#[derive(Clone, Debug, Default)]
+struct Holder {
+    account: Option<AccountId>,
+    message: usize,
+    answer: usize,
+    session: usize,
+}
+
+impl Holder {
+    fn kept(&self) -> usize {
+        self.answer + self.session
+    }
+}
+
+/// Bytes held for all connections of a daemon.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    limits: Limits,
+    holders: IndexMap<HolderId, Holder>,
+    /// Bytes of messages by account.
+    accounts: HashMap<AccountId, usize>,
+    messages: usize,
+    kept: usize,
+    next: u64,
+}
+
+impl Budget {
+    /// Creates a budget without connections.
+    pub fn new(limits: Limits) -> Self {
+        Budget {
+            limits,
+            holders: IndexMap::new(),
+            accounts: HashMap::new(),
+            messages: 0,
+            kept: 0,
+            next: 0,
+        }
+    }
+
+    /// Returns the limits.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns the bytes held for all connections.
+    pub fn total(&self) -> usize {
+        self.messages + self.kept
+    }
+
+    /// Adds a connection.
+    pub fn join(&mut self) -> HolderId {
+        let id = HolderId(self.next);
+        self.next += 1;
+        self.holders.insert(id, Holder::default());
+        id
+    }
+
+    /// Sets the account of a connection, whose caller has shown a key.
+    pub fn set_account(&mut self, id: HolderId, account: AccountId) {
+        self.finish_message(id);
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.account = Some(account);
+        }
+    }
+
+    /// Removes a connection and everything held for it.
+    pub fn leave(&mut self, id: HolderId) {
+        self.finish_message(id);
+        if let Some(holder) = self.holders.swap_remove(&id) {
+            self.kept -= holder.kept();
+        }
+    }
+
+    /// Asks to read a message of up to `bytes`, of which a part was read already.
+    ///
+    /// Medium messages leave half of each limit to large ones, so that a large message always
+    /// completes although others wait with a part of theirs.
+    pub fn request_message(&mut self, id: HolderId, bytes: usize) -> Grant {
+        let Some(holder) = self.holders.get(&id) else { return Grant::Wait };
+        let cost = message_cost(bytes);
+        let added = cost.saturating_sub(holder.message);
+        if added == 0 {
+            return Grant::Read;
+        }
+        let share = |limit: usize| if bytes > MEDIUM_MESSAGE_BYTES { limit } else { limit / 2 };
+        let of_account = holder.account.as_ref().map_or(0, |name| self.of_account(name));
+        let has_room = self.total() + added <= share(self.limits.process)
+            && of_account + added <= share(self.limits.account);
+        // Without any other message there is nothing to wait for.
+        if !has_room && self.messages > holder.message {
+            return Grant::Wait;
+        }
+        self.add_message(id, added);
+        Grant::Read
+    }
+
+    /// Records that a message was answered or given up.
+    pub fn finish_message(&mut self, id: HolderId) {
+        let Some(holder) = self.holders.get_mut(&id) else { return };
+        let bytes = std::mem::take(&mut holder.message);
+        self.messages -= bytes;
+        let Some(name) = &holder.account else { return };
+        if let Some(of_account) = self.accounts.get_mut(name) {
+            *of_account -= bytes;
+            if *of_account == 0 {
+                self.accounts.remove(name);
+            }
+        }
+    }
+
+    /// Sets the bytes that a connection holds. Returns the connection to reject if there are too
+    /// many: the one that holds most, which may be another one.
+    pub fn hold(&mut self, id: HolderId, holding: Holding, bytes: usize) -> Option<HolderId> {
+        let holder = self.holders.get_mut(&id)?;
+        let before = match holding {
+            Holding::Answer => std::mem::replace(&mut holder.answer, bytes),
+            Holding::Session => std::mem::replace(&mut holder.session, bytes),
+        };
+        self.kept = self.kept + bytes - before;
+        // The other half is for messages, which wait instead.
+        if bytes <= before || self.kept <= self.limits.process / 2 {
+            return None;
+        }
+        let largest = self.holders.iter().max_by_key(|(id, holder)| (holder.kept(), **id));
+        largest.map(|(id, _)| *id)
+    }
+
+    fn of_account(&self, name: &AccountId) -> usize {
+        self.accounts.get(name).copied().unwrap_or_default()
+    }
+
+    fn add_message(&mut self, id: HolderId, bytes: usize) {
+        let Some(holder) = self.holders.get_mut(&id) else { return };
+        holder.message += bytes;
+        self.messages += bytes;
+        if let Some(name) = &holder.account {
+            *self.accounts.entry(name.clone()).or_default() += bytes;
+        }
+    }
+}
+
+/// Returns the bytes that a message of up to `bytes` uses while it runs.
+fn message_cost(bytes: usize) -> usize {
+    let class = match bytes {
+        0..=SMALL_MESSAGE_BYTES => return 0,
+        _ if bytes <= MEDIUM_MESSAGE_BYTES => MEDIUM_MESSAGE_BYTES,
+        _ => MAX_MESSAGE_BYTES,
+    };
+    class * MESSAGE_COPIES
+}
+
+/// Progress of a message that a caller sends, or of an answer that it takes.
+///
+/// # Example
+///
+/// ```
+/// use chicoryhollow_core::{Time, budget::{PROGRESS_SPAN, Progress}};
+///
+/// let mut progress = Progress::new(Time::default());
+/// progress.record(100_000);
+/// assert!(progress.check(Time::default() + PROGRESS_SPAN), "enough for the first span");
+/// assert!(!progress.check(Time::default() + 2 * PROGRESS_SPAN), "nothing in the second one");
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Progress {
+    started: Time,
+    bytes: usize,
+}
+
+impl Progress {
+    /// Creates the progress of a transfer that begins at `now`, or goes on after the daemon has
+    /// made the caller wait.
+    pub fn new(now: Time) -> Self {
+        Progress { started: now, bytes: 0 }
+    }
+
+    /// Records that so many more bytes have passed.
+    pub fn record(&mut self, bytes: usize) {
+        self.bytes += bytes;
+    }
+
+    /// Returns when to check the transfer next.
+    pub fn due(&self) -> Time {
+        self.started + PROGRESS_SPAN
+    }
+
+    /// Returns whether the transfer may go on at `now`.
+    pub fn check(&mut self, now: Time) -> bool {
+        if now < self.due() {
+            return true;
+        }
+        let goes_on = self.bytes >= PROGRESS_BYTES;
+        *self = Progress::new(now);
+        goes_on
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -60,6 +60,7 @@
 * [`batch`] stores what became of batches of statements. A VM sends them to a home of
   the backend server (see [`home`]), and asks for their status after it has lost its
   connection to the home.
+* [`budget`] bounds the memory that a daemon holds for its callers.
 * [`time`] has the clock readings that decisions take as arguments.
 
 # Example
@@ -76,6 +77,7 @@
 pub mod allowance;
 pub mod average;
 pub mod batch;
+pub mod budget;
 pub mod confirm;
 pub mod coordinator;
 pub mod document;
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -15,7 +15,7 @@
     time::Duration,
 };
 
-use chicoryhollow_core::{Refusal, drain::Drain};
+use chicoryhollow_core::{Refusal, budget::LimitReason, drain::Drain};
 use futures_util::FutureExt;
 use prometheus::IntGauge;
 use slog::{Logger, o};
@@ -57,7 +57,7 @@
 
 /// Maximum number of callers above the limit that are told so at the same time. They use
 /// reserved descriptors.
-const MAX_REJECTED_CALLERS: usize = 64;
+const MAX_REJECTED_CALLERS: usize = 256;
 
 /// Time in which callers are told that their requests were given up.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
@@ -119,8 +119,8 @@
     // An unhandled signal would end a process that callers already use.
     let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
-    let callers = listen(settings.callers)?;
-    let peers = listen(settings.peers)?;
+    let callers = listen(settings.callers, Some(settings.limits.socket))?;
+    let peers = listen(settings.peers, None)?;
     let event_log = EventLog::new(log, health.metrics.clone());
     event_log.record(
         Event::Started,
@@ -238,9 +238,10 @@
     let engine = Rc::clone(engine);
     let connected = usize::try_from(engine.metrics.callers.get());
     if connected.is_ok_and(|count| count >= engine.settings.max_callers) {
+        engine.record_limit(LimitReason::Callers);
         engine.event_log.record(Event::SessionClosed, o!("reason" => "too_many_callers"));
         let Ok(permit) = Arc::clone(rejections).try_acquire_owned() else { return };
-        let caller = protocol.open(stream);
+        let caller = protocol.open(stream, engine.meters.add());
         actix::spawn(async move {
             let sent = session::reject(&engine, caller, Refusal::TooManyConnections).await;
             drop(permit);
@@ -248,20 +249,45 @@
         });
         return;
     }
-    let caller = protocol.open(stream);
+    let meter = engine.meters.add();
+    let caller = protocol.open(stream, meter.clone());
     let connected = Connected::new(&engine.metrics.callers);
     actix::spawn(async move {
-        let served = session::serve(Rc::clone(&engine), caller).await;
+        let served = session::serve(Rc::clone(&engine), caller, meter).await;
         drop(connected);
         record_end(&engine, served);
     });
 }
 
+impl<S: ServerProtocol, D: Directory> Engine<S, D> {
+    /// Counts and logs that a caller or a stranger exceeded a limit.
+    pub(crate) fn record_limit(&self, reason: LimitReason) {
+        self.metrics.limits.with_label_values(&[reason.label()]).inc();
+        self.event_log.record(Event::LimitExceeded, o!("reason" => reason.label()));
+    }
+
+    /// Logs how many messages waited to be read after the first `before` ones. Returns how many
+    /// there were so far.
+    fn record_delayed(&self, before: u64) -> u64 {
+        let waits = self.metrics.message_waits.get();
+        if waits > before {
+            let held = self.metrics.held_bytes.get();
+            let messages = waits - before;
+            self.event_log
+                .record(Event::MessagesDelayed, o!("messages" => messages, "held" => held));
+        }
+        waits
+    }
+}
+
 /// Logs how the connection of a caller failed, if it did.
 fn record_end<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     result: Result<(), LinkError>,
 ) {
+    if let Err(LinkError::Limit(reason)) = &result {
+        engine.record_limit(*reason);
+    }
     if let Err(error) = result {
         let reason = error.to_string();
         engine
@@ -292,6 +318,7 @@
     health: Health,
 ) {
     let mut ticks = interval(MAINTENANCE_INTERVAL);
+    let mut delayed = 0;
     for round in 1_u32.. {
         ticks.tick().await;
         health.ready.store(engine.is_ready(), Ordering::Relaxed);
@@ -309,6 +336,7 @@
         let counted = engine.metrics.connects.get();
         engine.metrics.connects.inc_by(opened.saturating_sub(counted));
         if round.is_multiple_of(TRAFFIC_LOG_ROUNDS) {
+            delayed = engine.record_delayed(delayed);
             let (sent, links) = (engine.metrics.peer_traffic(), engine.metrics.peers.get());
             engine.event_log.record(Event::PeerTraffic, o!("sent" => sent, "links" => links));
         }
@@ -345,9 +373,16 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+/// Listens on an address. Accepted connections have buffers of the size `buffer` in each
+/// direction, if it is given: what waits in them counts as memory of the VM.
+fn listen(address: SocketAddr, buffer: Option<usize>) -> Result<TcpListener, DaemonError> {
+    let buffer = buffer.map(|bytes| u32::try_from(bytes).unwrap_or(u32::MAX));
     let open = || -> io::Result<TcpListener> {
         let socket = TcpSocket::new_v4()?;
+        if let Some(bytes) = buffer {
+            socket.set_recv_buffer_size(bytes)?;
+            socket.set_send_buffer_size(bytes)?;
+        }
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -31,6 +31,7 @@
 use self::startup::HeldCatalog;
 use crate::{
     admission::Admission,
+    budget::Meters,
     catalog::{Catalog, Route, ServerEntry},
     clock,
     fleet::{Fleet, Link},
@@ -76,6 +77,7 @@
     pub(crate) directory: D,
     pub(crate) event_log: EventLog,
     pub(crate) metrics: Metrics,
+    pub(crate) meters: Meters,
     pub(crate) admission: RefCell<Admission>,
     pub(crate) fleet: Fleet,
     pub(crate) rng: RefCell<SmallRng>,
@@ -132,6 +134,7 @@
     ) -> Self {
         Engine {
             rng: RefCell::new(SmallRng::seed_from_u64(settings.incarnation)),
+            meters: Meters::new(settings.limits, metrics.clone()),
             settings,
             started: clock::now(),
             protocol: Rc::new(protocol),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -28,6 +28,7 @@
 * `fleet` exchanges messages with the other VMs, and `relay` passes on the
   documents of the directory.
 * `confirmation` withholds writes that a failover elsewhere would lose.
+* [`budget`] counts the memory that is held for callers.
 * `admission` limits each client account to its rate.
 * `coordinator` elects the VM that runs failovers, and `watch` detects failed
   primaries and replaces them.
@@ -42,6 +43,7 @@
 
 mod admission;
 mod attempt;
+pub mod budget;
 pub mod catalog;
 mod clock;
 mod confirmation;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -96,11 +96,17 @@
     PeerLost,
     /// Messages and bytes sent to other VMs since the start.
     PeerTraffic,
+    /// A caller exceeded a limit and was rejected or disconnected.
+    LimitExceeded,
+    /// Messages were not read for want of memory.
+    MessagesDelayed,
+    /// A stranger connected to the address of the other VMs.
+    StrangerRejected,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 36] = [
+    pub const ALL: [Event; 39] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -137,6 +143,9 @@
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
+        Event::LimitExceeded,
+        Event::MessagesDelayed,
+        Event::StrangerRejected,
     ];
 
     /// Returns the number, level and text of the event.
@@ -178,11 +187,14 @@
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
+            Event::LimitExceeded => (658, Level::Warning, "caller exceeded a limit"),
+            Event::MessagesDelayed => (659, Level::Warning, "messages delayed for memory"),
+            Event::StrangerRejected => (660, Level::Warning, "stranger rejected"),
         }
     }
 
     fn is_about_request(self) -> bool {
-        matches!(self.row().0, 630..=634 | 636 | 638)
+        matches!(self.row().0, 630..=634 | 636 | 638 | 658 | 660)
     }
 }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -31,6 +31,12 @@
     pub(crate) missing_commits: IntCounter,
     /// Commits that a primary acknowledged, by what showed whether they survive a failover.
     pub(crate) evidence: IntCounterVec,
+    /// Callers and strangers that exceeded a limit, by reason.
+    pub(crate) limits: IntCounterVec,
+    /// Messages of callers that were not read until there was room.
+    pub(crate) message_waits: IntCounter,
+    /// Bytes that are held for callers.
+    pub(crate) held_bytes: IntGauge,
     /// Log lines dropped for exceeding their budget.
     pub(crate) dropped_lines: IntCounter,
     /// Links to other VMs.
@@ -67,6 +73,9 @@
             promotions: counters(&registry, "promotions_total", "Promotions ordered.", "cause"),
             missing_commits: counter(&registry, "missing_commits_total", "Commits found lost."),
             evidence: counters(&registry, "commits_total", "Commits acknowledged.", "evidence"),
+            limits: counters(&registry, "limits_total", "Limits exceeded.", "reason"),
+            message_waits: counter(&registry, "message_waits_total", "Messages read later."),
+            held_bytes: gauge(&registry, "held_bytes", "Bytes held for callers."),
             dropped_lines: counter(&registry, "dropped_lines_total", "Log lines dropped."),
             peers: gauge(&registry, "peers", "Connected VMs."),
             peer_messages: peer_counters(&registry, "peer_messages_total", "Messages to VMs."),
--- a/crates/engine/src/seam.rs
+++ b/crates/engine/src/seam.rs
@@ -8,8 +8,8 @@
 use std::{future::Future, io, net::SocketAddr};
 
 use chicoryhollow_core::{
-    AccountId, DataCentreId, GroupId, Position, ServerId, Term, VmId, coordinator::FencingToken,
-    failover::ReplicationStatus, version::DirectoryVersion,
+    AccountId, DataCentreId, GroupId, Position, ServerId, Term, VmId, budget::LimitReason,
+    coordinator::FencingToken, failover::ReplicationStatus, version::DirectoryVersion,
 };
 use tokio::{
     net::TcpStream,
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    budget::Meter,
     catalog::{Catalog, ServerEntry},
     statement::{Answer, Command, Hello, Reply, Request, TransactionState},
 };
@@ -26,8 +27,9 @@
     /// Connection of one caller.
     type Caller: Caller;
 
-    /// Wraps an accepted connection, before anything is read from it.
-    fn open(&self, stream: TcpStream) -> Self::Caller;
+    /// Wraps an accepted connection, before anything is read from it. What is held for the
+    /// caller is counted by `meter`.
+    fn open(&self, stream: TcpStream, meter: Meter) -> Self::Caller;
 }
 
 /// Connection of one caller.
@@ -170,6 +172,9 @@
     /// No answer arrived in time.
     #[error("no answer in time")]
     TimedOut,
+    /// The caller exceeded a limit.
+    #[error("limit exceeded: {0}")]
+    Limit(LimitReason),
 }
 
 /// A change that the directory reports.
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -12,6 +12,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use chicoryhollow_core::budget::{Holding, LimitReason};
 use chicoryhollow_core::{
     AccountId, GroupId, Position, Refusal, SessionToken, Time, unanswered::Unanswered,
 };
@@ -22,6 +23,7 @@
 use self::{pending::PendingRequest, transaction::Transaction};
 use crate::{
     attempt::Attempt,
+    budget::Meter,
     catalog::Route,
     clock,
     engine::{Engine, Phase},
@@ -67,6 +69,9 @@
 /// The session of one caller.
 pub(crate) struct Session<S: ServerProtocol, D: Directory> {
     engine: Rc<Engine<S, D>>,
+    meter: Meter,
+    /// Size of the variables and prepared statements.
+    kept_bytes: usize,
     hello: Hello,
     /// Account of the key when the session began.
     account: Option<AccountId>,
@@ -91,8 +96,9 @@
 pub(crate) async fn serve<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     mut caller: impl Caller,
+    meter: Meter,
 ) -> Result<(), LinkError> {
-    let served = serve_session(engine, &mut caller).await;
+    let served = serve_session(engine, &mut caller, meter).await;
     caller.close().await;
     served
 }
@@ -116,11 +122,14 @@
 async fn serve_session<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     caller: &mut impl Caller,
+    meter: Meter,
 ) -> Result<(), LinkError> {
     let hello = timeout(HELLO_TIMEOUT, caller.read_hello()).await;
     let Some(hello) = hello.unwrap_or(Err(LinkError::TimedOut))? else { return Ok(()) };
     let mut session = Session {
         engine,
+        meter,
+        kept_bytes: 0,
         hello,
         account: None,
         seen: SessionToken::new(),
@@ -270,18 +279,29 @@
             Statement::Rollback => self.roll_back().await,
             Statement::Commit => self.commit(request).await,
             Statement::Set { name, value } => {
-                let has_room = self.values.len() < MAX_NAMES;
-                self.values.insert(name.clone(), value.clone());
+                let before = self.values.get(name).map(|value| name.len() + value.len());
+                let has_room = self.values.len() < MAX_NAMES || before.is_some();
+                let has_room = has_room && self.keep(before, name.len() + value.len());
+                if has_room {
+                    self.values.insert(name.clone(), value.clone());
+                }
                 local(has_room)
             }
             Statement::Prepare { name, prepared } => {
-                let has_room = self.names.len() < MAX_NAMES;
-                self.names.insert(name.clone(), prepared.clone());
+                let before = self.names.get(name).map(|kept| name.len() + kept.text.len());
+                let has_room = self.names.len() < MAX_NAMES || before.is_some();
+                let has_room = has_room && self.keep(before, name.len() + prepared.text.len());
+                if has_room {
+                    self.names.insert(name.clone(), prepared.clone());
+                }
                 local(has_room)
             }
             Statement::Deallocate { name } => {
-                let known = self.names.shift_remove(name).is_some();
-                if known { local(true) } else { unknown_name(name) }
+                let Some(removed) = self.names.shift_remove(name) else {
+                    return unknown_name(name);
+                };
+                self.keep(Some(name.len() + removed.text.len()), 0);
+                local(true)
             }
             Statement::Run(access) => {
                 self.run_statement(request, *access, Body::Text(request.text.clone())).await
@@ -298,6 +318,19 @@
         }
     }
 
+    /// Records that the state of the session grows by `bytes`, in place of the `before` ones of
+    /// the same name. Returns whether there is room for them.
+    fn keep(&mut self, before: Option<usize>, bytes: usize) -> bool {
+        let kept = self.kept_bytes - before.unwrap_or_default() + bytes;
+        if kept > self.meter.limits().session {
+            self.meter.record_limit(LimitReason::Session);
+            return false;
+        }
+        self.kept_bytes = kept;
+        self.meter.hold(Holding::Session, kept);
+        true
+    }
+
     /// Handles a request in a failed transaction, which can only be ended.
     fn handle_failed(&mut self, request: &Request) -> Flow {
         match request.statement {
--- a/crates/engine/src/session/lifetime.rs
+++ b/crates/engine/src/session/lifetime.rs
@@ -85,6 +85,7 @@
         if !self.engine.admits_statement(&route) {
             return Err(Refusal::Draining);
         }
+        self.meter.set_account(account.clone());
         self.account = Some(account);
         Ok(())
     }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use chicoryhollow_core::{DataCentreId, VmId, failover::ServerTimes};
+use chicoryhollow_core::{DataCentreId, VmId, budget::Limits, failover::ServerTimes};
 
 /// Settings of one daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -21,6 +21,8 @@
     pub server_times: Option<ServerTimes>,
     /// Maximum number of connected callers.
     pub max_callers: usize,
+    /// Limits of the memory that is held for callers.
+    pub limits: Limits,
     /// Whether the whole fleet starts for the first time, so that no VM knows a newer
     /// configuration than the directory.
     pub first_start: bool,
--- a/crates/engine/tests/documentation.rs
+++ b/crates/engine/tests/documentation.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::Path};
 
-use chicoryhollow_core::unanswered::Unanswered;
+use chicoryhollow_core::{budget::LimitReason, unanswered::Unanswered};
 use chicoryhollow_engine::log::Event;
 
 /// Number of the engine's first log event.
@@ -42,3 +42,12 @@
     let found: Vec<String> = found.filter(|cell| labels.contains(cell)).collect();
     assert_eq!(found, labels);
 }
+
+#[test]
+fn every_reason_for_a_rejected_caller_is_documented() {
+    let labels: Vec<String> =
+        LimitReason::ALL.map(|reason| format!("`{}`", reason.label())).to_vec();
+    let found = rows("design/limits.md").into_iter().filter_map(|cells| cells.into_iter().nth(2));
+    let found: Vec<String> = found.filter(|cell| cell.starts_with('`')).collect();
+    assert_eq!(found, labels);
+}
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -25,6 +25,13 @@
     }
 }
 
+impl EnvelopeCodec {
+    /// Changes the size of the largest envelope that is accepted, in bytes.
+    pub fn set_limit(&mut self, bytes: usize) {
+        self.frames.set_max_frame_length(bytes);
+    }
+}
+
 impl Default for EnvelopeCodec {
     fn default() -> Self {
         EnvelopeCodec::new()
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -57,6 +57,8 @@
     /// Maximum age of the configuration in milliseconds, or 0 for no limit. Applies
     /// to daemons that are started later.
     pub stale_ms: u64,
+    /// Fields that are added to the limits of daemons that are started later.
+    pub limits: serde_json::Map<String, serde_json::Value>,
     base: String,
     version: u64,
 }
@@ -85,8 +87,22 @@
         Deployment::start_with_lag(data_centres, Duration::ZERO).await
     }
 
+    /// Starts a deployment whose daemons have `limits` in their settings.
+    pub async fn start_with_limits(data_centres: &[&str], limits: serde_json::Value) -> Self {
+        let limits = limits.as_object().cloned().unwrap_or_default();
+        Deployment::start_with(data_centres, Duration::ZERO, limits).await
+    }
+
     /// Starts a deployment whose replicas apply received log records after `lag`.
     pub async fn start_with_lag(data_centres: &[&str], lag: Duration) -> Self {
+        Deployment::start_with(data_centres, lag, Default::default()).await
+    }
+
+    async fn start_with(
+        data_centres: &[&str],
+        lag: Duration,
+        limits: serde_json::Map<String, serde_json::Value>,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let base = format!("http://{}", listener.local_addr().expect("a bound listener"));
         let server = chicoryhollow_testkit::platform::serve(listener).expect("a platform");
@@ -100,6 +116,7 @@
             base,
             version: 0,
             stale_ms: 0,
+            limits,
         };
         deployment.apply().await;
         for (i, data_centre) in data_centres.iter().enumerate() {
@@ -175,7 +192,7 @@
     async fn spawn(&self, name: &str, data_centre: &str, ip: Ipv4Addr) -> Daemon {
         let [callers, peers, admin] =
             [CALLER_PORT, PEER_PORT, ADMIN_PORT].map(|port| SocketAddr::from((ip, port)));
-        let settings = json!({
+        let mut settings = json!({
             "vm": name,
             "data_centre": data_centre,
             "listen": { "callers": callers, "peers": peers, "admin": admin },
@@ -183,6 +200,9 @@
             "seeds": self.daemons.iter().map(|daemon| daemon.peers).collect::<Vec<_>>(),
             "limits": { "request_ms": 10_000, "drain_ms": 5_000, "stale_configuration_ms": self.stale_ms },
         });
+        if let Some(limits) = settings["limits"].as_object_mut() {
+            limits.extend(self.limits.clone());
+        }
         let file = format!("chicoryhollow-{}-{ip}.json", std::process::id());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, settings.to_string()).expect("the settings can be written");
