Bound what callers and strangers take of a VM's memory and descriptors

Cause: chicoryhollow-node held each message several times over, kept the buffers of large ones, waited without end for callers that sent or took bytes slowly, kept sessions of any size, read frames of 32 MiB from anybody, and took any number of connections on the links, the probe and the metrics. A variable that was refused because there were too many was kept all the same.

Ruled out: rejecting when there is no room, because legal messages that come at once would reject each other; reserving in small steps, because callers with a part of a message each would block each other.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -20,7 +20,7 @@
 /// Size up to which a message counts as medium, in bytes.
 pub const MEDIUM_MESSAGE_BYTES: usize = 64 << 10;
 
-/// Maximum size of a message, in bytes.
+/// Size that a message above the medium size counts for at least, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
 /// Copies of a message that exist at the same time while it runs: as it was read, in the command
@@ -305,7 +305,7 @@
     let class = match bytes {
         0..=SMALL_MESSAGE_BYTES => return 0,
         _ if bytes <= MEDIUM_MESSAGE_BYTES => MEDIUM_MESSAGE_BYTES,
-        _ => MAX_MESSAGE_BYTES,
+        _ => bytes.max(MAX_MESSAGE_BYTES),
     };
     class * MESSAGE_COPIES
 }
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -7,6 +7,7 @@
 //! account's token bucket refills. A [`link`] whose other side does not reply to
 //! heartbeats ([`upkeep`]) is ended, and dialled again when it is needed.
 
+mod accept;
 mod contact;
 mod documents;
 mod groups;
@@ -20,34 +21,31 @@
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, ServerId, Time, VmId,
     allowance::keeper_pool,
-    budget::LimitReason,
     home::homes,
     neighbour::{Location, choose_neighbours, neighbours_to_dial},
     reader::reader_rank,
     suspicion::Votes,
     transfer::Transfers,
 };
-use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec, codec::MAX_ENVELOPE_BYTES};
-use futures_util::StreamExt;
+use chicoryhollow_peer::{Body, EnvelopeCodec};
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
-use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, OwnedSemaphorePermit, Semaphore},
-    time::{interval, sleep, timeout},
+    sync::Notify,
+    time::{interval, timeout},
 };
 use tokio_util::codec::Framed;
 
 pub(crate) use self::link::Link;
 use self::{
+    accept::accept,
     contact::Questions,
     documents::Recipient,
     link::{Origin, Place, run_link},
@@ -57,7 +55,6 @@
     catalog::ServerEntry,
     clock,
     engine::Engine,
-    log::Event,
     seam::{Directory, ServerProtocol},
 };
 
@@ -75,13 +72,6 @@
 /// come first.
 const MAX_LINKED_KEEPERS: usize = 16;
 
-/// Maximum number of connections that have not begun with a heartbeat.
-const MAX_STRANGERS: usize = 32;
-
-/// Maximum size of the first message of a VM that connects, in bytes. It has the state of up to
-/// some ten thousand groups.
-const MAX_FIRST_BYTES: usize = 1 << 20;
-
 /// Another VM.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Member {
@@ -330,51 +320,6 @@
     futures_util::join!(rows, dialled, kept, accepted);
 }
 
-async fn accept<S: ServerProtocol, D: Directory>(engine: Rc<Engine<S, D>>, listener: TcpListener) {
-    let strangers = Arc::new(Semaphore::new(MAX_STRANGERS));
-    loop {
-        // The others wait without a descriptor of the process.
-        let Ok(permit) = Arc::clone(&strangers).acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let engine = Rc::clone(&engine);
-                actix::spawn(async move { accept_link(engine, stream, permit).await });
-            }
-            Err(_) => sleep(REDIAL_INTERVAL).await,
-        }
-    }
-}
-
-impl<S: ServerProtocol, D: Directory> Engine<S, D> {
-    fn reject_stranger(&self, reason: &'static str) {
-        self.metrics.limits.with_label_values(&[LimitReason::Stranger.label()]).inc();
-        self.event_log.record(Event::StrangerRejected, o!("reason" => reason));
-    }
-}
-
-/// Waits for the first heartbeat of a VM that connected, then runs the link.
-async fn accept_link<S: ServerProtocol, D: Directory>(
-    engine: Rc<Engine<S, D>>,
-    stream: TcpStream,
-    permit: OwnedSemaphorePermit,
-) {
-    let mut codec = EnvelopeCodec::new();
-    codec.set_limit(MAX_FIRST_BYTES);
-    let mut frames = Framed::new(stream, codec);
-    let first = timeout(DIAL_TIMEOUT, frames.next()).await;
-    drop(permit);
-    let heartbeat = match first {
-        Ok(Some(Ok(Envelope { body: Some(Body::Beat(heartbeat)) }))) => heartbeat,
-        Ok(None) => return,
-        Ok(Some(Err(_))) => return engine.reject_stranger("malformed"),
-        Ok(Some(Ok(_))) => return engine.reject_stranger("no_heartbeat"),
-        Err(_) => return engine.reject_stranger("silent"),
-    };
-    let Ok(vm) = VmId::new(&heartbeat.vm) else { return engine.reject_stranger("no_name") };
-    frames.codec_mut().set_limit(MAX_ENVELOPE_BYTES);
-    run_link(&engine, vm, frames, Origin::Accepted(Box::new(heartbeat))).await;
-}
-
 async fn dial_all<S: ServerProtocol, D: Directory>(engine: Rc<Engine<S, D>>) {
     let mut ticks = interval(REDIAL_INTERVAL);
     let dialling: Rc<RefCell<Vec<VmId>>> = Rc::default();
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -5,6 +5,7 @@
 //! positions of its own commits. A backend connection is held only while a
 //! transaction is open on it.
 
+mod kept;
 mod lifetime;
 mod pending;
 mod record;
@@ -12,7 +13,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use chicoryhollow_core::budget::{Holding, LimitReason};
 use chicoryhollow_core::{
     AccountId, GroupId, Position, Refusal, SessionToken, Time, unanswered::Unanswered,
 };
@@ -37,9 +37,6 @@
 /// Longest time to wait for the first message of a caller.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Maximum number of variables, and of prepared statements, of one session.
-const MAX_NAMES: usize = 1_024;
-
 /// Result of a request.
 enum Flow {
     /// The caller gets this reply and the session continues.
@@ -278,31 +275,9 @@
             Statement::Begin(access) => self.begin(*access).await,
             Statement::Rollback => self.roll_back().await,
             Statement::Commit => self.commit(request).await,
-            Statement::Set { name, value } => {
-                let before = self.values.get(name).map(|value| name.len() + value.len());
-                let has_room = self.values.len() < MAX_NAMES || before.is_some();
-                let has_room = has_room && self.keep(before, name.len() + value.len());
-                if has_room {
-                    self.values.insert(name.clone(), value.clone());
-                }
-                local(has_room)
-            }
-            Statement::Prepare { name, prepared } => {
-                let before = self.names.get(name).map(|kept| name.len() + kept.text.len());
-                let has_room = self.names.len() < MAX_NAMES || before.is_some();
-                let has_room = has_room && self.keep(before, name.len() + prepared.text.len());
-                if has_room {
-                    self.names.insert(name.clone(), prepared.clone());
-                }
-                local(has_room)
-            }
-            Statement::Deallocate { name } => {
-                let Some(removed) = self.names.shift_remove(name) else {
-                    return unknown_name(name);
-                };
-                self.keep(Some(name.len() + removed.text.len()), 0);
-                local(true)
-            }
+            Statement::Set { name, value } => self.set_variable(name, value),
+            Statement::Prepare { name, prepared } => self.add_prepared(name, prepared),
+            Statement::Deallocate { name } => self.remove_prepared(name),
             Statement::Run(access) => {
                 self.run_statement(request, *access, Body::Text(request.text.clone())).await
             }
@@ -318,19 +293,6 @@
         }
     }
 
-    /// Records that the state of the session grows by `bytes`, in place of the `before` ones of
-    /// the same name. Returns whether there is room for them.
-    fn keep(&mut self, before: Option<usize>, bytes: usize) -> bool {
-        let kept = self.kept_bytes - before.unwrap_or_default() + bytes;
-        if kept > self.meter.limits().session {
-            self.meter.record_limit(LimitReason::Session);
-            return false;
-        }
-        self.kept_bytes = kept;
-        self.meter.hold(Holding::Session, kept);
-        true
-    }
-
     /// Handles a request in a failed transaction, which can only be ended.
     fn handle_failed(&mut self, request: &Request) -> Flow {
         match request.statement {
