--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -95,4 +95,39 @@
             while let Ok(Some(_)) = codec.decode(&mut buffer) {}
         });
     }
+
+    /// A frame of a large announced size must not reserve memory that the limit forbids.
+    #[test]
+    fn pieces_of_frames_in_any_order_need_bounded_memory() {
+        const LIMIT: usize = 4 << 10;
+        let mut frame = BytesMut::new();
+        let ping = Ping { number: 7, leaving: true, version: 3 };
+        let envelope = Envelope::new(Body::Ping(ping));
+        EnvelopeCodec::new().encode(envelope, &mut frame).expect("a small envelope encodes");
+        // A selector takes a part of a valid frame, or announces a length.
+        bolero::check!().with_type::<Vec<(u8, u32)>>().for_each(|pieces: &Vec<(u8, u32)>| {
+            let mut codec = EnvelopeCodec::new();
+            codec.set_limit(LIMIT);
+            let (mut buffer, mut sent) = (BytesMut::new(), 0);
+            for (selector, number) in pieces {
+                let length = usize::from(*selector) % (frame.len() + 1);
+                match selector % 3 {
+                    0 => buffer.extend_from_slice(&frame[..length]),
+                    1 => buffer.extend_from_slice(&frame[length..]),
+                    _ => buffer.extend_from_slice(&number.to_be_bytes()),
+                }
+                sent += frame.len() + 4;
+                let decoded = loop {
+                    match codec.decode(&mut buffer) {
+                        Ok(Some(_)) => {}
+                        other => break other,
+                    }
+                };
+                assert!(buffer.capacity() <= 2 * (LIMIT + sent), "{}", buffer.capacity());
+                if decoded.is_err() {
+                    return;
+                }
+            }
+        });
+    }
 }
