Bound what clients of PostgreSQL and strangers take of memory and descriptors

Cause: the daemon for PostgreSQL read any number of large messages at once, kept prepared statements of any size, waited without end for clients that sent or took bytes slowly, read frames of 32 MiB from anybody who reached the peer address, and took any number of connections on the administration address.

Change: entry::meter counts for the decisions of core::budget, by connection, account and process, against a quarter of the new setting limits.memory_mb. A message asks for room when its header has arrived. Strangers on the peer address may open 64 connections of 4 KiB; the administration address takes 64 connections. Callers that exceed a limit are counted and logged (event 402).

Ruled out: classes of sizes as in chicoryhollow-node, because a message announces its length; waiting without a limit, because a batch that waits may hold room that others wait for.

--- a/crates/config/src/schema/settings.rs
+++ b/crates/config/src/schema/settings.rs
@@ -11,6 +11,10 @@
 /// Smallest message or buffer size in bytes.
 const MIN_SIZE_BYTES: u64 = 1 << 10;
 
+/// Smallest and largest memory in megabytes.
+const MIN_MEMORY_MB: u64 = 32;
+const MAX_MEMORY_MB: u64 = 1 << 20;
+
 /// Top-level fields of a settings file.
 pub const SETTINGS: &[Field] = &[
     Field::required("vm", Kind::Name),
@@ -48,6 +52,7 @@
     Field::optional("request_ms", Kind::Integer(1, MAX_TIME_MS)),
     Field::optional("drain_ms", Kind::Integer(0, MAX_TIME_MS)),
     Field::optional("message_bytes", Kind::Integer(MIN_SIZE_BYTES, MAX_SIZE_BYTES)),
+    Field::optional("memory_mb", Kind::Integer(MIN_MEMORY_MB, MAX_MEMORY_MB)),
     Field::optional("buffer_bytes", Kind::Integer(MIN_SIZE_BYTES, MAX_SIZE_BYTES)),
     Field::optional("cleartext_keys", Kind::Flag),
     Field::optional("stale_configuration_ms", Kind::Integer(0, MAX_TIME_MS)),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -126,6 +126,8 @@
     pub drain_ms: u64,
     /// Largest message in bytes.
     pub message_bytes: usize,
+    /// Memory of the VM in megabytes, a quarter of which is for callers.
+    pub memory_mb: usize,
     /// Maximum number of bytes of an answer that are buffered for one caller.
     pub buffer_bytes: usize,
     /// Whether callers may send their key in clear text.
@@ -143,6 +145,7 @@
             request_ms: 10_000,
             drain_ms: 30_000,
             message_bytes: 16 << 20,
+            memory_mb: 512,
             buffer_bytes: 64 << 10,
             cleartext_keys: false,
             stale_configuration_ms: 0,
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -208,7 +208,7 @@
         "vm.jsonc:2:3: listen.admin: required field is missing; write an IP address with a port, such as \"10.0.0.1:5432\"",
         "vm.jsonc:2:49: listen.peers: address 10.0.0.1:1 is already used by listen.callers at vm.jsonc:2:26; give each its own address",
         "vm.jsonc:3:21: log.level: \"loud\" is not allowed here; write one of error, warning, info, debug",
-        "vm.jsonc:3:43: limits.drain: unknown field; remove it; the fields here are workers, callers, request_ms, drain_ms, message_bytes, buffer_bytes, cleartext_keys, stale_configuration_ms",
+        "vm.jsonc:3:43: limits.drain: unknown field; remove it; the fields here are workers, callers, request_ms, drain_ms, message_bytes, memory_mb, buffer_bytes, cleartext_keys, stale_configuration_ms",
         "vm.jsonc:3:69: limits.request_ms: found number 0; write a whole number from 1 to 604800000",
     ];
     let found = settings(invalid).unwrap_err();
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -106,3 +106,14 @@
     slow.record(50);
     assert!(!slow.check(Time::default() + PROGRESS_SPAN), "ten bytes per second");
 }
+
+/// The daemon for PostgreSQL accepts messages that cost more than the whole budget.
+#[test]
+fn a_message_that_exceeds_the_budget_is_read_alone() {
+    let (mut budget, ids) = budget(&[("press", 2)]);
+    let bytes = budget.limits().process;
+    assert_eq!(budget.request_message(ids[0], bytes), Grant::Read);
+    assert_eq!(budget.request_message(ids[1], MEDIUM_MESSAGE_BYTES), Grant::Wait);
+    budget.finish_message(ids[0]);
+    assert_eq!(budget.request_message(ids[1], MEDIUM_MESSAGE_BYTES), Grant::Read);
+}
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -1,6 +1,6 @@
 //! Health checks, metrics and status over HTTP.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use actix_web::{
     App, HttpResponse, HttpServer,
@@ -11,6 +11,12 @@
 
 use crate::node::Node;
 
+/// Maximum number of connections.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Time in which a client must send the head of its request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Serves `/healthz`, `/readyz`, `/metrics`, `/status` and `/vms`.
 ///
 /// # Errors
@@ -27,7 +33,11 @@
             .route("/status", web::get().to(status))
             .route("/vms", web::get().to(vms))
     };
-    let server = HttpServer::new(app).workers(1).disable_signals();
+    let server = HttpServer::new(app)
+        .workers(1)
+        .max_connections(MAX_CONNECTIONS)
+        .client_request_timeout(REQUEST_TIMEOUT)
+        .disable_signals();
     Ok(server.bind(node.settings.listen.admin)?.run())
 }
 
--- a/crates/proxy/src/entry/batch.rs
+++ b/crates/proxy/src/entry/batch.rs
@@ -192,6 +192,12 @@
         Ok(Action::More)
     }
 
+    /// Refuses the batch because the caller has too many prepared statements.
+    pub(crate) fn refuse_statement(&mut self) {
+        let text = "too many prepared statements: not run";
+        self.set_problem(Problem::Name(encode_error("54000", text)));
+    }
+
     fn parse(&mut self, parse: &Parse, statements: &Statements, analyses: &AnalysisCache) {
         let name = parse.name.clone().unwrap_or_default();
         if !name.is_empty() && self.find_statement(&name, statements).is_some() {
@@ -199,8 +205,7 @@
             return self.set_problem(Problem::Name(encode_error("42P05", &text)));
         }
         if statements.len() + self.defined.len() >= MAX_STATEMENTS {
-            let text = "too many prepared statements: not run";
-            return self.set_problem(Problem::Name(encode_error("54000", text)));
+            return self.refuse_statement();
         }
         let statement = Arc::new(Statement::new(parse, analyses));
         self.check_supported(&statement.analysis, &parse.query);
--- a/crates/proxy/src/entry/handshake.rs
+++ b/crates/proxy/src/entry/handshake.rs
@@ -208,6 +208,8 @@
     options: Options,
 ) -> Result<Caller, WireError> {
     connection.set_limit(node.settings.limits.message_bytes);
+    let meter = node.entry.meters.add(credentials.account.clone());
+    connection.set_meter(meter, Duration::from_millis(node.settings.limits.request_ms));
     if let Some(negotiation) = negotiate(startup) {
         connection.queue_message(&negotiation);
     }
--- a/crates/proxy/src/entry/mod.rs
+++ b/crates/proxy/src/entry/mod.rs
@@ -7,6 +7,7 @@
 
 # Guided tour
 
+* `meter` counts the memory that is held for callers.
 * `startup` reads the first packets of a connection, `handshake` checks the
   key with `scram`, and `cancellation` handles cancel requests.
 * `session` serves one caller's connection. `batch` collects its messages up
@@ -31,6 +32,8 @@
 mod freshness;
 mod functions;
 mod handshake;
+mod kept;
+mod meter;
 mod reply;
 mod scram;
 mod session;
@@ -46,7 +49,12 @@
     time::Duration,
 };
 
-use chicoryhollow_core::{prelude::*, retry::RetryBudget, route::Estimates};
+use chicoryhollow_core::{
+    budget::{LimitReason, Limits},
+    prelude::*,
+    retry::RetryBudget,
+    route::Estimates,
+};
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -55,7 +63,8 @@
 
 pub(crate) use self::cancellation::cancel;
 use self::{
-    analysis::AnalysisCache, barriers::Barriers, cancellation::CancelRegistry, session::Session,
+    analysis::AnalysisCache, barriers::Barriers, cancellation::CancelRegistry, meter::Meters,
+    session::Session,
 };
 use crate::{events::Event, node::Node, wire::WireError};
 
@@ -67,8 +76,8 @@
 const ACCEPT_PAUSE_MS: u64 = 10;
 
 /// State that all callers of one VM share.
-#[derive(Default)]
 pub struct Entry {
+    meters: Arc<Meters>,
     analyses: AnalysisCache,
     cancels: CancelRegistry,
     barriers: Barriers,
@@ -78,9 +87,18 @@
 }
 
 impl Entry {
-    /// Creates the state of a VM without callers.
-    pub fn new() -> Self {
-        Entry::default()
+    /// Creates the state of a VM without callers. `limits` bound the memory that is held for
+    /// them.
+    pub fn new(limits: Limits) -> Self {
+        Entry {
+            meters: Meters::new(limits),
+            analyses: AnalysisCache::default(),
+            cancels: CancelRegistry::default(),
+            barriers: Barriers::default(),
+            estimates: Mutex::default(),
+            retry_budget: Mutex::default(),
+            callers: AtomicUsize::new(0),
+        }
     }
 
     /// Calls `action` with the estimates of the servers of `group`.
@@ -130,12 +148,20 @@
 /// Counts and logs a caller's malformed messages. A lost connection is not an
 /// error of the caller.
 fn record_error(node: &Node, error: &WireError) {
+    if let WireError::Limit(reason) = error {
+        return record_limit(node, *reason);
+    }
     if !matches!(error, WireError::Io(error) if error.kind() != std::io::ErrorKind::InvalidData) {
         node.metrics.malformed_messages.inc();
         Event::MalformedMessage.record(&node.log, o!("error" => error.to_string()));
     }
 }
 
+fn record_limit(node: &Node, reason: LimitReason) {
+    node.metrics.limits.with_label_values(&[reason.label()]).inc();
+    Event::LimitExceeded.record(&node.log, o!("reason" => reason.label()));
+}
+
 async fn run_session(
     node: &Arc<Node>,
     socket: TcpStream,
--- a/crates/proxy/src/entry/session.rs
+++ b/crates/proxy/src/entry/session.rs
@@ -11,7 +11,7 @@
     Configuration,
     configuration::{Route, Versioned},
 };
-use chicoryhollow_core::prelude::*;
+use chicoryhollow_core::{budget::LimitReason, prelude::*};
 use pgwire::messages::{
     response::{ReadyForQuery, TransactionStatus},
     startup::ParameterStatus,
@@ -22,7 +22,7 @@
 };
 
 use super::{
-    batch::{Action, CallerBatch, Effect},
+    batch::{Action, CallerBatch},
     handshake::{Caller, SESSION_PARAMETER, refuse},
     statements::Statements,
 };
@@ -93,10 +93,12 @@
     pub(super) node: Arc<Node>,
     pub(super) caller: Caller,
     pub(super) statements: Statements,
+    /// Size of the statements.
+    pub(super) kept_bytes: usize,
     pub(super) transaction: Transaction,
     /// Time at which the caller connected.
     pub(super) connected_at: Time,
-    caller_batch: CallerBatch,
+    pub(super) caller_batch: CallerBatch,
     /// Whether messages are skipped until a `Sync`.
     pub(super) is_skipping: bool,
     configurations: watch::Receiver<Arc<Versioned>>,
@@ -128,6 +130,7 @@
             node: Arc::clone(node),
             caller,
             statements: Statements::new(),
+            kept_bytes: 0,
             transaction: Transaction::Idle,
             connected_at: node.clock.now(),
             caller_batch: CallerBatch::default(),
@@ -191,6 +194,7 @@
             _ => Box::pin(self.run_batch(caller_batch)).await,
         };
         self.last_activity = Instant::now();
+        self.caller.connection.finish_batch();
         done
     }
 
@@ -212,9 +216,16 @@
     async fn close_with_error(self, error: WireError) -> Result<(), WireError> {
         let connection_lost =
             matches!(&error, WireError::Io(e) if e.kind() != std::io::ErrorKind::InvalidData);
+        if let WireError::Limit(LimitReason::SlowReader) = error {
+            return Err(error);
+        }
         if !connection_lost {
+            let refusal = match &error {
+                WireError::Limit(_) => Refusal::TooManyConnections,
+                _ => Refusal::Malformed,
+            };
             let detail = error.to_string();
-            refuse(&self.node, self.caller.connection, Refusal::Malformed, Some(&detail)).await?;
+            refuse(&self.node, self.caller.connection, refusal, Some(&detail)).await?;
         }
         Err(error)
     }
@@ -236,6 +247,10 @@
         if self.is_skipping && !matches!(frame.tag(), b'S' | b'X') {
             return Ok(Action::More);
         }
+        if !self.has_room_for(frame) {
+            self.caller_batch.refuse_statement();
+            return Ok(Action::More);
+        }
         let next = self.caller_batch.add(frame, &self.statements, &self.node.entry.analyses)?;
         if self.caller_batch.messages.len() > self.node.settings.limits.message_bytes {
             let text = "too many messages without a Sync";
@@ -339,21 +354,6 @@
         route.cloned().ok_or(Refusal::RouteUnknown)
     }
 
-    /// Applies the effects of answered messages.
-    pub(super) fn apply(&mut self, effects: Vec<Effect>) {
-        for effect in effects {
-            match effect {
-                Effect::Define(name, statement) => {
-                    self.statements.insert(name, statement);
-                }
-                Effect::Remove(name) => drop(self.statements.remove(&name)),
-            }
-        }
-        if self.statements.is_empty() {
-            self.statements = Statements::new();
-        }
-    }
-
     /// Sends the `ReadyForQuery` that ends the answer to a batch.
     pub(super) async fn send_ready(&mut self) -> Result<(), WireError> {
         let status = match &self.transaction {
--- a/crates/proxy/src/entry/statements.rs
+++ b/crates/proxy/src/entry/statements.rs
@@ -59,6 +59,11 @@
     }
 }
 
+/// Returns the size of statements in bytes.
+pub(crate) fn statements_bytes<'a>(statements: impl Iterator<Item = &'a Arc<Statement>>) -> usize {
+    statements.map(|statement| statement.parse.len() + statement.unnamed.len()).sum()
+}
+
 /// Prepared statements by the caller's names. The empty name is that of the unnamed
 /// statement.
 pub(crate) type Statements = HashMap<String, Arc<Statement>>;
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -38,13 +38,15 @@
     MalformedMessage,
     /// A request was refused.
     Refused,
+    /// A caller was disconnected for exceeding a limit.
+    LimitExceeded,
     /// A peer connection failed.
     PeerLost,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 15] = [
+    pub const ALL: [Event; 16] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -59,6 +61,7 @@
         Event::PromotionAbandoned,
         Event::MalformedMessage,
         Event::Refused,
+        Event::LimitExceeded,
         Event::PeerLost,
     ];
 
@@ -79,6 +82,7 @@
             Event::PromotionAbandoned => (304, Level::Warning, "promotion abandoned"),
             Event::MalformedMessage => (400, Level::Warning, "malformed message"),
             Event::Refused => (401, Level::Debug, "request refused"),
+            Event::LimitExceeded => (402, Level::Info, "caller exceeded a limit"),
             Event::PeerLost => (500, Level::Warning, "peer connection lost"),
         }
     }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -37,6 +37,8 @@
     pub watched_groups: IntGauge,
     /// Bytes of control traffic, by channel: `peers`, `backend` or `platform`.
     pub control_bytes: IntCounterVec,
+    /// Callers that were disconnected for exceeding a limit, by reason.
+    pub limits: IntCounterVec,
     /// Malformed messages that closed a connection.
     pub malformed_messages: IntCounter,
 }
@@ -102,6 +104,7 @@
                 "Bytes of control traffic.",
                 "channel",
             ),
+            limits: counter_family(&registry, "limits_total", "Limits exceeded.", "reason"),
             malformed_messages: counter(&registry, "malformed_total", "Malformed messages."),
             registry,
         };
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -6,7 +6,7 @@
 };
 
 use chicoryhollow_config::{Settings, configuration::Versioned};
-use chicoryhollow_core::prelude::*;
+use chicoryhollow_core::{budget::Limits, prelude::*};
 use slog::Logger;
 use tokio::sync::{self, Notify};
 
@@ -62,6 +62,8 @@
 impl Node {
     /// Creates the state of a daemon before it has received any configuration.
     pub fn new(settings: Settings, incarnation: Incarnation, log: Logger) -> Arc<Self> {
+        let memory = settings.limits.memory_mb << 20;
+        let limits = Limits::new(memory, settings.limits.callers);
         Arc::new(Node {
             members: Members::new(settings.data_centre.clone()),
             settings,
@@ -74,7 +76,7 @@
             groups: Groups::new(),
             homes: Homes::new(),
             peers: Peers::new(),
-            entry: Entry::new(),
+            entry: Entry::new(limits),
             shares: Shares::new(),
             watches: Watches::new(),
             is_draining: AtomicBool::new(false),
--- a/crates/proxy/src/peers/accept.rs
+++ b/crates/proxy/src/peers/accept.rs
@@ -13,6 +13,7 @@
 use chicoryhollow_core::Refusal;
 use chicoryhollow_peer::{
     Body, CodecError, Envelope, EnvelopeCodec,
+    codec::MAX_ENVELOPE_BYTES,
     member::{Ping, Pong},
     stream,
 };
@@ -20,7 +21,7 @@
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
     time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_util::codec::Framed;
@@ -37,6 +38,12 @@
 /// Maximum time until the first message of the other VM arrives.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of connections whose first message has not arrived.
+const MAX_STRANGERS: usize = 64;
+
+/// Maximum size of the first message of another VM, in bytes.
+const MAX_HELLO_BYTES: usize = 4 << 10;
+
 /// Silence of an entry with open streams after which its streams are ended, so that their
 /// slots and connections become free.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -52,26 +59,37 @@
 
 /// Accepts connections from other VMs for as long as the daemon runs.
 pub async fn listen(node: Arc<Node>, listener: TcpListener) {
+    let strangers = Arc::new(Semaphore::new(MAX_STRANGERS));
     loop {
+        // The others wait without a descriptor of the process.
+        let Ok(permit) = Arc::clone(&strangers).acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((socket, _)) => drop(tokio::spawn(run(Arc::clone(&node), socket))),
+            Ok((socket, _)) => drop(tokio::spawn(run(Arc::clone(&node), socket, permit))),
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn run(node: Arc<Node>, socket: TcpStream) {
-    if let Err(error) = exchange(&node, socket).await {
+async fn run(node: Arc<Node>, socket: TcpStream, permit: OwnedSemaphorePermit) {
+    if let Err(error) = exchange(&node, socket, permit).await {
         Event::PeerLost.record(&node.log, o!("error" => error.to_string()));
     }
 }
 
-async fn exchange(node: &Arc<Node>, socket: TcpStream) -> Result<(), CodecError> {
+async fn exchange(
+    node: &Arc<Node>,
+    socket: TcpStream,
+    permit: OwnedSemaphorePermit,
+) -> Result<(), CodecError> {
     socket.set_nodelay(true)?;
-    let mut framed = Framed::new(socket, EnvelopeCodec::new());
+    let mut codec = EnvelopeCodec::new();
+    codec.set_limit(MAX_HELLO_BYTES);
+    let mut framed = Framed::new(socket, codec);
     framed.send(Envelope::new(Body::Hello(hello(node)))).await?;
     let first = timeout(HELLO_TIMEOUT, framed.next()).await.map_err(io::Error::from)?;
     let peer = accept_hello(node, first.transpose()?)?;
+    drop(permit);
+    framed.codec_mut().set_limit(MAX_ENVELOPE_BYTES);
     let (sink, source) = framed.split();
     let (outgoing, mut queue) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let connection = Connection { node: Arc::clone(node), peer, outgoing, streams: HashMap::new() };
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -5,7 +5,7 @@
 //! decoded, by the codecs of `pgwire`.
 
 use bytes::{BufMut, Bytes, BytesMut};
-use chicoryhollow_core::Refusal;
+use chicoryhollow_core::{Refusal, budget::LimitReason};
 use pgwire::{
     error::PgWireError,
     messages::{
@@ -166,4 +166,46 @@
     /// A message is not allowed in the current state of the connection.
     #[error("unexpected message")]
     Unexpected,
+    /// The caller exceeded a limit.
+    #[error("limit exceeded: {0}")]
+    Limit(LimitReason),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A message of a large announced size must not reserve memory that the limit forbids.
+    #[test]
+    fn pieces_of_messages_in_any_order_need_bounded_memory() {
+        const LIMIT: usize = 4 << 10;
+        let message = encode(&error_response("42P05", "a text"));
+        // A selector takes a part of a valid message, or announces a length.
+        bolero::check!().with_type::<Vec<(u8, u32)>>().for_each(|pieces: &Vec<(u8, u32)>| {
+            let mut codec = FrameCodec::new(LIMIT);
+            let (mut buffer, mut sent) = (BytesMut::new(), 0);
+            for (selector, number) in pieces {
+                let length = usize::from(*selector) % (message.len() + 1);
+                match selector % 3 {
+                    0 => buffer.extend_from_slice(&message[..length]),
+                    1 => buffer.extend_from_slice(&message[length..]),
+                    _ => {
+                        buffer.put_u8(*selector);
+                        buffer.put_u32(*number);
+                    }
+                }
+                sent += message.len() + HEADER_BYTES;
+                let decoded = loop {
+                    match codec.decode(&mut buffer) {
+                        Ok(Some(_)) => {}
+                        other => break other,
+                    }
+                };
+                assert!(buffer.capacity() <= 2 * (LIMIT + sent), "{}", buffer.capacity());
+                if decoded.is_err() {
+                    return;
+                }
+            }
+        });
+    }
 }
--- a/crates/proxy/tests/limits.rs
+++ b/crates/proxy/tests/limits.rs
@@ -65,7 +65,7 @@
 
 impl Place {
     async fn start() -> Self {
-        let limits = json!({ "callers": MAX_CALLERS, "message_bytes": MESSAGE_BYTES });
+        let limits = json!({ "callers": MAX_CALLERS, "message_bytes": MESSAGE_BYTES, "memory_mb": MEMORY_BYTES >> 20 });
         let deployment = Deployment::start_with_limits(&["a"], limits).await;
         let place = Place { deployment, usage: Usage::default() };
         assert!(place.is_served().await, "an ordinary request is served before the crowd");
