--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,6 +65,7 @@
   connection to the home.
 * [`usage`] counts the statements of each account by windows of true time, and decides
   what is reported for each window.
+* [`budget`] bounds the memory that a daemon holds for its callers.
 * [`time`] has the clock readings that decisions take as arguments.
 
 # Example
@@ -82,6 +83,7 @@
 pub mod allowance;
 pub mod average;
 pub mod batch;
+pub mod budget;
 pub mod confirm;
 pub mod coordinator;
 pub mod document;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -23,8 +23,8 @@
     evacuation::Evacuations,
     home::{FALLBACK_CONNECTIONS, connection_limit, rank_homes},
     isolation::is_isolated,
-    retry::RetryBudget,
     load::ReportPacer,
+    retry::RetryBudget,
     version::Era,
 };
 use indexmap::{IndexMap, IndexSet};
@@ -34,6 +34,7 @@
 use self::startup::HeldCatalog;
 use crate::{
     admission::Admission,
+    budget::Meters,
     catalog::{Catalog, Route, ServerEntry},
     clock,
     fleet::{Fleet, Link},
@@ -81,6 +82,7 @@
     pub(crate) directory: D,
     pub(crate) event_log: EventLog,
     pub(crate) metrics: Metrics,
+    pub(crate) meters: Meters,
     pub(crate) admission: RefCell<Admission>,
     pub(crate) fleet: Fleet,
     pub(crate) rng: RefCell<SmallRng>,
@@ -145,6 +147,7 @@
         Engine {
             rng: RefCell::new(SmallRng::seed_from_u64(settings.incarnation)),
             usage: Usage::new(&settings, clock::now()),
+            meters: Meters::new(settings.limits, metrics.clone()),
             settings,
             started: clock::now(),
             protocol: Rc::new(protocol),
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -7,6 +7,7 @@
 //! account's token bucket refills. A [`link`] whose other side does not reply to
 //! heartbeats ([`upkeep`]) is ended, and dialled again when it is needed.
 
+mod accept;
 mod contact;
 mod documents;
 mod groups;
@@ -33,18 +34,18 @@
     suspicion::Votes,
     transfer::Transfers,
 };
-use chicoryhollow_peer::{Body, Envelope, EnvelopeCodec};
-use futures_util::StreamExt;
+use chicoryhollow_peer::{Body, EnvelopeCodec};
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Notify,
-    time::{interval, sleep, timeout},
+    time::{interval, timeout},
 };
 use tokio_util::codec::Framed;
 
 use self::{
+    accept::accept,
     contact::Questions,
     documents::Recipient,
     link::{Origin, Place, run_link},
@@ -323,27 +324,6 @@
     futures_util::join!(rows, dialled, kept, accepted);
 }
 
-async fn accept<S: ServerProtocol, D: Directory>(engine: Rc<Engine<S, D>>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let engine = Rc::clone(&engine);
-                actix::spawn(async move { accept_link(engine, stream).await });
-            }
-            Err(_) => sleep(REDIAL_INTERVAL).await,
-        }
-    }
-}
-
-/// Waits for the first heartbeat of a VM that connected, then runs the link.
-async fn accept_link<S: ServerProtocol, D: Directory>(engine: Rc<Engine<S, D>>, stream: TcpStream) {
-    let mut frames = Framed::new(stream, EnvelopeCodec::new());
-    let first = timeout(DIAL_TIMEOUT, frames.next()).await;
-    let Ok(Some(Ok(Envelope { body: Some(Body::Beat(heartbeat)) }))) = first else { return };
-    let Ok(vm) = VmId::new(&heartbeat.vm) else { return };
-    run_link(&engine, vm, frames, Origin::Accepted(Box::new(heartbeat))).await;
-}
-
 async fn dial_all<S: ServerProtocol, D: Directory>(engine: Rc<Engine<S, D>>) {
     let mut ticks = interval(REDIAL_INTERVAL);
     let dialling: Rc<RefCell<Vec<VmId>>> = Rc::default();
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -124,11 +124,17 @@
     ServerEjected,
     /// An ejected replica gets reads again.
     ServerReadmitted,
+    /// A caller exceeded a limit and was rejected or disconnected.
+    LimitExceeded,
+    /// Messages were not read for want of memory.
+    MessagesDelayed,
+    /// A stranger connected to the address of the other VMs.
+    StrangerRejected,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 50] = [
+    pub const ALL: [Event; 53] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -179,6 +185,9 @@
         Event::ReadsReturn,
         Event::ServerEjected,
         Event::ServerReadmitted,
+        Event::LimitExceeded,
+        Event::MessagesDelayed,
+        Event::StrangerRejected,
     ];
 
     /// Returns the number, level and text of the event.
@@ -234,11 +243,14 @@
             Event::ReadsReturn => (655, Level::Info, "reads return to data centre"),
             Event::ServerEjected => (656, Level::Warning, "server ejected"),
             Event::ServerReadmitted => (657, Level::Info, "server readmitted"),
+            Event::LimitExceeded => (658, Level::Warning, "caller exceeded a limit"),
+            Event::MessagesDelayed => (659, Level::Warning, "messages delayed for memory"),
+            Event::StrangerRejected => (660, Level::Warning, "stranger rejected"),
         }
     }
 
     fn is_about_request(self) -> bool {
-        matches!(self.row().0, 630..=634 | 636 | 638)
+        matches!(self.row().0, 630..=634 | 636 | 638 | 658 | 660)
     }
 }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -57,6 +57,12 @@
     pub(crate) ejections: IntCounterVec,
     /// Reports on the load of servers received from homes.
     pub(crate) server_reports: IntCounter,
+    /// Callers and strangers that exceeded a limit, by reason.
+    pub(crate) limits: IntCounterVec,
+    /// Messages of callers that were not read until there was room.
+    pub(crate) message_waits: IntCounter,
+    /// Bytes that are held for callers.
+    pub(crate) held_bytes: IntGauge,
     /// Log lines dropped for exceeding their budget.
     pub(crate) dropped_lines: IntCounter,
     /// Links to other VMs.
@@ -115,6 +121,9 @@
             ),
             ejections: counters(&registry, "ejections_total", "Servers ejected.", "reason"),
             server_reports: counter(&registry, "server_reports_total", "Load reports received."),
+            limits: counters(&registry, "limits_total", "Limits exceeded.", "reason"),
+            message_waits: counter(&registry, "message_waits_total", "Messages read later."),
+            held_bytes: gauge(&registry, "held_bytes", "Bytes held for callers."),
             dropped_lines: counter(&registry, "dropped_lines_total", "Log lines dropped."),
             peers: gauge(&registry, "peers", "Connected VMs."),
             peer_messages: peer_counters(&registry, "peer_messages_total", "Messages to VMs."),
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -5,6 +5,7 @@
 //! positions of its own commits. A backend connection is held only while a
 //! transaction is open on it.
 
+mod kept;
 mod lifetime;
 mod pending;
 mod record;
@@ -22,6 +23,7 @@
 use self::{pending::PendingRequest, transaction::Transaction};
 use crate::{
     attempt::Attempt,
+    budget::Meter,
     catalog::Route,
     clock,
     engine::{Engine, Phase},
@@ -35,9 +37,6 @@
 /// Longest time to wait for the first message of a caller.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Maximum number of variables, and of prepared statements, of one session.
-const MAX_NAMES: usize = 1_024;
-
 /// Result of a request.
 enum Flow {
     /// The caller gets this reply and the session continues.
@@ -67,6 +66,9 @@
 /// The session of one caller.
 pub(crate) struct Session<S: ServerProtocol, D: Directory> {
     engine: Rc<Engine<S, D>>,
+    meter: Meter,
+    /// Size of the variables and prepared statements.
+    kept_bytes: usize,
     hello: Hello,
     /// Account of the key when the session began.
     account: Option<AccountId>,
@@ -91,8 +93,9 @@
 pub(crate) async fn serve<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     mut caller: impl Caller,
+    meter: Meter,
 ) -> Result<(), LinkError> {
-    let served = serve_session(engine, &mut caller).await;
+    let served = serve_session(engine, &mut caller, meter).await;
     caller.close().await;
     served
 }
@@ -116,11 +119,14 @@
 async fn serve_session<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     caller: &mut impl Caller,
+    meter: Meter,
 ) -> Result<(), LinkError> {
     let hello = timeout(HELLO_TIMEOUT, caller.read_hello()).await;
     let Some(hello) = hello.unwrap_or(Err(LinkError::TimedOut))? else { return Ok(()) };
     let mut session = Session {
         engine,
+        meter,
+        kept_bytes: 0,
         hello,
         account: None,
         seen: SessionToken::new(),
@@ -269,20 +275,9 @@
             Statement::Begin(access) => self.begin(*access).await,
             Statement::Rollback => self.roll_back().await,
             Statement::Commit => self.commit(request).await,
-            Statement::Set { name, value } => {
-                let has_room = self.values.len() < MAX_NAMES;
-                self.values.insert(name.clone(), value.clone());
-                local(has_room)
-            }
-            Statement::Prepare { name, prepared } => {
-                let has_room = self.names.len() < MAX_NAMES;
-                self.names.insert(name.clone(), prepared.clone());
-                local(has_room)
-            }
-            Statement::Deallocate { name } => {
-                let known = self.names.shift_remove(name).is_some();
-                if known { local(true) } else { unknown_name(name) }
-            }
+            Statement::Set { name, value } => self.set_variable(name, value),
+            Statement::Prepare { name, prepared } => self.add_prepared(name, prepared),
+            Statement::Deallocate { name } => self.remove_prepared(name),
             Statement::Run(access) => {
                 self.run_statement(request, *access, Body::Text(request.text.clone())).await
             }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use chicoryhollow_core::{DataCentreId, VmId, failover::ServerTimes, usage::Schedule};
+use chicoryhollow_core::{
+    DataCentreId, VmId, budget::Limits, failover::ServerTimes, usage::Schedule,
+};
 
 /// Settings of one daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -21,6 +23,8 @@
     pub server_times: Option<ServerTimes>,
     /// Maximum number of connected callers.
     pub max_callers: usize,
+    /// Limits of the memory that is held for callers.
+    pub limits: Limits,
     /// Whether the whole fleet starts for the first time, so that no VM knows a newer
     /// configuration than the directory.
     pub first_start: bool,
