Store a backlog of usage decisions in rows of their own

Cause: decisions with many accounts filled the row after a few windows without reports, and no test wrote or read counts in rows of their own.

Change: when the row would be too large, the counts of all windows in it go to rows of their own.

Weighed: smaller counts could always have rows of their own, at one more store call for each window.

--- a/crates/engine/src/usage/rows.rs
+++ b/crates/engine/src/usage/rows.rs
@@ -26,6 +26,9 @@
 /// Size of a window's counts in bytes above which they get rows of their own.
 const MAX_INLINE_BYTES: usize = 20_000;
 
+/// The same size when there are many windows that are not reported.
+const MAX_BACKLOG_BYTES: usize = 100;
+
 /// Accounts in one row of counts. The longest names need 90 bytes each.
 const PART_ACCOUNTS: usize = 500;
 
@@ -132,13 +135,12 @@
         row: &LedgerRow,
         expected: DirectoryVersion,
     ) -> Result<DirectoryVersion, RowError> {
-        for decided in &row.open {
-            if !self.parts.contains_key(&decided.window) && is_large(decided)? {
-                let parts = write_parts(engine, decided).await?;
-                self.parts.insert(decided.window, parts);
-            }
+        self.spread(engine, row, MAX_INLINE_BYTES).await?;
+        let mut value = self.format(row)?;
+        if value.len() > MAX_ROW_BYTES {
+            self.spread(engine, row, MAX_BACKLOG_BYTES).await?;
+            value = self.format(row)?;
         }
-        let value = self.format(row)?;
         if value.len() > MAX_ROW_BYTES {
             return Err(RowError::Full);
         }
@@ -155,6 +157,22 @@
         Ok(version)
     }
 
+    /// Writes the counts of each window that exceed `limit` bytes to rows of their own.
+    async fn spread<S: ServerProtocol, D: Directory>(
+        &mut self,
+        engine: &Engine<S, D>,
+        row: &LedgerRow,
+        limit: usize,
+    ) -> Result<(), RowError> {
+        for decided in &row.open {
+            if !self.parts.contains_key(&decided.window) && counts_bytes(decided)? > limit {
+                let parts = write_parts(engine, decided).await?;
+                self.parts.insert(decided.window, parts);
+            }
+        }
+        Ok(())
+    }
+
     fn format(&self, row: &LedgerRow) -> Result<Vec<u8>, RowError> {
         let open = row.open.iter().map(|decided| {
             let parts = self.parts.get(&decided.window).copied();
@@ -202,9 +220,9 @@
     }
 }
 
-fn is_large(decided: &DecidedWindow) -> Result<bool, RowError> {
+fn counts_bytes(decided: &DecidedWindow) -> Result<usize, RowError> {
     let json = serde_json::to_vec(&decided.counts).map_err(|_| RowError::Invalid)?;
-    Ok(json.len() > MAX_INLINE_BYTES)
+    Ok(json.len())
 }
 
 /// Writes the counts of a window to rows that no other VM writes.
