--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -1,7 +1,7 @@
-//! Usage reports: how many statements of each account the backend servers ran, for each
+//! Usage reports: how many operations of each account the backend servers ran, for each
 //! window of true time.
 //!
-//! Every VM counts the statements that it sent ([`Counter`]) by its monotonic clock, which an
+//! Every VM counts the operations that it sent ([`Counter`]) by its monotonic clock, which an
 //! [`Offset`] converts to true time. A few VMs of each data centre add the counts of its VMs
 //! up ([`Collector`]). The holder of the failover coordinator's role merges these sums
 //! ([`Sums`]) and decides what is reported for each window ([`Ledger`]).
--- a/crates/core/src/usage/counter.rs
+++ b/crates/core/src/usage/counter.rs
@@ -1,4 +1,4 @@
-//! The count of the statements that one VM sent to backend servers.
+//! The count of the operations that one VM sent to backend servers.
 
 use crate::{
     id::{AccountId, VmId},
@@ -6,10 +6,10 @@
     usage::{Book, BookAccount, Offset, Schedule, Sums, WindowId},
 };
 
-/// Maximum number of statements that wait until the VM knows the true time.
+/// Maximum number of operations that wait until the VM knows the true time.
 const MAX_WAITING: usize = 20_000;
 
-/// Counts the statements of one VM by account and window.
+/// Counts the operations of one VM by account and window.
 #[derive(Clone, Debug)]
 pub struct Counter {
     schedule: Schedule,
@@ -17,7 +17,7 @@
     offset: Option<Offset>,
     book: Book,
     totals: Sums,
-    /// Statements that ran before the true time was known.
+    /// Operations that ran before the true time was known.
     waiting: Vec<(AccountId, Time)>,
 }
 
@@ -28,7 +28,7 @@
         Counter { schedule, offset: None, book, totals: Sums::default(), waiting: Vec::new() }
     }
 
-    /// Records a statement that a server began to run at `at`.
+    /// Records an operation that a server began to run at `at`.
     pub fn record(&mut self, account: &AccountId, at: Time) {
         match self.offset {
             Some(offset) => self.count(account, at, offset),
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Sets the difference between true time and the VM's clock. Statements that were counted
+    /// Sets the difference between true time and the VM's clock. Operations that were counted
     /// before stay in their windows.
     pub fn set_offset(&mut self, offset: Offset) {
         self.offset = Some(offset);
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Opens the book in which statements are counted from now on.
+    /// Opens the book in which operations are counted from now on.
     pub fn open(&mut self, book: Book) {
         self.book = book;
     }
--- a/crates/core/src/usage/ledger.rs
+++ b/crates/core/src/usage/ledger.rs
@@ -28,7 +28,7 @@
 pub struct DecidedWindow {
     /// The window.
     pub window: WindowId,
-    /// Statements of each account.
+    /// Operations of each account.
     #[serde(default)]
     pub counts: IndexMap<AccountId, u64>,
 }
--- a/crates/core/src/usage/totals.rs
+++ b/crates/core/src/usage/totals.rs
@@ -24,7 +24,7 @@
     pub window: WindowId,
     /// What was counted.
     pub key: K,
-    /// Statements that ran, as far as is known.
+    /// Operations that ran, as far as is known.
     pub count: u64,
 }
 
@@ -130,7 +130,7 @@
     }
 }
 
-/// Number of the book in which statements were counted.
+/// Number of the book in which operations were counted.
 ///
 /// A VM opens another book when its collectors change. The new collectors do not know what
 /// VMs that have ended had counted, so their sums in the old book are too low, and the
@@ -160,9 +160,9 @@
 /// An account in one book.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct BookAccount {
-    /// Book in which the statements were counted.
+    /// Book in which the operations were counted.
     pub book: Book,
-    /// Account whose statements were counted.
+    /// Account whose operations were counted.
     pub account: AccountId,
 }
 
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -159,7 +159,7 @@
     let (mut ledger, mut sums) = (new_ledger(), Totals::default());
     sums.raise(FIRST, &"plant", 5);
     decide(&mut ledger, decided(FIRST, sums.count(FIRST, &"plant")), version(0, 1));
-    assert_eq!(sums.raise(FIRST, &"plant", 6), 1, "one statement is late");
+    assert_eq!(sums.raise(FIRST, &"plant", 6), 1, "one operation is late");
     assert_eq!(ledger.open(), [decided(FIRST, 5)]);
 }
 
@@ -182,10 +182,10 @@
     }
 }
 
-/// Guards against statements that move to another window, or to the account's new name, when
+/// Guards against operations that move to another window, or to the account's new name, when
 /// the clock is corrected or the configuration changes.
 #[test]
-fn a_statement_counts_when_it_was_sent_and_for_the_account_that_sent_it() {
+fn an_operation_counts_when_it_was_sent_and_for_the_account_that_sent_it() {
     let vm = VmId::new("vm-1").expect("a valid name");
     let mut counter = Counter::new(schedule(), &vm);
     let start = schedule().end(FIRST.earlier_by(1));
--- a/crates/core/tests/usage/replay.rs
+++ b/crates/core/tests/usage/replay.rs
@@ -18,8 +18,8 @@
 const STANDBYS: usize = 2;
 const TICK: Duration = Duration::from_millis(250);
 
-/// Statements of the whole fleet in a tick.
-const STATEMENTS: u64 = 500;
+/// Operations of the whole fleet in a tick.
+const OPERATIONS: u64 = 500;
 
 /// Accounts, of which the first ones have most of the load.
 const ACCOUNTS: usize = 12;
@@ -92,7 +92,7 @@
 
     fn count(&mut self) {
         let window = schedule().window_at(TrueTime::from_micros(self.now.as_micros()));
-        for _ in 0..STATEMENTS {
+        for _ in 0..OPERATIONS {
             let share: f64 = self.rng.random_range(0.0..1.0);
             let account = account(&format!("account-{}", (share * share * ACCOUNTS as f64) as u8));
             let vm = self.rng.random_range(0..VMS);
@@ -184,7 +184,7 @@
 
 /// Guards against sums that are incomplete on a calm day.
 #[test]
-fn all_statements_are_reported_when_nothing_fails() {
+fn all_operations_are_reported_when_nothing_fails() {
     let mut fleet = Fleet::new(1);
     fleet.run(SECOND * 18);
     assert_eq!(fleet.error(0..3), 0.0);
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -46,9 +46,9 @@
     pub(crate) usage_windows: IntCounterVec,
     /// Windows whose reports are overdue, on the VM that reports.
     pub(crate) overdue_usage: IntGauge,
-    /// Statements in the reports that this VM decided on.
+    /// Operations in the reports that this VM decided on.
     pub(crate) decided_usage: IntCounter,
-    /// Statements whose counts arrived after the decision on their window.
+    /// Operations whose counts arrived after the decision on their window.
     pub(crate) late_usage: IntCounter,
     /// Reads placed by reported load, by the kind of the first server and its place as seen
     /// from this VM.
@@ -111,8 +111,8 @@
             evidence: counters(&registry, "commits_total", "Commits acknowledged.", "evidence"),
             usage_windows: counters(&registry, "usage_windows_total", "Usage windows.", "step"),
             overdue_usage: gauge(&registry, "usage_overdue_windows", "Overdue usage windows."),
-            decided_usage: counter(&registry, "usage_statements_total", "Statements reported."),
-            late_usage: counter(&registry, "usage_late_statements_total", "Counts too late."),
+            decided_usage: counter(&registry, "usage_operations_total", "Operations reported."),
+            late_usage: counter(&registry, "usage_late_operations_total", "Counts too late."),
             placed_reads: labelled_counters(
                 &registry,
                 "placed_reads_total",
--- a/crates/engine/src/usage.rs
+++ b/crates/engine/src/usage.rs
@@ -1,4 +1,4 @@
-//! Usage reports: counts the statements of each account and has the sums reported.
+//! Usage reports: counts the operations of each account and has the sums reported.
 //!
 //! `chicoryhollow_core::usage` counts, collects and decides. Every VM sends its counts to
 //! collectors of its data centre, and the possible reporters ask the collectors for sums
@@ -200,8 +200,8 @@
     }
 }
 
-/// Records a statement when it is known whether a server began to run it, or when nobody waits
-/// for the answer any more.
+/// Records an operation when it is known whether a server began to run its first statement, or
+/// when nobody waits for the answer any more.
 pub(crate) struct Run<'a> {
     usage: Option<&'a Usage>,
     account: &'a AccountId,
@@ -221,7 +221,7 @@
         Run { usage, account, sent: clock::now() }
     }
 
-    /// Ends the observation with the answer of the server. A statement without an answer may
+    /// Ends the observation with the answer of the server. An operation without an answer may
     /// have run, and is counted.
     pub(crate) fn end(mut self, answer: &Result<Answer, LinkError>) {
         let fault = answer.as_ref().ok().and_then(|answer| answer.result.as_ref().err());
--- a/crates/engine/src/usage/exchange.rs
+++ b/crates/engine/src/usage/exchange.rs
@@ -67,7 +67,7 @@
 /// Counts that arrived after the decision on their windows.
 #[derive(Default)]
 struct Late {
-    statements: u64,
+    operations: u64,
     /// Whether they are within the tolerance in each window.
     is_tolerated: bool,
 }
@@ -171,11 +171,11 @@
             }
             Body::UsageSums(sums) => {
                 let late = usage.record_sums(vm, sums, now);
-                if usage.decides.get() && late.statements > 0 {
-                    self.metrics.late_usage.inc_by(late.statements);
+                if usage.decides.get() && late.operations > 0 {
+                    self.metrics.late_usage.inc_by(late.operations);
                     self.event_log.record(
                         Event::UsageLate,
-                        o!("collector" => vm.to_string(), "statements" => late.statements,
+                        o!("collector" => vm.to_string(), "operations" => late.operations,
                             "tolerated" => late.is_tolerated),
                     );
                 }
@@ -354,7 +354,7 @@
             let total: u64 = sums.window(*window).map(|(_, count)| count).sum();
             gained * 1_000 <= u64::from(self.settings.tolerance) * total
         };
-        Late { statements: late.values().sum(), is_tolerated: late.iter().all(is_tolerated) }
+        Late { operations: late.values().sum(), is_tolerated: late.iter().all(is_tolerated) }
     }
 }
 
--- a/crates/engine/src/usage/report.rs
+++ b/crates/engine/src/usage/report.rs
@@ -180,7 +180,7 @@
     async fn decide(&mut self, usage: &Usage, window: WindowId, now: Time) {
         let Some(expected) = self.ledger.version() else { return };
         let counts = usage.sums.borrow().accounts(window);
-        let statements: u64 = counts.values().sum();
+        let operations: u64 = counts.values().sum();
         let accounts = counts.len();
         let known = self.ledger.through();
         let row = self.ledger.decide(DecidedWindow { window, counts });
@@ -192,11 +192,11 @@
                 let took = clock::now().since(now).as_millis() as u64;
                 let metrics = &self.engine.metrics;
                 metrics.usage_windows.with_label_values(&["decided"]).inc();
-                metrics.decided_usage.inc_by(statements);
+                metrics.decided_usage.inc_by(operations);
                 self.engine.event_log.record(
                     Event::UsageDecided,
                     o!("window" => window.get(), "accounts" => accounts,
-                        "statements" => statements, "took_ms" => took),
+                        "operations" => operations, "took_ms" => took),
                 );
                 if known.is_some_and(|known| known.next() < window) {
                     self.record_skipped(known, Some(window.earlier_by(1)));
--- a/crates/peer/src/usage.rs
+++ b/crates/peer/src/usage.rs
@@ -10,13 +10,13 @@
     /// Number of the window.
     #[prost(uint64, tag = "1")]
     pub window: u64,
-    /// Number of the book in which the statements were counted.
+    /// Number of the book in which the operations were counted.
     #[prost(fixed64, tag = "2")]
     pub book: u64,
     /// Names of accounts; empty in a [`UsageReport`].
     #[prost(string, repeated, tag = "3")]
     pub accounts: Vec<String>,
-    /// Statements of each of these accounts.
+    /// Operations of each of these accounts.
     #[prost(uint64, repeated, tag = "4")]
     pub counts: Vec<u64>,
     /// Numbers of the accounts in a [`UsageReport`].
@@ -24,7 +24,7 @@
     pub numbers: Vec<u32>,
 }
 
-/// Statements that the sender has counted itself.
+/// Operations that the sender has counted itself.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct UsageReport {
     /// Incarnation of the sending daemon.
