Decide which reads leave the data centre, and eject replicas by evidence

Servers that fail or hang were avoided for at most 1 s by each VM on its own.

Change: core::spill keeps the share of a group's reads that each other data centre gets. It follows the gain (begins at 15 ms, ends at 5 ms), is limited by the queues there so that near callers come first, changes by at most 0.25 up and 0.5 down per second, and is none without recent reports. core::outlier ejects replicas by what homes report: at most a third of a group, never the last fresh one, readmitted after three single reads. Metrics of placed reads, ejections and reports; events 654 to 657 with the inputs of each decision.

Servers of the replay now reject reads when 40 wait, as a home would; before, an overloaded server never recovered.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,7 +22,8 @@
   [`average`] of observed response times plus the time until a replica reaches the
   required position.
 * [`load`] is what homes report about the load of backend servers, and [`placement`]
-  chooses among the servers of a group by it.
+  chooses among the servers of a group by it. [`spill`] decides which part of the reads
+  goes to other data centres, and [`outlier`] which replicas get none for a while.
 * [`retry`] decides whether a refused request is tried again, and when.
 * [`watch`] replaces the primary of a group in which a majority confirms each
   position. Its state machine detects the failure and promotes another server once
@@ -95,6 +96,7 @@
 pub mod naming;
 pub mod neighbour;
 pub mod outcome;
+pub mod outlier;
 pub mod pace;
 pub mod placement;
 pub mod pool;
@@ -109,6 +111,7 @@
 pub mod route;
 pub mod session;
 pub mod share;
+pub mod spill;
 pub mod startup;
 pub mod suspicion;
 pub mod time;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -47,6 +47,11 @@
         Permille(thousandths.min(1_000) as u16)
     }
 
+    /// Creates a constant share, which must be at most the whole.
+    pub const fn from_thousandths(thousandths: u16) -> Self {
+        Permille(thousandths)
+    }
+
     /// Returns the share in thousandths.
     pub fn get(self) -> u32 {
         self.0.into()
--- a/crates/core/src/load/meter.rs
+++ b/crates/core/src/load/meter.rs
@@ -18,9 +18,13 @@
 /// that gets no statements is tried again.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Inverse of the weight of one statement in the mean of which the lowest is kept. With few
+/// statements, the lowest mean would be far below the usual one.
+const QUIET_INVERSE_WEIGHT: u32 = 128;
+
 /// Time in which the lowest mean service time grows by half its distance to the present
 /// one, so that it follows a change of the statements.
-const QUIET_HALF_LIFE: Duration = Duration::from_secs(60);
+const QUIET_HALF_LIFE: Duration = Duration::from_secs(300);
 
 /// Connections of a home to a server at one moment.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -52,6 +56,7 @@
     counted: Time,
     waits: [Average; PRIORITIES],
     service: Option<Average>,
+    steady_service: Option<Average>,
     quiet_service: Option<f64>,
     rejected: f64,
     broken: f64,
@@ -101,7 +106,10 @@
         let empty = Average::new().with_inverse_weight(SERVICE_INVERSE_WEIGHT);
         let average = self.service.get_or_insert(empty);
         average.add(took);
-        let mean = average.get().unwrap_or_default().as_secs_f64();
+        let empty = Average::new().with_inverse_weight(QUIET_INVERSE_WEIGHT);
+        let steady = self.steady_service.get_or_insert(empty);
+        steady.add(took);
+        let mean = steady.get().unwrap_or_default().as_secs_f64();
         let kept = fade(now.since(self.ended), QUIET_HALF_LIFE);
         let lowest = self.quiet_service.map_or(mean, |old| old * kept + mean * (1.0 - kept));
         self.quiet_service = Some(lowest.min(mean));
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -19,7 +19,7 @@
 use rand::{Rng, RngExt};
 
 use crate::{
-    id::{AccountId, ServerId},
+    id::{AccountId, DataCentreId, ServerId},
     load::Outlook,
     rank::rank,
     route::Choice,
@@ -65,7 +65,9 @@
 pub struct Prospect {
     /// The server, with the time until it has caught up.
     pub choice: Choice,
-    /// Whether it runs in the data centre of the VM that chooses.
+    /// Data centre in which it runs.
+    pub data_centre: DataCentreId,
+    /// Whether that is the data centre of the VM that chooses.
     pub near: bool,
     /// What is expected of it.
     pub outlook: Outlook,
@@ -78,6 +80,11 @@
         network + wait + service + self.choice.expected_wait
     }
 
+    /// Returns whether reads go to the server without a special reason.
+    pub fn takes_reads(&self) -> bool {
+        !self.choice.primary && !self.choice.avoided
+    }
+
     fn order(&self, other: &Prospect) -> Ordering {
         let key = |prospect: &Prospect| (prospect.choice.avoided, prospect.completion());
         key(self).cmp(&key(other))
@@ -102,6 +109,11 @@
         self.shares.get(server).copied().unwrap_or(1.0)
     }
 
+    /// Lets accounts return slowly to a server that was readmitted.
+    pub fn restart(&mut self, server: &ServerId) {
+        self.shares.insert(server.clone(), MIN_SHARE);
+    }
+
     /// Changes the shares by the loads of `replicas`, which accounts choose among.
     pub fn update<'a>(&mut self, replicas: impl Iterator<Item = &'a Prospect> + Clone, now: Time) {
         let replicas = replicas.filter(|replica| replica.outlook.weight >= MIN_WEIGHT);
@@ -230,7 +242,13 @@
             avoided: false,
         };
         let wait = Duration::from_millis(wait_ms);
-        Prospect { choice, near: true, outlook: Outlook { wait, ..Outlook::default() } }
+        let data_centre = "a".parse().expect("a name");
+        Prospect {
+            choice,
+            data_centre,
+            near: true,
+            outlook: Outlook { wait, ..Outlook::default() },
+        }
     }
 
     fn first(prospects: &[Prospect], account: usize, rng: &mut SmallRng) -> String {
--- a/crates/core/tests/placement_replay/mod.rs
+++ b/crates/core/tests/placement_replay/mod.rs
@@ -15,7 +15,8 @@
     home::rank_homes,
     load::{Assumption, Counts, Loads, Meter, Outcome, ReportPacer, SentReport, Visit},
     placement::{Affinity, Prospect, place},
-    route::{Candidate, Estimates, assumed_response},
+    route::{Candidate, Choice, Estimates, assumed_response},
+    spill::{Spill, place_read},
     waiting::Priority,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -37,6 +38,12 @@
 const NEAR_US: u64 = 250;
 const FAR_US: u64 = 5_000;
 
+/// Reads that wait for a server; a home rejects those that would be late.
+const MAX_QUEUE: usize = 40;
+
+/// Counts as the response time of a rejected read.
+const REJECTED_MS: u64 = 10_000;
+
 /// Bytes of a report.
 const REPORT_BYTES: usize = 40;
 
@@ -49,10 +56,46 @@
     Loads,
 }
 
+/// Which reads go to other data centres.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Leaving {
+    /// None while a near server is usable.
+    Never,
+    /// All, to the servers that are expected to answer first.
+    ByTime,
+    /// All, to all servers alike.
+    Alike,
+    /// All, while near servers are slower by this many milliseconds.
+    Above(u64),
+    /// By the share of `core::spill`.
+    Share,
+}
+
+/// What happens in the middle of a replay.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Trouble {
+    /// Nothing.
+    Calm,
+    /// The demand of the first two data centres rises and falls in opposite phase.
+    Waves,
+    /// The servers of the first data centre take three times as long.
+    Slow,
+    /// Half of the servers of the first data centre are gone.
+    HalfGone,
+    /// The first two data centres have 1.5 times as many reads as their servers run.
+    TwoFull,
+    /// The first data centre is overloaded, and is cut off in the middle.
+    Partition,
+    /// The first data centre is overloaded, and reports stop in the middle.
+    Silence,
+}
+
 /// What is replayed.
 #[derive(Clone, Debug)]
 pub(crate) struct Scene {
     pub(crate) rule: Rule,
+    pub(crate) leaving: Leaving,
+    pub(crate) trouble: Trouble,
     /// Servers of each data centre.
     pub(crate) servers: Vec<usize>,
     pub(crate) vms: usize,
@@ -105,6 +148,9 @@
     centre: usize,
     loads: Loads,
     affinity: Affinity,
+    spill: Spill,
+    /// Last share that left, and whether it last rose.
+    last: (f64, bool),
     estimates: Estimates,
 }
 
@@ -114,6 +160,15 @@
     pub(crate) answered: u64,
     pub(crate) connects: u64,
     pub(crate) far: u64,
+    /// Reads that were sent to a data centre that is cut off.
+    pub(crate) across: u64,
+    /// Number of VMs, and seconds that count.
+    pub(crate) vms: u32,
+    pub(crate) seconds: f64,
+    /// Changes of direction of the share that leaves, by all VMs.
+    pub(crate) turns: u64,
+    /// Response times of the callers of each data centre in milliseconds.
+    pub(crate) by_centre: Vec<Vec<u64>>,
     pub(crate) report_bytes: u64,
     /// Reads that each server ran.
     pub(crate) work: Vec<u64>,
@@ -122,6 +177,12 @@
 }
 
 impl Figures {
+    fn new(servers: usize, scene: &Scene) -> Self {
+        let by_centre = vec![Vec::new(); scene.servers.len()];
+        let (vms, seconds) = (scene.vms as u32, scene.seconds as f64 / 2.0);
+        Figures { work: vec![0; servers], by_centre, vms, seconds, ..Figures::default() }
+    }
+
     /// Returns the load of the busiest server as a multiple of the mean.
     pub(crate) fn busiest(&self) -> f64 {
         let total: u64 = self.work.iter().sum();
@@ -136,6 +197,22 @@
         good as f64 / self.times.len().max(1) as f64
     }
 
+    /// Returns the share of the reads of one data centre that were answered within 250 ms.
+    pub(crate) fn good(&self, centre: usize) -> f64 {
+        let times = &self.by_centre[centre];
+        times.iter().filter(|time| **time <= 250).count() as f64 / times.len().max(1) as f64
+    }
+
+    /// Returns the share of reads that left their data centre.
+    pub(crate) fn far_share(&self) -> f64 {
+        self.far as f64 / self.times.len().max(1) as f64
+    }
+
+    /// Returns the changes of direction of one VM's share in a minute.
+    pub(crate) fn turns_per_minute(&self) -> f64 {
+        self.turns as f64 / f64::from(self.vms) * 60.0 / self.seconds
+    }
+
     /// Returns new connections for each read.
     pub(crate) fn connects_per_read(&self) -> f64 {
         self.connects as f64 / self.answered.max(1) as f64
@@ -201,6 +278,8 @@
             centre: i % scene.servers.len(),
             loads: Loads::new(),
             affinity: Affinity::new(),
+            spill: Spill::new(),
+            last: (0.0, false),
             estimates: Estimates::new(),
         };
         let mut total = 0.0;
@@ -212,7 +291,7 @@
             vms: (0..scene.vms).map(vm).collect(),
             accounts: (0..scene.accounts).map(|i| name(format!("account-{i}"))).collect(),
             weights: (0..scene.accounts).map(weight).collect(),
-            figures: Figures { work: vec![0; servers.len()], ..Figures::default() },
+            figures: Figures::new(servers.len(), &scene),
             servers,
             scene,
             rng: SmallRng::seed_from_u64(seed),
@@ -230,7 +309,7 @@
         let mut halved = false;
         while let Some(Reverse((at, _, step))) = self.steps.pop() {
             if at >= half && !std::mem::replace(&mut halved, true) {
-                self.figures = Figures { work: vec![0; self.servers.len()], ..Figures::default() };
+                self.figures = Figures::new(self.servers.len(), &self.scene);
             }
             if at >= half * 2 {
                 break;
@@ -263,46 +342,122 @@
         let pause = self.exponential(1_000_000.0 / self.scene.rate);
         self.push(self.now + pause, Step::Arrive);
         let vm = self.rng.random_range(0..self.vms.len());
+        if self.rng.random::<f64>() >= self.demand(self.vms[vm].centre) {
+            return;
+        }
         let drawn = self.rng.random::<f64>() * self.weights[self.weights.len() - 1];
         let account = self.weights.partition_point(|weight| *weight < drawn);
-        let work = self.exponential(WORK_US);
         let server = self.choose(vm, account);
+        let slow = self.scene.trouble == Trouble::Slow && self.servers[server].centre == 0;
+        let work = self.exponential(if slow { 3.0 * WORK_US } else { WORK_US });
         let chosen = &self.servers[server];
         let homes: Vec<VmId> = chosen.homes.iter().map(|home| home.name.clone()).collect();
         let first = rank_homes(&homes, &chosen.name, &self.accounts[account]).swap_remove(0);
         let home = homes.iter().position(|home| *home == first).expect("a home");
+        self.figures.across += u64::from(self.is_cut(self.vms[vm].centre, chosen.centre));
         self.figures.far += u64::from(self.delay(vm, server) == FAR_US);
         self.reads.push(Read { vm, account, server, home, asked: self.now, reached: 0, work });
         let at = self.now + self.delay(vm, server);
         self.push(at, Step::Reach(self.reads.len() - 1));
     }
 
-    fn choose(&mut self, vm: usize, account: usize) -> usize {
+    fn is_late(&self) -> bool {
+        self.now >= self.scene.seconds * 500_000
+    }
+
+    /// Returns the demand of a data centre as a share of the greatest one.
+    fn demand(&self, centre: usize) -> f64 {
+        let angle = self.now as f64 / 1e6 / 20.0 * std::f64::consts::TAU;
+        match (self.scene.trouble, centre) {
+            (Trouble::Calm, _) => 1.0,
+            (Trouble::Waves, 0) => 0.5 + 0.5 * angle.sin(),
+            (Trouble::Waves, 1) => 0.5 - 0.5 * angle.sin(),
+            (Trouble::TwoFull, 0 | 1) => 1.0,
+            (Trouble::Partition | Trouble::Silence, 0) => 0.8,
+            _ => 0.3,
+        }
+    }
+
+    fn is_gone(&self, server: usize) -> bool {
+        let half = self.scene.trouble == Trouble::HalfGone && self.is_late();
+        half && self.servers[server].centre == 0 && server.is_multiple_of(2)
+    }
+
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        let cut = self.scene.trouble == Trouble::Partition && self.is_late();
+        cut && one != other && (one == 0 || other == 0)
+    }
+
+    fn place_read(&mut self, vm: usize, account: usize, prospects: Vec<Prospect>) -> Vec<Choice> {
         let now = Time::from_micros(self.now);
         let state = &mut self.vms[vm];
+        let (account, affinity, rng) = (&self.accounts[account], &state.affinity, &mut self.rng);
+        let mean = |near: bool| {
+            let times = prospects.iter().filter(|p| p.near == near).map(|p| p.completion());
+            times.clone().sum::<Duration>() / times.count().max(1) as u32
+        };
+        let alike = |mut prospect: Prospect| {
+            prospect.near = true;
+            prospect
+        };
+        let none = Spill::new();
+        match self.scene.leaving {
+            Leaving::Never => place_read(prospects, account, affinity, &none, rng),
+            Leaving::ByTime => {
+                let mut sorted = prospects;
+                sorted.sort_by_key(Prospect::completion);
+                sorted.into_iter().map(|prospect| prospect.choice).collect()
+            }
+            Leaving::Alike => {
+                place(prospects.into_iter().map(alike).collect(), account, affinity, rng)
+            }
+            Leaving::Above(ms) if mean(true) > mean(false) + Duration::from_millis(ms) => {
+                let far = prospects.into_iter().filter(|prospect| !prospect.near).collect();
+                place(far, account, affinity, rng)
+            }
+            Leaving::Above(_) => place_read(prospects, account, affinity, &none, rng),
+            Leaving::Share => {
+                state.spill.update(&prospects, now);
+                let (share, (last, rose)) = (state.spill.share(), state.last);
+                if (share - last).abs() > 0.02 {
+                    self.figures.turns += u64::from((share > last) != rose);
+                    state.last = (share, share > last);
+                }
+                place_read(prospects, account, affinity, &state.spill, rng)
+            }
+        }
+    }
+
+    fn choose(&mut self, vm: usize, account: usize) -> usize {
+        let now = Time::from_micros(self.now);
         let candidates: Vec<Candidate> = self
             .servers
             .iter()
-            .map(|server| Candidate {
+            .enumerate()
+            .filter(|(i, _)| !self.is_gone(*i))
+            .map(|(_, server)| Candidate {
                 server: server.name.clone(),
-                near: server.centre == state.centre,
-                unreachable: false,
+                near: server.centre == self.vms[vm].centre,
+                unreachable: self.is_cut(server.centre, self.vms[vm].centre),
             })
             .collect();
+        let state = &mut self.vms[vm];
         let view = GroupView::new(name("orders".to_owned()));
         let mut choices = state.estimates.choose(&view, &candidates, None, now, &mut self.rng);
         if self.scene.rule == Rule::Loads {
             let service = state.loads.typical_service(now);
-            let prospect = |choice: chicoryhollow_core::route::Choice| {
+            let prospect = |choice: Choice| {
+                let server = self.servers.iter().find(|server| server.name == choice.server);
+                let centre = server.map_or(0, |server| server.centre);
                 let near = candidates.iter().any(|c| c.server == choice.server && c.near);
                 let assumed = Assumption { network: assumed_response(near), service };
                 let outlook =
                     state.loads.outlook(&choice.server, Priority::default(), assumed, now);
-                Prospect { choice, near, outlook }
+                Prospect { choice, data_centre: name(format!("centre-{centre}")), near, outlook }
             };
             let prospects: Vec<Prospect> = choices.into_iter().map(prospect).collect();
             state.affinity.update(prospects.iter().filter(|prospect| prospect.near), now);
-            choices = place(prospects, &self.accounts[account], &state.affinity, &mut self.rng);
+            choices = self.place_read(vm, account, prospects);
         }
         let first = &choices[0].server;
         self.servers.iter().position(|server| server.name == *first).expect("a known server")
@@ -312,6 +467,11 @@
         let now = self.now;
         let read = &mut self.reads[number];
         let server = &mut self.servers[read.server];
+        if server.queue.len() >= MAX_QUEUE {
+            self.figures.times.push(REJECTED_MS);
+            self.figures.by_centre[self.vms[read.vm].centre].push(REJECTED_MS);
+            return;
+        }
         let home = &mut server.homes[read.home];
         read.reached = now;
         home.in_use += 1;
@@ -368,7 +528,9 @@
         vm.loads.record_visit(&server.name, Visit { wait: Duration::ZERO, response }, now);
         let counts = Counts { in_use: home.in_use as u32, waiting: 0 };
         let report = home.meter.report(counts, now);
-        if home.pacer.try_send(home.sent.get(&read.vm), &report, REPORT_BYTES, now) {
+        let silent =
+            self.scene.trouble == Trouble::Silence && self.now >= self.scene.seconds * 500_000;
+        if !silent && home.pacer.try_send(home.sent.get(&read.vm), &report, REPORT_BYTES, now) {
             home.sent.insert(read.vm, SentReport::new(report.clone(), now));
             vm.loads.record_network(&server.name, network);
             vm.loads.record_report(&server.name, &home.name, report, now);
@@ -376,5 +538,6 @@
         }
         self.figures.answered += 1;
         self.figures.times.push(response.as_millis() as u64);
+        self.figures.by_centre[vm.centre].push(response.as_millis() as u64);
     }
 }
--- a/crates/engine/src/attempt/read.rs
+++ b/crates/engine/src/attempt/read.rs
@@ -98,7 +98,9 @@
         }
         let priority = Priority::new(self.route.priority);
         let read = Read { here, account: self.account, priority, min_position };
-        self.group.borrow_mut().place(read, is_unreachable, now, &mut *rng)
+        let placed = self.group.borrow_mut().place(read, is_unreachable, now, &mut *rng);
+        self.engine.record_placement(&self.group.borrow(), &placed);
+        placed.choices
     }
 
     /// Returns false at once if no request may be sent to a server. Otherwise waits
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -157,8 +157,9 @@
         let asked = clock::now();
         self.send(Body::LeaseCommand(LeaseCommand { lease: self.lease, command: json.into() }))?;
         match self.answers.recv().await {
-            Some(HomeMessage::Answer(LeaseAnswer { answer: Some(json), report, .. })) => {
-                self.record_run(&command, report.as_ref(), asked);
+            Some(HomeMessage::Answer(answer)) if answer.answer.is_some() => {
+                self.record_run(&command, &answer, asked);
+                let json = answer.answer.unwrap_or_default();
                 serde_json::from_slice(&json).map_err(|_| LinkError::Malformed("answer"))
             }
             _ => {
@@ -188,9 +189,9 @@
         }
     }
 
-    fn record_run(&mut self, command: &Command, report: Option<&ServerReport>, asked: Time) {
+    fn record_run(&mut self, command: &Command, answer: &LeaseAnswer, asked: Time) {
         if let Some(reports) = &mut self.reports {
-            reports.record_run(&self.link.vm, command, report, asked);
+            reports.record_run(&self.link.vm, command, answer, asked);
         }
     }
 
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -4,6 +4,7 @@
 //! servers, and what other VMs report. The newest term decides who is primary.
 
 mod placing;
+mod record;
 mod replicas;
 mod reports;
 
@@ -17,13 +18,15 @@
     gossip::GroupSummary,
     isolation::PrimaryReachability,
     load::{Loads, Meter},
+    outlier::Outliers,
     placement::Affinity,
     route::{Candidate, Choice, Estimates},
+    spill::Spill,
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
-pub(crate) use self::placing::Read;
+pub(crate) use self::placing::{Placed, Read};
 use self::{replicas::Replicas, reports::PeerReports};
 use crate::{catalog::ServerEntry, single_flight::SingleFlight};
 
@@ -94,6 +97,10 @@
     meters: IndexMap<ServerId, Meter>,
     /// Shares of the reads that stay on the servers which accounts prefer.
     affinity: Affinity,
+    /// Shares of the reads that leave the data centre.
+    pub(crate) spill: Spill,
+    /// Replicas that get no reads for a while.
+    outliers: Outliers,
 }
 
 impl Group {
@@ -121,6 +128,8 @@
             loads: Loads::new(),
             meters: IndexMap::new(),
             affinity: Affinity::new(),
+            spill: Spill::new(),
+            outliers: Outliers::new(),
         }
     }
 
--- a/crates/engine/src/load.rs
+++ b/crates/engine/src/load.rs
@@ -11,7 +11,12 @@
     load::{Failures, Outcome, PRIORITIES, Permille, Report, SentReport, Visit},
     waiting::Priority,
 };
-use chicoryhollow_peer::{Message, fleet::ServerReport};
+use chicoryhollow_peer::{
+    Message,
+    fleet::{LeaseAnswer, ServerReport},
+};
+
+use prometheus::IntCounter;
 
 use crate::{
     clock,
@@ -163,6 +168,8 @@
 pub(crate) struct ReportRecord {
     group: Rc<RefCell<Group>>,
     server: ServerId,
+    /// Counts received reports.
+    received: IntCounter,
     /// Wait for the connection, until a statement has run on it.
     wait: Option<Duration>,
 }
@@ -184,10 +191,13 @@
         &mut self,
         home: &VmId,
         command: &Command,
-        report: Option<&ServerReport>,
+        answer: &LeaseAnswer,
         asked: Time,
     ) {
-        self.record_report(home, report, asked);
+        self.record_report(home, answer.report.as_ref(), asked);
+        if let (Command::Pass { .. }, Some(json)) = (command, &answer.answer) {
+            self.group.borrow_mut().spill.record_answer(json.len());
+        }
         let Some(wait) = self.wait.filter(|_| matches!(command, Command::Pass { .. })) else {
             return;
         };
@@ -199,6 +209,7 @@
 
     fn record_report(&self, home: &VmId, report: Option<&ServerReport>, asked: Time) {
         let Some(message) = report else { return };
+        self.received.inc();
         let now = clock::now();
         let report = read_report(message);
         let mut group = self.group.borrow_mut();
@@ -229,7 +240,8 @@
             return None;
         }
         let group = self.group(&self.pool(server)?.entry().group);
-        Some(ReportRecord { group, server: server.clone(), wait: None })
+        let received = self.metrics.server_reports.clone();
+        Some(ReportRecord { group, server: server.clone(), received, wait: None })
     }
 
     /// Returns the report to send along with a message to the VM at the other end of `link`,
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -96,11 +96,19 @@
     PeerLost,
     /// Messages and bytes sent to other VMs since the start.
     PeerTraffic,
+    /// Reads of a group begin to go to another data centre.
+    ReadsLeave,
+    /// Reads of a group cease to go to another data centre.
+    ReadsReturn,
+    /// A replica that fails or is slow gets no reads for a while.
+    ServerEjected,
+    /// An ejected replica gets reads again.
+    ServerReadmitted,
 }
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 36] = [
+    pub const ALL: [Event; 40] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -137,6 +145,10 @@
         Event::PeerLinked,
         Event::PeerLost,
         Event::PeerTraffic,
+        Event::ReadsLeave,
+        Event::ReadsReturn,
+        Event::ServerEjected,
+        Event::ServerReadmitted,
     ];
 
     /// Returns the number, level and text of the event.
@@ -178,6 +190,10 @@
             Event::PeerLinked => (640, Level::Info, "peer connected"),
             Event::PeerLost => (641, Level::Warning, "peer connection lost"),
             Event::PeerTraffic => (642, Level::Info, "peer traffic"),
+            Event::ReadsLeave => (654, Level::Info, "reads leave data centre"),
+            Event::ReadsReturn => (655, Level::Info, "reads return to data centre"),
+            Event::ServerEjected => (656, Level::Warning, "server ejected"),
+            Event::ServerReadmitted => (657, Level::Info, "server readmitted"),
         }
     }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -31,6 +31,13 @@
     pub(crate) missing_commits: IntCounter,
     /// Commits that a primary acknowledged, by what showed whether they survive a failover.
     pub(crate) evidence: IntCounterVec,
+    /// Reads placed by reported load, by the kind of the first server and its place as seen
+    /// from this VM.
+    pub(crate) placed_reads: IntCounterVec,
+    /// Replicas that were ejected, by reason.
+    pub(crate) ejections: IntCounterVec,
+    /// Reports on the load of servers received from homes.
+    pub(crate) server_reports: IntCounter,
     /// Log lines dropped for exceeding their budget.
     pub(crate) dropped_lines: IntCounter,
     /// Links to other VMs.
@@ -67,6 +74,14 @@
             promotions: counters(&registry, "promotions_total", "Promotions ordered.", "cause"),
             missing_commits: counter(&registry, "missing_commits_total", "Commits found lost."),
             evidence: counters(&registry, "commits_total", "Commits acknowledged.", "evidence"),
+            placed_reads: labelled_counters(
+                &registry,
+                "placed_reads_total",
+                "Reads placed by load.",
+                &["kind", "place"],
+            ),
+            ejections: counters(&registry, "ejections_total", "Servers ejected.", "reason"),
+            server_reports: counter(&registry, "server_reports_total", "Load reports received."),
             dropped_lines: counter(&registry, "dropped_lines_total", "Log lines dropped."),
             peers: gauge(&registry, "peers", "Connected VMs."),
             peer_messages: peer_counters(&registry, "peer_messages_total", "Messages to VMs."),
