--- a/crates/core/src/outlier.rs
+++ b/crates/core/src/outlier.rs
@@ -43,10 +43,10 @@
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
 /// Time between two reads of a VM on a replica that may be readmitted.
-const PROBE_SPACING: Duration = Duration::from_millis(500);
+const PROBE_SPACING: Duration = Duration::from_millis(1_500);
 
 /// Reads of a VM on a replica before it is readmitted.
-const PROBES: u32 = 6;
+const PROBES: u32 = 3;
 
 /// Why a replica is ejected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/core/src/spill.rs
+++ b/crates/core/src/spill.rs
@@ -45,11 +45,14 @@
 const LEAST_WEIGHT: f64 = 0.01;
 
 /// Change of the share per second.
-const RISE_PER_SECOND: f64 = 0.15;
-const FALL_PER_SECOND: f64 = 0.3;
+const RISE_PER_SECOND: f64 = 0.25;
+const FALL_PER_SECOND: f64 = 0.5;
+
+/// Time over which the wanted share is averaged, a few times the age of reports.
+const AVERAGED_SPAN: Duration = Duration::from_secs(1);
 
 /// Difference from the wanted share up to which a share does not change.
-const SHARE_TOLERANCE: f64 = 0.06;
+const SHARE_TOLERANCE: f64 = 0.1;
 
 /// Minimum time between two changes of the shares.
 const CHANGE_SPACING: Duration = Duration::from_millis(100);
@@ -84,10 +87,17 @@
     pub far: Side,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    present: f64,
+    /// Average of the wanted share.
+    wanted: f64,
+}
+
 /// Shares of the reads of one group that leave the data centre of a VM.
 #[derive(Clone, Debug, Default)]
 pub struct Spill {
-    shares: IndexMap<DataCentreId, f64>,
+    shares: IndexMap<DataCentreId, Share>,
     answer_bytes: f64,
     changed: Time,
 }
@@ -110,7 +120,7 @@
 
     /// Returns the share of the reads that leave.
     pub fn share(&self) -> f64 {
-        self.shares.values().sum()
+        self.shares.values().map(|share| share.present).sum()
     }
 
     /// Changes the shares by what is expected of all servers that may run reads, and returns
@@ -134,10 +144,11 @@
         let (count, seconds) = (far.len() as f64, span.as_secs_f64().min(1.0));
         let mut changes = Vec::new();
         for (centre, far) in far.drain(..) {
-            let before = self.shares.get(&centre).copied().unwrap_or_default();
-            let wanted = self.wanted(before, near, far) / count;
-            let after = approach(before, wanted, seconds);
-            self.shares.insert(centre.clone(), after);
+            let share = self.shares.get(&centre).copied().unwrap_or_default();
+            let before = share.present;
+            let share = share.update(self.wanted(before, near, far) / count, seconds);
+            let after = share.present;
+            self.shares.insert(centre.clone(), share);
             if (before > PROBE_SHARE) != (after > PROBE_SHARE) {
                 changes.push(Change { to: centre, begins: after > PROBE_SHARE, near, far });
             }
@@ -162,7 +173,7 @@
     fn draw(&self, rng: &mut impl Rng) -> Option<&DataCentreId> {
         let mut drawn: f64 = rng.random();
         self.shares.iter().find_map(|(centre, share)| {
-            drawn -= share;
+            drawn -= share.present;
             (drawn < 0.0).then_some(centre)
         })
     }
@@ -180,7 +191,11 @@
     if !prospects.iter().any(|prospect| prospect.near && prospect.takes_reads()) {
         return place(prospects, account, affinity, rng);
     }
-    let to = spill.draw(rng);
+    // The shares follow only some time after a data centre was cut off or taken out of use.
+    let is_usable = |centre: &&DataCentreId| {
+        prospects.iter().any(|prospect| prospect.data_centre == **centre && prospect.takes_reads())
+    };
+    let to = spill.draw(rng).filter(is_usable);
     let is_there = |prospect: &Prospect| match to {
         Some(centre) => prospect.data_centre == *centre,
         None => prospect.near,
@@ -225,13 +240,17 @@
     }
 }
 
-/// Returns a share after `seconds` in which it approaches the wanted one.
-fn approach(share: f64, wanted: f64, seconds: f64) -> f64 {
-    if wanted > PROBE_SHARE && (wanted - share).abs() <= SHARE_TOLERANCE {
-        return share;
+impl Share {
+    /// Returns the share after `seconds`.
+    fn update(self, wanted: f64, seconds: f64) -> Share {
+        let part = (seconds / AVERAGED_SPAN.as_secs_f64()).min(1.0);
+        let wanted = self.wanted + (wanted - self.wanted) * part;
+        let is_small = wanted > PROBE_SHARE && (wanted - self.present).abs() <= SHARE_TOLERANCE;
+        let least = (self.present - FALL_PER_SECOND * seconds).max(0.0);
+        let most = self.present + RISE_PER_SECOND * seconds;
+        let present = if is_small { self.present } else { wanted.clamp(least, most) };
+        Share { present, wanted }
     }
-    let (least, most) = (share - FALL_PER_SECOND * seconds, share + RISE_PER_SECOND * seconds);
-    wanted.clamp(least.max(0.0), most)
 }
 
 fn ratio(part: Duration, whole: Duration) -> f64 {
--- a/crates/core/tests/placement_replay/mod.rs
+++ b/crates/core/tests/placement_replay/mod.rs
@@ -38,6 +38,12 @@
 const NEAR_US: u64 = 250;
 const FAR_US: u64 = 5_000;
 
+/// Reads that wait for a server; a home rejects those that would be late.
+const MAX_QUEUE: usize = 40;
+
+/// Counts as the response time of a rejected read.
+const REJECTED_MS: u64 = 10_000;
+
 /// Bytes of a report.
 const REPORT_BYTES: usize = 40;
 
@@ -156,6 +162,9 @@
     pub(crate) far: u64,
     /// Reads that were sent to a data centre that is cut off.
     pub(crate) across: u64,
+    /// Number of VMs, and seconds that count.
+    pub(crate) vms: u32,
+    pub(crate) seconds: f64,
     /// Changes of direction of the share that leaves, by all VMs.
     pub(crate) turns: u64,
     /// Response times of the callers of each data centre in milliseconds.
@@ -168,12 +177,10 @@
 }
 
 impl Figures {
-    fn new(servers: usize, centres: usize) -> Self {
-        Figures {
-            work: vec![0; servers],
-            by_centre: vec![Vec::new(); centres],
-            ..Figures::default()
-        }
+    fn new(servers: usize, scene: &Scene) -> Self {
+        let by_centre = vec![Vec::new(); scene.servers.len()];
+        let (vms, seconds) = (scene.vms as u32, scene.seconds as f64 / 2.0);
+        Figures { work: vec![0; servers], by_centre, vms, seconds, ..Figures::default() }
     }
 
     /// Returns the load of the busiest server as a multiple of the mean.
@@ -196,6 +203,16 @@
         times.iter().filter(|time| **time <= 250).count() as f64 / times.len().max(1) as f64
     }
 
+    /// Returns the share of reads that left their data centre.
+    pub(crate) fn far_share(&self) -> f64 {
+        self.far as f64 / self.times.len().max(1) as f64
+    }
+
+    /// Returns the changes of direction of one VM's share in a minute.
+    pub(crate) fn turns_per_minute(&self) -> f64 {
+        self.turns as f64 / f64::from(self.vms) * 60.0 / self.seconds
+    }
+
     /// Returns new connections for each read.
     pub(crate) fn connects_per_read(&self) -> f64 {
         self.connects as f64 / self.answered.max(1) as f64
@@ -274,7 +291,7 @@
             vms: (0..scene.vms).map(vm).collect(),
             accounts: (0..scene.accounts).map(|i| name(format!("account-{i}"))).collect(),
             weights: (0..scene.accounts).map(weight).collect(),
-            figures: Figures::new(servers.len(), scene.servers.len()),
+            figures: Figures::new(servers.len(), &scene),
             servers,
             scene,
             rng: SmallRng::seed_from_u64(seed),
@@ -292,7 +309,7 @@
         let mut halved = false;
         while let Some(Reverse((at, _, step))) = self.steps.pop() {
             if at >= half && !std::mem::replace(&mut halved, true) {
-                self.figures = Figures::new(self.servers.len(), self.scene.servers.len());
+                self.figures = Figures::new(self.servers.len(), &self.scene);
             }
             if at >= half * 2 {
                 break;
@@ -450,6 +467,11 @@
         let now = self.now;
         let read = &mut self.reads[number];
         let server = &mut self.servers[read.server];
+        if server.queue.len() >= MAX_QUEUE {
+            self.figures.times.push(REJECTED_MS);
+            self.figures.by_centre[self.vms[read.vm].centre].push(REJECTED_MS);
+            return;
+        }
         let home = &mut server.homes[read.home];
         read.reached = now;
         home.in_use += 1;
