--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -105,11 +105,6 @@
         self.limits = limits;
     }
 
-    /// Returns the limits.
-    pub fn limits(&self) -> Limits {
-        self.limits
-    }
-
     /// Returns the number of connections in use.
     pub fn in_use(&self) -> u32 {
         self.in_use
