Count an open order as a failover from the time its row is read

A daemon restarted with an order open, read the row, and the directory went away before any VM had the role. Nobody announced the order, and callers were told of commits that it then cost.

A VM that reads the row now counts its open orders as a failover that runs, whether it gets the role or not, and tells other VMs. The model does the same by `FailoverMemory`.

Ruled out: a longer span of all announcements. It would hold back successes after each failover that was given up, also when the coordinator lives.

--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -20,12 +20,12 @@
 use super::{
     FencingToken, OpenOrder, OrderAnswer,
     record::{
-        FailoverRecord, MAX_MISSING_BYTES, MAX_ORDER_BYTES, RecordedServer, Roster, millis,
+        FailoverRecord, MAX_MISSING_BYTES, MAX_ORDER_BYTES, RecordedServer, Roster, before, millis,
         order_bytes, server_bytes,
     },
 };
 use crate::{
-    failover::{MissingServer, MissingServers, RETURN_TIMEOUT},
+    failover::{Announcement, FailoverNumber, MissingServer, MissingServers, RETURN_TIMEOUT},
     id::{GroupId, ServerId},
     position::Term,
     time::Time,
@@ -36,6 +36,9 @@
 /// sent, and its age is not counted while nobody holds the role.
 const ORDER_SPAN: Duration = Duration::from_secs(30);
 
+/// Time from the receipt of an order by the platform, which may be late, to its effect.
+const EFFECT_SPAN: Duration = Duration::from_secs(1);
+
 /// Age from which on a missing server is no longer kept in the row.
 const MISSING_SPAN: Duration = Duration::from_secs(600);
 
@@ -134,34 +137,20 @@
 
     fn merge(&mut self, record: &FailoverRecord, version: DirectoryVersion, now: Time) {
         for order in &record.orders {
-            // An order without a token was sent with one of this version, if it was sent.
-            let token = order.token.map(FencingToken::from_number);
-            let token = token.unwrap_or_else(|| FencingToken::new(version));
-            let is_same =
-                |known: &OpenOrder| known.group == order.group && known.server == order.server;
-            if self.orders.iter().any(|known| is_same(known) && known.token >= Some(token)) {
-                continue;
+            let read = OpenOrder::read(order, version, now);
+            let is_newer = |known: &OpenOrder| {
+                known.group == read.group
+                    && known.server == read.server
+                    && known.token >= read.token
+            };
+            if !self.orders.iter().any(is_newer) {
+                self.orders.push(read);
             }
-            self.orders.push(OpenOrder {
-                group: order.group.clone(),
-                server: order.server.clone(),
-                replaced: order.replaced,
-                token: Some(token),
-                written: before(now, order.age_ms),
-                known: now,
-                revision: None,
-                is_announced: false,
-            });
         }
         for missing in &record.missing {
             let servers = self.missing.entry(missing.group.clone()).or_default();
             if servers.iter().all(|known| known.server != missing.server) {
-                servers.push(MissingServer {
-                    server: missing.server.clone(),
-                    address: missing.address,
-                    since: before(now, missing.age_ms),
-                    may_have_ended: missing.ended,
-                });
+                servers.push(missing.read(now));
             }
             self.recalled.insert(missing.group.clone());
         }
@@ -259,6 +248,17 @@
         orders.filter(|open| open.token.is_some()).max_by_key(|open| open.token)
     }
 
+    /// Returns the failover of a group that its open orders stand for.
+    ///
+    /// A VM that reads the row counts it as running although it has not got the role, because the
+    /// directory may go away before anybody gets it.
+    pub fn announcement(&self, group: &GroupId) -> Option<Announcement> {
+        let newest = self.open_order(group)?;
+        let replaced = self.orders_of(group).map(|open| open.replaced).max()?;
+        let number = FailoverNumber::new(newest.token?.get());
+        Some(Announcement { number, replaced, begun: newest.known + EFFECT_SPAN })
+    }
+
     /// Returns the term that open orders of earlier holders replace, once for each of them: the
     /// group is to be announced as having a failover.
     pub fn take_unannounced(&mut self, group: &GroupId) -> Option<Term> {
@@ -390,7 +390,3 @@
         self.newest
     }
 }
-
-fn before(now: Time, age_ms: u64) -> Time {
-    now - Duration::from_millis(age_ms)
-}
--- a/crates/core/src/coordinator/order.rs
+++ b/crates/core/src/coordinator/order.rs
@@ -2,12 +2,13 @@
 
 use super::{
     FencingToken, Revision,
-    record::{RecordedOrder, millis},
+    record::{RecordedOrder, before, millis},
 };
 use crate::{
     id::{GroupId, ServerId},
     position::Term,
     time::Time,
+    version::DirectoryVersion,
 };
 
 /// Outcome of a promotion order as the platform answered it.
@@ -41,6 +42,22 @@
 }
 
 impl OpenOrder {
+    /// Returns the order of a row of this `version` that was read at `now`.
+    pub(super) fn read(order: &RecordedOrder, version: DirectoryVersion, now: Time) -> Self {
+        // An order without a token was sent with one of this version, if it was sent.
+        let token = order.token.map(FencingToken::from_number);
+        OpenOrder {
+            group: order.group.clone(),
+            server: order.server.clone(),
+            replaced: order.replaced,
+            token: Some(token.unwrap_or_else(|| FencingToken::new(version))),
+            written: before(now, order.age_ms),
+            known: now,
+            revision: None,
+            is_announced: false,
+        }
+    }
+
     /// Returns whether this is the order that was prepared with a revision.
     pub(super) fn is_new(&self, revision: Revision) -> bool {
         self.revision == Some(revision)
--- a/crates/core/src/coordinator/record.rs
+++ b/crates/core/src/coordinator/record.rs
@@ -10,8 +10,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    failover::MissingServer,
     id::{GroupId, ServerId},
     position::Term,
+    time::Time,
 };
 
 /// Greatest size of the orders of a record, in bytes. The rest of the row, which may have
@@ -109,6 +111,18 @@
     pub ended: bool,
 }
 
+impl RecordedServer {
+    /// Returns the missing server of a row that was read at `now`.
+    pub(super) fn read(&self, now: Time) -> MissingServer {
+        MissingServer {
+            server: self.server.clone(),
+            address: self.address,
+            since: before(now, self.age_ms),
+            may_have_ended: self.ended,
+        }
+    }
+}
+
 /// Returns the greatest size of a stored order.
 pub(super) fn order_bytes(group: &GroupId, server: &ServerId) -> usize {
     ORDER_BYTES + group.as_str().len() + server.as_str().len()
@@ -119,6 +133,11 @@
     SERVER_BYTES + group.as_str().len() + server.as_str().len()
 }
 
+/// Returns the time of which a row that was read at `now` says that it was so long ago.
+pub(super) fn before(now: Time, age_ms: u64) -> Time {
+    now - Duration::from_millis(age_ms)
+}
+
 /// Returns an age as it is stored.
 pub(super) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -206,6 +206,10 @@
     let open = later.open_order(&group()).expect("the order is open");
     assert_eq!(open.token, Some(FencingToken::new(version(9))));
     assert!(open.token < Some(FencingToken::new(version(10))), "the next order replaces it");
+    // The directory may go away before this VM has the role.
+    let failover = later.announcement(&group()).expect("a failover counts as running");
+    assert!(failover.may_replace(Term::new(4), at(1_200)));
+    assert!(!failover.may_replace(Term::new(5), at(1_200)), "its successor may lead");
     assert_eq!(later.take_unannounced(&group()), Some(Term::new(4)));
     assert_eq!(later.take_unannounced(&group()), None, "it is announced once");
     // The holder after this one has to announce it too.
--- a/crates/core/tests/failover_model/vm.rs
+++ b/crates/core/tests/failover_model/vm.rs
@@ -77,7 +77,7 @@
             vms[vm].view.record_entries(&directory.entries, tick);
         }
         let World { vms, directory, .. } = self;
-        let Vm { lease, memory, .. } = &mut vms[vm];
+        let Vm { lease, memory, view, .. } = &mut vms[vm];
         let now = time(tick);
         match lease.next_step(now) {
             Step::Wait(_) => {}
@@ -86,6 +86,7 @@
                 let row = directory.row.as_ref();
                 if let Some(row) = row.filter(|row| !lease.is_own(row)) {
                     memory.record_row(&directory.record, row.version, now);
+                    view.record_failover(memory.announcement(&group()));
                 }
                 lease.record_row(row, Default::default(), None, now);
             }
--- a/crates/engine/src/coordinator.rs
+++ b/crates/engine/src/coordinator.rs
@@ -178,6 +178,9 @@
                     Some(stored) => {
                         let version = stored.row.version;
                         self.memory.borrow_mut().record_row(&stored.record, version, now);
+                        if !stored.record.orders.is_empty() {
+                            engine.watch_wakeup.notify_one();
+                        }
                     }
                     None => {
                         let earlier = StoredRow::find_newest(&rows);
--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -114,6 +114,13 @@
         memory.take_unannounced(name)
     }
 
+    /// Counts the failover that open orders of a group stand for as running. Returns whether this
+    /// VM did not know of it.
+    pub(crate) fn record_open_order(&self, group: &mut Group) -> bool {
+        let announcement = self.memory.borrow().announcement(&group.view.group);
+        announcement.is_some_and(|failover| group.peers.record_failover(failover))
+    }
+
     /// Returns the server of the newest open order of a group, and since when this VM has known
     /// of the order.
     pub(crate) fn newest_order(&self, group: &GroupId) -> Option<KnownOrder> {
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -93,6 +93,9 @@
         for group in engine.groups() {
             let name = group.borrow().view.group.clone();
             let watched = watches.entry(name).or_default();
+            if coordinator.record_open_order(&mut group.borrow_mut()) {
+                engine.fleet.announce_primary();
+            }
             if is_coordinator {
                 recall(&engine, &coordinator, &group);
                 watch(&engine, &coordinator, &group, watched);
