Reject another connection while the one that holds most is being closed

Cause: Budget::hold named the connection that holds most with each call until that connection had left, so the others could go on to hold answers meanwhile. Change: what a rejected connection holds no longer counts, and it is not named again. The new test of core failed before: all eight rejections named one connection.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -165,6 +165,8 @@
     message: usize,
     answer: usize,
     session: usize,
+    /// Whether the connection is to be closed, after which it holds nothing.
+    rejected: bool,
 }
 
 impl Holder {
@@ -227,7 +229,9 @@
     /// Removes a connection and everything held for it.
     pub fn leave(&mut self, id: HolderId) {
         self.finish_message(id);
-        if let Some(holder) = self.holders.swap_remove(&id) {
+        if let Some(holder) = self.holders.swap_remove(&id)
+            && !holder.rejected
+        {
             self.kept -= holder.kept();
         }
     }
@@ -271,19 +275,28 @@
 
     /// Sets the bytes that a connection holds. Returns the connection to reject if there are too
     /// many: the one that holds most, which may be another one.
+    ///
+    /// What a rejected connection holds no longer counts, so that the next call does not name it
+    /// again while it is being closed, but another one if there are still too many bytes.
     pub fn hold(&mut self, id: HolderId, holding: Holding, bytes: usize) -> Option<HolderId> {
         let holder = self.holders.get_mut(&id)?;
         let before = match holding {
             Holding::Answer => std::mem::replace(&mut holder.answer, bytes),
             Holding::Session => std::mem::replace(&mut holder.session, bytes),
         };
+        if holder.rejected {
+            return None;
+        }
         self.kept = self.kept + bytes - before;
         // The other half is for messages, which wait instead.
         if bytes <= before || self.kept <= self.limits.process / 2 {
             return None;
         }
-        let largest = self.holders.iter().max_by_key(|(id, holder)| (holder.kept(), **id));
-        largest.map(|(id, _)| *id)
+        let open = self.holders.iter_mut().filter(|(_, holder)| !holder.rejected);
+        let (largest, holder) = open.max_by_key(|(id, holder)| (holder.kept(), **id))?;
+        holder.rejected = true;
+        self.kept -= holder.kept();
+        Some(*largest)
     }
 
     fn of_account(&self, name: &AccountId) -> usize {
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -117,3 +117,19 @@
     budget.finish_message(ids[0]);
     assert_eq!(budget.request_message(ids[1], MEDIUM_MESSAGE_BYTES), Grant::Read);
 }
+
+/// The same connection was named until it was closed, and the others went on to fill the memory.
+#[test]
+fn a_connection_that_is_being_closed_is_not_rejected_again() {
+    let (mut budget, ids) = budget(&[("press", 10)]);
+    let limit = budget.limits().process / 2;
+    let rejected: Vec<HolderId> =
+        ids.iter().filter_map(|id| budget.hold(*id, Holding::Answer, limit / 2)).collect();
+    assert_eq!(rejected.len(), 8, "two answers fit");
+    let mut distinct = rejected.clone();
+    distinct.sort();
+    distinct.dedup();
+    assert_eq!(distinct.len(), rejected.len());
+    ids.iter().for_each(|id| budget.leave(*id));
+    assert_eq!(budget.total(), 0);
+}
