--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -123,7 +123,7 @@
     /// There are as many callers as descriptors allow.
     Callers,
     /// It connected to the address of the other VMs and did not show that it is one.
-    Stranger,
+    UnknownPeer,
 }
 
 impl LimitReason {
@@ -135,7 +135,7 @@
         LimitReason::SlowReader,
         LimitReason::MessageLength,
         LimitReason::Callers,
-        LimitReason::Stranger,
+        LimitReason::UnknownPeer,
     ];
 
     /// Returns the label of the reason in metrics and logs.
@@ -147,7 +147,7 @@
             LimitReason::SlowReader => "slow_reader",
             LimitReason::MessageLength => "message_length",
             LimitReason::Callers => "callers",
-            LimitReason::Stranger => "stranger",
+            LimitReason::UnknownPeer => "unknown_peer",
         }
     }
 }
--- a/crates/engine/src/daemon.rs
+++ b/crates/engine/src/daemon.rs
@@ -262,7 +262,7 @@
 }
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
-    /// Counts and logs that a caller or a stranger exceeded a limit.
+    /// Counts and logs that a caller or an unknown client exceeded a limit.
     pub(crate) fn record_limit(&self, reason: LimitReason) {
         self.metrics.limits.with_label_values(&[reason.label()]).inc();
         self.event_log.record(Event::LimitExceeded, o!("reason" => reason.label()));
--- a/crates/engine/src/fleet/accept.rs
+++ b/crates/engine/src/fleet/accept.rs
@@ -1,4 +1,4 @@
-//! Connections that other VMs open, or strangers.
+//! Connections that other VMs, or unknown clients, open.
 
 use std::{rc::Rc, sync::Arc};
 
@@ -24,21 +24,21 @@
 };
 
 /// Maximum number of connections that have not begun with a heartbeat.
-const MAX_STRANGERS: usize = 32;
+const MAX_UNKNOWN_PEERS: usize = 32;
 
 /// Maximum size of the first message of a VM that connects, in bytes. It has the state of up to
 /// some ten thousand groups.
 const MAX_FIRST_BYTES: usize = 1 << 20;
 
-/// Accepts other VMs. Strangers may connect to the same address.
+/// Accepts other VMs. Unknown clients may connect to the same address.
 pub(super) async fn accept<S: ServerProtocol, D: Directory>(
     engine: Rc<Engine<S, D>>,
     listener: TcpListener,
 ) {
-    let strangers = Arc::new(Semaphore::new(MAX_STRANGERS));
+    let unknown_peers = Arc::new(Semaphore::new(MAX_UNKNOWN_PEERS));
     loop {
         // The others wait without a descriptor of the process.
-        let Ok(permit) = Arc::clone(&strangers).acquire_owned().await else { return };
+        let Ok(permit) = Arc::clone(&unknown_peers).acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
                 let engine = Rc::clone(&engine);
@@ -50,9 +50,9 @@
 }
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
-    fn reject_stranger(&self, reason: &'static str) {
-        self.metrics.limits.with_label_values(&[LimitReason::Stranger.label()]).inc();
-        self.event_log.record(Event::StrangerRejected, o!("reason" => reason));
+    fn reject_unknown(&self, reason: &'static str) {
+        self.metrics.limits.with_label_values(&[LimitReason::UnknownPeer.label()]).inc();
+        self.event_log.record(Event::PeerRejected, o!("reason" => reason));
     }
 }
 
@@ -70,11 +70,11 @@
     let heartbeat = match first {
         Ok(Some(Ok(Envelope { body: Some(Body::Beat(heartbeat)) }))) => heartbeat,
         Ok(None) => return,
-        Ok(Some(Err(_))) => return engine.reject_stranger("malformed"),
-        Ok(Some(Ok(_))) => return engine.reject_stranger("no_heartbeat"),
-        Err(_) => return engine.reject_stranger("silent"),
+        Ok(Some(Err(_))) => return engine.reject_unknown("malformed"),
+        Ok(Some(Ok(_))) => return engine.reject_unknown("no_heartbeat"),
+        Err(_) => return engine.reject_unknown("silent"),
     };
-    let Ok(vm) = VmId::new(&heartbeat.vm) else { return engine.reject_stranger("no_name") };
+    let Ok(vm) = VmId::new(&heartbeat.vm) else { return engine.reject_unknown("no_name") };
     frames.codec_mut().set_limit(MAX_ENVELOPE_BYTES);
     run_link(&engine, vm, frames, Origin::Accepted(Box::new(heartbeat))).await;
 }
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -128,8 +128,8 @@
     LimitExceeded,
     /// Messages were not read for want of memory.
     MessagesDelayed,
-    /// A stranger connected to the address of the other VMs.
-    StrangerRejected,
+    /// An unknown client connected to the address of the other VMs.
+    PeerRejected,
 }
 
 impl Event {
@@ -187,7 +187,7 @@
         Event::ServerReadmitted,
         Event::LimitExceeded,
         Event::MessagesDelayed,
-        Event::StrangerRejected,
+        Event::PeerRejected,
     ];
 
     /// Returns the number, level and text of the event.
@@ -245,7 +245,7 @@
             Event::ServerReadmitted => (657, Level::Info, "server readmitted"),
             Event::LimitExceeded => (658, Level::Warning, "caller exceeded a limit"),
             Event::MessagesDelayed => (659, Level::Warning, "messages delayed for memory"),
-            Event::StrangerRejected => (660, Level::Warning, "stranger rejected"),
+            Event::PeerRejected => (660, Level::Warning, "unknown peer rejected"),
         }
     }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -57,7 +57,7 @@
     pub(crate) ejections: IntCounterVec,
     /// Reports on the load of servers received from homes.
     pub(crate) server_reports: IntCounter,
-    /// Callers and strangers that exceeded a limit, by reason.
+    /// Callers and unknown clients that exceeded a limit, by reason.
     pub(crate) limits: IntCounterVec,
     /// Messages of callers that were not read until there was room.
     pub(crate) message_waits: IntCounter,
--- a/crates/proxy/src/peers/accept.rs
+++ b/crates/proxy/src/peers/accept.rs
@@ -39,7 +39,7 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of connections whose first message has not arrived.
-const MAX_STRANGERS: usize = 64;
+const MAX_UNKNOWN_PEERS: usize = 64;
 
 /// Maximum size of the first message of another VM, in bytes.
 const MAX_HELLO_BYTES: usize = 4 << 10;
@@ -59,10 +59,10 @@
 
 /// Accepts connections from other VMs for as long as the daemon runs.
 pub async fn listen(node: Arc<Node>, listener: TcpListener) {
-    let strangers = Arc::new(Semaphore::new(MAX_STRANGERS));
+    let unknown_peers = Arc::new(Semaphore::new(MAX_UNKNOWN_PEERS));
     loop {
         // The others wait without a descriptor of the process.
-        let Ok(permit) = Arc::clone(&strangers).acquire_owned().await else { return };
+        let Ok(permit) = Arc::clone(&unknown_peers).acquire_owned().await else { return };
         match listener.accept().await {
             Ok((socket, _)) => drop(tokio::spawn(run(Arc::clone(&node), socket, permit))),
             Err(_) => sleep(ACCEPT_PAUSE).await,
--- a/crates/proxy/tests/limits.rs
+++ b/crates/proxy/tests/limits.rs
@@ -1,4 +1,4 @@
-//! Callers and strangers that do not keep to the limits neither end the daemon nor exhaust the
+//! Callers and unknown clients that do not keep to the limits neither end the daemon nor exhaust the
 //! VM's memory or descriptors, and an ordinary request is answered after them.
 
 mod common;
@@ -38,8 +38,8 @@
 /// Size of a legal message that is close to the limit.
 const LARGE_BYTES: usize = 1_000_000;
 
-/// Strangers of a crowd that would use up the descriptors.
-const STRANGERS: usize = 1_000;
+/// Unknown clients of a crowd that would use up the descriptors.
+const UNKNOWN_CLIENTS: usize = 1_000;
 
 /// Time for which a crowd is observed.
 const CROWD_SPAN: Duration = Duration::from_secs(3);
@@ -348,8 +348,12 @@
     });
 }
 
-/// Connects strangers to an address, sends the same bytes on all and checks the daemon.
-async fn send_from_strangers(address: impl Fn(&Daemon) -> SocketAddr, count: usize, bytes: &[u8]) {
+/// Connects unknown clients to an address, sends the same bytes on all and checks the daemon.
+async fn send_from_unknown_clients(
+    address: impl Fn(&Daemon) -> SocketAddr,
+    count: usize,
+    bytes: &[u8],
+) {
     let mut place = Place::start().await;
     let address = address(place.daemon());
     for _ in 0..count {
@@ -368,18 +372,22 @@
 }
 
 #[test]
-fn strangers_that_send_huge_frames_to_the_peers() {
+fn unknown_clients_that_send_huge_frames_to_the_peers() {
     let mut bytes = (31_u32 << 20).to_be_bytes().to_vec();
     bytes.resize(16 << 20, 0);
-    run(send_from_strangers(|daemon| daemon.peers, CROWD, &bytes));
+    run(send_from_unknown_clients(|daemon| daemon.peers, CROWD, &bytes));
 }
 
 #[test]
-fn many_silent_strangers_on_the_peers() {
-    run(send_from_strangers(|daemon| daemon.peers, STRANGERS, b""));
+fn many_silent_clients_on_the_peers() {
+    run(send_from_unknown_clients(|daemon| daemon.peers, UNKNOWN_CLIENTS, b""));
 }
 
 #[test]
-fn many_slow_strangers_on_the_admin_address() {
-    run(send_from_strangers(|daemon| daemon.admin, STRANGERS, b"GET /metrics HTTP/1.1\r\n"));
+fn many_slow_clients_on_the_admin_address() {
+    run(send_from_unknown_clients(
+        |daemon| daemon.admin,
+        UNKNOWN_CLIENTS,
+        b"GET /metrics HTTP/1.1\r\n",
+    ));
 }
