--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -3,8 +3,9 @@
 //! A daemon holds bytes for its callers: messages that were read and not answered, answers that
 //! were not taken, and the state of sessions. A [`Budget`] counts them by connection, by client
 //! account and in total. A message that would exceed a limit is not read until there is room.
-//! Answers and the state of sessions exist when they are counted. If they exceed the limit, the
-//! connection that holds most of them is rejected.
+//! Answers and session state are counted only after they are in memory, so they cannot be made to
+//! wait. If together they exceed half of the limit for all callers, the connection that holds most
+//! of them is rejected.
 //!
 //! [`Progress`] decides whether a caller sends or takes bytes too slowly.
 
@@ -20,7 +21,8 @@
 /// Size up to which a message counts as medium, in bytes.
 pub const MEDIUM_MESSAGE_BYTES: usize = 64 << 10;
 
-/// Size that a message above the medium size counts for at least, in bytes.
+/// Maximum length of a message of the line protocol, in bytes. Each message above the medium size
+/// counts for at least this much; messages of PostgreSQL may be longer.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
 /// Copies of a message that exist at the same time while it runs: as it was read, in the command
@@ -89,7 +91,7 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct HolderId(u64);
 
-/// What bytes are held for that exist already.
+/// Kind of bytes that are counted after they are in memory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Holding {
     /// An answer that the caller has not taken.
@@ -110,9 +112,10 @@
 /// Why a caller is rejected or disconnected.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum LimitReason {
-    /// It held most when the memory for callers was used up.
+    /// The memory for callers was used up, and it held most of it or waited too long for room.
     Memory,
-    /// Its session reached the limit of variables and prepared statements.
+    /// A statement was refused because the session keeps too many variables or prepared
+    /// statements.
     Session,
     /// It sent a message, or a part of one, too slowly.
     SlowSender,
@@ -238,8 +241,9 @@
 
     /// Asks to read a message of up to `bytes`, of which a part was read already.
     ///
-    /// Medium messages leave half of each limit to large ones, so that a large message always
-    /// completes although others wait with a part of theirs.
+    /// Medium messages leave half of each limit to large ones, and one large message is read
+    /// although there is no room, so that a large message always completes although others wait
+    /// with a part of theirs.
     pub fn request_message(&mut self, id: HolderId, bytes: usize) -> Grant {
         let Some(holder) = self.holders.get(&id) else { return Grant::Wait };
         let cost = message_cost(bytes);
@@ -251,8 +255,7 @@
         let of_account = holder.account.as_ref().map_or(0, |name| self.of_account(name));
         let has_room = self.total() + added <= share(self.limits.process)
             && of_account + added <= share(self.limits.account);
-        // Without any other message there is nothing to wait for.
-        if !has_room && self.messages > holder.message {
+        if !has_room && self.awaits_others(id, bytes) {
             return Grant::Wait;
         }
         self.add_message(id, added);
@@ -299,6 +302,15 @@
         Some(*largest)
     }
 
+    /// Returns whether a message has to wait for others that will be done: a large one for other
+    /// large ones, and any other one for all.
+    fn awaits_others(&self, id: HolderId, bytes: usize) -> bool {
+        let others = self.holders.iter().filter(|(other, _)| **other != id);
+        let least =
+            if bytes > MEDIUM_MESSAGE_BYTES { message_cost(MEDIUM_MESSAGE_BYTES) } else { 0 };
+        others.into_iter().any(|(_, holder)| holder.message > least)
+    }
+
     fn of_account(&self, name: &AccountId) -> usize {
         self.accounts.get(name).copied().unwrap_or_default()
     }
--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -114,12 +114,12 @@
         self.written = self.newest;
     }
 
-    /// Records that the directory has no row in this era.
+    /// Records that the directory has no coordinator's row in this era.
     ///
-    /// In the first era there has been no coordinator. In a later one the directory came back from
-    /// a copy. What was written last may be missing in the copy. So what this VM knows is kept, what the
-    /// row of the earlier era says is added, and servers that disappeared before this daemon
-    /// started may be unknown.
+    /// In the first era no coordinator has existed. A later era begins when the directory is
+    /// restored from a copy, which may lack the last writes. So this VM keeps what it knows, adds
+    /// the `earlier` row, and assumes that a server may be missing that disappeared before this
+    /// daemon started.
     pub fn record_absence(
         &mut self,
         era: Era,
--- a/crates/core/src/coordinator/record.rs
+++ b/crates/core/src/coordinator/record.rs
@@ -1,8 +1,9 @@
 //! What the coordinator's row says about failovers, as it is stored.
 //!
 //! Times are stored as ages, because the clocks of two VMs differ. A reader counts an age from
-//! the time at which it reads the row. What it reads is thus never older than it seems, so
-//! that it waits too long rather than too short.
+//! the time at which it reads the row. The time between the write and the read is not counted, so
+//! an entry may be older than it seems, but never younger, and the reader waits too long rather
+//! than too briefly.
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -115,8 +115,9 @@
     interval_start: Time,
     /// Recent admissions of waiting requests by priority; older ones weigh less.
     admissions: BTreeMap<Priority, f64>,
-    /// Number of requests that have gone before the first one since the last that was first.
-    overtaking: u32,
+    /// Number of requests that have gone before the first one of their priority since the last
+    /// that was first.
+    overtaking: BTreeMap<Priority, u32>,
 }
 
 impl<W> WaitingList<W> {
@@ -130,7 +131,7 @@
             interval: Average::new().with_inverse_weight(AVERAGED_RELEASES),
             interval_start: Time::default(),
             admissions: BTreeMap::new(),
-            overtaking: 0,
+            overtaking: BTreeMap::new(),
         }
     }
 
@@ -213,11 +214,12 @@
         let first = *self.waiters.keys().next()?;
         let same_priority = self.waiters.iter().take_while(|(t, _)| t.priority == first.priority);
         let ready = same_priority.into_iter().find(|(_, waiter)| is_ready(&waiter.waker));
+        let overtaking = self.overtaking.entry(first.priority).or_default();
         let chosen = match ready {
-            Some((ticket, _)) if self.overtaking < MAX_OVERTAKING => *ticket,
+            Some((ticket, _)) if *overtaking < MAX_OVERTAKING => *ticket,
             _ => first,
         };
-        self.overtaking = if chosen == first { 0 } else { self.overtaking + 1 };
+        *overtaking = if chosen == first { 0 } else { *overtaking + 1 };
         Some(chosen)
     }
 
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -118,6 +118,21 @@
     assert_eq!(budget.request_message(ids[1], MEDIUM_MESSAGE_BYTES), Grant::Read);
 }
 
+/// Callers that wait with a part of a large message and sessions with large state left no room in
+/// which any message could complete.
+#[test]
+fn a_large_message_is_read_although_sessions_fill_their_half_of_the_memory() {
+    let (mut budget, ids) = budget(&[("press", 40), ("clinic", 40), ("archive", 8)]);
+    let (waiting, sessions) = ids.split_at(80);
+    for id in waiting {
+        budget.request_message(*id, MEDIUM_MESSAGE_BYTES);
+    }
+    let part = budget.limits().process / 2 / sessions.len();
+    sessions.iter().for_each(|id| assert_eq!(budget.hold(*id, Holding::Session, part), None));
+    let read = |id: &&HolderId| budget.request_message(**id, MAX_MESSAGE_BYTES) == Grant::Read;
+    assert_eq!(waiting.iter().filter(read).count(), 1);
+}
+
 /// The same connection was named until it was closed, and the others went on to fill the memory.
 #[test]
 fn a_connection_that_is_being_closed_is_not_rejected_again() {
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -163,7 +163,11 @@
                 Err(error) => return Err(ended(error)),
             };
             match &answer.result {
-                Err(fault) if fault.kind == FaultKind::Busy && self.has_time_left() => {
+                Err(fault)
+                    if fault.kind == FaultKind::Busy
+                        && self.has_time_left()
+                        && self.may_retry(fault.kind) =>
+                {
                     self.record_retry(fault.kind.label(), server.as_str());
                     self.pause().await;
                 }
--- a/crates/engine/src/usage/rows.rs
+++ b/crates/engine/src/usage/rows.rs
@@ -116,11 +116,13 @@
         };
         let key = Ledger::row_key(newest);
         let row = rows.rows.iter().find(|row| row.key == key).ok_or(RowError::Invalid)?;
-        let content = self.parse(row, &rows.rows)?;
-        match newest == era {
-            true => Ok(Read { era, present: Some((content, row.version)), earlier: None }),
-            false => Ok(Read { era, present: None, earlier: content.through }),
+        if newest < era {
+            // The decisions of an earlier era are not repeated, so their counts are not read.
+            let content = parse_content(row)?;
+            return Ok(Read { era, present: None, earlier: content.through });
         }
+        let content = self.parse(row, &rows.rows)?;
+        Ok(Read { era, present: Some((content, row.version)), earlier: None })
     }
 
     /// Writes the decisions if the row has the version `expected`, and returns its new
@@ -134,6 +136,21 @@
         engine: &Engine<S, D>,
         row: &LedgerRow,
         expected: DirectoryVersion,
+    ) -> Result<DirectoryVersion, RowError> {
+        let known: Vec<WindowId> = self.parts.keys().copied().collect();
+        let written = self.try_write(engine, row, expected).await;
+        if written.is_err() {
+            // A window that is not decided yet may have other counts at the next attempt.
+            self.parts.retain(|window, _| known.contains(window));
+        }
+        written
+    }
+
+    async fn try_write<S: ServerProtocol, D: Directory>(
+        &mut self,
+        engine: &Engine<S, D>,
+        row: &LedgerRow,
+        expected: DirectoryVersion,
     ) -> Result<DirectoryVersion, RowError> {
         self.spread(engine, row, MAX_INLINE_BYTES).await?;
         let mut value = self.format(row)?;
@@ -184,7 +201,7 @@
     }
 
     fn parse(&mut self, row: &Row, rows: &[Row]) -> Result<LedgerRow, RowError> {
-        let content: Content = serde_json::from_slice(&row.value).map_err(|_| RowError::Invalid)?;
+        let content = parse_content(row)?;
         let mut open = Vec::new();
         for WindowContent { window, mut counts, parts } in content.open {
             for key in parts.into_iter().flat_map(|parts| parts.keys(window)) {
@@ -225,6 +242,11 @@
     Ok(json.len())
 }
 
+/// Parses the row of decisions, without the counts in rows of their own.
+fn parse_content(row: &Row) -> Result<Content, RowError> {
+    serde_json::from_slice(&row.value).map_err(|_| RowError::Invalid)
+}
+
 /// Writes the counts of a window to rows that no other VM writes.
 async fn write_parts<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
--- a/crates/proxy/src/entry/connection.rs
+++ b/crates/proxy/src/entry/connection.rs
@@ -113,6 +113,10 @@
     async fn request_message(&mut self) -> Result<(), WireError> {
         let Some(header) = self.input.first_chunk::<HEADER_BYTES>() else { return Ok(()) };
         let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
+        // The decoder refuses a longer message, for which no room is taken.
+        if length as usize > self.codec.limit() {
+            return Ok(());
+        }
         let bytes = self.batch_bytes + length as usize;
         let Some(meter) = self.meter.as_ref().filter(|_| bytes > SMALL_MESSAGE_BYTES) else {
             return Ok(());
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -81,6 +81,11 @@
             .new_codec();
         FrameCodec { frames }
     }
+
+    /// Returns the length above which messages are refused, in bytes.
+    pub fn limit(&self) -> usize {
+        self.frames.max_frame_length()
+    }
 }
 
 impl Decoder for FrameCodec {
