--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -43,7 +43,7 @@
     announcement::{Announcement, FailoverNumber},
     missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
-    replica::{Member, ReplicationStatus},
+    replica::{Member, ReplicationStatus, Report},
 };
 
 pub(crate) use self::missing::RETURN_TIMEOUT;
@@ -198,6 +198,16 @@
         replicas.chain(primary).map(|status| status.term).max().unwrap_or_default()
     }
 
+    /// Returns what the servers have reported, the old primary last.
+    pub fn reports(&self) -> impl Iterator<Item = Report<'_>> {
+        let replicas = self.replicas.iter().map(|(server, replica)| Report {
+            server,
+            status: replica.status,
+            answered: replica.answered,
+        });
+        replicas.chain(self.primary.as_ref().map(Demotion::report))
+    }
+
     /// Records that all VMs are told of the failover again, because it replaces the primary of a
     /// higher term than they were told.
     pub fn record_announcement(&mut self, now: Time) {
--- a/crates/core/src/failover/demotion.rs
+++ b/crates/core/src/failover/demotion.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::{Action, REPEAT_INTERVAL, ReplicationStatus};
+use super::{Action, REPEAT_INTERVAL, ReplicationStatus, replica::Report};
 use crate::{
     id::ServerId,
     position::{Position, Term},
@@ -51,6 +51,10 @@
         self.status
     }
 
+    pub(super) fn report(&self) -> Report<'_> {
+        Report { server: &self.server, status: self.status, answered: Some(self.answered) }
+    }
+
     /// Returns since when it has been asked to step down.
     pub(super) fn since(&self) -> Option<Time> {
         self.since
--- a/crates/core/src/failover/replica.rs
+++ b/crates/core/src/failover/replica.rs
@@ -34,6 +34,17 @@
     pub fenced_term: Term,
 }
 
+/// What a failover knows of one server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report<'a> {
+    /// Name of the server.
+    pub server: &'a ServerId,
+    /// Its last answer, if it has answered.
+    pub status: Option<ReplicationStatus>,
+    /// When it last answered.
+    pub answered: Option<Time>,
+}
+
 /// What a failover knows of one of its members.
 #[derive(Clone, Debug)]
 pub(super) struct Replica {
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -100,6 +100,8 @@
     OrderUnsent,
     /// A new coordinator has read from the row what an earlier one knew of failovers.
     FailoversRecalled,
+    /// What the servers of a group reported to a failover.
+    MembersReported,
     /// This VM decided on the usage report of a window.
     UsageDecided,
     /// The usage report of a window was accepted.
@@ -134,7 +136,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 53] = [
+    pub const ALL: [Event; 54] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -188,6 +190,7 @@
         Event::LimitExceeded,
         Event::MessagesDelayed,
         Event::PeerRejected,
+        Event::MembersReported,
     ];
 
     /// Returns the number, level and text of the event.
@@ -246,6 +249,7 @@
             Event::LimitExceeded => (658, Level::Warning, "caller exceeded a limit"),
             Event::MessagesDelayed => (659, Level::Warning, "messages delayed for memory"),
             Event::PeerRejected => (660, Level::Warning, "unknown peer rejected"),
+            Event::MembersReported => (662, Level::Info, "servers in failover"),
         }
     }
 
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -20,8 +20,8 @@
 use slog::o;
 use tokio::time::timeout;
 
-use self::execution::execute;
 pub(crate) use self::execution::send_command;
+use self::execution::{execute, log_reports};
 use crate::{
     catalog::ServerEntry,
     clock,
@@ -266,6 +266,7 @@
             Some(running)
         }
         Progress::Done(server, term) => {
+            log_reports(engine, &name, &running.failover.borrow(), "completed");
             let changed = group.borrow_mut().adopt(&server, term);
             let received = running.failover.borrow().target_received();
             group.borrow_mut().told.record_start(Position::new(term, received.lsn()));
@@ -285,6 +286,7 @@
             None
         }
         Progress::Abandoned(reason) => {
+            log_reports(engine, &name, &running.failover.borrow(), "abandoned");
             end_announcement(engine, coordinator, group, &running.failover.borrow(), now);
             engine.event_log.record(
                 Event::FailoverAbandoned,
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -3,9 +3,9 @@
 use std::{cell::RefCell, rc::Rc};
 
 use chicoryhollow_core::{
-    GroupId, ServerId, Term,
+    GroupId, ServerId, Term, Time,
     coordinator::OrderAnswer,
-    failover::{Action, Cause, Failover, ReplicationStatus},
+    failover::{Action, Cause, Failover, ReplicationStatus, Report},
 };
 use slog::o;
 
@@ -107,6 +107,36 @@
     engine.watch_wakeup.notify_one();
 }
 
+/// Logs what the servers have reported to a failover at this `step`.
+pub(super) fn log_reports<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    group: &GroupId,
+    failover: &Failover,
+    step: &'static str,
+) {
+    let now = clock::now();
+    let servers: Vec<String> = failover.reports().map(|report| describe(&report, now)).collect();
+    engine.event_log.record(
+        Event::MembersReported,
+        o!(
+            "group" => group.to_string(),
+            "step" => step,
+            "term" => failover.term().get(),
+            "servers" => servers.join(" "),
+        ),
+    );
+}
+
+fn describe(report: &Report<'_>, now: Time) -> String {
+    let Some((status, answered)) = report.status.zip(report.answered) else {
+        return format!("{}/silent", report.server);
+    };
+    let role = if status.primary { "primary" } else { "replica" };
+    let age = now.since(answered).as_millis();
+    let ReplicationStatus { term, received, fenced_term, .. } = status;
+    format!("{}/{role}/{term}/{received}/{fenced_term}/{age}ms", report.server)
+}
+
 /// Sends a command to a server and returns its status, if it answered.
 pub(crate) async fn send_command<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
@@ -144,6 +174,7 @@
             return;
         }
     };
+    log_reports(engine, group, &failover.borrow(), "ordered");
     let cause = failover.borrow().cause();
     let label = if cause == Cause::Planned { "planned" } else { "failure" };
     engine.metrics.promotions.with_label_values(&[label]).inc();
