--- a/crates/core/tests/placement_replay/mod.rs
+++ b/crates/core/tests/placement_replay/mod.rs
@@ -3,24 +3,34 @@
 //! Each server runs a few statements at a time, first come first served, and each home opens
 //! connections that run statements of one account. VMs decide on reports only.
 
+mod choice;
+mod figures;
+mod machines;
+mod scene;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, VecDeque},
-    fmt,
     time::Duration,
 };
 
 use chicoryhollow_core::{
-    AccountId, GroupView, ServerId, Time, VmId,
+    AccountId, Time, VmId,
     home::rank_homes,
-    load::{Assumption, Counts, Loads, Meter, Outcome, ReportPacer, SentReport, Visit},
-    placement::{Affinity, Prospect, place},
-    route::{Candidate, Choice, Estimates, assumed_response},
-    spill::{Spill, place_read},
-    waiting::Priority,
+    load::{Counts, Loads, Meter, Outcome, ReportPacer, SentReport, Visit},
+    placement::Affinity,
+    route::Estimates,
+    spill::Spill,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
+pub(crate) use self::{
+    figures::Figures,
+    scene::{Leaving, Rule, Scene, Trouble},
+};
+
+use self::machines::{Home, Read, Server, Vm};
+
 /// Statements that a server runs at a time.
 const SLOTS: usize = 4;
 
@@ -47,64 +57,6 @@
 /// Bytes of a report.
 const REPORT_BYTES: usize = 40;
 
-/// How reads are placed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Rule {
-    /// By each VM's own averages.
-    Averages,
-    /// By reported load.
-    Loads,
-}
-
-/// Which reads go to other data centres.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Leaving {
-    /// None while a near server is usable.
-    Never,
-    /// All, to the servers that are expected to answer first.
-    ByTime,
-    /// All, to all servers alike.
-    Alike,
-    /// All, while near servers are slower by this many milliseconds.
-    Above(u64),
-    /// By the share of `core::spill`.
-    Share,
-}
-
-/// What happens in the middle of a replay.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Trouble {
-    /// Nothing.
-    Calm,
-    /// The demand of the first two data centres rises and falls in opposite phase.
-    Waves,
-    /// The servers of the first data centre take three times as long.
-    Slow,
-    /// Half of the servers of the first data centre are gone.
-    HalfGone,
-    /// The first two data centres have 1.5 times as many reads as their servers run.
-    TwoFull,
-    /// The first data centre is overloaded, and is cut off in the middle.
-    Partition,
-    /// The first data centre is overloaded, and reports stop in the middle.
-    Silence,
-}
-
-/// What is replayed.
-#[derive(Clone, Debug)]
-pub(crate) struct Scene {
-    pub(crate) rule: Rule,
-    pub(crate) leaving: Leaving,
-    pub(crate) trouble: Trouble,
-    /// Servers of each data centre.
-    pub(crate) servers: Vec<usize>,
-    pub(crate) vms: usize,
-    pub(crate) accounts: usize,
-    /// Reads per second.
-    pub(crate) rate: f64,
-    pub(crate) seconds: u64,
-}
-
 #[derive(Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Step {
     Arrive,
@@ -116,122 +68,6 @@
     Answer(usize),
 }
 
-struct Read {
-    vm: usize,
-    account: usize,
-    server: usize,
-    home: usize,
-    asked: u64,
-    reached: u64,
-    work: u64,
-}
-
-struct Server {
-    name: ServerId,
-    centre: usize,
-    running: usize,
-    queue: VecDeque<usize>,
-    homes: Vec<Home>,
-}
-
-struct Home {
-    name: VmId,
-    meter: Meter,
-    in_use: usize,
-    /// Accounts of idle connections, the longest idle first.
-    idle: VecDeque<usize>,
-    pacer: ReportPacer,
-    sent: BTreeMap<usize, SentReport>,
-}
-
-struct Vm {
-    centre: usize,
-    loads: Loads,
-    affinity: Affinity,
-    spill: Spill,
-    /// Last share that left, and whether it last rose.
-    last: (f64, bool),
-    estimates: Estimates,
-}
-
-/// What a replay showed, without its first seconds.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Figures {
-    pub(crate) answered: u64,
-    pub(crate) connects: u64,
-    pub(crate) far: u64,
-    /// Reads that were sent to a data centre that is cut off.
-    pub(crate) across: u64,
-    /// Number of VMs, and seconds that count.
-    pub(crate) vms: u32,
-    pub(crate) seconds: f64,
-    /// Changes of direction of the share that leaves, by all VMs.
-    pub(crate) turns: u64,
-    /// Response times of the callers of each data centre in milliseconds.
-    pub(crate) by_centre: Vec<Vec<u64>>,
-    pub(crate) report_bytes: u64,
-    /// Reads that each server ran.
-    pub(crate) work: Vec<u64>,
-    /// Response times in milliseconds.
-    pub(crate) times: Vec<u64>,
-}
-
-impl Figures {
-    fn new(servers: usize, scene: &Scene) -> Self {
-        let by_centre = vec![Vec::new(); scene.servers.len()];
-        let (vms, seconds) = (scene.vms as u32, scene.seconds as f64 / 2.0);
-        Figures { work: vec![0; servers], by_centre, vms, seconds, ..Figures::default() }
-    }
-
-    /// Returns the load of the busiest server as a multiple of the mean.
-    pub(crate) fn busiest(&self) -> f64 {
-        let total: u64 = self.work.iter().sum();
-        let most = self.work.iter().max().copied().unwrap_or_default();
-        most as f64 * self.work.len() as f64 / total.max(1) as f64
-    }
-
-    /// Returns the share of reads that were answered within `objective`.
-    pub(crate) fn in_time(&self, objective: Duration) -> f64 {
-        let limit = objective.as_millis() as u64;
-        let good = self.times.iter().filter(|time| **time <= limit).count();
-        good as f64 / self.times.len().max(1) as f64
-    }
-
-    /// Returns the share of the reads of one data centre that were answered within 250 ms.
-    pub(crate) fn good(&self, centre: usize) -> f64 {
-        let times = &self.by_centre[centre];
-        times.iter().filter(|time| **time <= 250).count() as f64 / times.len().max(1) as f64
-    }
-
-    /// Returns the share of reads that left their data centre.
-    pub(crate) fn far_share(&self) -> f64 {
-        self.far as f64 / self.times.len().max(1) as f64
-    }
-
-    /// Returns the changes of direction of one VM's share in a minute.
-    pub(crate) fn turns_per_minute(&self) -> f64 {
-        self.turns as f64 / f64::from(self.vms) * 60.0 / self.seconds
-    }
-
-    /// Returns new connections for each read.
-    pub(crate) fn connects_per_read(&self) -> f64 {
-        self.connects as f64 / self.answered.max(1) as f64
-    }
-}
-
-impl fmt::Display for Figures {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (busiest, connects) = (self.busiest(), self.connects_per_read());
-        let in_time = self.in_time(Duration::from_millis(250));
-        write!(
-            f,
-            "{} answered, {in_time:.4} in 250 ms, busiest {busiest:.2}, {connects:.4} connects \
-             per read, {} far, {} report bytes",
-            self.answered, self.far, self.report_bytes
-        )
-    }
-}
-
 /// A running replay.
 pub(crate) struct World {
     scene: Scene,
@@ -388,81 +224,6 @@
         cut && one != other && (one == 0 || other == 0)
     }
 
-    fn place_read(&mut self, vm: usize, account: usize, prospects: Vec<Prospect>) -> Vec<Choice> {
-        let now = Time::from_micros(self.now);
-        let state = &mut self.vms[vm];
-        let (account, affinity, rng) = (&self.accounts[account], &state.affinity, &mut self.rng);
-        let mean = |near: bool| {
-            let times = prospects.iter().filter(|p| p.near == near).map(|p| p.completion());
-            times.clone().sum::<Duration>() / times.count().max(1) as u32
-        };
-        let alike = |mut prospect: Prospect| {
-            prospect.near = true;
-            prospect
-        };
-        let none = Spill::new();
-        match self.scene.leaving {
-            Leaving::Never => place_read(prospects, account, affinity, &none, rng),
-            Leaving::ByTime => {
-                let mut sorted = prospects;
-                sorted.sort_by_key(Prospect::completion);
-                sorted.into_iter().map(|prospect| prospect.choice).collect()
-            }
-            Leaving::Alike => {
-                place(prospects.into_iter().map(alike).collect(), account, affinity, rng)
-            }
-            Leaving::Above(ms) if mean(true) > mean(false) + Duration::from_millis(ms) => {
-                let far = prospects.into_iter().filter(|prospect| !prospect.near).collect();
-                place(far, account, affinity, rng)
-            }
-            Leaving::Above(_) => place_read(prospects, account, affinity, &none, rng),
-            Leaving::Share => {
-                state.spill.update(&prospects, now);
-                let (share, (last, rose)) = (state.spill.share(), state.last);
-                if (share - last).abs() > 0.02 {
-                    self.figures.turns += u64::from((share > last) != rose);
-                    state.last = (share, share > last);
-                }
-                place_read(prospects, account, affinity, &state.spill, rng)
-            }
-        }
-    }
-
-    fn choose(&mut self, vm: usize, account: usize) -> usize {
-        let now = Time::from_micros(self.now);
-        let candidates: Vec<Candidate> = self
-            .servers
-            .iter()
-            .enumerate()
-            .filter(|(i, _)| !self.is_gone(*i))
-            .map(|(_, server)| Candidate {
-                server: server.name.clone(),
-                near: server.centre == self.vms[vm].centre,
-                unreachable: self.is_cut(server.centre, self.vms[vm].centre),
-            })
-            .collect();
-        let state = &mut self.vms[vm];
-        let view = GroupView::new(name("orders".to_owned()));
-        let mut choices = state.estimates.choose(&view, &candidates, None, now, &mut self.rng);
-        if self.scene.rule == Rule::Loads {
-            let service = state.loads.typical_service(now);
-            let prospect = |choice: Choice| {
-                let server = self.servers.iter().find(|server| server.name == choice.server);
-                let centre = server.map_or(0, |server| server.centre);
-                let near = candidates.iter().any(|c| c.server == choice.server && c.near);
-                let assumed = Assumption { network: assumed_response(near), service };
-                let outlook =
-                    state.loads.outlook(&choice.server, Priority::default(), assumed, now);
-                Prospect { choice, data_centre: name(format!("centre-{centre}")), near, outlook }
-            };
-            let prospects: Vec<Prospect> = choices.into_iter().map(prospect).collect();
-            state.affinity.update(prospects.iter().filter(|prospect| prospect.near), now);
-            choices = self.place_read(vm, account, prospects);
-        }
-        let first = &choices[0].server;
-        self.servers.iter().position(|server| server.name == *first).expect("a known server")
-    }
-
     fn reach(&mut self, number: usize) {
         let now = self.now;
         let read = &mut self.reads[number];
