Lift fences that have outlived their failover, and let none be accepted after it

Cause: a failover's term was above that of every earlier fence, while a promotion leads only the next term. So a replica accepted a fence that was sent or arrived after the promotion, and nobody lifted it (fences at 4 to 10 beside terms 3 to 6 in event 662). Each further failover repeated it.

Fix, two parts: - The term of a failover is one above the highest term that any server leads or follows. While it still polls, a report of a higher followed term raises it. A fence at that term or a higher one counts, whoever sent it. A server that has heard of the promotion then refuses a late fence, and a primary of that term a late request to step down. - `FenceCleanup` in core owns every fence afterwards: after each end of a failover, when the role is taken, and when writes are unconfirmed for 0.2 s, it asks the replicas and tells those that report a fence to receive again, unless a failover runs, an order is open or the role may pass (`FenceUse`). It repeats until each replica has reported no fence twice and no request to fence one can still arrive (13 s). No failover begins while a release is unanswered (0.6 s at most). It replaces `Failover::release_actions`. Event 663, metric chicoryhollow_lifted_fences_total.

The abandonment "another VM replaces the primary at a higher term" is gone. Two VMs that replace one primary now fence at the same term and share their fences; both count the logs of all registered servers once all are fenced. Which order is valid was and is decided by the tokens. What is lost: a VM that has lost the role without knowing it went quiet a little earlier; its order is refused all the same.

Tests: `fence_cleanup.rs`, `a_fence_does_not_raise_the_term_of_the_next_failover`, `servers_fenced_by_a_vm_that_crashed_are_promoted_by_the_next_failover` (changed: the fences of the killed VM count, so that no failover is abandoned first). Changed tests: `release_actions` is replaced by the cleanup with the failover's `has_ordered`, with the same numbers; the report of a follower of term 7 that is fenced at 2, which no server gives, is one of a fence at 8; a higher fence no longer ends a failover.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -2,8 +2,10 @@
 //!
 //! The primary acknowledges a commit as soon as one replica has received it. After a
 //! failure, any single replica may therefore be the only one with an acknowledged commit. A
-//! failover *fences* every replica, which stops it from receiving, at a term above all
-//! others, and only then promotes the replica that has received most.
+//! failover *fences* every replica, which stops it from receiving, at the term that the
+//! promotion will lead, and only then promotes the replica that has received most. A server that
+//! has heard of the promotion refuses a fence that arrives late, because its term is no longer
+//! below that of the fence.
 //!
 //! A replica that starts in the course of the failover is not fenced yet, and the old primary
 //! could go on to acknowledge commits with it. So a failed primary that still answers is first
@@ -13,7 +15,8 @@
 //!
 //! A group with fenced replicas acknowledges no commits. So no replica is fenced before
 //! all of them have answered recently. If a replica stops answering after that, the failover
-//! is abandoned and does not wait for the replica.
+//! is abandoned and does not wait for the replica. What lifts the fences afterwards is a
+//! [`FenceCleanup`], not the failover.
 //!
 //! In a planned failover the old primary works until the promotion. The server to promote
 //! is not fenced, so that it receives every commit that is still acknowledged. When all
@@ -21,6 +24,7 @@
 //! one that started last is promoted, and the group is not left without a primary again.
 
 mod announcement;
+mod cleanup;
 mod demotion;
 mod listing;
 mod missing;
@@ -41,6 +45,7 @@
 
 pub use self::{
     announcement::{Announcement, FailoverNumber},
+    cleanup::{FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
     missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
     replica::{Member, ReplicationStatus, Report},
@@ -123,7 +128,8 @@
 }
 
 impl Failover {
-    /// Starts to replace a primary by one of `members`, at a term above `highest`.
+    /// Starts to replace a primary by one of `members`. The promotion will lead the term after
+    /// `highest`, the highest in which a server is known to have led.
     ///
     /// `acknowledged` is the newest position known to be acknowledged. No server that has
     /// received less is promoted.
@@ -177,20 +183,6 @@
         self.term
     }
 
-    /// Returns the highest term that any server reported, including the terms of fences.
-    ///
-    /// If a VM stops during a failover, the servers that it fenced stay fenced at its term.
-    /// The term of the next failover must be higher.
-    pub fn highest_term(&self) -> Term {
-        let replicas = self.replicas.values().filter_map(|replica| replica.status);
-        let primary = self.primary.as_ref().and_then(Demotion::status);
-        replicas
-            .chain(primary)
-            .map(|status| status.term.max(status.fenced_term))
-            .max()
-            .unwrap_or_default()
-    }
-
     /// Returns the highest term that any server follows or leads, as far as they have answered.
     pub fn reported_term(&self) -> Term {
         let replicas = self.replicas.values().filter_map(|replica| replica.status);
@@ -220,8 +212,12 @@
         self.acknowledged = self.acknowledged.max(position);
     }
 
-    /// Records the status that a server reported.
+    /// Records the status that a server reported. Until servers are fenced, a higher term than
+    /// was known raises that of the failover. Terms of fences do not, since no server has led them.
     pub fn record_status(&mut self, server: &ServerId, status: ReplicationStatus, now: Time) {
+        if self.fencing_since.is_none() {
+            self.term = self.term.max(status.term.next());
+        }
         if let Some(replica) = self.replicas.get_mut(server) {
             replica.status = Some(status);
             replica.answered = Some(now);
--- a/crates/core/src/failover/announcement.rs
+++ b/crates/core/src/failover/announcement.rs
@@ -6,7 +6,7 @@
 
 /// Time for which a failover counts as running, unless its successor leads before. An order to
 /// promote may be carried out that late.
-const FAILOVER_SPAN: Duration = Duration::from_secs(13);
+pub(super) const FAILOVER_SPAN: Duration = Duration::from_secs(13);
 
 /// Number of a failover, higher than those of all failovers before it, of any coordinator.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -37,9 +37,6 @@
                 Some(status) if status.primary => {
                     return Progress::Abandoned("another server is already primary");
                 }
-                Some(status) if status.fenced_term > self.term => {
-                    return Progress::Abandoned("another VM replaces the primary at a higher term");
-                }
                 _ => {}
             }
         }
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -54,16 +54,6 @@
         self.promotion_sent = None;
     }
 
-    /// Returns the actions that lift all fences after the failover was abandoned. If a promotion
-    /// was requested, it may still be carried out, and the fences stay: nothing more can be
-    /// acknowledged until the next failover, whose request replaces this one.
-    pub fn release_actions(&self) -> Vec<Action> {
-        match (self.fencing_since, self.has_ordered()) {
-            (Some(_), false) => self.replicas.keys().cloned().map(Action::Release).collect(),
-            _ => Vec::new(),
-        }
-    }
-
     /// Returns whether the server whose promotion was requested has started again without the
     /// log for which it was chosen.
     pub(super) fn has_lost_target(&self) -> bool {
--- a/crates/core/src/failover/replica.rs
+++ b/crates/core/src/failover/replica.rs
@@ -63,8 +63,10 @@
         Some(self.status?.received)
     }
 
+    /// Returns whether it does not receive from a primary of a lower term. A fence of an earlier
+    /// failover at this term or a higher one does the same.
     pub(super) fn is_fenced(&self, term: Term) -> bool {
-        self.status.is_some_and(|status| status.fenced_term == term)
+        self.status.is_some_and(|status| status.fenced_term >= term)
     }
 
     /// Returns whether another request may be sent.
--- /dev/null
+++ b/crates/core/tests/failover_model/cleanup.rs
@@ -0,0 +1,71 @@
+//! The coordinator's cleanup of fences, as the engine carries it out.
+
+use std::time::Duration;
+
+use chicoryhollow_core::{
+    ServerId,
+    failover::{Action, FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
+};
+
+use super::{
+    group_view::{group, id, span},
+    index,
+    server::Command,
+    time,
+    world::World,
+};
+
+impl World {
+    /// Begins the cleanup if a VM has just become the coordinator.
+    pub(crate) fn take_cleanup(&mut self, vm: usize) {
+        let now = time(self.tick);
+        let me = &mut self.vms[vm];
+        if me.watch.cleanup.is_some() {
+            return;
+        }
+        let mut cleanup = FenceCleanup::new();
+        cleanup.start(now);
+        let earlier = me.view.failover;
+        if earlier.is_some_and(|failover| failover.may_replace(failover.replaced, now)) {
+            cleanup.record_unanswered_fence(now);
+        }
+        me.watch.cleanup = Some(cleanup);
+    }
+
+    pub(crate) fn record_unanswered_fence(&mut self, vm: usize) {
+        let now = time(self.tick);
+        self.vms[vm].watch.cleanup.get_or_insert_default().record_unanswered_fence(now);
+    }
+
+    /// Lifts fences while no failover runs and no order is open.
+    pub(crate) fn clean_up(&mut self, vm: usize) {
+        let now = time(self.tick);
+        let keeps_role = self.keeps_role_for(vm, RELEASE_TIMEOUT);
+        let me = &mut self.vms[vm];
+        let Some(cleanup) = &mut me.watch.cleanup else { return };
+        let unconfirmed = me.view.unconfirmed_since.map(|since| span(self.tick - since));
+        if unconfirmed.unwrap_or(Duration::ZERO) >= UNCONFIRMED_CLEANUP {
+            cleanup.start_unconfirmed(now);
+        }
+        let ordered = me.memory.open_order(&group()).is_some();
+        let needed = FenceUse { running: false, ordered, passing: !keeps_role };
+        let replicas: Vec<ServerId> = me.view.others(me.view.primary).map(id).collect();
+        for action in cleanup.next_actions(&replicas, needed, now) {
+            self.clean_up_server(vm, action);
+        }
+    }
+
+    fn clean_up_server(&mut self, vm: usize, action: Action) {
+        let (server, command) = match action {
+            Action::Poll(server) => (server, Command::Status),
+            Action::Release(server) => (server, Command::Release),
+            other => unreachable!("a cleanup asks for no {other:?}"),
+        };
+        let status = self.call(vm, index(server.as_str()), command);
+        let Some(cleanup) = &mut self.vms[vm].watch.cleanup else { return };
+        match status {
+            Some(status) => cleanup.record_status(&server, status),
+            None => cleanup.record_failure(&server),
+        }
+    }
+}
--- a/crates/core/tests/failover_model/mod.rs
+++ b/crates/core/tests/failover_model/mod.rs
@@ -4,6 +4,7 @@
 //! receive each commit in the next tick, and callers write all the time. The searches choose
 //! which events happen, and when. A world and its events determine all that follows.
 
+pub(crate) mod cleanup;
 pub(crate) mod directory;
 pub(crate) mod event;
 pub(crate) mod group_view;
--- a/crates/engine/src/coordinator.rs
+++ b/crates/engine/src/coordinator.rs
@@ -71,6 +71,12 @@
         lease.token(clock::now()).or_else(last)
     }
 
+    /// Returns whether no other VM takes the role within `span`, as far as this VM knows.
+    pub(crate) fn keeps_role_for(&self, span: Duration) -> bool {
+        let is_held = self.lease.borrow().token(clock::now() + span).is_some();
+        is_held || (self.outage.get() && self.token().is_some())
+    }
+
     /// Returns the token of the next order, or `None` if this VM may not give one.
     pub(crate) fn order_token(&self) -> Option<FencingToken> {
         let held = self.token()?;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -102,6 +102,8 @@
     FailoversRecalled,
     /// What the servers of a group reported to a failover.
     MembersReported,
+    /// A replica that was fenced by no running failover was told to receive again.
+    FenceLifted,
     /// This VM decided on the usage report of a window.
     UsageDecided,
     /// The usage report of a window was accepted.
@@ -136,7 +138,7 @@
 
 impl Event {
     /// All events, in the order of their numbers.
-    pub const ALL: [Event; 54] = [
+    pub const ALL: [Event; 55] = [
         Event::Started,
         Event::Draining,
         Event::Stopped,
@@ -191,6 +193,7 @@
         Event::MessagesDelayed,
         Event::PeerRejected,
         Event::MembersReported,
+        Event::FenceLifted,
     ];
 
     /// Returns the number, level and text of the event.
@@ -250,6 +253,7 @@
             Event::MessagesDelayed => (659, Level::Warning, "messages delayed for memory"),
             Event::PeerRejected => (660, Level::Warning, "unknown peer rejected"),
             Event::MembersReported => (662, Level::Info, "servers in failover"),
+            Event::FenceLifted => (663, Level::Warning, "fence lifted"),
         }
     }
 
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -37,6 +37,8 @@
     pub(crate) open_orders: IntGauge,
     /// Promotion orders that were not sent, because the coordinator's row was not written.
     pub(crate) unsent_orders: IntCounter,
+    /// Requests to lift a fence that has outlived its failover.
+    pub(crate) lifted_fences: IntCounter,
     /// Acknowledged commits that the logs of new primaries lacked, as far as this VM saw.
     pub(crate) missing_commits: IntCounter,
     /// Commits that a primary acknowledged, by what showed whether they survive a failover.
@@ -107,6 +109,7 @@
             promotions: counters(&registry, "promotions_total", "Promotions ordered.", "cause"),
             open_orders: gauge(&registry, "open_orders", "Open promotion orders."),
             unsent_orders: counter(&registry, "unsent_orders_total", "Orders not sent."),
+            lifted_fences: counter(&registry, "lifted_fences_total", "Fences lifted."),
             missing_commits: counter(&registry, "missing_commits_total", "Commits found lost."),
             evidence: counters(&registry, "commits_total", "Commits acknowledged.", "evidence"),
             usage_windows: counters(&registry, "usage_windows_total", "Usage windows.", "step"),
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -6,6 +6,7 @@
 //! other VM only records since when a group has no known primary, so that it need
 //! not start to count when it becomes the coordinator.
 
+mod cleanup;
 mod departure;
 mod execution;
 mod probe;
@@ -14,7 +15,7 @@
 
 use chicoryhollow_core::{
     GroupId, Position, ServerId, Term, Time,
-    failover::{Announcement, Cause, Failover, FailoverNumber, Progress},
+    failover::{Announcement, Cause, Failover, FailoverNumber, FenceCleanup, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT},
 };
 use slog::o;
@@ -44,7 +45,10 @@
 const FAILOVER_PAUSE: Duration = Duration::from_millis(1_000);
 
 struct RunningFailover {
+    group: GroupId,
     failover: Rc<RefCell<Failover>>,
+    /// Lifts the fences of this failover once it has ended.
+    cleanup: Rc<RefCell<FenceCleanup>>,
     suspicion: Suspicion,
     started: Time,
 }
@@ -53,8 +57,8 @@
 #[derive(Default)]
 struct GroupWatch {
     running: Option<RunningFailover>,
-    /// Highest term that servers reported during failovers that have ended.
-    highest_term: Term,
+    /// Cleanup of fences, or `None` while this VM is not the coordinator.
+    cleanup: Option<Rc<RefCell<FenceCleanup>>>,
     /// Earliest start of the next failover.
     not_before: Time,
     no_primary_since: Option<Time>,
@@ -100,7 +104,7 @@
                 recall(&engine, &coordinator, &group);
                 watch(&engine, &coordinator, &group, watched);
             } else {
-                watched.running = None;
+                (watched.running, watched.cleanup) = (None, None);
                 // This counts once this VM is the coordinator.
                 watched.record_primary(&group.borrow(), clock::now());
             }
@@ -135,16 +139,18 @@
     let now = clock::now();
     probe::start(engine, group, watched, now);
     departure::start(engine, group, watched, now);
+    let cleanup = cleanup::of_group(watched, &group.borrow(), now);
     if let Some(running) = watched.running.take() {
-        let failover = Rc::clone(&running.failover);
         watched.running = advance(engine, coordinator, group, running, now);
         if watched.running.is_none() {
-            watched.highest_term = watched.highest_term.max(failover.borrow().highest_term());
+            cleanup.borrow_mut().start(now);
             watched.not_before = now + FAILOVER_PAUSE;
         }
         return;
     }
-    if now < watched.not_before {
+    cleanup::advance(engine, coordinator, group, &cleanup, now);
+    // A fence of a failover that begins now would be lifted.
+    if now < watched.not_before || cleanup.borrow().is_releasing() {
         return;
     }
     let awaits_server = group.borrow().awaits_server(now) || coordinator.awaits_unlisted();
@@ -158,8 +164,7 @@
             return;
         }
         let server = order.map(|order| order.server);
-        let term = watched.highest_term;
-        let running = begin(engine, &group.borrow(), suspicion, server, term, now);
+        let running = begin(engine, &group.borrow(), suspicion, server, cleanup, now);
         watched.running = Some(running);
     }
 }
@@ -196,10 +201,10 @@
     group: &Group,
     suspicion: Suspicion,
     ordered: Option<ServerId>,
-    reported_term: Term,
+    cleanup: Rc<RefCell<FenceCleanup>>,
     now: Time,
 ) -> RunningFailover {
-    let highest_term = group.view.term.max(group.acknowledged.term()).max(reported_term);
+    let highest_term = group.newest_term().max(group.acknowledged.term());
     let members = group.members(now);
     let names: Vec<String> = members.iter().map(|member| member.server.to_string()).collect();
     // A leaving primary still reports its log. The next primary must hold all of it.
@@ -225,7 +230,13 @@
             "members" => names.join(","),
         ),
     );
-    RunningFailover { failover: Rc::new(RefCell::new(failover)), suspicion, started: now }
+    RunningFailover {
+        group: group.view.group.clone(),
+        failover: Rc::new(RefCell::new(failover)),
+        cleanup,
+        suspicion,
+        started: now,
+    }
 }
 
 /// Advances a failover; returns it while it runs.
@@ -236,7 +247,7 @@
     running: RunningFailover,
     now: Time,
 ) -> Option<RunningFailover> {
-    let name = group.borrow().view.group.clone();
+    let name = &running.group;
     let progress = {
         let awaits_unlisted = coordinator.awaits_unlisted();
         let group = group.borrow();
@@ -261,12 +272,12 @@
             let actions = failover.next_actions(now);
             drop(failover);
             for action in actions {
-                execute(engine, coordinator, &name, &running.failover, action);
+                execute(engine, coordinator, &running, action);
             }
             Some(running)
         }
         Progress::Done(server, term) => {
-            log_reports(engine, &name, &running.failover.borrow(), "completed");
+            log_reports(engine, name, &running.failover.borrow(), "completed");
             let changed = group.borrow_mut().adopt(&server, term);
             let received = running.failover.borrow().target_received();
             group.borrow_mut().told.record_start(Position::new(term, received.lsn()));
@@ -286,15 +297,12 @@
             None
         }
         Progress::Abandoned(reason) => {
-            log_reports(engine, &name, &running.failover.borrow(), "abandoned");
+            log_reports(engine, name, &running.failover.borrow(), "abandoned");
             end_announcement(engine, coordinator, group, &running.failover.borrow(), now);
             engine.event_log.record(
                 Event::FailoverAbandoned,
                 o!("group" => name.to_string(), "reason" => reason),
             );
-            for action in running.failover.borrow().release_actions() {
-                execute(engine, coordinator, &name, &running.failover, action);
-            }
             None
         }
     }
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -9,6 +9,7 @@
 };
 use slog::o;
 
+use super::RunningFailover;
 use crate::{
     clock,
     coordinator::Coordinator,
@@ -18,27 +19,29 @@
     statement::Command,
 };
 
-/// Executes an action in a separate task.
+/// Executes an action of a failover in a separate task.
 pub(super) fn execute<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     coordinator: &Rc<Coordinator>,
-    group: &GroupId,
-    failover: &Rc<RefCell<Failover>>,
+    running: &RunningFailover,
     action: Action,
 ) {
-    let failover = Rc::clone(failover);
-    let (engine, role, group) = (Rc::clone(engine), Rc::clone(coordinator), group.clone());
+    let (failover, cleanup) = (Rc::clone(&running.failover), Rc::clone(&running.cleanup));
+    let (engine, role) = (Rc::clone(engine), Rc::clone(coordinator));
+    let group = running.group.clone();
     actix::spawn(async move {
         match action {
             Action::Fence(server, term) => {
-                send(&engine, &failover, &server, Command::Hold(term)).await;
+                let status = send(&engine, &failover, &server, Command::Hold(term)).await;
+                if status.is_none() {
+                    cleanup.borrow_mut().record_unanswered_fence(clock::now());
+                }
             }
             Action::Poll(server) => {
                 send(&engine, &failover, &server, Command::Status).await;
             }
-            Action::Release(server) => {
-                send(&engine, &failover, &server, Command::Release).await;
-            }
+            // A failover lifts no fences.
+            Action::Release(_) => {}
             Action::Demote(server, term) => {
                 demote(&engine, &failover, &group, &server, term).await;
             }
