Give a failover up before the primary steps down if nobody else may lead

Cause: the failover made the primary step down as soon as all replicas answered, and compared their logs with what is acknowledged only afterwards.

Fix: as long as all replicas answer and none has received what was acknowledged when the failover began, it only polls them, and is abandoned after 0.5 s with a reason of its own. Compared is the position at the start: the polls are later, so a replica that holds it reports it, and commits of the moment do not count. The same reason is told when that shows after fencing, in the place of "a backend server or the directory no longer answers".

Test: `a_primary_goes_on_if_no_replica_has_received_what_is_acknowledged`; on the code before it failed at the first step, which asks the primary to step down.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -112,6 +112,8 @@
     announced: Time,
     /// Whether a server joined after a promotion was requested.
     joined_late: bool,
+    /// Since when all replicas answer and none may be promoted, unless fencing has begun.
+    behind_since: Option<Time>,
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
@@ -152,6 +154,7 @@
             started: now,
             announced: now,
             joined_late: false,
+            behind_since: None,
             fencing_since: None,
             target: None,
             promotion_sent: None,
@@ -301,14 +304,17 @@
     }
 
     /// Polls every server until all have answered recently, then makes the old primary a
-    /// replica and fences the others. The target of a planned failover is not fenced but
-    /// polled further.
+    /// replica and fences the others, unless none of them may be promoted anyway. The target of a
+    /// planned failover is not fenced but polled further.
     fn prepare(&mut self, now: Time) -> Vec<Action> {
         let is_reachable =
             |r: &Replica| r.answered.is_some_and(|time| now.since(time) < MAX_ANSWER_AGE);
         let is_failure = self.cause == Cause::Failure;
+        let all_answer = self.replicas.values().all(is_reachable);
+        let is_behind = self.fencing_since.is_none() && all_answer && self.lacks_candidate();
+        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
         let mut actions = Vec::new();
-        if self.fencing_since.is_none() && self.replicas.values().all(is_reachable) {
+        if self.fencing_since.is_none() && all_answer && !is_behind {
             if is_failure {
                 actions.extend(self.demote(now));
             }
--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -8,6 +8,12 @@
 /// Time after the start of fencing within which the promotion must be requested.
 const FENCED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after which a failover is abandoned if all replicas answer and none may be promoted.
+const BEHIND_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why a failover is abandoned in which no server may be promoted.
+const BEHIND: &str = "no server that answers has received what is acknowledged";
+
 /// Time after which a planned failover without a requested promotion is abandoned.
 const PLANNED_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -43,6 +49,9 @@
         if self.replicas.is_empty() {
             return Progress::Abandoned("no other backend server is left");
         }
+        if self.behind_since.is_some_and(|since| now.since(since) >= BEHIND_TIMEOUT) {
+            return Progress::Abandoned(BEHIND);
+        }
         let is_unordered = self.promotion_sent.is_none();
         let demoting_since = self.primary.as_ref().and_then(Demotion::since);
         if is_unordered
@@ -53,7 +62,10 @@
         }
         let fencing_since = self.fencing_since.filter(|_| is_unordered);
         if fencing_since.is_some_and(|since| now.since(since) > FENCED_TIMEOUT) {
-            return Progress::Abandoned("a backend server or the directory no longer answers");
+            return Progress::Abandoned(match self.all_fenced() && self.lacks_candidate() {
+                true => BEHIND,
+                false => "a backend server or the directory no longer answers",
+            });
         }
         let limit = match self.cause {
             Cause::Planned if self.promotion_sent.is_none() => PLANNED_TIMEOUT,
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -31,6 +31,19 @@
             && !self.listing.is_given_up(now)
     }
 
+    /// Returns whether no replica has received what was acknowledged at the start of the failover
+    /// of a failed primary. The primary may still work, and replicas that are not fenced may
+    /// receive what they lack.
+    pub(super) fn lacks_candidate(&self) -> bool {
+        let received = self.replicas.values().filter_map(Replica::received).max();
+        self.cause == Cause::Failure && received < Some(self.first_acknowledged)
+    }
+
+    /// Returns whether all replicas are fenced.
+    pub(super) fn all_fenced(&self) -> bool {
+        self.replicas.values().all(|replica| replica.is_fenced(self.term))
+    }
+
     /// Returns the server to promote, once every commit that is or may still be
     /// acknowledged is in its log.
     pub(super) fn promotable(&self, now: Time) -> Option<ServerId> {
@@ -43,7 +56,7 @@
                 let is_closed = self.fencing_since.is_some()
                     && !self.is_demotion_due(now)
                     && !self.lacks_list();
-                if !is_closed || !self.replicas.values().all(is_fenced) {
+                if !is_closed || !self.all_fenced() {
                     return None;
                 }
                 self.most_advanced()?
--- a/crates/core/tests/joining.rs
+++ b/crates/core/tests/joining.rs
@@ -214,6 +214,39 @@
     }
 }
 
+/// A primary that confirmed nothing stepped down four times in a row, and nobody else could lead.
+#[test]
+fn a_primary_goes_on_if_no_replica_has_received_what_is_acknowledged() {
+    let begun = Time::from_millis(1_000);
+    let mut failover = Failover::new(Cause::Failure, [member("r")], Term::new(1), at(2), begun)
+        .with_primary(server("p"), begun);
+    let mut now = begun;
+    while failover.progress(now) == Progress::Running {
+        failover.record_status(&server("r"), status(false, 1, 0), now);
+        failover.record_status(&server("p"), status(true, 2, 0), now);
+        let actions = failover.next_actions(now);
+        assert!(actions.iter().all(|action| matches!(action, Action::Poll(_))), "{actions:?}");
+        now = now + Duration::from_millis(50);
+    }
+    assert_eq!(now, begun + Duration::from_millis(500));
+    let reason = "no server that answers has received what is acknowledged";
+    assert_eq!(failover.progress(now), Progress::Abandoned(reason));
+}
+
+/// The replicas were behind when they were asked first, and received the rest meanwhile.
+#[test]
+fn a_primary_is_replaced_once_a_replica_has_received_what_is_acknowledged() {
+    let begun = Time::from_millis(1_000);
+    let mut failover = Failover::new(Cause::Failure, [member("r")], Term::new(1), at(2), begun)
+        .with_primary(server("p"), begun);
+    failover.record_status(&server("r"), status(false, 1, 0), begun);
+    failover.next_actions(begun);
+    let later = Time::from_millis(1_250);
+    failover.record_status(&server("r"), status(false, 2, 0), later);
+    let actions = failover.next_actions(later);
+    assert!(actions.contains(&Action::Demote(server("p"), Term::new(2))), "{actions:?}");
+}
+
 #[test]
 fn a_primary_that_falls_silent_before_it_steps_down_is_replaced() {
     let mut failover = start();
