Promote the longest log when nothing is known of acknowledged commits

Cause: a coordinator without any memory has an acknowledged position of 0/0 and took that for knowledge. The old primary was no candidate once it had stepped down, whatever was in its log.

Fix: `Floor` says whether what must not be lost is known. It is if a commit in the present term, or where that term began, is known; otherwise every position that a server reports counts. The old primary becomes a member, fenced like the others, if it has stepped down and only it has received enough. An informed coordinator replaces a primary that is cut from its replicas as before.

`joining.rs` starts its failovers with a known term now, since its subject is a coordinator that knows.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -26,6 +26,7 @@
 mod announcement;
 mod cleanup;
 mod demotion;
+mod floor;
 mod listing;
 mod missing;
 mod progress;
@@ -103,6 +104,8 @@
     primary: Option<Demotion>,
     /// What the directory was asked about the registered servers.
     listing: Listing,
+    /// Newest term of which an acknowledged commit, or the start of its log, is known.
+    informed: Term,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -149,6 +152,7 @@
             replicas: members.into_iter().map(replica).collect(),
             primary: None,
             listing: Listing::default(),
+            informed: acknowledged.term(),
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
@@ -213,6 +217,7 @@
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
         self.acknowledged = self.acknowledged.max(position);
+        self.informed = self.informed.max(position.term());
     }
 
     /// Records the status that a server reported. Until servers are fenced, a higher term than
@@ -287,6 +292,7 @@
             self.target = self.successor();
         }
         let mut actions = self.prepare(now);
+        self.readmit_primary();
         let needs_list = self.lacks_list() || self.awaits_list(now);
         if self.fencing_since.is_some() && needs_list && self.listing.is_due(now) {
             self.listing.record_request(now);
@@ -310,7 +316,7 @@
         let is_reachable =
             |r: &Replica| r.answered.is_some_and(|time| now.since(time) < MAX_ANSWER_AGE);
         let is_failure = self.cause == Cause::Failure;
-        let all_answer = self.replicas.values().all(is_reachable);
+        let all_answer = self.replicas.values().all(is_reachable) && !self.awaits_primary(now);
         let is_behind = self.fencing_since.is_none() && all_answer && self.lacks_candidate();
         self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
         let mut actions = Vec::new();
@@ -332,7 +338,7 @@
         }
         match self.fencing_since {
             Some(_) => actions.extend(self.fence(now)),
-            None => actions.extend(self.poll(now)),
+            None => actions.extend(self.poll(is_behind, now)),
         }
         actions
     }
@@ -348,14 +354,20 @@
         self.primary.as_mut().map(|primary| primary.next_actions(term, now)).unwrap_or_default()
     }
 
-    /// Polls all servers.
-    fn poll(&mut self, now: Time) -> Vec<Action> {
+    /// Polls all servers, the old primary only if it may have to be promoted again.
+    fn poll(&mut self, is_behind: bool, now: Time) -> Vec<Action> {
+        let needs_primary = is_behind || !self.is_informed();
         let due = self.replicas.iter_mut().filter(|(_, replica)| replica.is_due(now));
-        due.map(|(server, replica)| {
-            replica.last_action = Some(now);
-            Action::Poll(server.clone())
-        })
-        .collect()
+        let mut actions: Vec<Action> = due
+            .map(|(server, replica)| {
+                replica.last_action = Some(now);
+                Action::Poll(server.clone())
+            })
+            .collect();
+        if needs_primary && self.cause == Cause::Failure {
+            actions.extend(self.primary.as_mut().and_then(|primary| primary.poll(now)));
+        }
+        actions
     }
 
     /// Fences the servers that are not fenced, and polls the others: a server that starts again
--- a/crates/core/src/failover/demotion.rs
+++ b/crates/core/src/failover/demotion.rs
@@ -27,6 +27,8 @@
     /// When it was first asked to step down.
     since: Option<Time>,
     last_action: Option<Time>,
+    /// When it was last asked for its status alone.
+    last_poll: Option<Time>,
     /// When an answer first showed that it has stepped down.
     stepped_down: Option<Time>,
 }
@@ -39,6 +41,7 @@
             answered,
             since: None,
             last_action: None,
+            last_poll: None,
             stepped_down: None,
         }
     }
@@ -81,6 +84,16 @@
         Some((self.status?.received, self.stepped_down?))
     }
 
+    /// Returns the request for its status, if that is due.
+    pub(super) fn poll(&mut self, now: Time) -> Option<Action> {
+        let is_recent = self.last_poll.is_some_and(|last| now.since(last) < REPEAT_INTERVAL);
+        if is_recent {
+            return None;
+        }
+        self.last_poll = Some(now);
+        Some(Action::Poll(self.server.clone()))
+    }
+
     /// Returns the requests to send: to step down, and for its status, because the answer to
     /// the former may be a refusal.
     pub(super) fn next_actions(&mut self, term: Term, now: Time) -> Vec<Action> {
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -31,14 +31,6 @@
             && !self.listing.is_given_up(now)
     }
 
-    /// Returns whether no replica has received what was acknowledged at the start of the failover
-    /// of a failed primary. The primary may still work, and replicas that are not fenced may
-    /// receive what they lack.
-    pub(super) fn lacks_candidate(&self) -> bool {
-        let received = self.replicas.values().filter_map(Replica::received).max();
-        self.cause == Cause::Failure && received < Some(self.first_acknowledged)
-    }
-
     /// Returns whether all replicas are fenced.
     pub(super) fn all_fenced(&self) -> bool {
         self.replicas.values().all(|replica| replica.is_fenced(self.term))
@@ -72,7 +64,16 @@
         };
         let received = self.received(&target)?;
         let most = self.replicas.keys().filter_map(|server| self.received(server)).max()?;
-        (received >= most && received >= self.acknowledged).then_some(target)
+        (received >= most && received >= self.required()).then_some(target)
+    }
+
+    /// Returns what a server must have received to be promoted. A leaving primary works until then,
+    /// and all that it has written by the start is required of its successor.
+    fn required(&self) -> Position {
+        match self.cause {
+            Cause::Failure => self.floor().position(),
+            Cause::Planned => self.acknowledged,
+        }
     }
 
     pub(super) fn received(&self, server: &ServerId) -> Option<Position> {
--- a/crates/core/tests/failover_model/group_view.rs
+++ b/crates/core/tests/failover_model/group_view.rs
@@ -41,6 +41,8 @@
     pub(crate) primary: Option<usize>,
     pub(crate) term: u64,
     pub(crate) acknowledged: Position,
+    /// Where the log of the newest promoted primary began.
+    pub(crate) start: Position,
     pub(crate) observed: Position,
     pub(crate) last_response: u32,
     pub(crate) failing_since: Option<u32>,
@@ -62,6 +64,7 @@
             primary: None,
             term: 0,
             acknowledged: Position::default(),
+            start: Position::default(),
             observed: Position::default(),
             last_response: tick,
             failing_since: None,
--- a/crates/core/tests/failover_model/vm.rs
+++ b/crates/core/tests/failover_model/vm.rs
@@ -146,5 +146,6 @@
             me.view.adopt(primary, from.term);
         }
         me.view.acknowledged = me.view.acknowledged.max(from.acknowledged);
+        me.view.start = me.view.start.max(from.start);
     }
 }
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chicoryhollow_core::{
-    Term,
+    Position, Term,
     coordinator::{FencingToken, OrderAnswer, Outage},
     failover::{Action, Announcement, Cause, Failover, FailoverNumber, FenceCleanup, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT, Votes},
@@ -274,6 +274,7 @@
         };
         let members = view.members();
         let mut failover = Failover::new(suspicion.cause(), members, highest, position, time(tick));
+        failover.record_log_start(view.start);
         if let Some(primary) = view.primary {
             failover = failover.with_primary(id(primary), time(view.last_response));
         }
@@ -295,6 +296,7 @@
         let view = &self.vms[vm].view;
         let failover = &mut running.failover;
         failover.record_acknowledged(view.acknowledged);
+        failover.record_log_start(view.start);
         failover.retain(|server| view.entries[index(server.as_str())].is_some());
         failover.join(view.members());
         let is_unordered = failover.promotion_target().is_none();
@@ -315,7 +317,10 @@
                 return;
             }
             Progress::Done(server, term) => {
-                self.vms[vm].view.adopt(index(server.as_str()), term.get());
+                let start = Position::new(term, failover.target_received().lsn());
+                let view = &mut self.vms[vm].view;
+                view.adopt(index(server.as_str()), term.get());
+                view.start = view.start.max(start);
             }
             Progress::Abandoned(reason) => {
                 self.note(|| format!("VM {vm} gives the failover up: {reason}"));
--- a/crates/core/tests/joining.rs
+++ b/crates/core/tests/joining.rs
@@ -191,7 +191,7 @@
 /// Starts a failover of `p`, which has just answered, with the member `r`.
 fn start() -> Failover {
     let now = Time::from_millis(DECISIONS[0]);
-    Failover::new(Cause::Failure, [member("r")], Term::new(1), Position::default(), now)
+    Failover::new(Cause::Failure, [member("r")], Term::new(1), at(0), now)
         .with_primary(server("p"), now)
 }
 
@@ -280,9 +280,8 @@
 #[test]
 fn a_primary_that_answers_again_after_the_order_is_asked_to_step_down() {
     let now = Time::from_millis(1_000);
-    let mut failover =
-        Failover::new(Cause::Failure, [member("r")], Term::new(1), Position::default(), now)
-            .with_primary(server("p"), Time::default());
+    let mut failover = Failover::new(Cause::Failure, [member("r")], Term::new(1), at(0), now)
+        .with_primary(server("p"), Time::default());
     let ordered = Time::from_millis(1_200);
     failover.record_list(ordered);
     failover.record_status(&server("r"), status(false, 1, 2), ordered);
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -214,6 +214,7 @@
     };
     let mut failover = Failover::new(suspicion.cause(), members, highest_term, min_position, now)
         .with_open_order(ordered);
+    failover.record_log_start(group.told.start());
     if let Some(primary) = group.view.primary.clone() {
         failover = failover.with_primary(primary, group.last_response());
     }
@@ -253,6 +254,7 @@
         let group = group.borrow();
         let mut failover = running.failover.borrow_mut();
         failover.record_acknowledged(group.acknowledged);
+        failover.record_log_start(group.told.start());
         failover.retain(|server| group.servers.contains_key(server));
         failover.join(group.members(now));
         let has_recovered = running.suspicion == Suspicion::Silent
