--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -2,8 +2,10 @@
 //!
 //! The primary acknowledges a commit as soon as one replica has received it. After a
 //! failure, any single replica may therefore be the only one with an acknowledged commit. A
-//! failover *fences* every replica, which stops it from receiving, at a term above all
-//! others, and only then promotes the replica that has received most.
+//! failover *fences* every replica, which stops it from receiving, at the term that the
+//! promotion will lead, and only then promotes the replica that has received most. A server that
+//! has heard of the promotion refuses a fence that arrives late, because its term is no longer
+//! below that of the fence.
 //!
 //! A replica that starts in the course of the failover is not fenced yet, and the old primary
 //! could go on to acknowledge commits with it. So a failed primary that still answers is first
@@ -13,7 +15,8 @@
 //!
 //! A group with fenced replicas acknowledges no commits. So no replica is fenced before
 //! all of them have answered recently. If a replica stops answering after that, the failover
-//! is abandoned and does not wait for the replica.
+//! is abandoned and does not wait for the replica. What lifts the fences afterwards is a
+//! [`FenceCleanup`], not the failover.
 //!
 //! In a planned failover the old primary works until the promotion. The server to promote
 //! is not fenced, so that it receives every commit that is still acknowledged. When all
@@ -21,7 +24,9 @@
 //! one that started last is promoted, and the group is not left without a primary again.
 
 mod announcement;
+mod cleanup;
 mod demotion;
+mod floor;
 mod listing;
 mod missing;
 mod progress;
@@ -41,6 +46,7 @@
 
 pub use self::{
     announcement::{Announcement, FailoverNumber},
+    cleanup::{FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
     missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
     replica::{Member, ReplicationStatus, Report},
@@ -98,6 +104,8 @@
     primary: Option<Demotion>,
     /// What the directory was asked about the registered servers.
     listing: Listing,
+    /// Newest term of which an acknowledged commit, or the start of its log, is known.
+    informed: Term,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -107,6 +115,8 @@
     announced: Time,
     /// Whether a server joined after a promotion was requested.
     joined_late: bool,
+    /// Since when all replicas answer and none may be promoted, unless fencing has begun.
+    behind_since: Option<Time>,
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
@@ -123,7 +133,8 @@
 }
 
 impl Failover {
-    /// Starts to replace a primary by one of `members`, at a term above `highest`.
+    /// Starts to replace a primary by one of `members`. The promotion will lead the term after
+    /// `highest`, the highest in which a server is known to have led.
     ///
     /// `acknowledged` is the newest position known to be acknowledged. No server that has
     /// received less is promoted.
@@ -141,11 +152,13 @@
             replicas: members.into_iter().map(replica).collect(),
             primary: None,
             listing: Listing::default(),
+            informed: acknowledged.term(),
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
             announced: now,
             joined_late: false,
+            behind_since: None,
             fencing_since: None,
             target: None,
             promotion_sent: None,
@@ -177,20 +190,6 @@
         self.term
     }
 
-    /// Returns the highest term that any server reported, including the terms of fences.
-    ///
-    /// If a VM stops during a failover, the servers that it fenced stay fenced at its term.
-    /// The term of the next failover must be higher.
-    pub fn highest_term(&self) -> Term {
-        let replicas = self.replicas.values().filter_map(|replica| replica.status);
-        let primary = self.primary.as_ref().and_then(Demotion::status);
-        replicas
-            .chain(primary)
-            .map(|status| status.term.max(status.fenced_term))
-            .max()
-            .unwrap_or_default()
-    }
-
     /// Returns the highest term that any server follows or leads, as far as they have answered.
     pub fn reported_term(&self) -> Term {
         let replicas = self.replicas.values().filter_map(|replica| replica.status);
@@ -218,10 +217,15 @@
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
         self.acknowledged = self.acknowledged.max(position);
+        self.informed = self.informed.max(position.term());
     }
 
-    /// Records the status that a server reported.
+    /// Records the status that a server reported. Until servers are fenced, a higher term than
+    /// was known raises that of the failover. Terms of fences do not, since no server has led them.
     pub fn record_status(&mut self, server: &ServerId, status: ReplicationStatus, now: Time) {
+        if self.fencing_since.is_none() {
+            self.term = self.term.max(status.term.next());
+        }
         if let Some(replica) = self.replicas.get_mut(server) {
             replica.status = Some(status);
             replica.answered = Some(now);
@@ -288,6 +292,7 @@
             self.target = self.successor();
         }
         let mut actions = self.prepare(now);
+        self.readmit_primary();
         let needs_list = self.lacks_list() || self.awaits_list(now);
         if self.fencing_since.is_some() && needs_list && self.listing.is_due(now) {
             self.listing.record_request(now);
@@ -305,14 +310,17 @@
     }
 
     /// Polls every server until all have answered recently, then makes the old primary a
-    /// replica and fences the others. The target of a planned failover is not fenced but
-    /// polled further.
+    /// replica and fences the others, unless none of them may be promoted anyway. The target of a
+    /// planned failover is not fenced but polled further.
     fn prepare(&mut self, now: Time) -> Vec<Action> {
         let is_reachable =
             |r: &Replica| r.answered.is_some_and(|time| now.since(time) < MAX_ANSWER_AGE);
         let is_failure = self.cause == Cause::Failure;
+        let all_answer = self.replicas.values().all(is_reachable) && !self.awaits_primary(now);
+        let is_behind = self.fencing_since.is_none() && all_answer && self.lacks_candidate();
+        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
         let mut actions = Vec::new();
-        if self.fencing_since.is_none() && self.replicas.values().all(is_reachable) {
+        if self.fencing_since.is_none() && all_answer && !is_behind {
             if is_failure {
                 actions.extend(self.demote(now));
             }
@@ -330,7 +338,7 @@
         }
         match self.fencing_since {
             Some(_) => actions.extend(self.fence(now)),
-            None => actions.extend(self.poll(now)),
+            None => actions.extend(self.poll(is_behind, now)),
         }
         actions
     }
@@ -346,14 +354,20 @@
         self.primary.as_mut().map(|primary| primary.next_actions(term, now)).unwrap_or_default()
     }
 
-    /// Polls all servers.
-    fn poll(&mut self, now: Time) -> Vec<Action> {
+    /// Polls all servers, the old primary only if it may have to be promoted again.
+    fn poll(&mut self, is_behind: bool, now: Time) -> Vec<Action> {
+        let needs_primary = is_behind || !self.is_informed();
         let due = self.replicas.iter_mut().filter(|(_, replica)| replica.is_due(now));
-        due.map(|(server, replica)| {
-            replica.last_action = Some(now);
-            Action::Poll(server.clone())
-        })
-        .collect()
+        let mut actions: Vec<Action> = due
+            .map(|(server, replica)| {
+                replica.last_action = Some(now);
+                Action::Poll(server.clone())
+            })
+            .collect();
+        if needs_primary && self.cause == Cause::Failure {
+            actions.extend(self.primary.as_mut().and_then(|primary| primary.poll(now)));
+        }
+        actions
     }
 
     /// Fences the servers that are not fenced, and polls the others: a server that starts again
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -31,6 +31,11 @@
             && !self.listing.is_given_up(now)
     }
 
+    /// Returns whether all replicas are fenced.
+    pub(super) fn all_fenced(&self) -> bool {
+        self.replicas.values().all(|replica| replica.is_fenced(self.term))
+    }
+
     /// Returns the server to promote, once every commit that is or may still be
     /// acknowledged is in its log.
     pub(super) fn promotable(&self, now: Time) -> Option<ServerId> {
@@ -43,7 +48,7 @@
                 let is_closed = self.fencing_since.is_some()
                     && !self.is_demotion_due(now)
                     && !self.lacks_list();
-                if !is_closed || !self.replicas.values().all(is_fenced) {
+                if !is_closed || !self.all_fenced() {
                     return None;
                 }
                 self.most_advanced()?
@@ -59,7 +64,16 @@
         };
         let received = self.received(&target)?;
         let most = self.replicas.keys().filter_map(|server| self.received(server)).max()?;
-        (received >= most && received >= self.acknowledged).then_some(target)
+        (received >= most && received >= self.required()).then_some(target)
+    }
+
+    /// Returns what a server must have received to be promoted. A leaving primary works until then,
+    /// and all that it has written by the start is required of its successor.
+    fn required(&self) -> Position {
+        match self.cause {
+            Cause::Failure => self.floor().position(),
+            Cause::Planned => self.acknowledged,
+        }
     }
 
     pub(super) fn received(&self, server: &ServerId) -> Option<Position> {
