--- a/crates/proxy/tests/abandoned.rs
+++ b/crates/proxy/tests/abandoned.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use std::{future::Future, time::Duration};
+use std::time::Duration;
 
 use chicoryhollow_testkit::backend::CONTROL_ROLE;
-use common::{Deployment, MAX_WAIT, PRESS_KEY, values};
+use common::{Deployment, PRESS_KEY, callers::run, values};
 use tokio::{task::JoinHandle, time::timeout};
 use tokio_postgres::{Client, NoTls};
 
@@ -48,12 +48,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    actix::System::new().block_on(async {
-        timeout(MAX_WAIT * 2, test).await.expect("the test ends in time");
-    });
-}
-
 /// Starts daemons and creates the table. The primary is in data centre `a`.
 async fn start(data_centres: &[&str]) -> Deployment {
     let deployment = Deployment::start(data_centres).await;
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -4,6 +4,9 @@
 // Each test file uses only some of these helpers.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod callers;
+pub mod raw;
+
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
--- a/crates/proxy/tests/configuration.rs
+++ b/crates/proxy/tests/configuration.rs
@@ -6,18 +6,12 @@
 
 use chicoryhollow_config::{Verifier, configuration::Service};
 use chicoryhollow_testkit::platform::Fault;
-use common::{Deployment, MAX_WAIT, PRESS_KEY, values};
+use common::{Deployment, PRESS_KEY, callers::run, values};
 use tokio_postgres::Client;
 
 /// Maximum time until a daemon applies a changed configuration.
 const MAX_APPLY_TIME: Duration = Duration::from_secs(5);
 
-fn run(test: impl Future<Output = ()>) {
-    actix::System::new().block_on(async {
-        tokio::time::timeout(MAX_WAIT * 2, test).await.expect("the test ends in time");
-    });
-}
-
 /// Waits until the daemon has closed a caller's connection.
 async fn wait_closed(client: &Client) {
     let closed = async {
--- a/crates/proxy/tests/whole_path.rs
+++ b/crates/proxy/tests/whole_path.rs
@@ -3,13 +3,7 @@
 
 mod common;
 
-use common::{CLINIC_KEY, Deployment, MAX_WAIT, values};
-
-fn run(test: impl Future<Output = ()>) {
-    actix::System::new().block_on(async {
-        tokio::time::timeout(MAX_WAIT * 2, test).await.expect("the test ends in time");
-    });
-}
+use common::{CLINIC_KEY, Deployment, callers::run, values};
 
 #[test]
 fn a_session_reads_its_own_write_through_another_vm() {
