Send an order only while its failover runs and wants it

An order waited for the coordinator's row while the store was slow. Its failover was abandoned, another server became the primary, and the order was then sent, with a valid and higher token, and rolled that one back.

Cause: nothing between the decision and the sending said to which failover the order belonged, or whether that still ran. Refusals and failed writes of an earlier attempt also changed the present one.

Fix: `Action::Promote` carries an `OrderAttempt`, which only a failover can make. `Failover::claim` has to accept it right before the order is sent: not after the end of the failover, not if another attempt was made, and only if the same server would be chosen at that moment, from recent answers. `Failover::end` is called when it is done, abandoned, or the role is lost; it then asks for nothing, and requests that still wait for a connection are not sent. Outcomes name their attempt. An order that waits for the row is not repeated beside itself. A failover whose order was not sent may still be given up because the primary answers again, or a server is missing. An order in the row names the term that the failover replaces, rather than the one of the newest announcement.

Tests: `failover_orders.rs`; it needs `OrderAttempt` and does not compile on the code before. Tests that look for an order now read its server from the attempt, and claim it where they count it as sent.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -49,12 +49,13 @@
     cleanup::{FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
     missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
+    promotion::OrderAttempt,
     replica::{Member, ReplicationStatus, Report},
 };
 
 pub(crate) use self::missing::RETURN_TIMEOUT;
 
-use self::{demotion::Demotion, listing::Listing, replica::Replica};
+use self::{demotion::Demotion, listing::Listing, promotion::AttemptNumber, replica::Replica};
 
 /// Time after which another request to fence or poll a server is sent.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -86,8 +87,9 @@
     Demote(ServerId, Term),
     /// Read from the directory which servers are registered now.
     ListServers,
-    /// Request the promotion of a server.
-    Promote(ServerId),
+    /// Request the promotion of a server. The attempt is to be claimed right before the order is
+    /// sent ([`Failover::claim`]).
+    Promote(OrderAttempt),
     /// Lift the fence of a server, so that it receives again.
     Release(ServerId),
 }
@@ -126,8 +128,12 @@
     target_received: Option<Position>,
     /// Server that an earlier failover has ordered to promote, if that may still happen.
     open_order: Option<ServerId>,
-    /// Whether a promotion was requested before the last request.
-    is_repeated: bool,
+    /// Number of the newest attempt to order a promotion.
+    attempt: AttemptNumber,
+    /// The newest attempt whose order was sent.
+    sent: Option<AttemptNumber>,
+    /// Whether it has ended. It then does nothing any more.
+    has_ended: bool,
     /// Until when no promotion is requested, because the last request could not be sent.
     retry_after: Option<Time>,
 }
@@ -164,7 +170,9 @@
             promotion_sent: None,
             target_received: None,
             open_order: None,
-            is_repeated: false,
+            attempt: AttemptNumber::default(),
+            sent: None,
+            has_ended: false,
             retry_after: None,
         }
     }
@@ -211,6 +219,23 @@
     /// higher term than they were told.
     pub fn record_announcement(&mut self, now: Time) {
         self.announced = now;
+        self.withdraw();
+    }
+
+    /// Ends the failover. It asks for nothing any more, and no attempt of it can be claimed.
+    pub fn end(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Returns whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
+    /// Returns the highest term that it replaces.
+    pub fn replaced_term(&self) -> Term {
+        let below = Term::new(self.term.get().saturating_sub(1));
+        below.max(self.reported_term())
     }
 
     /// Records a position with an acknowledged commit. Positions older than the newest have
@@ -227,8 +252,7 @@
             self.term = self.term.max(status.term.next());
         }
         if let Some(replica) = self.replicas.get_mut(server) {
-            replica.status = Some(status);
-            replica.answered = Some(now);
+            (replica.status, replica.answered) = (Some(status), Some(now));
         } else if let Some(primary) = self.primary.as_mut().filter(|old| old.server() == server) {
             primary.record_status(status, now);
         }
@@ -276,6 +300,9 @@
 
     /// Returns the actions to carry out at `now`.
     pub fn next_actions(&mut self, now: Time) -> Vec<Action> {
+        if self.has_ended {
+            return Vec::new();
+        }
         if self.has_lost_target() {
             self.choose_again(now);
         }
@@ -300,11 +327,9 @@
         }
         let server = self.promotable(now).filter(|_| self.retry_after.is_none_or(|at| now >= at));
         if let Some(server) = server {
-            self.is_repeated = self.target_received.is_some();
             self.target_received = self.received(&server);
             self.target = Some(server.clone());
-            self.promotion_sent = Some(now);
-            actions.push(Action::Promote(server));
+            actions.push(self.next_attempt(server, now));
         }
         actions
     }
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -11,7 +11,81 @@
 /// Time after which a promotion is requested again.
 const PROMOTION_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Number of an attempt to order a promotion, within one failover.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct AttemptNumber(u32);
+
+/// An attempt to order a promotion.
+///
+/// The order is written to the coordinator's row first, which takes time. The attempt is then
+/// claimed, and the order is sent only if the failover still wants it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OrderAttempt {
+    server: ServerId,
+    number: AttemptNumber,
+}
+
+impl OrderAttempt {
+    /// Returns the server to promote.
+    pub fn server(&self) -> &ServerId {
+        &self.server
+    }
+}
+
 impl Failover {
+    /// Returns whether the order of an attempt may be sent now, and counts it as sent. It may not
+    /// if the failover has ended or made another attempt, or the server would not be chosen now.
+    pub fn claim(&mut self, attempt: &OrderAttempt, now: Time) -> bool {
+        let is_wanted = self.is_current(attempt)
+            && !self.is_sent()
+            && self.has_answered_lately(&attempt.server, now)
+            && !self.has_lost_target()
+            && self.promotable(now).as_ref() == Some(&attempt.server);
+        if is_wanted {
+            self.sent = Some(self.attempt);
+            self.promotion_sent = Some(now);
+        }
+        is_wanted
+    }
+
+    /// Returns whether an order of this failover was sent.
+    pub fn has_sent(&self) -> bool {
+        self.sent.is_some()
+    }
+
+    /// Returns whether this is the newest attempt, and it was not given up.
+    fn is_current(&self, attempt: &OrderAttempt) -> bool {
+        !self.has_ended
+            && attempt.number == self.attempt
+            && self.promotion_target() == Some(&attempt.server)
+    }
+
+    /// Returns whether the order of the newest attempt was sent.
+    fn is_sent(&self) -> bool {
+        self.sent == Some(self.attempt)
+    }
+
+    /// Makes another attempt to order the promotion of the target.
+    pub(super) fn next_attempt(&mut self, server: ServerId, now: Time) -> Action {
+        self.attempt = AttemptNumber(self.attempt.0 + 1);
+        self.promotion_sent = Some(now);
+        Action::Promote(OrderAttempt { server, number: self.attempt })
+    }
+
+    /// Gives the newest attempt up if its order was not sent.
+    pub(super) fn withdraw(&mut self) {
+        if self.promotion_sent.is_none() || self.is_sent() {
+            return;
+        }
+        self.promotion_sent = None;
+        if self.cause == Cause::Failure {
+            self.target = None;
+        }
+        if self.sent.is_none() {
+            self.target_received = None;
+        }
+    }
+
     /// Returns the server whose promotion was requested.
     pub fn promotion_target(&self) -> Option<&ServerId> {
         self.promotion_sent.and(self.target.as_ref())
@@ -22,30 +96,34 @@
         self.target_received.unwrap_or_default()
     }
 
-    /// Returns whether a promotion was ever requested, by this failover or an earlier one whose
-    /// order may still be carried out.
+    /// Returns whether an order was sent, by this failover or an earlier one, that may still be
+    /// carried out.
     pub fn has_ordered(&self) -> bool {
-        self.target_received.is_some() || self.open_order.is_some()
+        self.has_sent() || self.open_order.is_some()
     }
 
-    /// Records that the last request for a promotion was not sent, because the coordinator's row
-    /// could not be written. It is made again after a pause.
-    pub fn record_promotion_unsent(&mut self, now: Time) {
-        self.retry_after = Some(now + REPEAT_INTERVAL);
-        if self.is_repeated {
-            self.choose_again(now);
+    /// Records that the order of an attempt was not sent, because the coordinator's row could not
+    /// be written or the attempt was not wanted any more. Another one is made after a pause.
+    pub fn record_promotion_unsent(&mut self, attempt: &OrderAttempt, now: Time) {
+        if !self.is_current(attempt) {
             return;
         }
-        self.target_received = None;
-        self.promotion_sent = None;
-        if self.cause == Cause::Failure {
-            self.target = None;
+        self.retry_after = Some(now + REPEAT_INTERVAL);
+        match self.has_sent() {
+            true => self.choose_again(now),
+            false => self.withdraw(),
+        }
+    }
+
+    /// Records that the server of an attempt does not run. The server to promote is then chosen
+    /// again.
+    pub fn record_promotion_refusal(&mut self, attempt: &OrderAttempt) {
+        if self.is_current(attempt) {
+            self.forget_target();
         }
     }
 
-    /// Records that the server whose promotion was requested does not run. The server to promote
-    /// is then chosen again.
-    pub fn record_promotion_refusal(&mut self) {
+    fn forget_target(&mut self) {
         if let Some(target) = self.target.take()
             && let Some(replica) = self.replicas.get_mut(&target)
         {
@@ -77,27 +155,34 @@
         now: Time,
     ) -> Vec<Action> {
         let Some(replica) = self.replicas.get_mut(&target) else { return Vec::new() };
-        if now.since(sent) >= PROMOTION_RETRY_INTERVAL {
-            return self.repeat_promotion(target, now);
+        let is_polled =
+            replica.last_action.is_some_and(|last| now.since(last) < PROMOTION_CHECK_INTERVAL);
+        if !is_polled {
+            replica.last_action = Some(now);
         }
-        if replica.last_action.is_some_and(|last| now.since(last) < PROMOTION_CHECK_INTERVAL) {
-            return Vec::new();
+        let mut actions = match is_polled {
+            true => Vec::new(),
+            false => vec![Action::Poll(target.clone())],
+        };
+        if now.since(sent) >= PROMOTION_RETRY_INTERVAL {
+            actions.extend(self.repeat_promotion(target, now));
         }
-        replica.last_action = Some(now);
-        vec![Action::Poll(target)]
+        actions
     }
 
     /// Requests the promotion again, unless the target has not answered lately: then it may have
-    /// lost its log.
-    fn repeat_promotion(&mut self, target: ServerId, now: Time) -> Vec<Action> {
-        let answered = self.replicas.get(&target).and_then(|replica| replica.answered);
-        if answered.is_none_or(|time| now.since(time) >= MAX_ANSWER_AGE) {
-            self.record_promotion_refusal();
+    /// lost its log. An attempt that still waits for the coordinator's row is not repeated.
+    fn repeat_promotion(&mut self, target: ServerId, now: Time) -> Option<Action> {
+        if !self.has_answered_lately(&target, now) {
+            self.forget_target();
             self.choose_again(now);
-            return Vec::new();
+            return None;
         }
-        self.is_repeated = true;
-        self.promotion_sent = Some(now);
-        vec![Action::Promote(target)]
+        self.is_sent().then(|| self.next_attempt(target, now))
+    }
+
+    fn has_answered_lately(&self, server: &ServerId, now: Time) -> bool {
+        let answered = self.replicas.get(server).and_then(|replica| replica.answered);
+        answered.is_some_and(|time| now.since(time) < MAX_ANSWER_AGE)
     }
 }
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -227,7 +227,7 @@
                     }
                     failover.record_list(now);
                 }
-                (Action::Promote(server), _) => return Some(server.to_string()),
+                (Action::Promote(attempt), _) => return Some(attempt.server().to_string()),
                 _ => {}
             }
         }
@@ -295,7 +295,9 @@
                     failover.record_status(&server, fenced(failover.term()), now);
                 }
                 Action::ListServers => failover.record_list(now),
-                Action::Promote(server) => target = Some(server),
+                Action::Promote(attempt) if failover.claim(&attempt, now) => {
+                    target = Some(attempt.server().clone());
+                }
                 _ => {}
             }
         }
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -32,11 +32,19 @@
 
 fn promoted(actions: &[Action]) -> Option<&ServerId> {
     actions.iter().find_map(|action| match action {
-        Action::Promote(server) => Some(server),
+        Action::Promote(attempt) => Some(attempt.server()),
         _ => None,
     })
 }
 
+/// Sends the order among these actions, if there is one, and returns whether it was sent.
+fn send_order(failover: &mut Failover, actions: &[Action], now: Time) -> bool {
+    actions.iter().any(|action| match action {
+        Action::Promote(attempt) => failover.claim(attempt, now),
+        _ => false,
+    })
+}
+
 /// Returns how many of these replicas, which are fenced, are told to receive again after a failover.
 fn lifted(names: [&str; 2], needed: FenceUse) -> usize {
     let (servers, now) = (names.map(server), Time::from_millis(20_000));
@@ -194,7 +202,8 @@
     failover.record_list(ANNOUNCED);
     failover.record_status(&server("a"), replica_status(at(1, 9), 2), ANNOUNCED);
     failover.record_status(&server("b"), replica_status(at(1, 8), 2), ANNOUNCED);
-    assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), Some(&server("a")));
+    let actions = failover.next_actions(ANNOUNCED);
+    assert!(send_order(&mut failover, &actions, ANNOUNCED));
     let late = Time::from_millis(12_100);
     assert!(matches!(failover.progress(late), Progress::Abandoned(_)));
     let needed = FenceUse { ordered: failover.has_ordered(), ..FenceUse::default() };
@@ -350,7 +359,8 @@
     let mut failover = start_failover([member("a", true)], Position::default());
     failover.record_list(ANNOUNCED);
     failover.record_status(&server("a"), replica_status(at(1, 1), 2), ANNOUNCED);
-    assert!(promoted(&failover.next_actions(ANNOUNCED)).is_some());
+    let actions = failover.next_actions(ANNOUNCED);
+    assert!(send_order(&mut failover, &actions, ANNOUNCED));
     let polls = failover.next_actions(Time::from_millis(400));
     assert_eq!(polls, [Action::Poll(server("a"))]);
     // It answers the polls, and still has the log for which it was chosen.
--- a/crates/core/tests/failover_floor.rs
+++ b/crates/core/tests/failover_floor.rs
@@ -59,7 +59,7 @@
 
     fn carry_out(&mut self, action: Action) -> Option<String> {
         let asked = match action {
-            Action::Promote(server) => return Some(server.to_string()),
+            Action::Promote(attempt) => return Some(attempt.server().to_string()),
             Action::ListServers => {
                 self.failover.record_list(self.now);
                 return None;
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -9,8 +9,8 @@
         OrderAnswer, Roster, is_row_key, row_key,
     },
     failover::{
-        Action, Cause, Failover, FenceCleanup, FenceUse, Member, MissingServers, RegisteredServer,
-        ReplicationStatus,
+        Action, Cause, Failover, FenceCleanup, FenceUse, Member, MissingServers, OrderAttempt,
+        RegisteredServer, ReplicationStatus,
     },
     suspicion::{Evidence, Suspicion},
     version::{DirectoryVersion, Era},
@@ -158,9 +158,17 @@
     cleanup.next_actions(&servers, needed, at(20_000)).len()
 }
 
+fn attempt(actions: &[Action]) -> &OrderAttempt {
+    let attempts = actions.iter().filter_map(|action| match action {
+        Action::Promote(attempt) => Some(attempt),
+        _ => None,
+    });
+    attempts.last().expect("an attempt")
+}
+
 fn orders(actions: &[Action]) -> Vec<&str> {
     let promotions = actions.iter().filter_map(|action| match action {
-        Action::Promote(server) => Some(server.as_str()),
+        Action::Promote(attempt) => Some(attempt.server().as_str()),
         _ => None,
     });
     promotions.collect()
@@ -170,12 +178,14 @@
 #[test]
 fn a_failover_that_cannot_write_its_order_waits_and_lifts_the_fences() {
     let mut failover = fenced_failover(None);
-    assert_eq!(orders(&failover.next_actions(at(510))).len(), 1);
-    failover.record_promotion_unsent(at(520));
+    let actions = failover.next_actions(at(510));
+    assert_eq!(orders(&actions).len(), 1);
+    failover.record_promotion_unsent(attempt(&actions), at(520));
     assert!(!failover.has_ordered());
     assert_eq!(orders(&failover.next_actions(at(600))).len(), 0, "not at once");
     assert_eq!(lifted(failover.has_ordered()), 2);
-    assert_eq!(orders(&failover.next_actions(at(800))).len(), 1);
+    let actions = failover.next_actions(at(800));
+    assert!(failover.claim(attempt(&actions), at(800)));
     assert!(failover.has_ordered());
 }
 
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -5,7 +5,9 @@
 use chicoryhollow_core::{
     Position, Term,
     coordinator::{FencingToken, OrderAnswer, Outage},
-    failover::{Action, Announcement, Cause, Failover, FailoverNumber, FenceCleanup, Progress},
+    failover::{
+        Action, Announcement, Cause, Failover, FailoverNumber, FenceCleanup, OrderAttempt, Progress,
+    },
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT, Votes},
 };
 
@@ -299,7 +301,7 @@
         failover.record_log_start(view.start);
         failover.retain(|server| view.entries[index(server.as_str())].is_some());
         failover.join(view.members());
-        let is_unordered = failover.promotion_target().is_none();
+        let is_unordered = !failover.has_sent();
         let has_recovered = running.suspicion == Suspicion::Silent
             && is_unordered
             && view.last_response > running.started;
@@ -356,7 +358,7 @@
             Action::Demote(server, term) => (server, Command::Demote(term.get())),
             Action::Release(_) => unreachable!("a failover lifts no fences"),
             Action::ListServers => return self.list_servers(vm, failover),
-            Action::Promote(server) => return self.order(vm, failover, index(server.as_str())),
+            Action::Promote(attempt) => return self.order(vm, failover, &attempt),
         };
         if let Some(status) = self.call(vm, index(server.as_str()), command) {
             failover.record_status(&server, status, time(self.tick));
@@ -375,21 +377,22 @@
         failover.record_list(time(tick));
     }
 
-    fn order(&mut self, vm: usize, failover: &mut Failover, server: usize) {
-        let now = time(self.tick);
-        let Vm { memory, view, .. } = &mut self.vms[vm];
-        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
-        let replaced = known.max(failover.reported_term());
+    fn order(&mut self, vm: usize, failover: &mut Failover, attempt: &OrderAttempt) {
+        let (now, server) = (time(self.tick), index(attempt.server().as_str()));
+        let Vm { memory, .. } = &mut self.vms[vm];
+        let replaced = failover.replaced_term();
         let Ok(revision) = memory.prepare(group(), id(server), replaced, now) else { return };
         self.write_memory(vm);
         let is_written = self.vms[vm].memory.is_written(revision);
         let Some(token) = self.next_token(vm).filter(|_| is_written) else {
             self.note(|| format!("VM {vm} cannot write the order to promote {}", name(server)));
             self.vms[vm].memory.record_unsent(revision);
-            failover.record_promotion_unsent(now);
+            failover.record_promotion_unsent(attempt, now);
             return;
         };
-        if !self.vms[vm].memory.record_sent(revision, token) {
+        if !self.vms[vm].memory.record_sent(revision, token) || !failover.claim(attempt, now) {
+            self.vms[vm].memory.record_unsent(revision);
+            failover.record_promotion_unsent(attempt, now);
             return;
         }
         self.vms[vm].watch.cancelled = None;
@@ -410,7 +413,7 @@
             Answer::Accepted => memory.record_answer(&group(), token, OrderAnswer::Accepted),
             Answer::Refused => {
                 memory.record_answer(&group(), token, OrderAnswer::Refused);
-                failover.record_promotion_refusal();
+                failover.record_promotion_refusal(attempt);
                 self.vms[vm].lease.record_refusal(now);
             }
         }
--- /dev/null
+++ b/crates/core/tests/failover_orders.rs
@@ -0,0 +1,128 @@
+//! An order is sent only while its failover runs and wants it.
+
+use chicoryhollow_core::{
+    Lsn, Position, ServerId, Term, Time,
+    failover::{Action, Cause, Failover, Member, OrderAttempt, Progress, ReplicationStatus},
+};
+
+fn server(name: &str) -> ServerId {
+    name.parse().expect("a valid name")
+}
+
+fn member(name: &str) -> Member {
+    Member { server: server(name), preferred: true, cold: false, born: 0 }
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn position(lsn: u64) -> Position {
+    Position::new(Term::new(1), Lsn::new(lsn))
+}
+
+fn fenced(lsn: u64) -> ReplicationStatus {
+    ReplicationStatus {
+        primary: false,
+        term: Term::new(1),
+        received: position(lsn),
+        fenced_term: Term::new(2),
+    }
+}
+
+fn attempt(actions: Vec<Action>) -> Option<OrderAttempt> {
+    actions.into_iter().find_map(|action| match action {
+        Action::Promote(attempt) => Some(attempt),
+        _ => None,
+    })
+}
+
+/// A failover with the fenced replicas `a` and `b`, and its attempt to promote `a`, which waits for
+/// the coordinator's row.
+fn waiting() -> (Failover, OrderAttempt) {
+    let members = ["a", "b"].map(member);
+    let mut failover =
+        Failover::new(Cause::Failure, members, Term::new(1), position(8), Time::default());
+    answer(&mut failover, 200);
+    failover.record_list(at(200));
+    let attempt = attempt(failover.next_actions(at(200))).expect("an order");
+    assert_eq!(*attempt.server(), server("a"));
+    (failover, attempt)
+}
+
+/// Records that both replicas answer as before.
+fn answer(failover: &mut Failover, ms: u64) {
+    failover.record_status(&server("a"), fenced(9), at(ms));
+    failover.record_status(&server("b"), fenced(8), at(ms));
+}
+
+/// Lets the failover run until `until`, in milliseconds, while its order waits.
+fn wait(failover: &mut Failover, until: u64) {
+    for ms in (250..=until).step_by(50) {
+        assert_eq!(attempt(failover.next_actions(at(ms))), None, "{ms} ms: one order at a time");
+        answer(failover, ms);
+    }
+}
+
+/// Case 8 of the second review: the order of an abandoned failover waited for the coordinator's row,
+/// was sent after another server had become the primary, and cost what that one had acknowledged.
+#[test]
+fn an_order_whose_failover_has_ended_is_not_sent() {
+    let (mut failover, attempt) = waiting();
+    wait(&mut failover, 600);
+    assert!(failover.clone().claim(&attempt, at(600)), "until then it is wanted");
+    failover.end();
+    assert!(!failover.claim(&attempt, at(600)));
+    assert!(!failover.has_ordered());
+    assert_eq!(failover.next_actions(at(900)), [], "nothing else is sent either");
+}
+
+#[test]
+fn an_order_that_waits_long_is_sent_once_and_not_beside_another_one() {
+    let (mut failover, attempt) = waiting();
+    wait(&mut failover, 4_000);
+    assert_eq!(failover.progress(at(4_000)), Progress::Running);
+    assert!(failover.claim(&attempt, at(4_000)));
+    assert!(!failover.claim(&attempt, at(4_000)), "it was sent");
+}
+
+#[test]
+fn an_order_for_a_server_that_would_not_be_chosen_any_more_is_not_sent() {
+    let changes: [fn(&mut Failover); 4] = [
+        // It has started again without its log.
+        |failover| failover.record_status(&server("a"), fenced(0), at(600)),
+        // The other one has lost its fence, and may receive more.
+        |failover| {
+            let status = ReplicationStatus { fenced_term: Term::default(), ..fenced(8) };
+            failover.record_status(&server("b"), status, at(600));
+        },
+        // A third one has registered.
+        |failover| failover.join([member("n")]),
+        // Not all VMs know of the term that is replaced.
+        |failover| failover.record_announcement(at(600)),
+    ];
+    for (i, change) in changes.into_iter().enumerate() {
+        let (mut failover, attempt) = waiting();
+        wait(&mut failover, 600);
+        change(&mut failover);
+        assert!(!failover.claim(&attempt, at(600)), "change {i}");
+    }
+    let (mut failover, attempt) = waiting();
+    wait(&mut failover, 600);
+    assert!(!failover.claim(&attempt, at(1_500)), "it has not answered since");
+}
+
+/// The answer to an order arrived after its failover had ordered another server.
+#[test]
+fn the_refusal_of_an_earlier_attempt_does_not_touch_the_present_one() {
+    let (mut failover, first) = waiting();
+    failover.record_promotion_unsent(&first, at(250));
+    wait(&mut failover, 450);
+    answer(&mut failover, 500);
+    let second = attempt(failover.next_actions(at(500))).expect("another attempt");
+    assert_ne!(first, second);
+    failover.record_promotion_refusal(&first);
+    failover.record_promotion_unsent(&first, at(510));
+    assert!(!failover.claim(&first, at(510)));
+    assert!(failover.claim(&second, at(510)));
+}
--- a/crates/core/tests/joining.rs
+++ b/crates/core/tests/joining.rs
@@ -24,6 +24,12 @@
     Member { server: server(name), preferred: true, cold: false, born: 0 }
 }
 
+fn promotes(actions: &[Action], name: &str) -> bool {
+    let is_order =
+        |action: &Action| matches!(action, Action::Promote(a) if a.server().as_str() == name);
+    actions.iter().any(is_order)
+}
+
 /// A primary `p`, its replica `r` behind a cut, and a replica `n` that starts at some time.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 struct World {
@@ -77,7 +83,7 @@
     /// Carries out an action at once and records the answer. Returns a promoted server.
     fn carry_out(&mut self, failover: &mut Failover, action: &Action, now: Time) -> Option<String> {
         let target = match action {
-            Action::Promote(server) => return Some(server.to_string()),
+            Action::Promote(attempt) => return Some(attempt.server().to_string()),
             Action::ListServers => {
                 self.listed |= self.joined.is_some();
                 self.join(failover);
@@ -254,7 +260,7 @@
         let now = Time::from_millis(ms);
         failover.record_status(&server("r"), status(false, 1, 2), now);
         assert_eq!(failover.progress(now), Progress::Running);
-        if failover.next_actions(now).contains(&Action::Promote(server("r"))) {
+        if promotes(&failover.next_actions(now), "r") {
             return;
         }
     }
@@ -272,7 +278,7 @@
     failover.record_status(&server("p"), status(true, 1, 0), now);
     let actions = failover.next_actions(Time::from_millis(1_050));
     assert!(actions.contains(&Action::ListServers), "{actions:?}");
-    assert!(!actions.contains(&Action::Promote(server("r"))), "{actions:?}");
+    assert!(!promotes(&actions, "r"), "{actions:?}");
 }
 
 /// A cut that heals between the order and its effect: the primary must not go on with a
@@ -285,7 +291,7 @@
     let ordered = Time::from_millis(1_200);
     failover.record_list(ordered);
     failover.record_status(&server("r"), status(false, 1, 2), ordered);
-    assert!(failover.next_actions(ordered).contains(&Action::Promote(server("r"))));
+    assert!(promotes(&failover.next_actions(ordered), "r"));
     failover.join([member("n")]);
     let actions = failover.next_actions(Time::from_millis(1_500));
     assert!(actions.contains(&Action::Demote(server("p"), Term::new(2))), "{actions:?}");
@@ -301,7 +307,7 @@
     let ordered = Time::from_millis(1_200);
     failover.record_list(ordered);
     failover.record_status(&server("a"), status(false, 1, 0), ordered);
-    assert!(failover.next_actions(ordered).contains(&Action::Promote(server("a"))));
+    assert!(promotes(&failover.next_actions(ordered), "a"));
     let later = Time::from_millis(1_500);
     let is_demoted =
         |actions: Vec<Action>| actions.contains(&Action::Demote(server("p"), Term::new(2)));
--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -27,6 +27,9 @@
     /// The row was not written.
     #[error("the row was not written")]
     Unwritten,
+    /// The failover has ended, or does not want this order any more.
+    #[error("the order is not wanted any more")]
+    Superseded,
     /// This VM is no longer the coordinator.
     #[error("the role was lost")]
     RoleLost,
@@ -34,6 +37,7 @@
 
 impl Coordinator {
     /// Writes an order to the row, so that a later holder knows of it, and returns its token.
+    /// The order is to be sent at once then. `claim` is asked last whether it may be.
     ///
     /// # Errors
     ///
@@ -44,19 +48,32 @@
         group: &GroupId,
         server: &ServerId,
         replaced: Term,
+        claim: impl FnOnce() -> bool,
     ) -> Result<FencingToken, OrderError> {
         let (group, server) = (group.clone(), server.clone());
         let order = self.memory.borrow_mut().prepare(group, server, replaced, clock::now())?;
         self.write_revision(engine, order).await;
-        let is_written = self.memory.borrow().is_written(order);
-        let token = if is_written { self.order_token() } else { None };
-        match token {
-            Some(token) if self.memory.borrow_mut().record_sent(order, token) => Ok(token),
-            _ => {
-                self.memory.borrow_mut().record_unsent(order);
-                Err(if is_written { OrderError::RoleLost } else { OrderError::Unwritten })
-            }
+        let sent = self.mark_sent(order, claim);
+        if sent.is_err() {
+            self.memory.borrow_mut().record_unsent(order);
+        }
+        sent
+    }
+
+    /// Gives an order its token, if it was written and is still wanted.
+    fn mark_sent(
+        &self,
+        order: Revision,
+        claim: impl FnOnce() -> bool,
+    ) -> Result<FencingToken, OrderError> {
+        if !self.memory.borrow().is_written(order) {
+            return Err(OrderError::Unwritten);
+        }
+        let token = self.order_token().ok_or(OrderError::RoleLost)?;
+        if !self.memory.borrow_mut().record_sent(order, token) {
+            return Err(OrderError::RoleLost);
         }
+        if claim() { Ok(token) } else { Err(OrderError::Superseded) }
     }
 
     /// Writes the row unless a write has carried this revision meanwhile.
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -68,6 +68,14 @@
 }
 
 impl GroupWatch {
+    /// Ends what only the coordinator does.
+    fn stop(&mut self) {
+        if let Some(running) = self.running.take() {
+            running.failover.borrow_mut().end();
+        }
+        self.cleanup = None;
+    }
+
     /// Records since when the group has no known primary, and returns the entry of the
     /// primary if there is one.
     fn record_primary<'a>(&mut self, group: &'a Group, now: Time) -> Option<&'a ServerEntry> {
@@ -104,7 +112,7 @@
                 recall(&engine, &coordinator, &group);
                 watch(&engine, &coordinator, &group, watched);
             } else {
-                (watched.running, watched.cleanup) = (None, None);
+                watched.stop();
                 // This counts once this VM is the coordinator.
                 watched.record_primary(&group.borrow(), clock::now());
             }
@@ -258,10 +266,10 @@
         failover.retain(|server| group.servers.contains_key(server));
         failover.join(group.members(now));
         let has_recovered = running.suspicion == Suspicion::Silent
-            && failover.promotion_target().is_none()
+            && !failover.has_sent()
             && group.last_response() > running.started;
         let awaits_server = awaits_unlisted || group.awaits_server(now);
-        match (has_recovered, failover.promotion_target().is_none() && awaits_server) {
+        match (has_recovered, !failover.has_sent() && awaits_server) {
             (true, _) => Progress::Abandoned("the primary answers again"),
             (_, true) => Progress::Abandoned("a server that may hold a commit is missing"),
             _ => failover.progress(now),
@@ -279,6 +287,7 @@
             Some(running)
         }
         Progress::Done(server, term) => {
+            running.failover.borrow_mut().end();
             log_reports(engine, name, &running.failover.borrow(), "completed");
             let changed = group.borrow_mut().adopt(&server, term);
             let received = running.failover.borrow().target_received();
@@ -299,6 +308,7 @@
             None
         }
         Progress::Abandoned(reason) => {
+            running.failover.borrow_mut().end();
             log_reports(engine, name, &running.failover.borrow(), "abandoned");
             end_announcement(engine, coordinator, group, &running.failover.borrow(), now);
             engine.event_log.record(
@@ -337,7 +347,7 @@
 ) {
     let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
     let reported = failover.reported_term();
-    if failover.promotion_target().is_none()
+    if !failover.has_sent()
         && reported > known
         && announce(engine, coordinator, group, reported, now)
     {
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -5,7 +5,7 @@
 use chicoryhollow_core::{
     GroupId, ServerId, Term, Time,
     coordinator::OrderAnswer,
-    failover::{Action, Cause, Failover, ReplicationStatus, Report},
+    failover::{Action, Cause, Failover, OrderAttempt, ReplicationStatus, Report},
 };
 use slog::o;
 
@@ -46,19 +46,21 @@
                 demote(&engine, &failover, &group, &server, term).await;
             }
             Action::ListServers => list_servers(&engine, &failover, &group).await,
-            Action::Promote(server) => promote(&engine, &role, &failover, &group, &server).await,
+            Action::Promote(attempt) => promote(&engine, &role, &failover, &group, &attempt).await,
         }
     });
 }
 
-/// Sends a command to a server and records its status, which is returned if it answered.
+/// Sends a command to a server, unless the failover has ended meanwhile, and records its status,
+/// which is returned if it answered.
 async fn send<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     failover: &RefCell<Failover>,
     server: &ServerId,
     command: Command,
 ) -> Option<ReplicationStatus> {
-    let status = send_command(engine, server, command).await?;
+    let is_wanted = || !failover.borrow().has_ended();
+    let status = send_if(engine, server, command, is_wanted).await?;
     let status = ReplicationStatus::from(status);
     failover.borrow_mut().record_status(server, status, clock::now());
     engine.watch_wakeup.notify_one();
@@ -98,6 +100,9 @@
             engine.apply_servers(servers.version, servers.entries);
             let members = engine.group(group).borrow().members(clock::now());
             let mut failover = failover.borrow_mut();
+            if failover.has_ended() {
+                return;
+            }
             failover.join(members);
             failover.record_list(asked);
         }
@@ -145,9 +150,24 @@
     engine: &Rc<Engine<S, D>>,
     server: &ServerId,
     command: Command,
+) -> Option<ServerStatus> {
+    send_if(engine, server, command, || true).await
+}
+
+/// Sends a command to a server, if `is_wanted` once there is a connection, and returns its status,
+/// if it answered. A connection and an answer each have a time limit.
+async fn send_if<S: ServerProtocol, D: Directory>(
+    engine: &Rc<Engine<S, D>>,
+    server: &ServerId,
+    command: Command,
+    is_wanted: impl FnOnce() -> bool,
 ) -> Option<ServerStatus> {
     let account = engine.any_account()?;
     let mut connection = engine.pool(server)?.take_control(&account).await.ok()?;
+    if !is_wanted() {
+        connection.give_back();
+        return None;
+    }
     let answer = connection.run_control(command).await.ok()?;
     connection.give_back();
     S::Link::parse_status(&answer)
@@ -158,12 +178,11 @@
     coordinator: &Coordinator,
     failover: &RefCell<Failover>,
     group: &GroupId,
-    server: &ServerId,
+    attempt: &OrderAttempt,
 ) {
-    let known = engine.group(group).borrow().peers.failover();
-    let announced = known.map(|known| known.replaced).unwrap_or_default();
-    let replaced = announced.max(failover.borrow().reported_term());
-    let token = match coordinator.open_order(engine, group, server, replaced).await {
+    let (server, replaced) = (attempt.server(), failover.borrow().replaced_term());
+    let claim = || failover.borrow_mut().claim(attempt, clock::now());
+    let token = match coordinator.open_order(engine, group, server, replaced, claim).await {
         Ok(token) => token,
         Err(error) => {
             engine.metrics.unsent_orders.inc();
@@ -173,7 +192,7 @@
                 "reason" => error.to_string(),
             );
             engine.event_log.record(Event::OrderUnsent, fields);
-            failover.borrow_mut().record_promotion_unsent(clock::now());
+            failover.borrow_mut().record_promotion_unsent(attempt, clock::now());
             return;
         }
     };
@@ -204,7 +223,7 @@
         }
         Ok(PromotionOutcome::Refused) => {
             coordinator.record_answer(group, token, OrderAnswer::Refused);
-            failover.borrow_mut().record_promotion_refusal();
+            failover.borrow_mut().record_promotion_refusal(attempt);
             coordinator.record_refusal();
         }
         // The order stays open: it may be carried out late.
