Announce with a failover the term that an open order may bring about

What callers could see: an order for X is open, and its failover was given up. X may lead the next term at any time. A newer failover that ordered Y announced the term of the old primary only, so a success of X's term was told on contact alone, and Y's order then rolled X back.

Fix: the announcement of a new failover covers the term after the one that any open order replaces. Once the successor leads, the covered term is that of its own successes, so the announcement is narrowed at once, unless an order for another server is still open.

Test: `the_term_that_an_older_order_brings_about_is_announced_with_the_newer_one`.

--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -81,6 +81,25 @@
     Some(memory.open_order(&group())?.server.as_str())
 }
 
+/// A success in the term of a server that an older order promotes was told on contact alone, and
+/// then replaced by the newer order.
+#[test]
+fn the_term_that_an_older_order_brings_about_is_announced_with_the_newer_one() {
+    let replaced = |servers: &[&str]| with_orders(servers).announcement(&group());
+    let replaced = |servers| replaced(servers).expect("an order is open").replaced;
+    assert_eq!(replaced(&["a"]), Term::new(4));
+    assert_eq!(replaced(&["a", "a"]), Term::new(4), "the later one changes nothing");
+    assert_eq!(replaced(&["a", "b"]), Term::new(5));
+    let memory = with_orders(&["a", "b"]);
+    assert_eq!(memory.highest_effect(&group(), None), Some(Term::new(5)));
+    assert_eq!(memory.highest_effect(&group(), Some(&server("b"))), Some(Term::new(5)));
+    let memory = with_orders(&["b"]);
+    assert_eq!(memory.highest_effect(&group(), Some(&server("b"))), None);
+    let mut unsent = FailoverMemory::new(at(0));
+    unsent.prepare(group(), server("a"), Term::new(4), at(0)).expect("there is room");
+    assert_eq!(unsent.highest_effect(&group(), None), None, "it was not sent");
+}
+
 /// An order went out although the row was not written, and nobody knew of it after a restart.
 #[test]
 fn an_order_is_not_safe_until_the_row_was_written() {
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chicoryhollow_core::{
-    Position, Term,
+    Position, ServerId, Term,
     coordinator::{FencingToken, OrderAnswer, Outage},
     failover::{
         Action, Announcement, Cause, Failover, FailoverNumber, FenceCleanup, OrderAttempt, Progress,
@@ -283,9 +283,10 @@
         let open_order = self.vms[vm].memory.open_order(&group());
         failover = failover.with_open_order(open_order.map(|open| open.server.clone()));
         let Some(token) = self.next_token(vm) else { return };
+        let effect = self.vms[vm].memory.highest_effect(&group(), None).unwrap_or_default();
         let announcement = Announcement {
             number: FailoverNumber::new(token.get()),
-            replaced: Term::new(self.vms[vm].view.term),
+            replaced: effect.max(Term::new(self.vms[vm].view.term)),
             begun: time(tick),
         };
         self.vms[vm].view.record_failover(Some(announcement));
@@ -323,6 +324,7 @@
                 let view = &mut self.vms[vm].view;
                 view.adopt(index(server.as_str()), term.get());
                 view.start = view.start.max(start);
+                self.narrow_announcement(vm, &server, term);
             }
             Progress::Abandoned(reason) => {
                 self.note(|| format!("VM {vm} gives the failover up: {reason}"));
@@ -335,6 +337,22 @@
         watch.not_before = tick + FAILOVER_PAUSE;
     }
 
+    /// Tells that a failover which also covered the term of its successor has ended, unless an
+    /// open order may still promote another server.
+    fn narrow_announcement(&mut self, vm: usize, server: &ServerId, term: Term) {
+        let Vm { memory, view, .. } = &mut self.vms[vm];
+        memory.record_leader(&group(), server, term);
+        let is_open = memory.highest_effect(&group(), Some(server)).is_some_and(|at| at >= term);
+        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
+        if known < term || is_open {
+            return;
+        }
+        let Some(token) = self.next_token(vm) else { return };
+        let (number, begun) = (FailoverNumber::new(token.get()), time(self.tick));
+        let replaced = Term::default();
+        self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
+    }
+
     /// Tells that an abandoned failover replaces no primary, unless its order may be open.
     fn end_announcement(&mut self, vm: usize, has_ordered: bool) {
         let Some(token) = self.next_token(vm) else { return };
--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -146,6 +146,24 @@
         Some(KnownOrder { server: open.server.clone(), known: open.known })
     }
 
+    /// Records that `server` leads its group at `term`, and returns the highest term that another
+    /// server may lead by an open order.
+    pub(crate) fn record_leader(
+        &self,
+        group: &GroupId,
+        server: &ServerId,
+        term: Term,
+    ) -> Option<Term> {
+        let mut memory = self.memory.borrow_mut();
+        memory.record_leader(group, server, term);
+        memory.highest_effect(group, Some(server))
+    }
+
+    /// Returns the highest term that a server of a group may lead by an open order.
+    pub(crate) fn highest_effect(&self, group: &GroupId) -> Option<Term> {
+        self.memory.borrow().highest_effect(group, None)
+    }
+
     /// Returns whether any group may have a missing server of which this VM does not know.
     pub(crate) fn awaits_unlisted(&self) -> bool {
         self.memory.borrow().awaits_unlisted(clock::now())
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -167,7 +167,9 @@
     let suspicion = assess(engine, &group.borrow(), watched, known, now);
     let suspicion = suspicion.filter(|_| !awaits_server);
     if let Some(suspicion) = suspicion {
-        let replaced = group.borrow().newest_term();
+        // A server that an open order promotes meanwhile is replaced too.
+        let effect = coordinator.highest_effect(&group.borrow().view.group);
+        let replaced = group.borrow().newest_term().max(effect.unwrap_or_default());
         if !announce(engine, coordinator, group, replaced, now) {
             return;
         }
@@ -296,6 +298,8 @@
                 engine.record_primary_change(&group.borrow(), Source::Answer);
             }
             engine.check_commits(group);
+            let effect = coordinator.record_leader(name, &server, term);
+            narrow_announcement(engine, coordinator, group, effect, now);
             engine.event_log.record(
                 Event::FailoverCompleted,
                 o!(
@@ -355,6 +359,22 @@
     }
 }
 
+/// Tells all VMs that a failover which also covered the term of its successor has ended, unless an
+/// open order may still promote another server, in the term `effect`.
+fn narrow_announcement<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    coordinator: &Coordinator,
+    group: &RefCell<Group>,
+    effect: Option<Term>,
+    now: Time,
+) {
+    let term = group.borrow().view.term;
+    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
+    if known >= term && effect.is_none_or(|effect| effect < term) {
+        announce(engine, coordinator, group, Term::default(), now);
+    }
+}
+
 /// Tells all VMs that an abandoned failover replaces no primary. If it has ordered a promotion,
 /// the order may still be carried out, and the failover counts as running from now on.
 fn end_announcement<S: ServerProtocol, D: Directory>(
