List the servers after the last fence is confirmed, before an order

A failover listed the servers once all VMs knew of it, also while some were not fenced yet. A server that registered between that list and the last fence could have received a commit from the old primary, and nobody asked it before the order.

Fix: a list counts only if it was asked for after the announcement had reached all VMs and after the last member was first known to be fenced. A member that joins by that list is fenced, and the servers are listed again. The time for which the directory is waited for (0.3 s) counts from the first request of each need. Usually the fences are confirmed before the announcement has spread, so nothing takes longer.

Test: `the_servers_are_listed_after_the_last_one_is_known_to_be_fenced`; on the code before it failed, since no list was asked for after the fence. Two tests in `failover.rs` now list the servers once more before the order, which is stricter.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -251,8 +251,9 @@
         if self.fencing_since.is_none() {
             self.term = self.term.max(status.term.next());
         }
+        let term = self.term;
         if let Some(replica) = self.replicas.get_mut(server) {
-            (replica.status, replica.answered) = (Some(status), Some(now));
+            replica.record_status(status, term, now);
         } else if let Some(primary) = self.primary.as_mut().filter(|old| old.server() == server) {
             primary.record_status(status, now);
         }
@@ -320,6 +321,7 @@
         }
         let mut actions = self.prepare(now);
         self.readmit_primary();
+        self.listing.require(self.list_needed());
         let needs_list = self.lacks_list() || self.awaits_list(now);
         if self.fencing_since.is_some() && needs_list && self.listing.is_due(now) {
             self.listing.record_request(now);
--- a/crates/core/src/failover/listing.rs
+++ b/crates/core/src/failover/listing.rs
@@ -1,4 +1,7 @@
 //! Lists of the registered servers that a failover asks the directory for.
+//!
+//! A list counts only if it was asked for after the last server was known to be fenced: a server
+//! that registered before may have received commits from the old primary.
 
 use std::time::Duration;
 
@@ -11,6 +14,9 @@
 /// Requests to the directory to list the servers, and its answers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Listing {
+    /// Time at which the list must have been asked for at the earliest.
+    needed: Time,
+    /// The first request since then.
     first_request: Option<Time>,
     last_request: Option<Time>,
     /// When the newest list that was answered was asked for.
@@ -19,6 +25,14 @@
 }
 
 impl Listing {
+    /// Requires a list that is asked for at `needed` or later.
+    pub(super) fn require(&mut self, needed: Time) {
+        if needed > self.needed {
+            (self.first_request, self.last_request, self.has_failed) = (None, None, false);
+            self.needed = needed;
+        }
+    }
+
     pub(super) fn record_request(&mut self, now: Time) {
         self.first_request.get_or_insert(now);
         self.last_request = Some(now);
--- a/crates/core/src/failover/replica.rs
+++ b/crates/core/src/failover/replica.rs
@@ -52,11 +52,20 @@
     pub(super) status: Option<ReplicationStatus>,
     pub(super) answered: Option<Time>,
     pub(super) last_action: Option<Time>,
+    /// Since when it has been known to be fenced.
+    pub(super) fenced_since: Option<Time>,
 }
 
 impl Replica {
     pub(super) fn new(member: Member) -> Self {
-        Replica { member, status: None, answered: None, last_action: None }
+        Replica { member, status: None, answered: None, last_action: None, fenced_since: None }
+    }
+
+    /// Records its answer while servers are fenced at `term`.
+    pub(super) fn record_status(&mut self, status: ReplicationStatus, term: Term, now: Time) {
+        (self.status, self.answered) = (Some(status), Some(now));
+        let since = self.fenced_since.unwrap_or(now);
+        self.fenced_since = self.is_fenced(term).then_some(since);
     }
 
     pub(super) fn received(&self) -> Option<Position> {
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -22,12 +22,18 @@
         now.since(self.announced) >= ANNOUNCEMENT_SPAN
     }
 
-    /// Returns whether servers that were registered before all VMs knew of the failover may be
-    /// unknown, and the directory may still tell.
+    /// Returns when the list of servers must have been asked for at the earliest: when all VMs knew
+    /// of the failover, and the last server was fenced.
+    pub(super) fn list_needed(&self) -> Time {
+        let fenced = self.replicas.values().filter_map(|replica| replica.fenced_since).max();
+        (self.announced + ANNOUNCEMENT_SPAN).max(fenced.unwrap_or_default())
+    }
+
+    /// Returns whether servers may be unknown that were registered before a newer list could be
+    /// asked for, and the directory may still tell.
     pub(super) fn awaits_list(&self, now: Time) -> bool {
-        let announced = self.announced + ANNOUNCEMENT_SPAN;
         self.is_announced(now)
-            && !self.listing.is_newer_than(announced)
+            && !self.listing.is_newer_than(self.list_needed())
             && !self.listing.is_given_up(now)
     }
 
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -245,6 +245,8 @@
     assert_eq!(failover.next_actions(Time::from_millis(210)), fence);
     let later = Time::from_millis(220);
     failover.record_status(&server("new"), replica_status(at(1, 10), 2), later);
+    assert!(failover.next_actions(later).contains(&Action::ListServers), "once more");
+    failover.record_list(later);
     assert_eq!(promoted(&failover.next_actions(later)), Some(&server("new")));
 }
 
@@ -302,6 +304,7 @@
         }
         let now = Time::from_millis(1_000);
         failover.record_status(&server(open), replica_status(at(1, 10), 2), now);
+        failover.record_list(now);
         assert_eq!(promoted(&failover.next_actions(now)), Some(&server(open)));
     }
 }
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -126,3 +126,27 @@
     assert!(!failover.claim(&first, at(510)));
     assert!(failover.claim(&second, at(510)));
 }
+
+/// A server that registers between the list and the last fence may have received a commit.
+#[test]
+fn the_servers_are_listed_after_the_last_one_is_known_to_be_fenced() {
+    let members = ["a", "b"].map(member);
+    let mut failover =
+        Failover::new(Cause::Failure, members, Term::new(1), position(8), Time::default());
+    failover.record_status(&server("a"), fenced(9), at(200));
+    let open = ReplicationStatus { fenced_term: Term::default(), ..fenced(8) };
+    failover.record_status(&server("b"), open, at(200));
+    failover.next_actions(at(200));
+    failover.record_list(at(200));
+    failover.record_status(&server("b"), fenced(8), at(320));
+    let actions = failover.next_actions(at(320));
+    assert!(actions.contains(&Action::ListServers), "{actions:?}");
+    assert_eq!(attempt(actions), None);
+    failover.join([member("n")]);
+    failover.record_list(at(320));
+    failover.record_status(&server("n"), fenced(10), at(340));
+    assert_eq!(attempt(failover.next_actions(at(340))), None, "it was fenced after the list");
+    failover.record_list(at(340));
+    let attempt = attempt(failover.next_actions(at(350))).expect("an order");
+    assert_eq!(*attempt.server(), server("n"));
+}
