--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use chicoryhollow_core::{
-    Position, Term,
+    Position, ServerId, Term,
     coordinator::{FencingToken, OrderAnswer, Outage},
-    failover::{Action, Announcement, Cause, Failover, FailoverNumber, FenceCleanup, Progress},
+    failover::{
+        Action, Announcement, Cause, Failover, FailoverNumber, FenceCleanup, OrderAttempt, Progress,
+    },
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT, Votes},
 };
 
@@ -281,9 +283,10 @@
         let open_order = self.vms[vm].memory.open_order(&group());
         failover = failover.with_open_order(open_order.map(|open| open.server.clone()));
         let Some(token) = self.next_token(vm) else { return };
+        let effect = self.vms[vm].memory.highest_effect(&group(), None).unwrap_or_default();
         let announcement = Announcement {
             number: FailoverNumber::new(token.get()),
-            replaced: Term::new(self.vms[vm].view.term),
+            replaced: effect.max(Term::new(self.vms[vm].view.term)),
             begun: time(tick),
         };
         self.vms[vm].view.record_failover(Some(announcement));
@@ -299,7 +302,7 @@
         failover.record_log_start(view.start);
         failover.retain(|server| view.entries[index(server.as_str())].is_some());
         failover.join(view.members());
-        let is_unordered = failover.promotion_target().is_none();
+        let is_unordered = !failover.has_sent();
         let has_recovered = running.suspicion == Suspicion::Silent
             && is_unordered
             && view.last_response > running.started;
@@ -321,6 +324,7 @@
                 let view = &mut self.vms[vm].view;
                 view.adopt(index(server.as_str()), term.get());
                 view.start = view.start.max(start);
+                self.narrow_announcement(vm, &server, term);
             }
             Progress::Abandoned(reason) => {
                 self.note(|| format!("VM {vm} gives the failover up: {reason}"));
@@ -333,6 +337,22 @@
         watch.not_before = tick + FAILOVER_PAUSE;
     }
 
+    /// Tells that a failover which also covered the term of its successor has ended, unless an
+    /// open order may still promote another server.
+    fn narrow_announcement(&mut self, vm: usize, server: &ServerId, term: Term) {
+        let Vm { memory, view, .. } = &mut self.vms[vm];
+        memory.record_leader(&group(), server, term);
+        let is_open = memory.highest_effect(&group(), Some(server)).is_some_and(|at| at >= term);
+        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
+        if known < term || is_open {
+            return;
+        }
+        let Some(token) = self.next_token(vm) else { return };
+        let (number, begun) = (FailoverNumber::new(token.get()), time(self.tick));
+        let replaced = Term::default();
+        self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
+    }
+
     /// Tells that an abandoned failover replaces no primary, unless its order may be open.
     fn end_announcement(&mut self, vm: usize, has_ordered: bool) {
         let Some(token) = self.next_token(vm) else { return };
@@ -356,7 +376,7 @@
             Action::Demote(server, term) => (server, Command::Demote(term.get())),
             Action::Release(_) => unreachable!("a failover lifts no fences"),
             Action::ListServers => return self.list_servers(vm, failover),
-            Action::Promote(server) => return self.order(vm, failover, index(server.as_str())),
+            Action::Promote(attempt) => return self.order(vm, failover, &attempt),
         };
         if let Some(status) = self.call(vm, index(server.as_str()), command) {
             failover.record_status(&server, status, time(self.tick));
@@ -375,21 +395,22 @@
         failover.record_list(time(tick));
     }
 
-    fn order(&mut self, vm: usize, failover: &mut Failover, server: usize) {
-        let now = time(self.tick);
-        let Vm { memory, view, .. } = &mut self.vms[vm];
-        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
-        let replaced = known.max(failover.reported_term());
+    fn order(&mut self, vm: usize, failover: &mut Failover, attempt: &OrderAttempt) {
+        let (now, server) = (time(self.tick), index(attempt.server().as_str()));
+        let Vm { memory, .. } = &mut self.vms[vm];
+        let replaced = failover.replaced_term();
         let Ok(revision) = memory.prepare(group(), id(server), replaced, now) else { return };
         self.write_memory(vm);
         let is_written = self.vms[vm].memory.is_written(revision);
         let Some(token) = self.next_token(vm).filter(|_| is_written) else {
             self.note(|| format!("VM {vm} cannot write the order to promote {}", name(server)));
             self.vms[vm].memory.record_unsent(revision);
-            failover.record_promotion_unsent(now);
+            failover.record_promotion_unsent(attempt, now);
             return;
         };
-        if !self.vms[vm].memory.record_sent(revision, token) {
+        if !self.vms[vm].memory.record_sent(revision, token) || !failover.claim(attempt, now) {
+            self.vms[vm].memory.record_unsent(revision);
+            failover.record_promotion_unsent(attempt, now);
             return;
         }
         self.vms[vm].watch.cancelled = None;
@@ -410,7 +431,7 @@
             Answer::Accepted => memory.record_answer(&group(), token, OrderAnswer::Accepted),
             Answer::Refused => {
                 memory.record_answer(&group(), token, OrderAnswer::Refused);
-                failover.record_promotion_refusal();
+                failover.record_promotion_refusal(attempt);
                 self.vms[vm].lease.record_refusal(now);
             }
         }
