Open a new term when a fence of an abandoned attempt stays on a server

A watcher of the PostgreSQL daemon fences the members one by one. If it has to give the attempt up before a majority has granted the fence, and the primary works on, then nobody lifts what was granted: a fence ends only with a higher term, and no watcher looks at the fences of servers other than the primary. The group goes on with one copy less for good, and confirms nothing once another server fails.

A watcher now opens a higher term when a server has been fenced above the present one for 3 s, which is longer than an attempt that may still succeed.

--- a/crates/core/src/watch/watcher.rs
+++ b/crates/core/src/watch/watcher.rs
@@ -90,6 +90,8 @@
     primary_since: Time,
     /// Since when the primary has reported that it cannot confirm writes.
     cannot_confirm: Option<Time>,
+    /// Since when a server is fenced above the present term.
+    fenced_since: Option<Time>,
     intervals: Intervals,
     last_call: Time,
     /// When the required promotion starts.
@@ -126,6 +128,7 @@
             started: now,
             primary_since: now,
             cannot_confirm: None,
+            fenced_since: None,
             intervals: Intervals::default(),
             last_call: now,
             intent_due: None,
@@ -180,6 +183,7 @@
     pub fn handle(&mut self, now: Time, event: Event, rng: &mut impl Rng) -> Vec<Action> {
         self.detect_pause(now);
         self.apply(now, event);
+        self.fenced_since = self.has_fence().then(|| self.fenced_since.unwrap_or(now));
         self.unstable_since = self.is_unstable(now).then(|| self.unstable_since.unwrap_or(now));
         let mut actions = Vec::new();
         self.advance_attempt(now, rng, &mut actions);
@@ -197,6 +201,7 @@
         if now.since(self.last_call) >= PAUSE_THRESHOLD {
             self.primary_since = now;
             self.cannot_confirm = None;
+            self.fenced_since = None;
             self.started = now;
             self.polls.values_mut().for_each(|state| state.missed = None);
             self.observations.clear();
--- a/crates/core/src/watch/watcher/promotion.rs
+++ b/crates/core/src/watch/watcher/promotion.rs
@@ -31,6 +31,10 @@
 const ATTEMPT_BACKOFF: Duration = Duration::from_millis(250);
 /// Greatest number of doublings of [`ATTEMPT_BACKOFF`].
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// Time for which a server has to be fenced above the term of a primary that works, before a
+/// promotion lifts the fence. It is longer than an attempt that may still succeed.
+const FENCE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Upper bound of the random part of a delay, in milliseconds.
 const MAX_JITTER_MS: u64 = 100;
 
@@ -41,6 +45,9 @@
     Failover,
     /// Moves the role of primary from the first server to the second.
     Switchover(ServerId, ServerId),
+    /// Opens a term above the fence that an abandoned attempt has left on a server, which
+    /// receives nothing until then.
+    Restoration,
 }
 
 impl Watcher {
@@ -53,7 +60,8 @@
         let list = newest_list(self.known.values())?;
         let health = self.primary_health(now);
         if health == PrimaryHealth::Healthy {
-            return self.find_switchover(&list, now);
+            let switchover = self.find_switchover(&list, now);
+            return switchover.or_else(|| self.find_restoration(&list, now));
         }
         let reports = WatcherReports {
             own: &self.vm,
@@ -88,6 +96,17 @@
         Some(Intent::Switchover(primary.clone(), target.clone()))
     }
 
+    fn find_restoration(&self, list: &MemberList, now: Time) -> Option<Intent> {
+        let since = self.fenced_since?;
+        let able = list.has_majority(|server| self.is_reachable(server, now));
+        (able && now.since(since) >= FENCE_LIMIT).then_some(Intent::Restoration)
+    }
+
+    /// Returns whether a server is fenced above the present term.
+    pub(super) fn has_fence(&self) -> bool {
+        self.known.values().any(|status| status.fence_term > self.view.term)
+    }
+
     fn primary_data_centre(&self) -> Option<&DataCentreId> {
         self.plan.data_centre(self.view.primary.as_ref()?)
     }
@@ -108,7 +127,7 @@
         };
         let delay = match intent {
             Intent::Failover => RANK_DELAY,
-            Intent::Switchover(..) => SWITCHOVER_RANK_DELAY,
+            Intent::Switchover(..) | Intent::Restoration => SWITCHOVER_RANK_DELAY,
         };
         let due = match self.intent_due {
             Some(due) => due,
@@ -125,6 +144,8 @@
             Intent::Switchover(primary, target) => {
                 Attempt::with_switchover(term, primary, target, now)
             }
+            // The primary may win the election, as it has not failed.
+            Intent::Restoration => Attempt::new(term, None, now),
         });
         self.advance_attempt(now, rng, actions);
     }
--- a/crates/core/tests/model/server.rs
+++ b/crates/core/tests/model/server.rs
@@ -66,6 +66,11 @@
         self.role == ServerRole::Primary && self.fence.0 <= self.term
     }
 
+    /// Returns whether it refuses the log of the term that it follows.
+    pub(crate) fn is_fenced(&self) -> bool {
+        self.fence.0 > self.term
+    }
+
     pub(crate) fn takes_writes(&self, now: Time) -> bool {
         self.is_open() && now >= self.held_until
     }
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -297,6 +297,33 @@
     assert!(model.longest_gap < SWITCHOVER_TARGET, "{:?}", model.longest_gap);
 }
 
+#[test]
+fn a_replica_does_not_stay_fenced_by_an_abandoned_failover() {
+    for seed in 0..8 {
+        let mut model = Model::new(seed, &[0, 1, 2], &[0, 1, 2]);
+        model.run(WARM_UP);
+        let (primary, before) = (model.primary(), model.promotions.len());
+        let watchers = model.servers.len()..model.servers.len() + 3;
+        watchers.for_each(|watcher| model.cut_both(primary, watcher));
+        while model.watchers.iter().all(|watcher| watcher.promotion().is_none()) {
+            model.run(Duration::from_millis(1));
+        }
+        // One replica gets no fence, so that no majority grants it.
+        model.down.push((primary + 2) % 3);
+        model.run(Duration::from_secs(3));
+        assert_eq!(model.promotions.len(), before, "seed {seed}: the failover is abandoned");
+        let is_fenced = |model: &Model| model.servers.iter().any(|server| server.is_fenced());
+        assert!(is_fenced(&model), "seed {seed}: a replica was fenced");
+        model.cut.clear();
+        model.down.clear();
+        model.run(WARM_UP);
+        model.longest_gap = Duration::ZERO;
+        model.run(PARTITION_TARGET);
+        assert!(!is_fenced(&model), "seed {seed}: a replica stays fenced");
+        assert!(model.longest_gap < SWITCHOVER_TARGET, "seed {seed}: {:?}", model.longest_gap);
+    }
+}
+
 /// Injects random faults for a while, then removes them and checks that writes
 /// resume.
 fn run_random_faults(seed: u64, servers: &[usize], racing: bool) {
