Tell a success only if a staying replica has the commit, or is reached after the answer

Cause: an answer of a VM in any other data centre counted as contact with those who decide about the primary. A cut that goes through the data centres leaves VMs of several of them on the primary's side, and two of those confirmed each other's commits, which only a server had received that was started behind the cut. The other conditions do not help: the directory's newest answer may be 4 s old, and the steadiness of contact is judged for whole data centres.

Fix: a registered replica that stays, in another data centre than the primary, is the witness. Its report that it has received the commit is the first evidence that is asked for; it needs neither clocks nor other VMs. Contact counts only if, in addition to the conditions before, such a replica has answered anything to a question that was sent after the primary's answer, or, in a group without one, the directory has answered a list that was asked for after it. A failover needs both, so who reaches them is not on the cut-off side.

The witness is asked by a home of it, which keeps connections to it, sends one status question at a time, and answers all VMs that wait. VMs that are no homes close a connection after 300 ms and would have to open one for each commit, on servers that accept 22. Homes also tell for how long they have known the replica, so that a VM that has just started need not wait until it knows it for 3 s.

Tests: vms_on_the_side_of_a_primary_that_is_cut_off_confirm_no_commit_of_an_unseen_server (core), and daemons_of_two_data_centres_beside_a_primary_that_is_cut_off_confirm_no_lost_write (real processes). The first one fails with the condition before (Some(Contact) instead of None). In the model of failovers the reports of replicas are passed to the decision as the engine does; its 24 tests that passed before pass (one is listed as known to fail).

Event 636 now names what is known of each replica.

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -6,12 +6,15 @@
 //! directory is away. A VM therefore tells a caller of a success only if one of two things is
 //! shown.
 //!
+//! * A replica that has been registered for so long that every failover knows it, and that
+//!   stays, has received the commit. This is asked first, because it needs neither clocks nor
+//!   knowledge of other VMs.
 //! * Messages pass in both directions between the primary's data centre and another one, and
-//!   the directory answers, at a time after the primary's answer, and no failover runs. A server
+//!   what a failover needs is on the same side of the network: a replica that each failover
+//!   must hear has answered, at a time after the primary's answer, and no failover runs. A server
 //!   that had received the commit by then can register, and a failover that begins later lists
-//!   it.
-//! * A replica that has been registered for so long that every failover knows it has received
-//!   the commit.
+//!   it. Other VMs alone show nothing, since a partition may leave some of each data centre on
+//!   the primary's side. A group without such a replica needs an answer of the directory.
 //!
 //! The VM that answers the question counts the commit as acknowledged from then on, so that a
 //! failover that hears of it waits for a server that has it.
@@ -19,14 +22,20 @@
 //! What is neither is told as unknown. VMs tell each other of a failover before it may order
 //! a promotion, so that a VM with contact knows of it in time.
 
+mod inquiry;
+mod replica;
 mod told;
 
 use std::time::Duration;
 
-pub use self::told::{MissingCommits, ToldCommits};
+pub use self::{
+    inquiry::{Inquiry, Step, Witness, rank_witnesses},
+    replica::{CopyState, RegisteredReplica, ReplicaAnswer, ReplicaAnswers},
+    told::{MissingCommits, ToldCommits},
+};
 
 use crate::{
-    failover::{Announcement, ReplicationStatus},
+    failover::Announcement,
     position::{Position, Term},
     time::Time,
 };
@@ -34,9 +43,6 @@
 /// Age of the newest known state of the directory up to which servers can register there.
 const MAX_DIRECTORY_AGE: Duration = Duration::from_millis(4_000);
 
-/// Time after its registration from which on every failover knows a server.
-const REGISTRATION_SPAN: Duration = Duration::from_millis(3_000);
-
 /// A commit that the primary acknowledged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Commit {
@@ -65,12 +71,14 @@
     pub steady: bool,
     /// Time since the directory was last known to answer.
     pub directory_age: Duration,
+    /// When the newest call of this VM was sent that the directory has answered.
+    pub directory_asked: Option<Time>,
 }
 
 /// What decides whether a caller is told of a success.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Evidence {
-    /// There is contact with another data centre, and with the directory.
+    /// There is contact with another data centre, and with what a failover needs.
     Contact,
     /// A registered replica holds the commit.
     Copy,
@@ -98,7 +106,7 @@
 }
 
 impl Commit {
-    /// Returns what is known without asking the replicas, or `None` if that is not enough.
+    /// Returns what is known of the commit, or `None` if that is not enough.
     ///
     /// # Example
     ///
@@ -106,35 +114,62 @@
     /// use std::time::Duration;
     /// use chicoryhollow_core::{
     ///     Lsn, Position, Term, Time,
-    ///     durability::{Commit, Evidence, Knowledge},
+    ///     durability::{
+    ///         Commit, Evidence, Knowledge, RegisteredReplica, ReplicaAnswer, ReplicaAnswers,
+    ///     },
     /// };
     ///
     /// let term = Term::new(2);
     /// let answered = Time::from_millis(8_300);
     /// let commit = Commit { position: Position::new(term, Lsn::new(195)), answered };
-    /// let knowledge = |contact| Knowledge {
+    /// let knowledge = Knowledge {
     ///     now: Time::from_millis(8_310),
     ///     term,
     ///     failover: None,
-    ///     contact,
+    ///     contact: Some(answered),
     ///     single: false,
     ///     steady: true,
     ///     directory_age: Duration::ZERO,
+    ///     directory_asked: None,
     /// };
-    /// let earlier = Some(Time::from_millis(8_000));
-    /// assert_eq!(commit.evidence(&knowledge(earlier)), None);
-    /// let later = Some(answered);
-    /// assert_eq!(commit.evidence(&knowledge(later)), Some(Evidence::Contact));
+    /// let registered = Duration::from_secs(60);
+    /// let replica = |asked| RegisteredReplica {
+    ///     registered,
+    ///     leaving: false,
+    ///     near: false,
+    ///     answers: ReplicaAnswers::default().with(asked, ReplicaAnswer::Busy),
+    /// };
+    /// let earlier = Time::from_millis(8_000);
+    /// assert_eq!(commit.evidence(&knowledge, &[replica(earlier)]), None);
+    /// assert_eq!(commit.evidence(&knowledge, &[replica(answered)]), Some(Evidence::Contact));
     /// ```
-    pub fn evidence(&self, knowledge: &Knowledge) -> Option<Evidence> {
+    pub fn evidence(
+        &self,
+        knowledge: &Knowledge,
+        replicas: &[RegisteredReplica],
+    ) -> Option<Evidence> {
         if knowledge.term > self.position.term() {
             return Some(Evidence::Superseded);
         }
+        if replicas.iter().any(|replica| self.is_held_by(replica, knowledge)) {
+            return Some(Evidence::Copy);
+        }
         if self.may_be_replaced(knowledge) {
             return None;
         }
         let may_register = knowledge.steady && knowledge.directory_age < MAX_DIRECTORY_AGE;
-        (self.has_contact(knowledge) && may_register).then_some(Evidence::Contact)
+        let reaches = || self.reaches_deciders(knowledge, replicas);
+        (self.has_contact(knowledge) && may_register && reaches()).then_some(Evidence::Contact)
+    }
+
+    /// Returns whether what every failover needs was reached after the primary's answer.
+    fn reaches_deciders(&self, knowledge: &Knowledge, replicas: &[RegisteredReplica]) -> bool {
+        let mut witnesses = replicas.iter().filter(|replica| replica.takes_part()).peekable();
+        if witnesses.peek().is_none() {
+            return knowledge.directory_asked.is_some_and(|asked| asked >= self.answered);
+        }
+        let mut far = witnesses.filter(|replica| !replica.near || knowledge.single);
+        far.any(|replica| replica.copy_state(self) != CopyState::Silent)
     }
 
     /// Returns whether a question that was sent after the primary's answer was answered.
@@ -155,31 +190,9 @@
     /// elsewhere does not wait for it for ever. While a failover runs, a replica counts only if it
     /// is fenced: one that has started again has lost its fence, and receives.
     pub fn is_held_by(&self, replica: &RegisteredReplica, knowledge: &Knowledge) -> bool {
-        let RegisteredReplica { status, near, .. } = replica;
-        let term = self.position.term();
         replica.takes_part()
-            && (!near || knowledge.single || self.has_contact(knowledge))
-            && (!self.may_be_replaced(knowledge) || status.fenced_term > term)
-            && status.received.term() == term
-            && status.received >= self.position
-    }
-}
-
-/// A registered replica that has reported its replication status.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RegisteredReplica {
-    /// Time since this VM first knew that it is registered.
-    pub registered: Duration,
-    /// Whether it is about to be stopped; its log ends with it.
-    pub leaving: bool,
-    /// Whether it runs in the primary's data centre.
-    pub near: bool,
-    /// What it reported.
-    pub status: ReplicationStatus,
-}
-
-impl RegisteredReplica {
-    fn takes_part(&self) -> bool {
-        !self.leaving && !self.status.primary && self.registered >= REGISTRATION_SPAN
+            && (!replica.near || knowledge.single || self.has_contact(knowledge))
+            && (!self.may_be_replaced(knowledge) || replica.is_fenced_above(self.position.term()))
+            && replica.copy_state(self) == CopyState::Holds
     }
 }
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -4,7 +4,10 @@
 
 use chicoryhollow_core::{
     Lsn, Position, Term, Time,
-    durability::{Commit, Evidence, Knowledge, MissingCommits, RegisteredReplica, ToldCommits},
+    durability::{
+        Commit, CopyState, Evidence, Inquiry, Knowledge, MissingCommits, RegisteredReplica,
+        ReplicaAnswer, ReplicaAnswers, Step, ToldCommits, Witness, rank_witnesses,
+    },
     failover::{
         Action, Announcement, Cause, Failover, FailoverNumber, Member, Progress, ReplicationStatus,
     },
@@ -21,7 +24,7 @@
     Position::new(Term::new(term), Lsn::new(lsn))
 }
 
-/// What a VM knows that hears from other data centres and knows of no failover.
+/// What a VM knows that hears from other data centres and the directory, and knows of no failover.
 fn knowledge(contact: Option<Time>) -> Knowledge {
     Knowledge {
         now: ms(8_300),
@@ -31,16 +34,33 @@
         single: false,
         steady: true,
         directory_age: Duration::ZERO,
+        directory_asked: Some(ms(60_000)),
     }
 }
 
-/// A replica that has been registered for long and has received `received`.
+/// What the VM knows of a commit in a group of which no replica has been registered for long.
+fn alone(commit: Commit, known: &Knowledge) -> Option<Evidence> {
+    commit.evidence(known, &[])
+}
+
+/// A replica that has been registered for long and has received `received`, as it reported long
+/// before.
 fn replica(received: Position) -> RegisteredReplica {
+    let status = ReplicationStatus { received, term: received.term(), ..Default::default() };
+    reporting(status)
+}
+
+fn reporting(status: ReplicationStatus) -> RegisteredReplica {
+    answering(ms(0), ReplicaAnswer::Status(status))
+}
+
+/// A replica that has been registered for long and answered a question that was sent at `asked`.
+fn answering(asked: Time, answer: ReplicaAnswer) -> RegisteredReplica {
     RegisteredReplica {
         registered: Duration::from_secs(60),
         leaving: false,
         near: false,
-        status: ReplicationStatus { received, term: received.term(), ..Default::default() },
+        answers: ReplicaAnswers::default().with(asked, answer),
     }
 }
 
@@ -51,9 +71,9 @@
     for sent in [7_950, 8_022, 8_080] {
         let commit = Commit { position: at(2, 195), answered: ms(8_205) };
         for asked in [sent, 8_001, 8_204] {
-            assert_eq!(commit.evidence(&knowledge(Some(ms(asked)))), None);
+            assert_eq!(alone(commit, &knowledge(Some(ms(asked)))), None);
         }
-        assert_eq!(commit.evidence(&knowledge(None)), None);
+        assert_eq!(alone(commit, &knowledge(None)), None);
     }
 }
 
@@ -66,7 +86,7 @@
         for (answered, asked) in times().flat_map(|at| times().map(move |asked| (at, asked))) {
             let is_possible = answered >= started && asked < cut;
             let commit = Commit { position: at(2, 9), answered: ms(answered) };
-            let evidence = commit.evidence(&knowledge(Some(ms(asked))));
+            let evidence = alone(commit, &knowledge(Some(ms(asked))));
             if is_possible && evidence == Some(Evidence::Contact) {
                 assert!(started < cut, "start {started}, cut {cut}, answer {answered}");
                 passed += 1;
@@ -81,13 +101,13 @@
 fn contact_counts_for_nothing_while_a_failover_runs() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let contact = knowledge(Some(ms(200)));
-    assert_eq!(commit.evidence(&contact), Some(Evidence::Contact));
+    assert_eq!(alone(commit, &contact), Some(Evidence::Contact));
     let begun = ms(50);
     let failover = Announcement { number: FailoverNumber::new(1), replaced: TERM, begun };
     let running = Knowledge { failover: Some(failover), ..contact };
-    assert_eq!(commit.evidence(&running), None);
+    assert_eq!(alone(commit, &running), None);
     let completed = Knowledge { term: Term::new(3), ..running };
-    assert_eq!(commit.evidence(&completed), Some(Evidence::Superseded));
+    assert_eq!(alone(commit, &completed), Some(Evidence::Superseded));
 }
 
 #[test]
@@ -95,8 +115,8 @@
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let contact = knowledge(Some(ms(100)));
     let age = |ms| Knowledge { directory_age: Duration::from_millis(ms), ..contact };
-    assert_eq!(commit.evidence(&age(3_999)), Some(Evidence::Contact));
-    assert_eq!(commit.evidence(&age(4_000)), None);
+    assert_eq!(alone(commit, &age(3_999)), Some(Evidence::Contact));
+    assert_eq!(alone(commit, &age(4_000)), None);
 }
 
 /// In a single data centre a VM took itself for enough, and no other one knew of the commit.
@@ -104,8 +124,8 @@
 fn vms_of_a_single_data_centre_ask_one_another() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let known = |contact| Knowledge { single: true, ..knowledge(contact) };
-    assert_eq!(commit.evidence(&known(None)), None);
-    assert_eq!(commit.evidence(&known(Some(ms(100)))), Some(Evidence::Contact));
+    assert_eq!(alone(commit, &known(None)), None);
+    assert_eq!(alone(commit, &known(Some(ms(100)))), Some(Evidence::Contact));
     let near = RegisteredReplica { near: true, ..replica(at(2, 9)) };
     assert!(commit.is_held_by(&near, &known(None)), "nothing can be cut off from the others");
 }
@@ -115,7 +135,7 @@
 fn contact_counts_for_nothing_right_after_a_cut() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let contact = knowledge(Some(ms(100)));
-    assert_eq!(commit.evidence(&Knowledge { steady: false, ..contact }), None);
+    assert_eq!(alone(commit, &Knowledge { steady: false, ..contact }), None);
 }
 
 /// Positions of a newer term are greater, but the log may lack the commit.
@@ -141,6 +161,97 @@
     assert!(commit.is_held_by(&near, &knowledge(Some(ms(100)))));
 }
 
+/// Half of the VMs of each data centre are on the primary's side of a cut, with a server that
+/// starts there; the directory answered 1.5 s ago. No failover is known on this side.
+#[test]
+fn vms_on_the_side_of_a_primary_that_is_cut_off_confirm_no_commit_of_an_unseen_server() {
+    let commit = Commit { position: at(2, 195), answered: ms(8_205) };
+    let directory = Knowledge {
+        directory_age: Duration::from_millis(1_500),
+        directory_asked: Some(ms(6_700)),
+        ..knowledge(Some(ms(8_210)))
+    };
+    assert_eq!(commit.evidence(&directory, &[replica(at(2, 180)); 2]), None);
+    let earlier = answering(ms(8_204), ReplicaAnswer::Busy);
+    assert_eq!(commit.evidence(&directory, &[earlier]), None, "from before the answer");
+    let leaving = RegisteredReplica { leaving: true, ..answering(ms(8_210), ReplicaAnswer::Busy) };
+    assert_eq!(commit.evidence(&directory, &[leaving]), None, "failovers do not wait for it");
+    assert_eq!(alone(commit, &directory), None, "no list since the answer");
+}
+
+#[test]
+fn a_busy_replica_elsewhere_shows_that_a_failover_needs_this_side() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let (contact, busy) = (knowledge(Some(ms(100))), answering(ms(100), ReplicaAnswer::Busy));
+    assert_eq!(commit.evidence(&contact, &[busy]), Some(Evidence::Contact));
+    assert_eq!(commit.evidence(&knowledge(None), &[busy]), None, "no VM answers");
+    let near = RegisteredReplica { near: true, ..busy };
+    assert_eq!(commit.evidence(&contact, &[near]), None);
+    let single = Knowledge { single: true, ..contact };
+    assert_eq!(commit.evidence(&single, &[near]), Some(Evidence::Contact));
+}
+
+#[test]
+fn a_copy_needs_neither_contact_nor_directory() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let dark = Knowledge {
+        steady: false,
+        directory_age: Duration::from_secs(60),
+        directory_asked: None,
+        ..knowledge(None)
+    };
+    assert_eq!(commit.evidence(&dark, &[replica(at(2, 9))]), Some(Evidence::Copy));
+    let newer = Knowledge { term: Term::new(3), ..dark };
+    assert_eq!(commit.evidence(&newer, &[replica(at(2, 9))]), Some(Evidence::Superseded));
+}
+
+#[test]
+fn answers_about_a_replica_are_told_apart() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let status = |lsn| {
+        let received = at(2, lsn);
+        ReplicaAnswer::Status(ReplicationStatus { received, term: TERM, ..Default::default() })
+    };
+    let lacking = answering(ms(100), status(8));
+    assert_eq!(answering(ms(99), status(9)).copy_state(&commit), CopyState::Holds);
+    assert_eq!(lacking.copy_state(&commit), CopyState::Lacks);
+    assert_eq!(answering(ms(99), status(8)).copy_state(&commit), CopyState::Silent);
+    let answers = lacking.answers.with(ms(120), ReplicaAnswer::Busy);
+    let busy_later = RegisteredReplica { answers, ..lacking };
+    assert_eq!(busy_later.copy_state(&commit), CopyState::Lacks, "busy says nothing else");
+    let busy = answering(ms(99), status(8)).answers.with(ms(120), ReplicaAnswer::Busy);
+    let reached = RegisteredReplica { answers: busy, ..lacking };
+    assert_eq!(reached.copy_state(&commit), CopyState::Reached);
+    let late = lacking.answers.with(ms(90), status(7));
+    assert_eq!(
+        RegisteredReplica { answers: late, ..lacking }.copy_state(&commit),
+        CopyState::Lacks
+    );
+    let mut silent = answering(ms(100), status(9));
+    silent.answers.record_silence();
+    assert_eq!(silent.copy_state(&commit), CopyState::Reached);
+}
+
+#[test]
+fn a_replica_elsewhere_is_asked_first_and_the_others_if_it_does_not_help() {
+    let witness = |near, delay| Witness {
+        replica: RegisteredReplica { near, ..replica(at(2, 0)) },
+        here: false,
+        delay: Duration::from_millis(delay),
+    };
+    let mut leaving = witness(false, 0);
+    leaving.replica.leaving = true;
+    let witnesses = [witness(true, 1), witness(false, 100), leaving, witness(false, 5)];
+    assert_eq!(rank_witnesses(&witnesses, false), [3, 1, 0]);
+    assert_eq!(rank_witnesses(&witnesses, true), [0, 3, 1]);
+    let mut inquiry = Inquiry::new();
+    assert_eq!(inquiry.next_step(CopyState::Silent, ms(0)), Step::AskFirst);
+    assert_eq!(inquiry.next_step(CopyState::Silent, ms(25)), Step::AskAll(1));
+    let rest = Duration::from_millis(40);
+    assert_eq!(inquiry.next_step(CopyState::Lacks, ms(25)), Step::Wait(rest));
+    assert_eq!(inquiry.next_step(CopyState::Lacks, ms(65)), Step::AskAll(2));
+}
+
 /// A replica that had started again, without its fence, confirmed what the successor lacked.
 #[test]
 fn a_replica_without_a_fence_does_not_count_while_a_failover_runs() {
@@ -148,10 +259,14 @@
     let (number, begun) = (FailoverNumber::new(1), ms(50));
     let failover = Some(Announcement { number, replaced: TERM, begun });
     let running = Knowledge { failover, ..knowledge(None) };
-    let mut known = replica(at(2, 9));
-    assert!(!commit.is_held_by(&known, &running));
-    known.status.fenced_term = Term::new(3);
-    assert!(commit.is_held_by(&known, &running));
+    assert!(!commit.is_held_by(&replica(at(2, 9)), &running));
+    let status = ReplicationStatus {
+        received: at(2, 9),
+        term: TERM,
+        fenced_term: Term::new(3),
+        ..Default::default()
+    };
+    assert!(commit.is_held_by(&reporting(status), &running));
 }
 
 #[test]
@@ -242,7 +357,7 @@
 fn is_lost_without_directory(known: Knowledge) -> bool {
     let commit = Commit { position: at(2, 9), answered: ms(2_000) };
     let known = Knowledge { directory_age: Duration::from_millis(2_010), ..known };
-    let is_told = commit.evidence(&known).is_some_and(Evidence::is_sufficient);
+    let is_told = alone(commit, &known).is_some_and(Evidence::is_sufficient);
     let acknowledged = if is_told { commit.position } else { at(2, 0) };
     is_told && promoted(ms(3_000), acknowledged, Listing::Failing).as_deref() == Some("q")
 }
@@ -265,7 +380,7 @@
 fn a_commit_told_right_after_a_cut_is_not_lost() {
     let commit = Commit { position: at(2, 9), answered: ms(12_040) };
     let known = Knowledge { steady: false, ..knowledge(Some(ms(12_045))) };
-    let is_told = commit.evidence(&known).is_some_and(Evidence::is_sufficient);
+    let is_told = alone(commit, &known).is_some_and(Evidence::is_sufficient);
     let promoted = promoted(ms(12_060), at(2, 0), Listing::From(ms(13_246)));
     assert!(!is_told || promoted.as_deref() != Some("q"), "told, and lost");
 }
--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -2,7 +2,7 @@
 
 use chicoryhollow_core::{
     Term,
-    durability::{Commit, Evidence, Knowledge, RegisteredReplica},
+    durability::{Commit, Evidence, Knowledge, RegisteredReplica, ReplicaAnswer, ReplicaAnswers},
     isolation::needs_replica_answer,
 };
 
@@ -202,27 +202,30 @@
             single: false,
             steady: is_steady,
             directory_age: span(tick - me.view.read),
+            directory_asked: Some(time(me.view.read)),
         };
-        match commit.evidence(&knowledge) {
-            Some(Evidence::Superseded) => false,
-            Some(_) => true,
-            None => self.has_copy(vm, write, &commit, &knowledge),
-        }
+        let evidence = commit.evidence(&knowledge, &self.known_replicas(vm, write));
+        evidence.is_some_and(Evidence::is_sufficient)
     }
 
-    fn has_copy(&self, vm: usize, write: &Write, commit: &Commit, known: &Knowledge) -> bool {
+    /// Returns the registered replicas and what they answer now.
+    fn known_replicas(&self, vm: usize, write: &Write) -> Vec<RegisteredReplica> {
         let (tick, view) = (self.tick, &self.vms[vm].view);
         let near = self.servers[write.server].centre;
-        let mut others = view.others(Some(write.server)).filter(|i| self.is_answering(vm, *i));
-        others.any(|i| {
-            let replica = RegisteredReplica {
+        let answers = |i: usize| match self.is_answering(vm, i) {
+            true => ReplicaAnswers::default()
+                .with(time(tick), ReplicaAnswer::Status(self.servers[i].status())),
+            false => ReplicaAnswers::default(),
+        };
+        let others = view.others(Some(write.server));
+        others
+            .map(|i| RegisteredReplica {
                 registered: span(tick - view.known_since[i]),
                 leaving: view.entries[i].as_ref().is_some_and(|entry| entry.leaving),
                 near: self.servers[i].centre == near,
-                status: self.servers[i].status(),
-            };
-            commit.is_held_by(&replica, known)
-        })
+                answers: answers(i),
+            })
+            .collect()
     }
 
     fn may_send(&self, vm: usize, server: usize) -> bool {
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -6,22 +6,25 @@
 //! The success of a commit is passed on once it is known to survive a failover (see
 //! [`chicoryhollow_core::durability`]).
 
+mod inquiry;
+mod status;
+
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
     DataCentreId, Position, ServerId,
-    durability::{Commit, Evidence, Knowledge},
+    durability::{Commit, CopyState, Evidence, Inquiry, Knowledge, RegisteredReplica, Step},
     isolation::needs_replica_answer,
 };
-use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use slog::o;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::{
     catalog::ServerEntry,
     clock,
     engine::Engine,
-    group::Group,
+    group::{Group, KnownReplica},
     log::Event,
     seam::{Directory, ServerProtocol},
     statement::Command,
@@ -34,20 +37,20 @@
 /// Time limit for an answer of a replica.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time for which a commit waits for the answer of one VM before more VMs and the replicas
-/// are asked.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// Pause before the replicas are asked again.
-const REPLICA_INTERVAL: Duration = Duration::from_millis(40);
-
-/// Number of VMs that are asked at once after the first one did not answer.
-const MAX_ASKED_VMS: usize = 4;
-
 /// Shortest time for which an acknowledged commit waits for evidence, however late its answer
 /// came.
 const MIN_EVIDENCE_WAIT: Duration = Duration::from_millis(150);
 
+/// A commit that waits for evidence.
+struct Waiting<'a> {
+    group: &'a Rc<RefCell<Group>>,
+    /// The primary that has acknowledged it.
+    server: &'a ServerId,
+    commit: Commit,
+    /// Data centre of the primary.
+    data_centre: DataCentreId,
+}
+
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
     /// Returns whether a write that the primary `server` acknowledges is safe from a
     /// failover elsewhere.
@@ -91,67 +94,69 @@
         limit: Duration,
     ) -> bool {
         let commit = Commit { position, answered: clock::now() };
-        let evidence = self.find_evidence(group, server, &commit, limit).await;
+        // Without an entry, nothing says where the primary runs.
+        let entry = group.borrow().servers.get(server).map(|entry| entry.data_centre.clone());
+        let evidence = match entry {
+            Some(data_centre) => {
+                let waiting = Waiting { group, server, commit, data_centre };
+                self.find_evidence(&waiting, limit).await
+            }
+            None => Evidence::Missing,
+        };
         self.metrics.evidence.with_label_values(&[evidence.label()]).inc();
         if !evidence.is_sufficient() {
-            self.log_unproven(&group.borrow(), &commit, evidence);
+            self.log_unproven(&group.borrow(), server, &commit, evidence);
         }
         evidence.is_sufficient()
     }
 
-    async fn find_evidence(
-        self: &Rc<Self>,
-        group: &Rc<RefCell<Group>>,
-        server: &ServerId,
-        commit: &Commit,
-        limit: Duration,
-    ) -> Evidence {
+    /// Asks and waits until it is known what becomes of a commit, or the limit is reached.
+    async fn find_evidence(self: &Rc<Self>, waiting: &Waiting<'_>, limit: Duration) -> Evidence {
+        let Waiting { group, commit, .. } = waiting;
         let deadline = commit.answered + limit.max(MIN_EVIDENCE_WAIT);
-        // Without an entry, nothing says where the primary runs.
-        let entry = group.borrow().servers.get(server).map(|entry| entry.data_centre.clone());
-        let Some(data_centre) = entry else { return Evidence::Missing };
-        if let Some(found) = self.await_contact(group, commit, &data_centre, 1).await {
-            return found;
-        }
-        while clock::now() < deadline {
-            if self.has_copy(group, server, &data_centre, commit).await {
-                return Evidence::Copy;
+        let (mut inquiry, mut first) = (Inquiry::new(), None);
+        loop {
+            let answered = self.fleet.questions.answered.notified();
+            let known = self.knowledge(&group.borrow(), &waiting.data_centre);
+            let replicas = self.known_replicas(&group.borrow(), waiting.server);
+            let state = copy_state(&replicas, first.as_ref(), commit);
+            if let Some(first) = &first {
+                self.record_first(group, first, state, commit);
             }
-            let count = MAX_ASKED_VMS;
-            if let Some(found) = self.await_contact(group, commit, &data_centre, count).await {
+            if let Some(found) = commit.evidence(&known, &registered(&replicas)) {
                 return found;
             }
+            if known.now >= deadline {
+                return Evidence::Missing;
+            }
+            match inquiry.next_step(state, known.now) {
+                Step::AskFirst => first = self.ask_first(waiting, &replicas, known.single),
+                Step::AskAll(round) => self.ask_all(waiting, &replicas, round),
+                Step::Wait(span) => {
+                    let wait = span.min(deadline.since(known.now));
+                    // After a timeout, more is asked.
+                    let _ = timeout(wait, answered).await;
+                }
+            }
         }
-        Evidence::Missing
     }
 
-    /// Asks `count` VMs to show contact with `data_centre`, and waits for an answer that
-    /// decides about the commit.
-    async fn await_contact(
+    fn known_replicas(&self, group: &Group, server: &ServerId) -> Vec<KnownReplica> {
+        group.known_replicas(server, &self.settings.data_centre, clock::now())
+    }
+
+    /// Records how long the answer of the replica took that was asked first, once it has come.
+    fn record_first(
         &self,
         group: &RefCell<Group>,
+        first: &ServerId,
+        state: CopyState,
         commit: &Commit,
-        data_centre: &DataCentreId,
-        count: usize,
-    ) -> Option<Evidence> {
-        let name = group.borrow().view.group.clone();
-        let limit = clock::now() + CONTACT_TIMEOUT;
-        let mut is_asked = false;
-        loop {
-            let answered = self.fleet.questions.answered.notified();
-            let known = self.knowledge(&group.borrow(), data_centre);
-            let found = commit.evidence(&known);
-            if found.is_some() {
-                return found;
-            }
-            if !std::mem::replace(&mut is_asked, true) {
-                self.ask_contact(&name, commit.position, data_centre, count);
-            }
-            // The answer matters only for replicas in the primary's data centre.
-            if !known.steady || commit.may_be_replaced(&known) {
-                return None;
-            }
-            timeout(limit.since(clock::now()), answered).await.ok()?;
+    ) {
+        if state != CopyState::Silent {
+            let taken = clock::now().since(commit.answered);
+            let has_helped = state == CopyState::Holds;
+            group.borrow_mut().replicas.record_delay(first, taken, has_helped);
         }
     }
 
@@ -165,67 +170,15 @@
             single: self.fleet.is_single(),
             steady: self.fleet.is_in_contact(data_centre, now),
             directory_age: now.since(self.fresh_at()),
+            directory_asked: self.fleet.questions.listed.get(),
         }
     }
 
-    /// Returns whether one of the replicas that every failover knows holds the commit. Takes
-    /// some time if none does.
-    async fn has_copy(
-        self: &Rc<Self>,
-        group: &Rc<RefCell<Group>>,
-        server: &ServerId,
-        data_centre: &DataCentreId,
-        commit: &Commit,
-    ) -> bool {
-        if group.borrow_mut().replicas.poll.try_start() {
-            let (engine, group, server) = (Rc::clone(self), Rc::clone(group), server.clone());
-            // The poll serves all commits that wait, also after this one has ended.
-            actix::spawn(async move {
-                engine.poll_replicas(&group, &server).await;
-                sleep(REPLICA_INTERVAL).await;
-                group.borrow_mut().replicas.poll.end();
-            });
-        }
-        let end = clock::now() + ANSWER_TIMEOUT;
-        loop {
-            let polled = self.fleet.questions.answered.notified();
-            if self.is_held(&group.borrow(), server, data_centre, commit) {
-                return true;
-            }
-            if timeout(end.since(clock::now()).min(REPLICA_INTERVAL), polled).await.is_err() {
-                return false;
-            }
-        }
-    }
-
-    /// Returns whether one of the replicas has reported that it holds the commit.
-    fn is_held(
-        &self,
-        group: &Group,
-        server: &ServerId,
-        data_centre: &DataCentreId,
-        commit: &Commit,
-    ) -> bool {
-        let known = self.knowledge(group, data_centre);
-        let replicas = group.reported_replicas(server, known.now);
-        replicas.iter().any(|replica| commit.is_held_by(replica, &known))
-    }
-
-    /// Asks all replicas for their status.
-    async fn poll_replicas(self: &Rc<Self>, group: &RefCell<Group>, server: &ServerId) {
-        let replicas = group.borrow().others(server);
-        let ask = |entry: ServerEntry| async move {
-            let command = send_command(self, &entry.server, Command::Status);
-            let status = timeout(ANSWER_TIMEOUT, command).await.ok().flatten();
-            group.borrow_mut().replicas.record(entry.server, status.map(Into::into));
-            self.fleet.questions.answered.notify_waiters();
-        };
-        join_all(replicas.into_iter().map(ask)).await;
-    }
-
-    fn log_unproven(&self, group: &Group, commit: &Commit, evidence: Evidence) {
+    fn log_unproven(&self, group: &Group, server: &ServerId, commit: &Commit, evidence: Evidence) {
         let now = clock::now();
         let silence = self.fleet.far_silence(now);
+        let replicas = self.known_replicas(group, server);
+        let states: Vec<String> = replicas.iter().map(|known| describe(known, commit)).collect();
         self.event_log.record(
             Event::CommitUnproven,
             o!(
@@ -233,6 +186,7 @@
                 "position" => commit.position.to_string(),
                 "term" => group.view.term.get(),
                 "reason" => evidence.label(),
+                "replicas" => states.join(" "),
                 "silent_ms" => silence.map(|silence| silence.as_millis() as u64),
                 "waited_ms" => now.since(commit.answered).as_millis() as u64,
             ),
@@ -257,3 +211,19 @@
         timeout(ANSWER_TIMEOUT, first).await.unwrap_or(false)
     }
 }
+
+fn registered(replicas: &[KnownReplica]) -> Vec<RegisteredReplica> {
+    replicas.iter().map(|known| known.witness.replica).collect()
+}
+
+/// Returns what is known of a commit on the replica `server`.
+fn copy_state(replicas: &[KnownReplica], server: Option<&ServerId>, commit: &Commit) -> CopyState {
+    let found = replicas.iter().find(|known| Some(&known.entry.server) == server);
+    found.map_or(CopyState::Silent, |known| known.witness.replica.copy_state(commit))
+}
+
+fn describe(known: &KnownReplica, commit: &Commit) -> String {
+    let leaving = if known.entry.leaving { "/leaving" } else { "" };
+    let state = known.witness.replica.copy_state(commit).label();
+    format!("{}/{state}{leaving}", known.entry.server)
+}
--- /dev/null
+++ b/crates/engine/src/confirmation/status.rs
@@ -0,0 +1,91 @@
+//! Status questions to replicas, shared by all that wait for an answer.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use chicoryhollow_core::{ServerId, durability::ReplicaAnswer};
+use futures_util::future::join_all;
+use tokio::time::{sleep, timeout};
+
+use super::ANSWER_TIMEOUT;
+use crate::{
+    catalog::ServerEntry,
+    clock,
+    engine::Engine,
+    group::{Asker, Group},
+    seam::{Directory, ServerLink, ServerProtocol},
+    statement::Command,
+};
+
+/// Pause before this VM itself asks all replicas again.
+const ROUND_INTERVAL: Duration = Duration::from_millis(40);
+
+impl<S: ServerProtocol, D: Directory> Engine<S, D> {
+    /// Asks a replica for its status, or lets `asker` wait for the next question if one is in flight.
+    pub(crate) fn request_status(
+        self: &Rc<Self>,
+        group: &Rc<RefCell<Group>>,
+        server: &ServerId,
+        asker: Asker,
+    ) {
+        if group.borrow_mut().replicas.add_request(server, asker) {
+            let (engine, group, server) = (Rc::clone(self), Rc::clone(group), server.clone());
+            actix::spawn(async move { engine.answer_requests(&group, &server).await });
+        }
+    }
+
+    /// Asks a replica for its status until no request waits.
+    async fn answer_requests(self: &Rc<Self>, group: &RefCell<Group>, server: &ServerId) {
+        loop {
+            let askers = group.borrow_mut().replicas.take_requests(server);
+            if askers.is_empty() {
+                return;
+            }
+            let answer = self.ask_status(group, server).await;
+            for asker in askers {
+                if let Asker::Vm(link, number) = asker {
+                    self.send_report(group, server, &link, number, answer);
+                }
+            }
+        }
+    }
+
+    /// Asks a replica for its status, and records the answer.
+    async fn ask_status(
+        self: &Rc<Self>,
+        group: &RefCell<Group>,
+        server: &ServerId,
+    ) -> Option<ReplicaAnswer> {
+        let asked = clock::now();
+        let answer = timeout(ANSWER_TIMEOUT, self.send_status(server)).await.ok().flatten();
+        group.borrow_mut().replicas.record(server, asked, answer);
+        self.fleet.questions.answered.notify_waiters();
+        answer
+    }
+
+    async fn send_status(self: &Rc<Self>, server: &ServerId) -> Option<ReplicaAnswer> {
+        let account = self.any_account()?;
+        let mut connection = self.pool(server)?.take_control(&account).await.ok()?;
+        let answer = connection.run_control(Command::Status).await.ok()?;
+        connection.give_back();
+        let status = S::Link::parse_status(&answer);
+        Some(status.map_or(ReplicaAnswer::Busy, |status| ReplicaAnswer::Status(status.into())))
+    }
+
+    /// Asks all replicas directly, for all commits that wait.
+    pub(super) fn poll_replicas(self: &Rc<Self>, group: &Rc<RefCell<Group>>, server: &ServerId) {
+        if !group.borrow_mut().replicas.round.try_start() {
+            return;
+        }
+        let others = group.borrow().others(server);
+        let (engine, group) = (Rc::clone(self), Rc::clone(group));
+        actix::spawn(async move {
+            let ask = |entry: ServerEntry| {
+                let (engine, group) = (Rc::clone(&engine), Rc::clone(&group));
+                async move { engine.ask_status(&group, &entry.server).await }
+            };
+            join_all(others.into_iter().map(ask)).await;
+            sleep(ROUND_INTERVAL).await;
+            group.borrow_mut().replicas.round.end();
+        });
+    }
+}
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -7,10 +7,13 @@
     time::Duration,
 };
 
-use chicoryhollow_core::{DataCentreId, GroupId, Lsn, Position, Term, Time, VmId};
+use chicoryhollow_core::{
+    DataCentreId, GroupId, Lsn, Position, ServerId, Term, Time, VmId, durability::ReplicaAnswer,
+    failover::ReplicationStatus,
+};
 use chicoryhollow_peer::{
     Body,
-    fleet::{ContactAnswer, ContactAsk},
+    fleet::{ContactAnswer, ContactAsk, ReplicaReport},
 };
 use tokio::sync::Notify;
 
@@ -20,9 +23,11 @@
     fleet::{
         Fleet, Link, Member,
         groups::{decode_failover, encode_failover},
+        heartbeat::millis,
     },
-    group::Group,
+    group::{Asker, Group},
     seam::{Directory, ServerProtocol},
+    single_flight::SingleFlight,
 };
 
 /// Silence of all other data centres from which on this VM counts as cut off.
@@ -44,6 +49,8 @@
 struct Question {
     number: u64,
     group: GroupId,
+    /// Replica whose status is asked for.
+    server: Option<ServerId>,
     asked: Time,
 }
 
@@ -55,20 +62,37 @@
     open: RefCell<VecDeque<Question>>,
     /// Wakes those that wait for an answer.
     pub(crate) answered: Notify,
+    /// When the newest list of the servers was asked for that the directory has answered.
+    pub(crate) listed: Cell<Option<Time>>,
+    /// Whether the directory is being asked for a list.
+    pub(crate) listing: RefCell<SingleFlight>,
 }
 
 impl Questions {
-    /// Returns the next question about a commit of `group`, which is sent now.
-    fn next(&self, group: &GroupId, commit: Position, now: Time) -> ContactAsk {
+    /// Returns the next question about a commit of `group`, which is sent now, with one for the
+    /// status of a replica.
+    fn next(
+        &self,
+        group: &GroupId,
+        commit: Position,
+        server: Option<&ServerId>,
+        now: Time,
+    ) -> ContactAsk {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         let mut open = self.open.borrow_mut();
-        open.push_back(Question { number, group: group.clone(), asked: now });
+        open.push_back(Question {
+            number,
+            group: group.clone(),
+            server: server.cloned(),
+            asked: now,
+        });
         if open.len() > MAX_OPEN_QUESTIONS {
             open.pop_front();
         }
         let (term, lsn) = (commit.term().get(), commit.lsn().get());
-        ContactAsk { number, group: group.to_string(), term, lsn }
+        let server = server.map(ToString::to_string).unwrap_or_default();
+        ContactAsk { number, group: group.to_string(), term, lsn, server }
     }
 
     /// Returns the question that has this number, which is answered now.
@@ -212,27 +236,62 @@
             self.group(group).borrow_mut().record_acknowledged(commit);
         }
         for link in self.fleet.contact_links(data_centre).iter().take(count) {
-            let question = self.fleet.questions.next(group, commit, clock::now());
+            let question = self.fleet.questions.next(group, commit, None, clock::now());
             link.send(Body::ContactAsk(question));
         }
     }
 
+    /// Asks a home of the replica `server` for its status, about a commit of `group`.
+    pub(crate) fn ask_home(
+        &self,
+        link: &Link,
+        group: &GroupId,
+        commit: Position,
+        server: &ServerId,
+    ) {
+        let question = self.fleet.questions.next(group, commit, Some(server), clock::now());
+        link.send(Body::ContactAsk(question));
+    }
+
     /// Answers a question about a commit, unless this daemon has just started and may not have
     /// heard of a failover yet. The commit counts as acknowledged from then on, so that no
     /// failover that hears of it promotes a server without it.
-    pub(super) fn answer_contact(&self, link: &Link, ask: &ContactAsk) {
-        let now = clock::now();
+    pub(super) fn answer_contact(self: &Rc<Self>, link: &Rc<Link>, ask: &ContactAsk) {
         let Ok(name) = GroupId::new(&ask.group) else { return };
-        if now.since(self.started) < INFORMED_SPAN {
+        if clock::now().since(self.started) < INFORMED_SPAN {
             return;
         }
         let group = self.group(&name);
         let commit = Position::new(Term::new(ask.term), Lsn::new(ask.lsn));
         group.borrow_mut().record_acknowledged(commit);
-        let (term, failover) =
-            (group.borrow().newest_term().get(), group.borrow().peers.failover());
-        let failover = failover.map(|failover| encode_failover(failover, now));
-        link.send(Body::ContactAnswer(ContactAnswer { number: ask.number, term, failover }));
+        match ServerId::new(&ask.server) {
+            Ok(server) if group.borrow().servers.contains_key(&server) => {
+                let asker = Asker::Vm(Rc::clone(link), ask.number);
+                self.request_status(&group, &server, asker);
+            }
+            _ => self.send_contact(&group.borrow(), link, ask.number, None),
+        }
+    }
+
+    /// Answers a question for the status of the replica `server`, which has given `answer`, if
+    /// any.
+    pub(crate) fn send_report(
+        &self,
+        group: &RefCell<Group>,
+        server: &ServerId,
+        link: &Link,
+        number: u64,
+        answer: Option<ReplicaAnswer>,
+    ) {
+        let group = group.borrow();
+        let report = answer.and_then(|answer| encode_report(&group, server, answer));
+        self.send_contact(&group, link, number, report);
+    }
+
+    fn send_contact(&self, group: &Group, link: &Link, number: u64, report: Option<ReplicaReport>) {
+        let (term, now) = (group.newest_term().get(), clock::now());
+        let failover = group.peers.failover().map(|failover| encode_failover(failover, now));
+        link.send(Body::ContactAnswer(ContactAnswer { number, term, failover, report }));
     }
 
     /// Records the answer of `vm` to a question about a group.
@@ -246,6 +305,52 @@
             group.peers.record_failover(decode_failover(failover, clock::now()));
         }
         group.peers.record_contact(data_centre, question.asked);
+        if let (Some(server), Some(report)) = (&question.server, &answer.report) {
+            record_report(&mut group, server, question.asked, report, clock::now());
+        }
         self.fleet.questions.answered.notify_waiters();
     }
 }
+
+fn encode_report(group: &Group, server: &ServerId, answer: ReplicaAnswer) -> Option<ReplicaReport> {
+    let entry = group.servers.get(server)?;
+    let registered = group.registered_span(server, clock::now());
+    let report =
+        ReplicaReport { born: entry.born, registered_ms: millis(registered), ..Default::default() };
+    Some(match answer {
+        ReplicaAnswer::Busy => ReplicaReport { busy: true, ..report },
+        ReplicaAnswer::Status(status) => ReplicaReport {
+            primary: status.primary,
+            term: status.term.get(),
+            received_term: status.received.term().get(),
+            received_lsn: status.received.lsn().get(),
+            fenced_term: status.fenced_term.get(),
+            ..report
+        },
+    })
+}
+
+/// Records what a replica has answered to a home of it. The home may know another process of the
+/// same name.
+fn record_report(
+    group: &mut Group,
+    server: &ServerId,
+    asked: Time,
+    report: &ReplicaReport,
+    now: Time,
+) {
+    if group.servers.get(server).is_none_or(|entry| entry.born != report.born) {
+        return;
+    }
+    let received = Position::new(Term::new(report.received_term), Lsn::new(report.received_lsn));
+    let status = ReplicationStatus {
+        primary: report.primary,
+        term: Term::new(report.term),
+        received,
+        fenced_term: Term::new(report.fenced_term),
+    };
+    let answer = if report.busy { ReplicaAnswer::Busy } else { ReplicaAnswer::Status(status) };
+    let since = now - Duration::from_millis(report.registered_ms.into());
+    group.replicas.record_registration(server, since);
+    group.replicas.record(server, asked, Some(answer));
+}
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -12,7 +12,7 @@
 
 use chicoryhollow_core::{
     DataCentreId, GroupId, GroupView, Position, ServerId, Term, Time,
-    durability::{RegisteredReplica, ToldCommits},
+    durability::ToldCommits,
     failover::{Member, MissingServers, ServerTimes},
     freshness::ObservedPositions,
     gossip::GroupSummary,
@@ -26,7 +26,10 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
-pub(crate) use self::placing::{Placed, Read};
+pub(crate) use self::{
+    placing::{Placed, Read},
+    replicas::{Asker, KnownReplica},
+};
 use self::{replicas::Replicas, reports::PeerReports};
 use crate::{catalog::ServerEntry, single_flight::SingleFlight};
 
@@ -347,22 +350,6 @@
         self.servers.values().filter(|entry| entry.server != *primary).cloned().collect()
     }
 
-    /// Returns the registered replicas of the primary `server` that have reported.
-    pub(crate) fn reported_replicas(&self, server: &ServerId, now: Time) -> Vec<RegisteredReplica> {
-        let primary = self.servers.get(server).map(|entry| &entry.data_centre);
-        let others = self.servers.values().filter(|entry| entry.server != *server);
-        let report = |entry: &ServerEntry| {
-            let (since, status) = self.replicas.report(&entry.server)?;
-            Some(RegisteredReplica {
-                registered: now.since(since),
-                leaving: entry.leaving,
-                near: primary.is_none_or(|centre| *centre == entry.data_centre),
-                status,
-            })
-        };
-        others.filter_map(report).collect()
-    }
-
     /// Returns whether a server has run long enough to serve at full speed.
     fn is_warm(&self, entry: &ServerEntry, now: Time) -> bool {
         self.cold_until.get(&entry.server).is_none_or(|until| now >= *until)
--- a/crates/engine/src/group/replicas.rs
+++ b/crates/engine/src/group/replicas.rs
@@ -1,18 +1,51 @@
-//! Copies of commits: what registered replicas report that they have received.
+//! Copies of commits: what registered replicas have answered about what they have received.
 
-use chicoryhollow_core::{ServerId, Time, failover::ReplicationStatus};
+use std::{rc::Rc, time::Duration};
+
+use chicoryhollow_core::{
+    DataCentreId, ServerId, Time,
+    durability::{RegisteredReplica, ReplicaAnswer, ReplicaAnswers, Witness},
+};
 use indexmap::IndexMap;
 
-use crate::{catalog::ServerEntry, single_flight::SingleFlight};
+use super::Group;
+use crate::{catalog::ServerEntry, fleet::Link, single_flight::SingleFlight};
+
+/// Shortest time that a replica counts as having taken if its answer did not help.
+const VAIN_DELAY: Duration = Duration::from_millis(100);
+
+/// Who asks for the status of a replica.
+pub(crate) enum Asker {
+    /// A commit of this VM.
+    Own,
+    /// Another VM, by the number of its question on a link.
+    Vm(Rc<Link>, u64),
+}
 
-/// Since when the servers of a group are registered, and what they last reported.
-#[derive(Debug, Default)]
+/// The question to one replica that is in flight, if any, and who waits for the next.
+#[derive(Default)]
+struct Poll {
+    flight: SingleFlight,
+    waiting: Vec<Asker>,
+}
+
+/// A registered replica of a group.
+pub(crate) struct KnownReplica {
+    pub(crate) entry: ServerEntry,
+    pub(crate) witness: Witness,
+}
+
+/// Since when the servers of a group are registered, and what they last answered.
+#[derive(Default)]
 pub(crate) struct Replicas {
     /// Since when each server has been known to be registered.
     registered: IndexMap<ServerId, Time>,
-    statuses: IndexMap<ServerId, ReplicationStatus>,
-    /// Whether the servers are being polled for their statuses.
-    pub(crate) poll: SingleFlight,
+    answers: IndexMap<ServerId, ReplicaAnswers>,
+    /// Time that the last answer of each server took.
+    delays: IndexMap<ServerId, Duration>,
+    polls: IndexMap<ServerId, Poll>,
+    /// Whether all servers are being asked by this VM itself.
+    pub(crate) round: SingleFlight,
 }
 
 impl Replicas {
@@ -32,19 +65,86 @@
             let since = old.get(&entry.server).filter(|_| is_same(entry));
             self.registered.insert(entry.server.clone(), since.copied().unwrap_or(now));
         }
-        self.statuses.retain(|server, _| after.get(server).is_some_and(is_same));
+        self.answers.retain(|server, _| after.get(server).is_some_and(is_same));
+        self.delays.retain(|server, _| after.contains_key(server));
+    }
+
+    /// Records the answer of a server to a question that was sent at `asked`, or that none came
+    /// in time.
+    pub(crate) fn record(&mut self, server: &ServerId, asked: Time, answer: Option<ReplicaAnswer>) {
+        let answers = self.answers.entry(server.clone()).or_default();
+        match answer {
+            Some(answer) => answers.record(asked, answer),
+            None => answers.record_silence(),
+        }
     }
 
-    /// Records what a server reported, or that it did not answer.
-    pub(crate) fn record(&mut self, server: ServerId, status: Option<ReplicationStatus>) {
-        match status {
-            Some(status) => drop(self.statuses.insert(server, status)),
-            None => drop(self.statuses.shift_remove(&server)),
+    /// Records that another VM has known a server to be registered since a time.
+    pub(crate) fn record_registration(&mut self, server: &ServerId, since: Time) {
+        if let Some(known) = self.registered.get_mut(server) {
+            *known = since.min(*known);
         }
     }
 
-    /// Returns since when a server is registered, and what it last reported.
-    pub(super) fn report(&self, server: &ServerId) -> Option<(Time, ReplicationStatus)> {
-        Some((*self.registered.get(server)?, *self.statuses.get(server)?))
+    /// Records how long the first question about a commit to a server took, or that the answer
+    /// did not help.
+    pub(crate) fn record_delay(&mut self, server: &ServerId, taken: Duration, has_helped: bool) {
+        let delay = if has_helped { taken } else { taken.max(VAIN_DELAY) };
+        self.delays.insert(server.clone(), delay);
+    }
+
+    /// Adds a request for the status of a server; returns whether to start to ask.
+    pub(crate) fn add_request(&mut self, server: &ServerId, asker: Asker) -> bool {
+        let poll = self.polls.entry(server.clone()).or_default();
+        poll.waiting.push(asker);
+        poll.flight.try_start()
+    }
+
+    /// Returns who waits for the next question to a server. If nobody does, it is not sent.
+    pub(crate) fn take_requests(&mut self, server: &ServerId) -> Vec<Asker> {
+        let Some(poll) = self.polls.get_mut(server) else { return Vec::new() };
+        if poll.waiting.is_empty() {
+            self.polls.swap_remove(server);
+            return Vec::new();
+        }
+        std::mem::take(&mut poll.waiting)
+    }
+
+    /// Returns since when a server is registered, if it is.
+    fn registered_since(&self, server: &ServerId) -> Option<Time> {
+        self.registered.get(server).copied()
+    }
+}
+
+impl Group {
+    /// Returns the registered replicas of the primary `server`.
+    pub(crate) fn known_replicas(
+        &self,
+        server: &ServerId,
+        here: &DataCentreId,
+        now: Time,
+    ) -> Vec<KnownReplica> {
+        let primary = self.servers.get(server).map(|entry| &entry.data_centre);
+        let others = self.servers.values().filter(|entry| entry.server != *server);
+        let known = |entry: &ServerEntry| {
+            let since = self.replicas.registered_since(&entry.server)?;
+            let replica = RegisteredReplica {
+                registered: now.since(since),
+                leaving: entry.leaving,
+                near: primary.is_none_or(|centre| *centre == entry.data_centre),
+                answers: self.replicas.answers.get(&entry.server).copied().unwrap_or_default(),
+            };
+            let delay = self.replicas.delays.get(&entry.server).copied().unwrap_or_default();
+            let witness = Witness { replica, here: entry.data_centre == *here, delay };
+            Some(KnownReplica { entry: entry.clone(), witness })
+        };
+        others.filter_map(known).collect()
+    }
+
+    /// Returns for how long a server has been registered and stays, as far as is known.
+    pub(crate) fn registered_span(&self, server: &ServerId, now: Time) -> Duration {
+        let stays = self.servers.get(server).is_some_and(|entry| !entry.leaving);
+        let since = self.replicas.registered_since(server).filter(|_| stays);
+        since.map_or(Duration::ZERO, |since| now.since(since))
     }
 }
