Tell no success on contact while a replica that stays lacks the commit

Cause: contact asks who could register, not where the commit is. It shows that the server that confirmed takes part in a later failover, which is worth nothing if that server and its log end.

Fix: contact shows nothing while a replica that stays has reported, to a question sent after the primary's answer, that it has not received the commit, however long it has been registered. The VM waits and asks again until a replica that stays has the commit, or tells that the outcome is unknown.

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -14,7 +14,9 @@
 //!   must hear has answered, at a time after the primary's answer, and no failover runs. A server
 //!   that had received the commit by then can register, and a failover that begins later lists
 //!   it. Other VMs alone show nothing, since a partition may leave some of each data centre on
-//!   the primary's side. A group without such a replica needs an answer of the directory.
+//!   the primary's side. A group without such a replica needs an answer of the directory. If such a
+//!   replica reports that it lacks the commit, contact shows nothing: the log of the server that
+//!   has received it may end with it.
 //!
 //! The VM that answers the question counts the commit as acknowledged from then on, so that a
 //! failover that hears of it waits for a server that has it.
@@ -162,14 +164,26 @@
         (self.has_contact(knowledge) && may_register && reaches()).then_some(Evidence::Contact)
     }
 
-    /// Returns whether what every failover needs was reached after the primary's answer.
+    /// Returns whether what every failover needs was reached after the primary's answer, and
+    /// nothing that was reached lacks the commit.
+    ///
+    /// If it does, the primary may have been confirmed by a server that is about to be stopped,
+    /// while those that stay receive nothing.
     fn reaches_deciders(&self, knowledge: &Knowledge, replicas: &[RegisteredReplica]) -> bool {
-        let mut witnesses = replicas.iter().filter(|replica| replica.takes_part()).peekable();
-        if witnesses.peek().is_none() {
+        let lacks = |replica: &RegisteredReplica| {
+            replica.stays() && replica.copy_state(self) == CopyState::Lacks
+        };
+        if replicas.iter().any(lacks) {
+            return false;
+        }
+        if !replicas.iter().any(RegisteredReplica::takes_part) {
             return knowledge.directory_asked.is_some_and(|asked| asked >= self.answered);
         }
-        let mut far = witnesses.filter(|replica| !replica.near || knowledge.single);
-        far.any(|replica| replica.copy_state(self) != CopyState::Silent)
+        replicas.iter().any(|replica| {
+            replica.takes_part()
+                && (!replica.near || knowledge.single)
+                && replica.copy_state(self) != CopyState::Silent
+        })
     }
 
     /// Returns whether a question that was sent after the primary's answer was answered.
--- a/crates/core/src/durability/replica.rs
+++ b/crates/core/src/durability/replica.rs
@@ -108,10 +108,15 @@
         }
     }
 
+    /// Returns whether its log lasts: it is a replica that is not about to be stopped.
+    pub(super) fn stays(&self) -> bool {
+        let is_primary = self.answers.newest.is_some_and(|newest| newest.status.primary);
+        !self.leaving && !is_primary
+    }
+
     /// Returns whether every failover waits for the replica, and its log lasts.
     pub fn takes_part(&self) -> bool {
-        let is_primary = self.answers.newest.is_some_and(|newest| newest.status.primary);
-        !self.leaving && !is_primary && self.registered >= REGISTRATION_SPAN
+        self.stays() && self.registered >= REGISTRATION_SPAN
     }
 
     /// Returns whether the replica was last fenced at a term above `term`.
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -252,6 +252,40 @@
     assert_eq!(inquiry.next_step(CopyState::Lacks, ms(65)), Step::AskAll(2));
 }
 
+/// The primary is cut off from the replicas that stay; only one that is leaving has the commit.
+#[test]
+fn a_commit_that_only_a_leaving_replica_confirmed_is_not_told_as_a_success() {
+    let commit = Commit { position: at(2, 140), answered: ms(11_160) };
+    let known = knowledge(Some(ms(11_165)));
+    let status = |lsn, fenced_term| {
+        let received = at(2, lsn);
+        ReplicaAnswer::Status(ReplicationStatus {
+            received,
+            term: TERM,
+            fenced_term,
+            ..Default::default()
+        })
+    };
+    let leaving =
+        RegisteredReplica { leaving: true, ..answering(ms(11_165), status(140, Term::default())) };
+    let busy = answering(ms(11_165), ReplicaAnswer::Busy);
+    let silent = answering(ms(11_159), ReplicaAnswer::Busy);
+    for fenced_term in [Term::default(), Term::new(3)] {
+        let behind = answering(ms(11_165), status(139, fenced_term));
+        let near = RegisteredReplica { near: true, ..behind };
+        for others in [[behind, behind], [behind, busy], [behind, silent], [near, busy]] {
+            let replicas = [leaving, others[0], others[1]];
+            assert_eq!(commit.evidence(&known, &replicas), None, "{others:?}");
+        }
+    }
+    let behind = answering(ms(11_165), status(139, Term::default()));
+    let new = RegisteredReplica { registered: Duration::ZERO, ..behind };
+    assert_eq!(commit.evidence(&known, &[leaving, new]), None, "one that has just started");
+    let held = answering(ms(11_165), status(140, Term::default()));
+    let replicas = [leaving, answering(ms(11_165), status(139, Term::default())), held];
+    assert_eq!(commit.evidence(&known, &replicas), Some(Evidence::Copy), "one that stays has it");
+}
+
 /// A replica that had started again, without its fence, confirmed what the successor lacked.
 #[test]
 fn a_replica_without_a_fence_does_not_count_while_a_failover_runs() {
