--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -7,13 +7,17 @@
 //! wait. If together they exceed half of the limit for all callers, the connection that holds most
 //! of them is rejected.
 //!
-//! [`Progress`] decides whether a caller sends or takes bytes too slowly.
+//! [`Progress`] and [`Receiving`] decide whether a caller sends or takes bytes too slowly.
 
-use std::{collections::HashMap, fmt, time::Duration};
+mod progress;
+
+use std::{collections::HashMap, fmt};
 
 use indexmap::IndexMap;
 
-use crate::{id::AccountId, time::Time};
+use crate::id::AccountId;
+
+pub use self::progress::{PROGRESS_SPAN, Progress, Receiving};
 
 /// Size up to which a message is read without asking the budget, in bytes.
 pub const SMALL_MESSAGE_BYTES: usize = 8 << 10;
@@ -41,13 +45,6 @@
 /// Smallest limit of the state of one session, in bytes.
 const MIN_SESSION_BYTES: usize = 2 << 20;
 
-/// Time in which a caller must send or take [`PROGRESS_BYTES`] of a message.
-pub const PROGRESS_SPAN: Duration = Duration::from_secs(10);
-
-/// Bytes that a caller sends or takes in each [`PROGRESS_SPAN`] at least. Forty callers that
-/// share 10 Mbit/s each pass more than twice as many.
-const PROGRESS_BYTES: usize = 64 << 10;
-
 /// Limits of what a daemon holds for its callers, in bytes.
 ///
 /// # Example
@@ -334,49 +331,3 @@
     };
     class * MESSAGE_COPIES
 }
-
-/// Progress of a message that a caller sends, or of an answer that it takes.
-///
-/// # Example
-///
-/// ```
-/// use chicoryhollow_core::{Time, budget::{PROGRESS_SPAN, Progress}};
-///
-/// let mut progress = Progress::new(Time::default());
-/// progress.record(100_000);
-/// assert!(progress.check(Time::default() + PROGRESS_SPAN), "enough for the first span");
-/// assert!(!progress.check(Time::default() + 2 * PROGRESS_SPAN), "nothing in the second one");
-/// ```
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Progress {
-    started: Time,
-    bytes: usize,
-}
-
-impl Progress {
-    /// Creates the progress of a transfer that begins at `now`, or goes on after the daemon has
-    /// made the caller wait.
-    pub fn new(now: Time) -> Self {
-        Progress { started: now, bytes: 0 }
-    }
-
-    /// Records that so many more bytes have passed.
-    pub fn record(&mut self, bytes: usize) {
-        self.bytes += bytes;
-    }
-
-    /// Returns when to check the transfer next.
-    pub fn due(&self) -> Time {
-        self.started + PROGRESS_SPAN
-    }
-
-    /// Returns whether the transfer may go on at `now`.
-    pub fn check(&mut self, now: Time) -> bool {
-        if now < self.due() {
-            return true;
-        }
-        let goes_on = self.bytes >= PROGRESS_BYTES;
-        *self = Progress::new(now);
-        goes_on
-    }
-}
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -3,8 +3,8 @@
 use chicoryhollow_core::{
     AccountId, Time,
     budget::{
-        Budget, Grant, HolderId, Holding, Limits, MAX_MESSAGE_BYTES, MEDIUM_MESSAGE_BYTES,
-        PROGRESS_SPAN, Progress, SMALL_MESSAGE_BYTES,
+        Budget, Grant, HolderId, Holding, LimitReason, Limits, MAX_MESSAGE_BYTES,
+        MEDIUM_MESSAGE_BYTES, PROGRESS_SPAN, Progress, Receiving, SMALL_MESSAGE_BYTES,
     },
 };
 
@@ -107,6 +107,18 @@
     assert!(!slow.check(Time::default() + PROGRESS_SPAN), "ten bytes per second");
 }
 
+/// A caller that had to wait for room did not send because nothing was read.
+#[test]
+fn the_time_for_which_the_daemon_makes_a_caller_wait_does_not_count() {
+    let (mut receiving, due) = (Receiving::default(), Time::default() + PROGRESS_SPAN);
+    assert_eq!(receiving.check(true, Time::default()), Ok(Some(due)));
+    receiving.restart();
+    assert_eq!(receiving.check(true, due), Ok(Some(due + PROGRESS_SPAN)));
+    receiving.record(100_000);
+    assert!(receiving.check(true, due + PROGRESS_SPAN).is_ok(), "enough for the span");
+    assert_eq!(receiving.check(true, due + 2 * PROGRESS_SPAN), Err(LimitReason::SlowSender));
+}
+
 /// The daemon for PostgreSQL accepts messages that cost more than the whole budget.
 #[test]
 fn a_message_that_exceeds_the_budget_is_read_alone() {
--- a/crates/proxy/src/entry/connection.rs
+++ b/crates/proxy/src/entry/connection.rs
@@ -13,7 +13,7 @@
 use bytes::BytesMut;
 use chicoryhollow_core::{
     Time,
-    budget::{Holding, LimitReason, Progress, SMALL_MESSAGE_BYTES},
+    budget::{Holding, LimitReason, Progress, Receiving, SMALL_MESSAGE_BYTES},
 };
 use pgwire::messages::{Message, PgWireFrontendMessage};
 use tokio::{
@@ -47,7 +47,7 @@
     /// Whether the present message may be read.
     is_requested: bool,
     /// Progress of the message that is being read.
-    receiving: Option<Progress>,
+    receiving: Receiving,
     /// When the connection was created.
     opened: Instant,
 }
@@ -65,7 +65,7 @@
             max_wait: Duration::ZERO,
             batch_bytes: 0,
             is_requested: false,
-            receiving: None,
+            receiving: Receiving::default(),
             opened: Instant::now(),
         }
     }
@@ -85,7 +85,7 @@
     /// Records that all messages that were read are answered.
     pub(crate) fn finish_batch(&mut self) {
         // Nothing was read meanwhile.
-        self.receiving = None;
+        self.receiving.restart();
         if std::mem::take(&mut self.batch_bytes) > SMALL_MESSAGE_BYTES
             && let Some(meter) = &self.meter
         {
@@ -130,16 +130,7 @@
     /// Waits for input. A message of which a part has arrived must go on.
     async fn wait_for_input(&mut self) -> Result<(), WireError> {
         let now = self.now();
-        let due = match self.input.is_empty() {
-            true => None,
-            false => {
-                let progress = self.receiving.get_or_insert(Progress::new(now));
-                if !progress.check(now) {
-                    return Err(WireError::Limit(LimitReason::SlowSender));
-                }
-                Some(progress.due())
-            }
-        };
+        let due = self.receiving.check(!self.input.is_empty(), now).map_err(WireError::Limit)?;
         let deadline = self.instant(due.unwrap_or_default());
         tokio::select! {
             biased;
@@ -164,10 +155,10 @@
             if !self.is_requested && self.input.len() >= HEADER_BYTES {
                 self.request_message().await?;
                 self.is_requested = true;
-                self.receiving = None;
+                self.receiving.restart();
             }
             if let Some(frame) = self.codec.decode(&mut self.input)? {
-                self.receiving = None;
+                self.receiving.restart();
                 self.is_requested = false;
                 self.batch_bytes += frame.bytes().len();
                 return Ok(Some(frame));
@@ -180,11 +171,7 @@
             match self.socket.try_read_buf(&mut self.input) {
                 Ok(0) if self.input.is_empty() => return Ok(None),
                 Ok(0) => return Err(WireError::Truncated),
-                Ok(length) => {
-                    if let Some(progress) = &mut self.receiving {
-                        progress.record(length);
-                    }
-                }
+                Ok(length) => self.receiving.record(length),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error.into()),
             }
