--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -128,11 +128,4 @@
 pub mod waiting;
 pub mod watch;
 
-pub use crate::{
-    id::{AccountId, DataCentreId, GroupId, Incarnation, KeyName, RouteName, ServerId, VmId},
-    position::{Lsn, Position, Term},
-    refusal::{Outcome, Refusal},
-    session::SessionToken,
-    time::Time,
-    view::GroupView,
-};
+pub use crate::prelude::*;
