Search for fences and orders that outlast their failover, and for daemons that remember nothing

Three searches fail on the present code, which has not been changed.

What let the faults pass: commands to servers were carried out and answered in the tick in which they were sent, replicas followed a new primary in the tick of its promotion, the coordinator's row was written in no time, daemons restarted one at a time, and only runs by seed checked that a group serves again.

Now a world can have a pace: commands and answers take a tick each way, answers of a slow server more, and replicas receive from a new primary only some time after its promotion, so that they hear of its term late. A write of the row may take a while; the order that waits for it is sent by a task of its own, as in the engine. All daemons may restart at once. An exhaustive search may require that the primary confirms a commit within 10 s after all has healed.

Shortest traces:

no_fence_that_outlasts_its_failover_stops_a_group: Stuck after [p leaves, answers of q take 0.3 s longer]. At 7.0 s q becomes the primary, which lifts the fences; the coordinator has not seen it and fences r again at 7.5 s. p ends at 12.7 s.

no_order_that_waits_for_the_row_outlasts_its_failover: Lost after [p is cut from the other servers, each write of the row takes 1 s]. At 8.2 s q is ordered; the failover was dropped when the lease lapsed during the write. A second one begins and wants p, which has stepped down with the longest log. At 8.8 s q leads, at 9.1 s the second one is abandoned, at 9.5 s its order for p is sent and accepted.

daemons_that_know_no_commit_do_not_replace_a_primary_by_a_server_that_lacks_some: Lost after [p, r and q are cut apart, n starts, n leaves, all daemons restart]. At 22.7 s the primary confirms nothing, p steps down, and q is ordered with 0/0 acknowledged.

--- /dev/null
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -0,0 +1,83 @@
+//! What a failover leaves behind: fences and orders that arrive late, and daemons that remember
+//! nothing.
+
+use super::{
+    PRIMARY_ALONE, assert_holds, bounds, durable,
+    failover_model::{
+        event::Event,
+        search::{Bounds, Recovery},
+        ticks,
+        world::{Pace, World},
+    },
+};
+
+/// Calls take a tick each way, and replicas some more until they follow a new primary.
+const PACE: Pace = Pace { call: 1, follow: 5 };
+
+/// Time within which a group confirms commits again once all has healed.
+const CONFIRMED: Recovery = Recovery::Confirmed(ticks(10_000));
+
+/// The rule of the product, in a world in which calls take a while.
+fn paced() -> World {
+    durable(PRIMARY_ALONE).with_pace(PACE)
+}
+
+/// Only a server that leaves receives from the primary, until the cut of the others heals.
+fn departure_of_last_copy() -> Bounds {
+    let first = vec![Event::Part, Event::Start(3, 1), Event::Drain(3)];
+    Bounds {
+        event_ticks: ticks(12_000),
+        grid: 5,
+        horizon: ticks(16_000),
+        recovery: Some(CONFIRMED),
+        ..bounds(first, vec![Event::Heal, Event::Slow(0, 3)], 2)
+    }
+}
+
+/// The primary leaves.
+fn departure() -> Bounds {
+    let events = vec![Event::Slow(1, 3), Event::Slow(2, 3)];
+    Bounds {
+        event_ticks: ticks(2_000),
+        horizon: ticks(12_000),
+        recovery: Some(CONFIRMED),
+        ..bounds(vec![Event::Drain(0)], events, 1)
+    }
+}
+
+/// Review 7: fences that were sent after the promotion were never lifted, and the group took no
+/// writes.
+#[test]
+fn no_fence_that_outlasts_its_failover_stops_a_group() {
+    assert_holds(&paced(), &departure());
+    assert_holds(&paced(), &departure_of_last_copy());
+}
+
+/// Issue 48: after the restart of all daemons nobody knew what had been acknowledged, and a server
+/// without it was promoted although the primary answered.
+#[test]
+fn daemons_that_know_no_commit_do_not_replace_a_primary_by_a_server_that_lacks_some() {
+    let first = vec![Event::Part, Event::Start(3, 1)];
+    let events = vec![Event::Drain(3), Event::RestartAll];
+    let bounds = Bounds {
+        event_ticks: ticks(12_000),
+        grid: 10,
+        horizon: ticks(20_000),
+        ..bounds(first, events, 2)
+    };
+    assert_holds(&durable(PRIMARY_ALONE), &bounds);
+}
+
+/// Review 8: an order that waited for the coordinator's row was sent after its failover had ended,
+/// and rolled back what its successor had acknowledged.
+#[test]
+fn no_order_that_waits_for_the_row_outlasts_its_failover() {
+    let slow = [500, 1_000, 2_000, 4_000].map(|ms| Event::StoreSlow(ticks(ms)));
+    let bounds = Bounds {
+        grid: 2,
+        event_ticks: ticks(4_000),
+        horizon: ticks(12_000),
+        ..bounds(vec![Event::Detach], [slow.to_vec(), vec![Event::Heal]].concat(), 2)
+    };
+    assert_holds(&durable(PRIMARY_ALONE), &bounds);
+}
--- /dev/null
+++ b/crates/core/tests/failover_model/calls.rs
@@ -0,0 +1,165 @@
+//! Commands to servers and orders to the platform: at once, on their way, or late.
+
+use chicoryhollow_core::failover::ReplicationStatus;
+
+use super::{
+    event::{Call, Fate},
+    group_view::id,
+    name,
+    network::Node,
+    server::Command,
+    time,
+    world::{Violation, World},
+};
+
+/// A command of a failover to a server, or its answer, that is on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Flight {
+    at: u32,
+    vm: usize,
+    server: usize,
+    /// When the failover began that sent the command. A VM begins one at a time.
+    failover: u32,
+    leg: Leg,
+}
+
+/// What is on its way.
+#[derive(Clone, Copy, Debug)]
+enum Leg {
+    Command(Command),
+    Answer(ReplicationStatus),
+}
+
+impl World {
+    /// Carries out calls and orders that are due.
+    pub(crate) fn finish_calls(&mut self) -> Result<(), Violation> {
+        let tick = self.tick;
+        let is_due = |at: u32| at <= tick;
+        let commands = std::mem::take(&mut self.late_commands);
+        for (at, server, command) in commands {
+            match is_due(at) {
+                true if self.servers[server].runs() => {
+                    self.note(|| format!("a late {command:?} reaches {}", name(server)));
+                    command.carry_out(&mut self.servers[server]);
+                }
+                true => {}
+                false => self.late_commands.push((at, server, command)),
+            }
+        }
+        for flight in std::mem::take(&mut self.flights) {
+            match is_due(flight.at) {
+                true => self.arrive(flight),
+                false => self.flights.push(flight),
+            }
+        }
+        for (at, order) in std::mem::take(&mut self.late_orders) {
+            match is_due(at) {
+                true => {
+                    let server = order.server;
+                    let answer = self.platform.accept(order, &self.servers, tick);
+                    self.note(|| format!("a late order for {} is {answer:?}", name(server)));
+                }
+                false => self.late_orders.push((at, order)),
+            }
+        }
+        for order in self.platform.due(tick) {
+            if !self.servers[order.server].runs() {
+                continue;
+            }
+            self.check_promotion(order.server)?;
+            let resumes = tick + self.pace.follow;
+            let is_replaced = self.platform.promote(&order, &mut self.servers, resumes);
+            self.note(|| format!("{} becomes the primary", name(order.server)));
+            if is_replaced {
+                return Err(Violation::Replaced);
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets a command reach its server, or an answer its VM.
+    fn arrive(&mut self, flight: Flight) {
+        let Flight { vm, server, failover, .. } = flight;
+        match flight.leg {
+            Leg::Command(command) => {
+                let Some(status) = self.carry_out(vm, server, command) else { return };
+                let at = self.tick + self.pace.call + self.servers[server].slow;
+                self.flights.push(Flight { at, leg: Leg::Answer(status), ..flight });
+            }
+            Leg::Answer(status) => {
+                if !self.passes(Node::Server(server), Node::Vm(vm)) {
+                    return;
+                }
+                let now = time(self.tick);
+                if let Some(failover) = self.vms[vm].watch.failover(failover) {
+                    failover.record_status(&id(server), status, now);
+                }
+            }
+        }
+    }
+
+    /// Sends a command of a failover that takes a while to arrive.
+    pub(crate) fn send_command(
+        &mut self,
+        vm: usize,
+        failover: u32,
+        server: usize,
+        command: Command,
+    ) {
+        if !self.is_disturbed(server, command) {
+            let (at, leg) = (self.tick + self.pace.call, Leg::Command(command));
+            self.flights.push(Flight { at, vm, server, failover, leg });
+        }
+    }
+
+    /// Sends a command of a VM to a server and returns the status that it answers, at once.
+    pub(crate) fn call(
+        &mut self,
+        vm: usize,
+        server: usize,
+        command: Command,
+    ) -> Option<ReplicationStatus> {
+        if self.is_disturbed(server, command) {
+            return None;
+        }
+        let status = self.carry_out(vm, server, command)?;
+        self.passes(Node::Server(server), Node::Vm(vm)).then_some(status)
+    }
+
+    /// Carries out a command that reaches its server.
+    fn carry_out(
+        &mut self,
+        vm: usize,
+        server: usize,
+        command: Command,
+    ) -> Option<ReplicationStatus> {
+        if !self.servers[server].runs() || !self.passes(Node::Vm(vm), Node::Server(server)) {
+            return None;
+        }
+        command.carry_out(&mut self.servers[server]);
+        if command.kind().is_some() {
+            self.note(|| format!("{command:?} of VM {vm} reaches {}", name(server)));
+        }
+        Some(self.servers[server].status())
+    }
+
+    /// Returns whether a command does not arrive as it should.
+    fn is_disturbed(&mut self, server: usize, command: Command) -> bool {
+        let delay = |world: &mut World, at| world.late_commands.push((at, server, command));
+        command.kind().is_some_and(|kind| self.disturb(kind, delay))
+    }
+
+    /// Returns whether a call of this kind does not arrive now; one that is late is passed to
+    /// `delay` with its tick.
+    pub(crate) fn disturb(&mut self, call: Call, delay: impl FnOnce(&mut World, u32)) -> bool {
+        let Some((_, fate)) = self.disturbed.take_if(|(kind, _)| *kind == call) else {
+            return false;
+        };
+        self.note(|| format!("this {call:?} call is {fate:?}"));
+        if let Fate::Late(ticks) = fate {
+            let at = self.tick + ticks;
+            delay(self, at);
+        }
+        true
+    }
+}
--- a/crates/core/tests/failover_model/directory.rs
+++ b/crates/core/tests/failover_model/directory.rs
@@ -35,13 +35,22 @@
     pub(crate) row: Option<CoordinatorRow>,
     /// What the row says about failovers. It lasts when daemons restart.
     pub(crate) record: FailoverRecord,
+    /// Ticks that a call about the coordinator's row takes.
+    pub(crate) delay: u32,
     version: u64,
 }
 
 impl Directory {
     pub(crate) fn new() -> Self {
         let record = FailoverRecord::default();
-        Directory { is_up: true, entries: Entries::default(), row: None, record, version: 1 }
+        Directory {
+            is_up: true,
+            entries: Entries::default(),
+            row: None,
+            record,
+            delay: 0,
+            version: 1,
+        }
     }
 
     /// Writes the entry of a server that reaches the directory, and removes lapsed ones.
--- a/crates/core/tests/failover_model/event.rs
+++ b/crates/core/tests/failover_model/event.rs
@@ -37,6 +37,8 @@
     Sever(usize, usize),
     /// The first servers do not reach each other.
     Part,
+    /// The first primary and the other servers do not reach each other.
+    Detach,
     Heal,
     Start(usize, usize),
     Crash(usize),
@@ -44,15 +46,22 @@
     Restart(usize, bool),
     Drain(usize),
     Lag(usize),
+    /// From now on, the answers of a server take so many ticks longer.
+    Slow(usize, u32),
     StoreDown,
+    /// Each write of the coordinator's row takes so many ticks.
+    StoreSlow(u32),
+    /// The directory works again, as fast as before.
     StoreUp,
     /// The next call of this kind has this fate.
     Disturb(Call, Fate),
     RestartDaemon(usize),
+    /// All daemons restart at once, so that nobody remembers anything.
+    RestartAll,
 }
 
 /// Number of kinds of events.
-pub(crate) const KINDS: usize = 12;
+pub(crate) const KINDS: usize = 14;
 
 impl Event {
     /// Returns the number of the event's kind.
@@ -66,10 +75,12 @@
             Event::Restart(..) => 5,
             Event::Drain(_) => 6,
             Event::Lag(_) => 7,
-            Event::StoreDown | Event::StoreUp => 8,
+            Event::StoreDown | Event::StoreSlow(_) | Event::StoreUp => 8,
             Event::Disturb(..) => 9,
             Event::RestartDaemon(_) => 10,
-            Event::Part => 11,
+            Event::Part | Event::Detach => 11,
+            Event::RestartAll => 12,
+            Event::Slow(..) => 13,
         }
     }
 
@@ -81,6 +92,7 @@
             Event::Cut(_) => network.cut.is_none(),
             Event::Sever(..) => network.severed.is_none(),
             Event::Part => !network.is_apart,
+            Event::Detach => !network.is_detached,
             Event::Heal => !network.is_whole(),
             Event::Start(new, _) => {
                 server(new).life == Life::Absent && server(new - 1).life != Life::Absent
@@ -92,10 +104,12 @@
             }
             Event::Drain(i) => server(i).runs() && server(i).leaving.is_none(),
             Event::Lag(i) => server(i).runs() && !server(i).leads,
+            Event::Slow(i, _) => server(i).runs() && server(i).slow == 0,
             Event::StoreDown => world.directory.is_up,
-            Event::StoreUp => !world.directory.is_up,
+            Event::StoreSlow(_) => world.directory.is_up && world.directory.delay == 0,
+            Event::StoreUp => !world.directory.is_up || world.directory.delay > 0,
             Event::Disturb(..) => world.disturbed.is_none(),
-            Event::RestartDaemon(_) => true,
+            Event::RestartDaemon(_) | Event::RestartAll => true,
         }
     }
 }
@@ -106,6 +120,7 @@
             Event::Cut(direction) => write!(f, "data centre 0 is cut off ({direction:?})"),
             Event::Sever(vm, server) => write!(f, "VM {vm} no longer reaches {}", name(server)),
             Event::Part => write!(f, "p, r and q no longer reach each other"),
+            Event::Detach => write!(f, "p and the other servers no longer reach each other"),
             Event::Heal => write!(f, "all cuts heal"),
             Event::Start(server, centre) => {
                 write!(f, "{} starts in data centre {centre}", name(server))
@@ -117,10 +132,17 @@
             }
             Event::Drain(server) => write!(f, "{} begins to leave", name(server)),
             Event::Lag(server) => write!(f, "{} receives late", name(server)),
+            Event::Slow(server, delay) => {
+                write!(f, "answers of {} take {delay} ticks longer", name(server))
+            }
             Event::StoreDown => write!(f, "the directory goes down"),
+            Event::StoreSlow(delay) => {
+                write!(f, "each write of the coordinator's row takes {delay} ticks")
+            }
             Event::StoreUp => write!(f, "the directory is back"),
             Event::Disturb(call, fate) => write!(f, "the next {call:?} call is {fate:?}"),
             Event::RestartDaemon(vm) => write!(f, "the daemon of VM {vm} restarts"),
+            Event::RestartAll => write!(f, "all daemons restart"),
         }
     }
 }
--- a/crates/core/tests/failover_model/mod.rs
+++ b/crates/core/tests/failover_model/mod.rs
@@ -4,11 +4,13 @@
 //! receive each commit in the next tick, and callers write all the time. The searches choose
 //! which events happen, and when. A world and its events determine all that follows.
 
+pub(crate) mod calls;
 pub(crate) mod directory;
 pub(crate) mod event;
 pub(crate) mod group_view;
 pub(crate) mod network;
 pub(crate) mod platform;
+pub(crate) mod row;
 pub(crate) mod search;
 pub(crate) mod server;
 pub(crate) mod told;
--- a/crates/core/tests/failover_model/network.rs
+++ b/crates/core/tests/failover_model/network.rs
@@ -27,6 +27,8 @@
     pub(crate) severed: Option<(usize, usize)>,
     /// Whether the first servers do not reach each other.
     pub(crate) is_apart: bool,
+    /// Whether the first primary and the other servers do not reach each other.
+    pub(crate) is_detached: bool,
 }
 
 impl Network {
@@ -41,14 +43,17 @@
             (1, 0) => matches!(self.cut, Some(Direction::Both | Direction::Inward)),
             _ => false,
         };
-        let is_first = |node| matches!(node, Node::Server(server) if server < FIRST_SERVERS);
+        let is_first = |node| server(node).is_some_and(|server| server < FIRST_SERVERS);
         let is_apart = self.is_apart && is_first(from) && is_first(to);
-        !is_severed && !is_cut && !is_apart
+        let ends = (server(from), server(to));
+        let is_detached =
+            self.is_detached && matches!(ends, (Some(0), Some(_)) | (Some(_), Some(0)));
+        !is_severed && !is_cut && !is_apart && !is_detached
     }
 
     /// Returns whether nothing is cut.
     pub(crate) fn is_whole(&self) -> bool {
-        self.cut.is_none() && self.severed.is_none() && !self.is_apart
+        self.cut.is_none() && self.severed.is_none() && !self.is_apart && !self.is_detached
     }
 
     /// Returns whether a request passes, and its answer too.
@@ -57,6 +62,13 @@
     }
 }
 
+fn server(node: Node) -> Option<usize> {
+    match node {
+        Node::Server(server) => Some(server),
+        Node::Vm(_) | Node::Store => None,
+    }
+}
+
 fn centre(servers: &[Server], node: Node) -> usize {
     match node {
         Node::Vm(vm) => vm % VMS,
--- a/crates/core/tests/failover_model/platform.rs
+++ b/crates/core/tests/failover_model/platform.rs
@@ -58,15 +58,22 @@
         due.into_iter().map(|(_, order)| order).collect()
     }
 
-    /// Makes the server of an order the primary of the next term. Returns whether a newer order
-    /// took effect before.
-    pub(crate) fn promote(&mut self, order: &Order, servers: &mut [Server; SERVERS]) -> bool {
+    /// Makes the server of an order the primary of the next term, and lifts all fences. The others
+    /// hear of the term only when they receive from it, at `resumes` or later. Returns whether a
+    /// newer order took effect before.
+    pub(crate) fn promote(
+        &mut self,
+        order: &Order,
+        servers: &mut [Server; SERVERS],
+        resumes: u32,
+    ) -> bool {
         let is_replaced = order.rank < self.last_effect;
         self.last_effect = self.last_effect.max(order.rank);
         let term = servers.iter().map(|server| server.term).max().unwrap_or_default() + 1;
         for server in servers.iter_mut() {
             server.leads = false;
             server.fenced = 0;
+            server.resumes = resumes;
         }
         servers[order.server].leads = true;
         servers[order.server].term = term;
--- a/crates/core/tests/failover_model/search.rs
+++ b/crates/core/tests/failover_model/search.rs
@@ -10,13 +10,50 @@
 
 use super::{
     event::{Event, Scope},
-    server::Commits,
+    server::{Commits, Server},
     ticks,
     world::{Violation, World},
 };
 
-/// Time after which a group must serve again once everything has healed.
-const RECOVERY: u32 = ticks(30_000);
+/// What must be seen after everything has healed, and within how many ticks.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Recovery {
+    /// A caller is told of a success.
+    Told(u32),
+    /// The primary acknowledges a commit.
+    Confirmed(u32),
+}
+
+impl Recovery {
+    fn limit(self) -> u32 {
+        match self {
+            Recovery::Told(limit) | Recovery::Confirmed(limit) => limit,
+        }
+    }
+
+    /// Returns the commits that show it.
+    fn seen(self, world: &World) -> Commits {
+        match self {
+            Recovery::Told(_) => world.told,
+            Recovery::Confirmed(_) => world.confirmed,
+        }
+    }
+
+    /// Returns whether enough servers run.
+    fn is_possible(self, world: &World) -> bool {
+        let mut running = world.servers.iter().filter(|server| server.runs());
+        let stays = |server: &&Server| server.leaving.is_none();
+        let kept = running.clone().filter(stays).any(|server| world.told & !server.log == 0);
+        let enough = match self {
+            Recovery::Told(_) => running.nth(1).is_some(),
+            Recovery::Confirmed(_) => running.filter(stays).nth(1).is_some(),
+        };
+        kept && enough
+    }
+}
+
+/// What must be seen after a run of one seed.
+pub(crate) const RECOVERY: Recovery = Recovery::Told(ticks(30_000));
 
 /// Commits that a world can count.
 const ALL_COMMITS: u8 = Commits::BITS as u8 - 1;
@@ -52,6 +89,8 @@
     pub(crate) grid: u32,
     /// Number of ticks of a run.
     pub(crate) horizon: u32,
+    /// What must be seen after the run, if that is checked.
+    pub(crate) recovery: Option<Recovery>,
 }
 
 impl Bounds {
@@ -110,7 +149,9 @@
             }
             self.summary.promotions += usize::from(run.world.primary() != leader);
         }
-        Ok(())
+        let Some(recovery) = self.bounds.recovery else { return Ok(()) };
+        let Run { mut world, events } = run;
+        recovers(&mut world, recovery).map_err(|violation| Trace { events, violation })
     }
 
     /// Keeps each world that an event leads to. Events of one instant happen in one order only.
@@ -166,37 +207,33 @@
         }
         promotions += usize::from(world.primary() != leader);
     }
-    match recovers(&mut world) {
+    match recovers(&mut world, RECOVERY) {
         Ok(()) => Ok(promotions),
         Err(violation) => Err(shrink(start, length, Trace { events, violation })),
     }
 }
 
 /// Heals everything and checks that a write succeeds within a bounded time.
-fn recovers(world: &mut World) -> Result<(), Violation> {
+fn recovers(world: &mut World, recovery: Recovery) -> Result<(), Violation> {
     if !world.network.is_whole() {
         world.apply(Event::Heal);
     }
     world.directory.is_up = true;
+    world.directory.delay = 0;
     for server in 0..world.servers.len() {
         let restart = Event::Restart(server, true);
         if restart.is_possible(world) {
             world.apply(restart);
         }
     }
-    let kept = world
-        .servers
-        .iter()
-        .any(|server| server.runs() && server.leaving.is_none() && world.told & !server.log == 0);
-    let running = world.servers.iter().filter(|server| server.runs()).count();
-    if !kept || running < 2 {
+    if !recovery.is_possible(world) {
         return Ok(());
     }
-    let told = world.told;
+    let before = recovery.seen(world);
     world.max_commits = ALL_COMMITS;
-    for _ in 0..RECOVERY {
+    for _ in 0..recovery.limit() {
         world.step()?;
-        if world.told & !told != 0 {
+        if recovery.seen(world) & !before != 0 {
             return Ok(());
         }
     }
@@ -207,6 +244,7 @@
 pub(crate) fn replay(
     start: &World,
     length: u32,
+    recovery: Recovery,
     events: &[Occurrence],
 ) -> Option<(Violation, String)> {
     let mut world = start.clone();
@@ -222,7 +260,7 @@
         }
         found = world.step().err();
     }
-    let violation = found.or_else(|| recovers(&mut world).err())?;
+    let violation = found.or_else(|| recovers(&mut world, recovery).err())?;
     Some((violation, number(world.notes.unwrap_or_default())))
 }
 
@@ -238,7 +276,7 @@
     while i < trace.events.len() {
         let mut fewer = trace.events.clone();
         fewer.remove(i);
-        match replay(start, length, &fewer) {
+        match replay(start, length, RECOVERY, &fewer) {
             Some((violation, _)) if std::mem::discriminant(&violation) == kind => {
                 trace = Trace { events: fewer, violation };
                 i = 0;
--- a/crates/core/tests/failover_model/server.rs
+++ b/crates/core/tests/failover_model/server.rs
@@ -2,6 +2,8 @@
 
 use chicoryhollow_core::{Lsn, Position, Term, failover::ReplicationStatus};
 
+use super::event::Call;
+
 /// A set of commits, one bit each.
 pub(crate) type Commits = u128;
 
@@ -37,6 +39,10 @@
     pub(crate) born: u32,
     /// When it last crashed.
     pub(crate) crashed: u32,
+    /// From when on it receives from the present primary.
+    pub(crate) resumes: u32,
+    /// Ticks that its answers take longer than those of others.
+    pub(crate) slow: u32,
 }
 
 impl Server {
@@ -53,6 +59,8 @@
             leaving: None,
             born: 0,
             crashed: 0,
+            resumes: 0,
+            slow: 0,
         }
     }
 
@@ -108,6 +116,16 @@
 }
 
 impl Command {
+    /// Returns the kind of call, or `None` if the command changes nothing.
+    pub(crate) fn kind(self) -> Option<Call> {
+        match self {
+            Command::Fence(_) => Some(Call::Fence),
+            Command::Release => Some(Call::Release),
+            Command::Demote(_) => Some(Call::Demote),
+            Command::Status => None,
+        }
+    }
+
     /// Changes the server as the command says.
     pub(crate) fn carry_out(self, server: &mut Server) {
         match self {
--- a/crates/core/tests/failover_model/vm.rs
+++ b/crates/core/tests/failover_model/vm.rs
@@ -2,12 +2,12 @@
 
 use chicoryhollow_core::{
     Position, VmId,
-    coordinator::{CoordinatorLease, FailoverMemory, Step},
-    version::DirectoryVersion,
+    coordinator::{CoordinatorLease, FailoverMemory},
 };
 
 use super::{
-    group_view::{GroupView, group},
+    group_view::GroupView,
+    row::{Ordering, RowWrite},
     ticks, time,
     watch::Watch,
     world::World,
@@ -45,6 +45,10 @@
     /// When the other VM was last silent for long.
     pub(crate) silent: Option<u32>,
     pub(crate) writes: Vec<Write>,
+    /// The write of the coordinator's row that has not ended.
+    pub(crate) row_write: Option<RowWrite>,
+    /// Orders that wait for the row.
+    pub(crate) orderings: Vec<Ordering>,
 }
 
 /// Returns the identity of a VM.
@@ -64,67 +68,13 @@
             heard: tick,
             silent: None,
             writes: Vec::new(),
+            row_write: None,
+            orderings: Vec::new(),
         }
     }
 }
 
 impl World {
-    /// Reads the directory, if it can be reached, and takes the next step of the lease.
-    pub(crate) fn read_directory(&mut self, vm: usize) {
-        let (tick, reaches) = (self.tick, self.reaches_directory(vm));
-        if reaches {
-            let World { vms, directory, .. } = self;
-            vms[vm].view.record_entries(&directory.entries, tick);
-        }
-        let World { vms, directory, .. } = self;
-        let Vm { lease, memory, view, .. } = &mut vms[vm];
-        let now = time(tick);
-        match lease.next_step(now) {
-            Step::Wait(_) => {}
-            _ if !reaches => lease.record_failure(now),
-            Step::Read => {
-                let row = directory.row.as_ref();
-                if let Some(row) = row.filter(|row| !lease.is_own(row)) {
-                    memory.record_row(&directory.record, row.version, now);
-                    view.record_failover(memory.announcement(&group()));
-                }
-                lease.record_row(row, Default::default(), None, now);
-            }
-            Step::Write(expected) => self.write_row(vm, expected),
-        }
-    }
-
-    /// Writes the coordinator's row with all that the coordinator must not forget.
-    fn write_row(&mut self, vm: usize, expected: DirectoryVersion) {
-        let (now, reaches) = (time(self.tick), self.reaches_directory(vm));
-        let World { vms, directory, .. } = self;
-        let Vm { lease, memory, incarnation, view, .. } = &mut vms[vm];
-        memory.update_missing(&group(), &view.missing);
-        let (record, revision) = memory.record(view.roster(), now);
-        if !reaches {
-            lease.record_failure(now);
-            return;
-        }
-        match directory.write_row(expected, vm_id(vm), *incarnation, record) {
-            Some(version) => {
-                lease.record_write(version, now, now);
-                memory.record_written(revision);
-            }
-            None => lease.record_conflict(now),
-        }
-    }
-
-    /// Writes the row before its next renewal, if it lacks something.
-    pub(crate) fn write_memory(&mut self, vm: usize) {
-        let now = time(self.tick);
-        if !self.vms[vm].memory.needs_write() {
-            return;
-        }
-        if let Some(expected) = self.vms[vm].lease.begin_write(now) {
-            self.write_row(vm, expected);
-        }
-    }
-
     /// Receives what the other VM knows, if a message passes.
     pub(crate) fn hear(&mut self, vm: usize) {
         let other = 1 - vm;
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -4,15 +4,14 @@
 
 use chicoryhollow_core::{
     Term,
-    coordinator::{FencingToken, OrderAnswer, Outage},
+    coordinator::{FencingToken, Outage},
     failover::{Action, Announcement, Cause, Failover, FailoverNumber, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT, Votes},
 };
 
 use super::{
-    event::Call,
     group_view::{group, id, span},
-    index, name,
+    index,
     network::Node,
     platform::{Answer, Order},
     server::Command,
@@ -42,7 +41,7 @@
 /// A failover that runs.
 #[derive(Clone, Debug)]
 pub(crate) struct Running {
-    failover: Failover,
+    pub(crate) failover: Failover,
     suspicion: Suspicion,
     started: u32,
 }
@@ -56,7 +55,27 @@
     no_primary_since: Option<u32>,
     last_probe: u32,
     /// When older orders were cancelled.
-    cancelled: Option<(u32, Option<usize>)>,
+    pub(crate) cancelled: Option<(u32, Option<usize>)>,
+}
+
+impl Watch {
+    /// Returns the failover that began at this tick, if it runs.
+    pub(crate) fn failover(&mut self, started: u32) -> Option<&mut Failover> {
+        let running = self.running.as_mut().filter(|running| running.started == started)?;
+        Some(&mut running.failover)
+    }
+
+    /// Takes out the failover that began at this tick, if it runs.
+    pub(crate) fn take_failover(&mut self, started: u32) -> Option<Running> {
+        self.running.take_if(|running| running.started == started)
+    }
+
+    /// Puts back what was taken out.
+    pub(crate) fn put_back(&mut self, running: Option<Running>) {
+        if running.is_some() {
+            self.running = running;
+        }
+    }
 }
 
 impl World {
@@ -163,7 +182,7 @@
         }
     }
 
-    fn next_token(&mut self, vm: usize) -> Option<FencingToken> {
+    pub(crate) fn next_token(&mut self, vm: usize) -> Option<FencingToken> {
         let now = time(self.tick);
         let keeps_role = self.keeps_role(vm);
         let lease = &mut self.vms[vm].lease;
@@ -300,7 +319,7 @@
         match progress {
             Progress::Running => {
                 for action in failover.next_actions(time(tick)) {
-                    self.execute(vm, &mut running.failover, action);
+                    self.execute(vm, running.started, &mut running.failover, action);
                 }
                 self.vms[vm].watch.running = Some(running);
                 return;
@@ -313,7 +332,7 @@
                 let has_ordered = failover.has_ordered();
                 self.end_announcement(vm, has_ordered);
                 for action in failover.release_actions() {
-                    self.execute(vm, &mut running.failover, action);
+                    self.execute(vm, running.started, &mut running.failover, action);
                 }
             }
         }
@@ -331,16 +350,20 @@
         self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
     }
 
-    fn execute(&mut self, vm: usize, failover: &mut Failover, action: Action) {
+    fn execute(&mut self, vm: usize, begun: u32, failover: &mut Failover, action: Action) {
         let (server, command) = match action {
             Action::Fence(server, term) => (server, Command::Fence(term.get())),
             Action::Poll(server) => (server, Command::Status),
             Action::Demote(server, term) => (server, Command::Demote(term.get())),
             Action::Release(server) => (server, Command::Release),
             Action::ListServers => return self.list_servers(vm, failover),
-            Action::Promote(server) => return self.order(vm, failover, index(server.as_str())),
+            Action::Promote(server) => {
+                return self.order(vm, begun, failover, index(server.as_str()));
+            }
         };
-        if let Some(status) = self.call(vm, index(server.as_str()), command) {
+        if self.pace.call > 0 {
+            self.send_command(vm, begun, index(server.as_str()), command);
+        } else if let Some(status) = self.call(vm, index(server.as_str()), command) {
             failover.record_status(&server, status, time(self.tick));
         }
     }
@@ -356,45 +379,4 @@
         failover.join(view.members());
         failover.record_list(time(tick));
     }
-
-    fn order(&mut self, vm: usize, failover: &mut Failover, server: usize) {
-        let now = time(self.tick);
-        let Vm { memory, view, .. } = &mut self.vms[vm];
-        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
-        let replaced = known.max(failover.reported_term());
-        let Ok(revision) = memory.prepare(group(), id(server), replaced, now) else { return };
-        self.write_memory(vm);
-        let is_written = self.vms[vm].memory.is_written(revision);
-        let Some(token) = self.next_token(vm).filter(|_| is_written) else {
-            self.note(|| format!("VM {vm} cannot write the order to promote {}", name(server)));
-            self.vms[vm].memory.record_unsent(revision);
-            failover.record_promotion_unsent(now);
-            return;
-        };
-        if !self.vms[vm].memory.record_sent(revision, token) {
-            return;
-        }
-        self.vms[vm].watch.cancelled = None;
-        let order = Order { server, token, rank: self.orders };
-        self.note(|| format!("VM {vm} orders the promotion of {}", name(server)));
-        if self.disturb(Call::Promote, |world, at| world.late_orders.push((at, order.clone()))) {
-            return;
-        }
-        if !self.passes(Node::Vm(vm), Node::Store) {
-            return;
-        }
-        let answer = self.platform.accept(order, &self.servers, self.tick);
-        if !self.passes(Node::Store, Node::Vm(vm)) {
-            return;
-        }
-        let memory = &mut self.vms[vm].memory;
-        match answer {
-            Answer::Accepted => memory.record_answer(&group(), token, OrderAnswer::Accepted),
-            Answer::Refused => {
-                memory.record_answer(&group(), token, OrderAnswer::Refused);
-                failover.record_promotion_refusal();
-                self.vms[vm].lease.record_refusal(now);
-            }
-        }
-    }
 }
--- a/crates/core/tests/failover_model/world.rs
+++ b/crates/core/tests/failover_model/world.rs
@@ -1,12 +1,10 @@
 //! The world of the model and its steps.
 
-use chicoryhollow_core::failover::ReplicationStatus;
-
 use super::{
     FIRST_SERVERS, SERVERS, TICK_MS, VMS,
+    calls::Flight,
     directory::{DRAIN, Directory, TAKEOVER},
     event::{Call, Event, Fate, KINDS, LAG},
-    name,
     network::{Network, Node},
     platform::{Order, Platform},
     server::{Command, Commits, Life, Server},
@@ -40,12 +38,22 @@
     pub(crate) cancels: bool,
 }
 
+/// Ticks that calls take. Without any, they are answered at once.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    /// From a VM to a server, and back.
+    pub(crate) call: u32,
+    /// From the promotion of a primary, or the end of a cut, until replicas receive from it.
+    pub(crate) follow: u32,
+}
+
 /// Everything that is in the model.
 #[derive(Clone, Debug)]
 pub(crate) struct World {
     pub(crate) tick: u32,
     pub(crate) rule: AckRule,
     pub(crate) changes: Changes,
+    pub(crate) pace: Pace,
     pub(crate) servers: [Server; SERVERS],
     pub(crate) network: Network,
     pub(crate) directory: Directory,
@@ -62,6 +70,8 @@
     pub(crate) orders: u32,
     pub(crate) late_orders: Vec<(u32, Order)>,
     pub(crate) late_commands: Vec<(u32, usize, Command)>,
+    /// Commands and answers on their way.
+    pub(crate) flights: Vec<Flight>,
     pub(crate) disturbed: Option<(Call, Fate)>,
     /// How often each kind of event happened.
     pub(crate) happened: [u8; KINDS],
@@ -87,6 +97,7 @@
             tick: 1,
             rule,
             changes,
+            pace: Pace::default(),
             servers,
             network: Network::default(),
             directory: Directory::new(),
@@ -100,6 +111,7 @@
             orders: 0,
             late_orders: Vec::new(),
             late_commands: Vec::new(),
+            flights: Vec::new(),
             disturbed: None,
             happened: [0; KINDS],
             notes: None,
@@ -117,6 +129,11 @@
         world
     }
 
+    /// Sets how long calls take from now on.
+    pub(crate) fn with_pace(self, pace: Pace) -> Self {
+        World { pace, ..self }
+    }
+
     /// Takes one step of everything.
     pub(crate) fn step(&mut self) -> Result<(), Violation> {
         let tick = self.tick;
@@ -127,6 +144,7 @@
         directory.refresh(servers, reaches, tick);
         for vm in (0..VMS).rev() {
             self.read_directory(vm);
+            self.finish_orders(vm);
         }
         for vm in 0..VMS {
             self.hear(vm);
@@ -143,45 +161,6 @@
         Ok(())
     }
 
-    /// Carries out late calls and orders that are due.
-    fn finish_calls(&mut self) -> Result<(), Violation> {
-        let tick = self.tick;
-        let is_due = |at: u32| at <= tick;
-        let commands = std::mem::take(&mut self.late_commands);
-        for (at, server, command) in commands {
-            match is_due(at) {
-                true if self.servers[server].runs() => {
-                    self.note(|| format!("a late {command:?} reaches {}", name(server)));
-                    command.carry_out(&mut self.servers[server]);
-                }
-                true => {}
-                false => self.late_commands.push((at, server, command)),
-            }
-        }
-        for (at, order) in std::mem::take(&mut self.late_orders) {
-            match is_due(at) {
-                true => {
-                    let server = order.server;
-                    let answer = self.platform.accept(order, &self.servers, tick);
-                    self.note(|| format!("a late order for {} is {answer:?}", name(server)));
-                }
-                false => self.late_orders.push((at, order)),
-            }
-        }
-        for order in self.platform.due(tick) {
-            if !self.servers[order.server].runs() {
-                continue;
-            }
-            self.check_promotion(order.server)?;
-            let is_replaced = self.platform.promote(&order, &mut self.servers);
-            self.note(|| format!("{} becomes the primary", name(order.server)));
-            if is_replaced {
-                return Err(Violation::Replaced);
-            }
-        }
-        Ok(())
-    }
-
     /// Ends leaving servers, and sends the log of the primary to the replicas.
     fn replicate(&mut self) {
         let tick = self.tick;
@@ -199,6 +178,7 @@
                 && server.runs()
                 && server.fenced == 0
                 && tick > server.lags_until
+                && tick >= server.resumes
                 && server.term <= leader.term;
             if !is_receiving || !self.passes(Node::Server(primary), Node::Server(i)) {
                 continue;
@@ -217,7 +197,7 @@
 
     /// Checks that the server to promote has every commit that callers were told of. A commit
     /// that no server has any longer, because those that had it crashed, is forgiven.
-    fn check_promotion(&mut self, target: usize) -> Result<(), Violation> {
+    pub(crate) fn check_promotion(&mut self, target: usize) -> Result<(), Violation> {
         let missing = self.told & !self.servers[target].log;
         let holds = |server: &&Server| matches!(server.life, Life::Running | Life::Ended);
         let logs = self.servers.iter().filter(holds).map(|server| server.log);
@@ -247,7 +227,12 @@
             Event::Cut(direction) => self.network.cut = Some(direction),
             Event::Sever(vm, server) => self.network.severed = Some((vm, server)),
             Event::Part => self.network.is_apart = true,
-            Event::Heal => self.network = Network::default(),
+            Event::Detach => self.network.is_detached = true,
+            Event::Heal => {
+                self.network = Network::default();
+                let resumes = tick + self.pace.follow;
+                self.servers.iter_mut().for_each(|server| server.resumes = resumes);
+            }
             Event::Start(server, centre) => {
                 self.servers[server] = Server { born: tick, ..Server::new(centre, Life::Running) };
             }
@@ -258,55 +243,23 @@
             Event::Restart(server, keeps_log) => self.servers[server].restart(keeps_log, tick),
             Event::Drain(server) => self.servers[server].leaving = Some(tick),
             Event::Lag(server) => self.servers[server].lags_until = tick + LAG,
+            Event::Slow(server, delay) => self.servers[server].slow = delay,
             Event::StoreDown => self.directory.is_up = false,
-            Event::StoreUp => self.directory.is_up = true,
+            Event::StoreUp => {
+                self.directory.is_up = true;
+                self.directory.delay = 0;
+            }
+            Event::StoreSlow(delay) => self.directory.delay = delay,
             Event::Disturb(call, fate) => self.disturbed = Some((call, fate)),
             Event::RestartDaemon(vm) => self.vms[vm] = Vm::new(vm, tick),
+            Event::RestartAll => {
+                for (vm, daemon) in self.vms.iter_mut().enumerate() {
+                    *daemon = Vm::new(vm, tick);
+                }
+            }
         }
     }
 
-    /// Sends a command of a VM to a server and returns the status that it answers.
-    pub(crate) fn call(
-        &mut self,
-        vm: usize,
-        server: usize,
-        command: Command,
-    ) -> Option<ReplicationStatus> {
-        let kind = match command {
-            Command::Fence(_) => Some(Call::Fence),
-            Command::Release => Some(Call::Release),
-            Command::Demote(_) => Some(Call::Demote),
-            Command::Status => None,
-        };
-        let delay = |world: &mut World, at| world.late_commands.push((at, server, command));
-        if kind.is_some_and(|kind| self.disturb(kind, delay)) {
-            return None;
-        }
-        let (from, to) = (Node::Vm(vm), Node::Server(server));
-        if !self.servers[server].runs() || !self.passes(from, to) {
-            return None;
-        }
-        command.carry_out(&mut self.servers[server]);
-        if kind.is_some() {
-            self.note(|| format!("VM {vm} sends {command:?} to {}", name(server)));
-        }
-        self.passes(to, from).then(|| self.servers[server].status())
-    }
-
-    /// Returns whether a call of this kind does not arrive now; one that is late is passed to
-    /// `delay` with its tick.
-    pub(crate) fn disturb(&mut self, call: Call, delay: impl FnOnce(&mut World, u32)) -> bool {
-        let Some((_, fate)) = self.disturbed.take_if(|(kind, _)| *kind == call) else {
-            return false;
-        };
-        self.note(|| format!("this {call:?} call is {fate:?}"));
-        if let Fate::Late(ticks) = fate {
-            let at = self.tick + ticks;
-            delay(self, at);
-        }
-        true
-    }
-
     pub(crate) fn passes(&self, from: Node, to: Node) -> bool {
         self.network.passes(&self.servers, from, to)
     }
--- a/crates/core/tests/failover_search.rs
+++ b/crates/core/tests/failover_search.rs
@@ -2,12 +2,13 @@
 //! model of the world that runs the real decisions try many orders of events; see
 //! `docs/design/failover-model.md`.
 
+mod failover_effects;
 mod failover_model;
 
 use failover_model::{
     event::{Call, Event, Fate, Scope},
     network::Direction,
-    search::{Bounds, Trace, draw, replay},
+    search::{Bounds, RECOVERY, Recovery, Trace, draw, replay},
     ticks,
     told::{AckRule, Contact, Holder, Proof},
     world::{Changes, Violation, World},
@@ -47,6 +48,7 @@
         event_ticks: ticks(2_000),
         grid: 1,
         horizon: ticks(5_000),
+        recovery: None,
     }
 }
 
@@ -105,11 +107,15 @@
     World::new(rule, changes, centres, 1)
 }
 
-fn report(start: &World, length: u32, trace: &Trace) -> String {
-    let steps = replay(start, length, &trace.events).map(|(_, steps)| steps);
+fn report(start: &World, length: u32, recovery: Recovery, trace: &Trace) -> String {
+    let steps = replay(start, length, recovery, &trace.events).map(|(_, steps)| steps);
     format!("{:?} after {:?}\n{}", trace.violation, trace.events, steps.unwrap_or_default())
 }
 
+fn bounds_report(start: &World, bounds: &Bounds, trace: &Trace) -> String {
+    report(start, bounds.horizon, bounds.recovery.unwrap_or(RECOVERY), trace)
+}
+
 /// Fails with the steps of the shortest trace if a run within the bounds breaks a rule.
 fn assert_holds(start: &World, bounds: &Bounds) {
     match bounds.search(start) {
@@ -117,7 +123,7 @@
             println!("{summary:?}");
             assert!(summary.promotions > 0, "the search reaches promotions");
         }
-        Err(trace) => panic!("{}", report(start, bounds.horizon, &trace)),
+        Err(trace) => panic!("{}", bounds_report(start, bounds, &trace)),
     }
 }
 
@@ -126,7 +132,7 @@
     match bounds.search(start) {
         Ok(summary) => panic!("nothing was found in {summary:?}"),
         Err(trace) => {
-            println!("{}", report(start, bounds.horizon, &trace));
+            println!("{}", bounds_report(start, bounds, &trace));
             assert!(matches!(trace.violation, Violation::Lost(_)), "{:?}", trace.violation);
         }
     }
@@ -312,7 +318,9 @@
     for seed in 0..seeds.unwrap_or(SEEDS) {
         match draw(start, &scope, seed, LENGTH) {
             Ok(count) => promotions += count,
-            Err(trace) => found.push(format!("seed {seed}: {}", report(start, LENGTH, &trace))),
+            Err(trace) => {
+                found.push(format!("seed {seed}: {}", report(start, LENGTH, RECOVERY, &trace)))
+            }
         }
     }
     println!("{promotions} promotions");
