Search with two VMs in each data centre for evidence from one side of a cut

What let the fault pass: the model had one VM in each data centre, so each cut of the primary's data centre took all evidence away, and questions were answered in the tick in which they were asked. Now the number of VMs is that of the search, messages take a tick if the search wants it, a question notes the position even if its answer is lost, and a cut may split the primary, one VM of each data centre and the servers that start later from the rest. The coordinator of this fleet has no callers of its own.

Shortest trace of no_commit_is_told_by_evidence_of_one_side_of_a_cut: Lost after [p and VMs 0 and 1 no longer reach the rest, n starts in data centre 0]. VM 3 begins a failover at 6.4 s and orders q at 6.9 s; until 7.3 s VMs 0 and 1 tell each other's callers of seven commits that only p and n have.

--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -1,5 +1,5 @@
 //! What a failover leaves behind: fences and orders that arrive late, and daemons that remember
-//! nothing.
+//! nothing; and what is not known of it where it must be.
 
 use super::{
     PRIMARY_ALONE, assert_holds, bounds, durable,
@@ -7,12 +7,13 @@
         event::Event,
         search::{Bounds, Recovery},
         ticks,
-        world::{Pace, World},
+        told::AckRule,
+        world::{Changes, Fleet, Pace, World},
     },
 };
 
 /// Calls take a tick each way, and replicas some more until they follow a new primary.
-const PACE: Pace = Pace { call: 1, follow: 5 };
+const PACE: Pace = Pace { call: 1, message: 0, follow: 5 };
 
 /// Time within which a group confirms commits again once all has healed.
 const CONFIRMED: Recovery = Recovery::Confirmed(ticks(10_000));
@@ -81,3 +82,20 @@
     };
     assert_holds(&durable(PRIMARY_ALONE), &bounds);
 }
+
+/// Two VMs in each data centre, of which the coordinator has no callers, and messages that take a
+/// while.
+fn fleet_of_four() -> World {
+    let fleet = Fleet { vms: 4, coordinator: 3, callers: vec![0, 1, 2] };
+    let pace = Pace { message: 1, ..PACE };
+    World::new(AckRule::Durability, Changes::default(), PRIMARY_ALONE, fleet).with_pace(pace)
+}
+
+/// Review 6: VMs on the primary's side of a cut confirmed each other's commits, which only a server
+/// had received that started there, while a failover ran on the other side.
+#[test]
+fn no_commit_is_told_by_evidence_of_one_side_of_a_cut() {
+    let events = vec![Event::Start(3, 0), Event::Start(3, 1), Event::Heal, Event::Lag(1)];
+    let bounds = bounds(vec![Event::Split], events, 2);
+    assert_holds(&fleet_of_four(), &bounds);
+}
--- a/crates/core/tests/failover_model/event.rs
+++ b/crates/core/tests/failover_model/event.rs
@@ -39,6 +39,9 @@
     Part,
     /// The first primary and the other servers do not reach each other.
     Detach,
+    /// The first primary, one VM of each data centre and the servers that start later do not reach
+    /// the rest.
+    Split,
     Heal,
     Start(usize, usize),
     Crash(usize),
@@ -67,7 +70,7 @@
     /// Returns the number of the event's kind.
     pub(crate) fn kind(self) -> usize {
         match self {
-            Event::Cut(_) => 0,
+            Event::Cut(_) | Event::Split => 0,
             Event::Sever(..) => 1,
             Event::Heal => 2,
             Event::Start(..) => 3,
@@ -93,6 +96,7 @@
             Event::Sever(..) => network.severed.is_none(),
             Event::Part => !network.is_apart,
             Event::Detach => !network.is_detached,
+            Event::Split => !network.is_split,
             Event::Heal => !network.is_whole(),
             Event::Start(new, _) => {
                 server(new).life == Life::Absent && server(new - 1).life != Life::Absent
@@ -121,6 +125,7 @@
             Event::Sever(vm, server) => write!(f, "VM {vm} no longer reaches {}", name(server)),
             Event::Part => write!(f, "p, r and q no longer reach each other"),
             Event::Detach => write!(f, "p and the other servers no longer reach each other"),
+            Event::Split => write!(f, "p and VMs 0 and 1 no longer reach the rest"),
             Event::Heal => write!(f, "all cuts heal"),
             Event::Start(server, centre) => {
                 write!(f, "{} starts in data centre {centre}", name(server))
--- a/crates/core/tests/failover_model/group_view.rs
+++ b/crates/core/tests/failover_model/group_view.rs
@@ -48,8 +48,10 @@
     pub(crate) missing: MissingServers,
     /// Newest failover that may run.
     pub(crate) failover: Option<Announcement>,
-    /// Newest term in which the other VM knows a primary to lead.
+    /// Newest term in which another VM knows a primary to lead.
     pub(crate) heard_term: u64,
+    /// When the newest question about a commit was sent that another VM has answered.
+    pub(crate) contact: Option<u32>,
 }
 
 impl GroupView {
@@ -69,6 +71,7 @@
             missing: MissingServers::new().with_times(Some(times)),
             failover: None,
             heard_term: 0,
+            contact: None,
         }
     }
 
--- a/crates/core/tests/failover_model/mod.rs
+++ b/crates/core/tests/failover_model/mod.rs
@@ -5,6 +5,7 @@
 //! which events happen, and when. A world and its events determine all that follows.
 
 pub(crate) mod calls;
+pub(crate) mod contact;
 pub(crate) mod directory;
 pub(crate) mod event;
 pub(crate) mod group_view;
@@ -29,7 +30,10 @@
 /// Number of servers that run at the start.
 pub(crate) const FIRST_SERVERS: usize = 3;
 
-/// Number of VMs, each in a data centre of its own.
+/// Number of data centres.
+pub(crate) const CENTRES: usize = 2;
+
+/// Number of VMs, unless a search needs more. VMs are in the data centres in turn.
 pub(crate) const VMS: usize = 2;
 
 const NAMES: [&str; SERVERS] = ["p", "r", "q", "n", "m"];
--- a/crates/core/tests/failover_model/network.rs
+++ b/crates/core/tests/failover_model/network.rs
@@ -1,6 +1,6 @@
 //! Paths between nodes, and cuts of them.
 
-use super::{FIRST_SERVERS, VMS, server::Server};
+use super::{CENTRES, FIRST_SERVERS, server::Server};
 
 /// An end of a path.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,6 +29,8 @@
     pub(crate) is_apart: bool,
     /// Whether the first primary and the other servers do not reach each other.
     pub(crate) is_detached: bool,
+    /// Whether the near side of a split does not reach the rest.
+    pub(crate) is_split: bool,
 }
 
 impl Network {
@@ -48,12 +50,14 @@
         let ends = (server(from), server(to));
         let is_detached =
             self.is_detached && matches!(ends, (Some(0), Some(_)) | (Some(_), Some(0)));
-        !is_severed && !is_cut && !is_apart && !is_detached
+        let is_split = self.is_split && is_near(from) != is_near(to);
+        !is_severed && !is_cut && !is_apart && !is_detached && !is_split
     }
 
     /// Returns whether nothing is cut.
     pub(crate) fn is_whole(&self) -> bool {
-        self.cut.is_none() && self.severed.is_none() && !self.is_apart && !self.is_detached
+        let is_parted = self.is_apart || self.is_detached || self.is_split;
+        self.cut.is_none() && self.severed.is_none() && !is_parted
     }
 
     /// Returns whether a request passes, and its answer too.
@@ -62,6 +66,16 @@
     }
 }
 
+/// Returns whether a node is on the first primary's side of a split: a VM of each data centre,
+/// and the servers that start later.
+fn is_near(node: Node) -> bool {
+    match node {
+        Node::Vm(vm) => vm < CENTRES,
+        Node::Server(server) => server == 0 || server >= FIRST_SERVERS,
+        Node::Store => false,
+    }
+}
+
 fn server(node: Node) -> Option<usize> {
     match node {
         Node::Server(server) => Some(server),
@@ -71,7 +85,7 @@
 
 fn centre(servers: &[Server], node: Node) -> usize {
     match node {
-        Node::Vm(vm) => vm % VMS,
+        Node::Vm(vm) => vm % CENTRES,
         Node::Server(server) => servers[server].centre,
         Node::Store => 1,
     }
--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    VMS,
+    CENTRES,
     group_view::span,
     name,
     network::Node,
@@ -124,8 +124,11 @@
         let tick = self.tick;
         for mut write in std::mem::take(&mut self.vms[vm].writes) {
             self.receive_answer(vm, &mut write);
+            if write.answered.is_some() {
+                self.ask_contact(vm, &write);
+            }
             match write.answered {
-                Some(_) if self.note_contact(vm, &write) || self.may_tell(vm, &write) => {
+                Some(_) if self.may_tell(vm, &write) => {
                     self.tell_position(vm, &write);
                     self.vms[vm].view.record_commit(write.position);
                     self.told |= 1 << write.commit;
@@ -164,36 +167,19 @@
     fn tell_position(&mut self, vm: usize, write: &Write) {
         let AckRule::Proof(Proof { contact: Contact::Noted, .. }) = self.rule else { return };
         let answers = |other: &usize| self.passes_vms(vm, *other) && self.passes_vms(*other, vm);
-        for other in (0..VMS).filter(answers).collect::<Vec<usize>>() {
+        for other in (0..self.vms.len()).filter(answers).collect::<Vec<usize>>() {
             let noted = &mut self.vms[other].view.acknowledged;
             *noted = write.position.max(*noted);
         }
     }
 
-    /// Asks the other VM about a write: it notes the position and tells of failovers and terms.
-    /// Decides nothing itself.
-    fn note_contact(&mut self, vm: usize, write: &Write) -> bool {
-        let other = 1 - vm;
-        let passes = self.passes_vms(vm, other) && self.passes_vms(other, vm);
-        if self.rule == AckRule::Durability && passes {
-            let far = &mut self.vms[other].view;
-            far.acknowledged = far.acknowledged.max(write.position);
-            let (failover, term) = (far.failover, far.term);
-            self.vms[vm].view.record_failover(failover);
-            let heard = &mut self.vms[vm].view.heard_term;
-            *heard = term.max(*heard);
-        }
-        false
-    }
-
     /// Returns whether the decisions of the product pass a success on.
     fn is_durable(&self, vm: usize, write: &Write) -> bool {
-        let (tick, me, other) = (self.tick, &self.vms[vm], 1 - vm);
+        let (tick, me) = (self.tick, &self.vms[vm]);
         let commit =
             Commit { position: write.position, answered: time(write.answered.unwrap_or(tick)) };
-        let passes = self.passes_vms(vm, other) && self.passes_vms(other, vm);
         let is_steady = me.silent.is_none_or(|at| tick - at >= CONTACT_SPAN);
-        let contact = passes.then(|| time(tick));
+        let contact = me.view.contact.map(time);
         let knowledge = Knowledge {
             now: time(tick),
             term: Term::new(me.view.term.max(me.view.heard_term)),
@@ -229,9 +215,10 @@
         let me = &self.vms[vm];
         let centre = |server: usize| self.servers[server].centre;
         let others: Vec<usize> = me.view.others(Some(server)).collect();
-        let silence = Some(span(self.tick - me.heard));
-        let far = || others.iter().filter(|other| centre(**other) != vm);
-        !needs_replica_answer(silence, centre(server) == vm)
+        let silence = Some(span(self.far_silence(vm)));
+        let here = vm % CENTRES;
+        let far = || others.iter().filter(|other| centre(**other) != here);
+        !needs_replica_answer(silence, centre(server) == here)
             || far().next().is_none()
             || far().any(|other| self.is_answering(vm, *other))
     }
@@ -258,8 +245,8 @@
             *other == vm || (self.passes_vms(vm, *other) && self.passes_vms(*other, vm))
         };
         // The primary's answer is the contact of a VM in another data centre.
-        let is_far = |other: usize| other != self.servers[write.server].centre;
-        if !(0..VMS).filter(answers).any(is_far) {
+        let is_far = |other: usize| other % CENTRES != self.servers[write.server].centre;
+        if !(0..self.vms.len()).filter(answers).any(is_far) {
             return false;
         }
         let is_listed = self.tick - self.vms[vm].view.read < EVIDENCE_AGE;
@@ -267,9 +254,9 @@
             Contact::Ignored => false,
             Contact::Answer => is_listed,
             Contact::Coordinator => {
-                is_listed && (0..VMS).filter(answers).any(|other| self.is_at_rest(other))
+                is_listed && (0..self.vms.len()).filter(answers).any(|other| self.is_at_rest(other))
             }
-            Contact::Noted => (0..VMS).filter(answers).any(|other| {
+            Contact::Noted => (0..self.vms.len()).filter(answers).any(|other| {
                 let term = self.vms[other].view.term;
                 self.has_no_order(other) && term == write.position.term().get()
             }),
--- a/crates/core/tests/failover_model/vm.rs
+++ b/crates/core/tests/failover_model/vm.rs
@@ -8,17 +8,10 @@
 use super::{
     group_view::GroupView,
     row::{Ordering, RowWrite},
-    ticks, time,
+    time,
     watch::Watch,
-    world::World,
 };
 
-/// Time without a message after which another data centre is silent.
-const CONTACT_SILENCE: u32 = ticks(800);
-
-/// Time between two messages that tell what a VM knows of the group.
-const TELL_EVERY: u32 = ticks(500);
-
 /// A write that was sent to the primary.
 #[derive(Clone, Debug)]
 pub(crate) struct Write {
@@ -40,9 +33,9 @@
     pub(crate) incarnation: u64,
     pub(crate) view: GroupView,
     pub(crate) watch: Watch,
-    /// When the other VM was last heard.
-    pub(crate) heard: u32,
-    /// When the other VM was last silent for long.
+    /// When each VM was last heard.
+    pub(crate) heard: Vec<u32>,
+    /// When the other data centre was last silent for long.
     pub(crate) silent: Option<u32>,
     pub(crate) writes: Vec<Write>,
     /// The write of the coordinator's row that has not ended.
@@ -57,7 +50,8 @@
 }
 
 impl Vm {
-    pub(crate) fn new(vm: usize, tick: u32) -> Self {
+    /// Creates one of `count` VMs.
+    pub(crate) fn new(vm: usize, tick: u32, count: usize) -> Self {
         let incarnation = u64::from(tick) + 1;
         Vm {
             lease: CoordinatorLease::new(vm_id(vm), incarnation, time(tick)),
@@ -65,7 +59,7 @@
             incarnation,
             view: GroupView::new(tick),
             watch: Watch::default(),
-            heard: tick,
+            heard: vec![tick; count],
             silent: None,
             writes: Vec::new(),
             row_write: None,
@@ -73,28 +67,3 @@
         }
     }
 }
-
-impl World {
-    /// Receives what the other VM knows, if a message passes.
-    pub(crate) fn hear(&mut self, vm: usize) {
-        let other = 1 - vm;
-        if self.tick - self.vms[vm].heard >= CONTACT_SILENCE {
-            self.vms[vm].silent = Some(self.tick);
-        }
-        if !self.passes_vms(other, vm) {
-            return;
-        }
-        let (tick, from) = (self.tick, self.vms[other].view.clone());
-        let me = &mut self.vms[vm];
-        me.heard = tick;
-        // News of a failover is told at once.
-        me.view.record_failover(from.failover);
-        if !tick.is_multiple_of(TELL_EVERY) {
-            return;
-        }
-        if let Some(primary) = from.primary.filter(|_| from.term > me.view.term) {
-            me.view.adopt(primary, from.term);
-        }
-        me.view.acknowledged = me.view.acknowledged.max(from.acknowledged);
-    }
-}
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -194,11 +194,18 @@
 
     /// Returns whether the holder of the lease may act in an outage of the directory.
     fn keeps_role(&self, vm: usize) -> bool {
-        let is_heard = self.tick - self.vms[vm].heard < REPORT_AGE;
         let silent = self.vms[vm].silent;
         let in_contact = silent.is_none_or(|at| self.tick - at >= CONTACT_SPAN);
-        let answered = self.reaches_directory(vm) || (is_heard && self.reaches_directory(1 - vm));
-        Outage { answered, missing_vms: usize::from(!is_heard), in_contact }.keeps_role()
+        let heard: Vec<usize> = self.heard_vms(vm).collect();
+        let missing_vms = self.vms.len() - 1 - heard.len();
+        let answered = heard.into_iter().chain([vm]).any(|other| self.reaches_directory(other));
+        Outage { answered, missing_vms, in_contact }.keeps_role()
+    }
+
+    /// Returns the other VMs that were heard lately.
+    fn heard_vms(&self, vm: usize) -> impl Iterator<Item = usize> + '_ {
+        let is_heard = move |other: &usize| self.tick - self.vms[vm].heard[*other] < REPORT_AGE;
+        (0..self.vms.len()).filter(move |other| *other != vm).filter(is_heard)
     }
 
     fn record_primary_entry(&mut self, vm: usize) {
@@ -253,11 +260,10 @@
     fn assess(&self, vm: usize) -> Option<Suspicion> {
         let (tick, me) = (self.tick, &self.vms[vm]);
         me.view.others(None).next()?;
-        let other = &self.vms[1 - vm].view;
-        let total = usize::from(tick - me.heard < REPORT_AGE);
-        let votes = |limit: Duration| {
-            let failed = total == 1 && span(other.failing(tick)) >= limit;
-            Votes { total, failed: usize::from(failed) }
+        let has_failed = |other: usize, limit| span(self.vms[other].view.failing(tick)) >= limit;
+        let votes = |limit: Duration| Votes {
+            total: self.heard_vms(vm).count(),
+            failed: self.heard_vms(vm).filter(|other| has_failed(*other, limit)).count(),
         };
         let evidence = Evidence {
             no_primary: me.watch.no_primary_since.map(|since| span(tick - since)),
--- a/crates/core/tests/failover_model/world.rs
+++ b/crates/core/tests/failover_model/world.rs
@@ -1,8 +1,11 @@
 //! The world of the model and its steps.
 
+use chicoryhollow_core::coordinator::CoordinatorLease;
+
 use super::{
     FIRST_SERVERS, SERVERS, TICK_MS, VMS,
     calls::Flight,
+    contact::Message,
     directory::{DRAIN, Directory, TAKEOVER},
     event::{Call, Event, Fate, KINDS, LAG},
     network::{Network, Node},
@@ -38,11 +41,30 @@
     pub(crate) cancels: bool,
 }
 
+/// The VMs of a world.
+#[derive(Clone, Debug)]
+pub(crate) struct Fleet {
+    /// Number of VMs.
+    pub(crate) vms: usize,
+    /// The VM that replaces primaries.
+    pub(crate) coordinator: usize,
+    /// VMs that have callers.
+    pub(crate) callers: Vec<usize>,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Fleet { vms: VMS, coordinator: 1, callers: (0..VMS).collect() }
+    }
+}
+
 /// Ticks that calls take. Without any, they are answered at once.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
     /// From a VM to a server, and back.
     pub(crate) call: u32,
+    /// From a VM to another one.
+    pub(crate) message: u32,
     /// From the promotion of a primary, or the end of a cut, until replicas receive from it.
     pub(crate) follow: u32,
 }
@@ -58,7 +80,11 @@
     pub(crate) network: Network,
     pub(crate) directory: Directory,
     pub(crate) platform: Platform,
-    pub(crate) vms: [Vm; VMS],
+    pub(crate) vms: Vec<Vm>,
+    /// VMs that have callers.
+    pub(crate) callers: Vec<usize>,
+    /// Messages between VMs that are on their way.
+    pub(crate) messages: Vec<Message>,
     /// Commits that the primary acknowledged.
     pub(crate) confirmed: Commits,
     /// Commits of which callers were told that they succeeded.
@@ -80,13 +106,13 @@
 }
 
 impl World {
-    /// Returns a world in which `coordinator` is the VM that replaces primaries, with servers in these data centres, the
-    /// first of which is the primary.
+    /// Returns a world with this fleet, and with servers in these data centres, the first of which
+    /// is the primary.
     pub(crate) fn new(
         rule: AckRule,
         changes: Changes,
         centres: [usize; FIRST_SERVERS],
-        coordinator: usize,
+        fleet: Fleet,
     ) -> Self {
         let mut servers = [(); SERVERS].map(|()| Server::new(1, Life::Absent));
         for (server, centre) in servers.iter_mut().zip(centres) {
@@ -102,7 +128,9 @@
             network: Network::default(),
             directory: Directory::new(),
             platform: Platform::default(),
-            vms: [0, 1].map(|vm| Vm::new(vm, 0)),
+            vms: (0..fleet.vms).map(|vm| Vm::new(vm, 0, fleet.vms)).collect(),
+            callers: fleet.callers,
+            messages: Vec::new(),
             confirmed: 0,
             told: 0,
             forgiven: 0,
@@ -117,13 +145,16 @@
             notes: None,
         };
         // The coordinator takes the lease, and everything is known, before the first event.
-        let waiting = 1 - coordinator;
-        let lease = world.vms[waiting].lease.clone();
+        let waiting: Vec<usize> = (0..fleet.vms).filter(|vm| *vm != fleet.coordinator).collect();
+        let leases = waiting.iter().map(|vm| world.vms[*vm].lease.clone());
+        let leases: Vec<CoordinatorLease> = leases.collect();
         for tick in 0..TAKEOVER + WARM_UP {
             if tick == TAKEOVER {
                 world.max_commits = MAX_COMMITS;
             }
-            world.vms[waiting].lease = lease.clone();
+            for (vm, lease) in waiting.iter().zip(&leases) {
+                world.vms[*vm].lease = lease.clone();
+            }
             world.step().expect("no rule is broken at the start");
         }
         world
@@ -142,18 +173,19 @@
         let World { directory, servers, network, .. } = self;
         let reaches = |i| network.passes(servers, Node::Server(i), Node::Store);
         directory.refresh(servers, reaches, tick);
-        for vm in (0..VMS).rev() {
+        self.deliver();
+        for vm in (0..self.vms.len()).rev() {
             self.read_directory(vm);
             self.finish_orders(vm);
         }
-        for vm in 0..VMS {
+        for vm in 0..self.vms.len() {
             self.hear(vm);
         }
-        for vm in 0..VMS {
+        for vm in self.callers.clone() {
             self.answer_writes(vm);
             self.send_write(vm);
         }
-        for vm in 0..VMS {
+        for vm in 0..self.vms.len() {
             self.watch(vm);
         }
         self.check()?;
@@ -228,6 +260,7 @@
             Event::Sever(vm, server) => self.network.severed = Some((vm, server)),
             Event::Part => self.network.is_apart = true,
             Event::Detach => self.network.is_detached = true,
+            Event::Split => self.network.is_split = true,
             Event::Heal => {
                 self.network = Network::default();
                 let resumes = tick + self.pace.follow;
@@ -251,11 +284,10 @@
             }
             Event::StoreSlow(delay) => self.directory.delay = delay,
             Event::Disturb(call, fate) => self.disturbed = Some((call, fate)),
-            Event::RestartDaemon(vm) => self.vms[vm] = Vm::new(vm, tick),
+            Event::RestartDaemon(vm) => self.vms[vm] = Vm::new(vm, tick, self.vms.len()),
             Event::RestartAll => {
-                for (vm, daemon) in self.vms.iter_mut().enumerate() {
-                    *daemon = Vm::new(vm, tick);
-                }
+                let count = self.vms.len();
+                self.vms = (0..count).map(|vm| Vm::new(vm, tick, count)).collect();
             }
         }
     }
--- a/crates/core/tests/failover_search.rs
+++ b/crates/core/tests/failover_search.rs
@@ -11,7 +11,7 @@
     search::{Bounds, RECOVERY, Recovery, Trace, draw, replay},
     ticks,
     told::{AckRule, Contact, Holder, Proof},
-    world::{Changes, Violation, World},
+    world::{Changes, Fleet, Violation, World},
 };
 
 /// Data centres of the first servers if the primary alone may be cut off.
@@ -104,7 +104,7 @@
 }
 
 fn start(rule: AckRule, changes: Changes, centres: [usize; 3]) -> World {
-    World::new(rule, changes, centres, 1)
+    World::new(rule, changes, centres, Fleet::default())
 }
 
 fn report(start: &World, length: u32, recovery: Recovery, trace: &Trace) -> String {
