--- a/crates/core/tests/failover_model/calls.rs
+++ b/crates/core/tests/failover_model/calls.rs
@@ -8,26 +8,46 @@
     name,
     network::Node,
     server::Command,
-    time,
+    ticks, time,
+    vm::Vm,
     world::{Violation, World},
 };
 
-/// A command of a failover to a server, or its answer, that is on its way.
+/// Ticks after which a command counts as not answered.
+const CALL_TIMEOUT: u32 = ticks(500);
+
+/// Who sends a command.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sender {
+    /// The failover that began at this tick. A VM begins one at a time.
+    Failover(u32),
+    /// The cleanup of fences.
+    Cleanup,
+}
+
+/// A command to a server, or its answer, that is on its way.
 #[derive(Clone, Debug)]
 pub(crate) struct Flight {
     at: u32,
+    sent: u32,
     vm: usize,
     server: usize,
-    /// When the failover began that sent the command. A VM begins one at a time.
-    failover: u32,
+    command: Command,
+    sender: Sender,
+    /// Incarnation of the daemon that sent it.
+    incarnation: u64,
+    /// Since when that one was the coordinator.
+    since: u32,
     leg: Leg,
 }
 
 /// What is on its way.
 #[derive(Clone, Copy, Debug)]
 enum Leg {
-    Command(Command),
+    Command,
     Answer(ReplicationStatus),
+    /// The command was not answered in time.
+    Timeout,
 }
 
 impl World {
@@ -79,37 +99,70 @@
 
     /// Lets a command reach its server, or an answer its VM.
     fn arrive(&mut self, flight: Flight) {
-        let Flight { vm, server, failover, .. } = flight;
+        let Flight { vm, server, .. } = flight;
+        let deadline = flight.sent + CALL_TIMEOUT;
+        let timeout = Flight { at: deadline, leg: Leg::Timeout, ..flight.clone() };
         match flight.leg {
-            Leg::Command(command) => {
-                let Some(status) = self.carry_out(vm, server, command) else { return };
-                let at = self.tick + self.pace.call + self.servers[server].slow;
-                self.flights.push(Flight { at, leg: Leg::Answer(status), ..flight });
+            Leg::Command => {
+                let answer = self.carry_out(vm, server, flight.command).map(|status| {
+                    let at = self.tick + self.pace.call + self.servers[server].slow;
+                    Flight { at, leg: Leg::Answer(status), ..flight }
+                });
+                let answer = answer.filter(|answer| answer.at <= deadline);
+                self.flights.push(answer.unwrap_or(timeout));
+            }
+            Leg::Answer(status) => match self.passes(Node::Server(server), Node::Vm(vm)) {
+                true => self.record_answer(&flight, Some(status)),
+                false => self.flights.push(timeout),
+            },
+            Leg::Timeout => self.record_answer(&flight, None),
+        }
+    }
+
+    /// Records the answer to a command, or that there is none, if the sender still is there.
+    fn record_answer(&mut self, flight: &Flight, status: Option<ReplicationStatus>) {
+        let (now, server) = (time(self.tick), id(flight.server));
+        let me = &mut self.vms[flight.vm];
+        if me.incarnation != flight.incarnation {
+            return;
+        }
+        let cleanup = me.watch.cleanup.as_mut().filter(|_| me.watch.since == flight.since);
+        match (flight.sender, status) {
+            (Sender::Cleanup, Some(status)) => {
+                cleanup.into_iter().for_each(|cleanup| cleanup.record_status(&server, status));
+            }
+            (Sender::Cleanup, None) => {
+                cleanup.into_iter().for_each(|cleanup| cleanup.record_failure(&server));
             }
-            Leg::Answer(status) => {
-                if !self.passes(Node::Server(server), Node::Vm(vm)) {
-                    return;
+            (Sender::Failover(begun), Some(status)) => {
+                if let Some(failover) = me.watch.failover(begun) {
+                    failover.record_status(&server, status, now);
                 }
-                let now = time(self.tick);
-                if let Some(failover) = self.vms[vm].watch.failover(failover) {
-                    failover.record_status(&id(server), status, now);
+            }
+            (Sender::Failover(_), None) => {
+                if matches!(flight.command, Command::Fence(_)) {
+                    cleanup.into_iter().for_each(|cleanup| cleanup.record_unanswered_fence(now));
                 }
             }
         }
     }
 
-    /// Sends a command of a failover that takes a while to arrive.
+    /// Sends a command that takes a while to arrive.
     pub(crate) fn send_command(
         &mut self,
         vm: usize,
-        failover: u32,
         server: usize,
         command: Command,
+        sender: Sender,
     ) {
-        if !self.is_disturbed(server, command) {
-            let (at, leg) = (self.tick + self.pace.call, Leg::Command(command));
-            self.flights.push(Flight { at, vm, server, failover, leg });
-        }
+        let Vm { incarnation, watch, .. } = &self.vms[vm];
+        let (incarnation, since, sent) = (*incarnation, watch.since, self.tick);
+        let (at, leg) = match self.is_disturbed(server, command) {
+            true => (sent + CALL_TIMEOUT, Leg::Timeout),
+            false => (sent + self.pace.call, Leg::Command),
+        };
+        let flight = Flight { at, sent, vm, server, command, sender, incarnation, since, leg };
+        self.flights.push(flight);
     }
 
     /// Sends a command of a VM to a server and returns the status that it answers, at once.
--- a/crates/core/tests/failover_model/mod.rs
+++ b/crates/core/tests/failover_model/mod.rs
@@ -5,12 +5,14 @@
 //! which events happen, and when. A world and its events determine all that follows.
 
 pub(crate) mod calls;
+pub(crate) mod cleanup;
 pub(crate) mod contact;
 pub(crate) mod directory;
 pub(crate) mod event;
 pub(crate) mod group_view;
 pub(crate) mod network;
 pub(crate) mod platform;
+pub(crate) mod role;
 pub(crate) mod row;
 pub(crate) mod search;
 pub(crate) mod server;
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -4,16 +4,14 @@
 
 use chicoryhollow_core::{
     Term,
-    coordinator::{FencingToken, Outage},
-    failover::{Action, Announcement, Cause, Failover, FailoverNumber, Progress},
+    failover::{Action, Announcement, Cause, Failover, FailoverNumber, FenceCleanup, Progress},
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT, Votes},
 };
 
 use super::{
+    calls::Sender,
     group_view::{group, id, span},
     index,
-    network::Node,
-    platform::{Answer, Order},
     server::Command,
     ticks, time,
     vm::Vm,
@@ -21,7 +19,7 @@
 };
 
 /// Time without an answer after which the primary is probed.
-const PROBE_AFTER: u32 = ticks(300);
+pub(crate) const PROBE_AFTER: u32 = ticks(300);
 
 /// Time between two probes.
 const PROBE_EVERY: u32 = ticks(200);
@@ -29,15 +27,6 @@
 /// Time between two failovers.
 const FAILOVER_PAUSE: u32 = ticks(1_000);
 
-/// Time without silence after which another data centre is in contact again.
-const CONTACT_SPAN: u32 = ticks(6_000);
-
-/// Age of a neighbour's report that still counts.
-const REPORT_AGE: u32 = ticks(1_000);
-
-/// Time after which an order that was accepted before a later one has taken effect.
-const CANCEL_TIME: u32 = ticks(2_000);
-
 /// A failover that runs.
 #[derive(Clone, Debug)]
 pub(crate) struct Running {
@@ -49,8 +38,11 @@
 /// What only the coordinator keeps.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Watch {
-    running: Option<Running>,
-    highest_term: Term,
+    pub(crate) running: Option<Running>,
+    /// Cleanup of fences, or `None` while this VM is not the coordinator.
+    pub(crate) cleanup: Option<FenceCleanup>,
+    /// When this VM became the coordinator.
+    pub(crate) since: u32,
     not_before: u32,
     no_primary_since: Option<u32>,
     last_probe: u32,
@@ -85,9 +77,10 @@
         self.record_primary_entry(vm);
         if !self.is_coordinator(vm) {
             let watch = &mut self.vms[vm].watch;
-            (watch.running, watch.cancelled) = (None, None);
+            (watch.running, watch.cancelled, watch.cleanup) = (None, None, None);
             return;
         }
+        self.take_cleanup(vm);
         self.recall(vm);
         self.probe(vm);
         self.check_departures(vm);
@@ -100,6 +93,7 @@
         if self.changes.cancels {
             self.cancel_orders(vm);
         }
+        self.clean_up(vm);
         if tick < self.vms[vm].watch.not_before || self.awaits_server(vm) {
             return;
         }
@@ -138,76 +132,6 @@
         view.awaits_server(self.tick) || memory.awaits_unlisted(time(self.tick))
     }
 
-    fn is_coordinator(&self, vm: usize) -> bool {
-        self.vms[vm].lease.token(time(self.tick)).is_some()
-            || (self.keeps_role(vm) && self.vms[vm].lease.last_token().is_some())
-    }
-
-    /// Returns whether a VM is the coordinator, runs no failover, and has no order open.
-    pub(crate) fn is_at_rest(&self, vm: usize) -> bool {
-        let watch = &self.vms[vm].watch;
-        self.is_coordinator(vm) && watch.running.is_none() && self.is_settled(vm)
-    }
-
-    /// Returns whether a VM is the coordinator, and no order of it or others is open.
-    pub(crate) fn has_no_order(&self, vm: usize) -> bool {
-        self.is_coordinator(vm) && self.is_settled(vm)
-    }
-
-    /// Returns whether no older order can be carried out any more.
-    fn is_settled(&self, vm: usize) -> bool {
-        let Vm { watch, view, memory, .. } = &self.vms[vm];
-        match self.changes.cancels {
-            false => memory.open_order(&group()).is_none(),
-            true => watch.cancelled.is_some_and(|(since, primary)| {
-                primary == view.primary && self.tick - since >= CANCEL_TIME
-            }),
-        }
-    }
-
-    /// Orders the promotion of the present primary, which changes nothing but makes the platform
-    /// refuse older orders.
-    fn cancel_orders(&mut self, vm: usize) {
-        let (tick, primary) = (self.tick, self.vms[vm].view.primary);
-        let is_recent = tick - self.vms[vm].view.last_response < PROBE_AFTER;
-        let is_done = self.vms[vm].watch.cancelled.is_some_and(|(_, told)| told == primary);
-        let Some(server) = primary.filter(|_| is_recent && !is_done) else { return };
-        let Some(token) = self.next_token(vm) else { return };
-        let order = Order { server, token, rank: self.orders };
-        if !self.answers(Node::Vm(vm), Node::Store) {
-            return;
-        }
-        if self.platform.accept(order, &self.servers, tick) == Answer::Accepted {
-            self.vms[vm].watch.cancelled = Some((tick, primary));
-        }
-    }
-
-    pub(crate) fn next_token(&mut self, vm: usize) -> Option<FencingToken> {
-        let now = time(self.tick);
-        let keeps_role = self.keeps_role(vm);
-        let lease = &mut self.vms[vm].lease;
-        let held = lease.token(now).or(lease.last_token().filter(|_| keeps_role))?;
-        let token = lease.next_order(held)?;
-        self.orders += 1;
-        Some(token)
-    }
-
-    /// Returns whether the holder of the lease may act in an outage of the directory.
-    fn keeps_role(&self, vm: usize) -> bool {
-        let silent = self.vms[vm].silent;
-        let in_contact = silent.is_none_or(|at| self.tick - at >= CONTACT_SPAN);
-        let heard: Vec<usize> = self.heard_vms(vm).collect();
-        let missing_vms = self.vms.len() - 1 - heard.len();
-        let answered = heard.into_iter().chain([vm]).any(|other| self.reaches_directory(other));
-        Outage { answered, missing_vms, in_contact }.keeps_role()
-    }
-
-    /// Returns the other VMs that were heard lately.
-    fn heard_vms(&self, vm: usize) -> impl Iterator<Item = usize> + '_ {
-        let is_heard = move |other: &usize| self.tick - self.vms[vm].heard[*other] < REPORT_AGE;
-        (0..self.vms.len()).filter(move |other| *other != vm).filter(is_heard)
-    }
-
     fn record_primary_entry(&mut self, vm: usize) {
         let tick = self.tick;
         let me = &mut self.vms[vm];
@@ -281,9 +205,8 @@
 
     fn begin(&mut self, vm: usize, suspicion: Suspicion) {
         let tick = self.tick;
-        let Watch { highest_term, .. } = self.vms[vm].watch;
         let view = &self.vms[vm].view;
-        let highest = Term::new(view.term).max(view.acknowledged.term()).max(highest_term);
+        let highest = Term::new(view.term).max(view.acknowledged.term());
         let position = match suspicion.cause() {
             Cause::Planned => view.acknowledged.max(view.observed),
             Cause::Failure => view.acknowledged,
@@ -337,13 +260,10 @@
                 self.note(|| format!("VM {vm} gives the failover up: {reason}"));
                 let has_ordered = failover.has_ordered();
                 self.end_announcement(vm, has_ordered);
-                for action in failover.release_actions() {
-                    self.execute(vm, running.started, &mut running.failover, action);
-                }
             }
         }
         let watch = &mut self.vms[vm].watch;
-        watch.highest_term = watch.highest_term.max(running.failover.highest_term());
+        watch.cleanup.get_or_insert_default().start(time(tick));
         watch.not_before = tick + FAILOVER_PAUSE;
     }
 
@@ -361,16 +281,20 @@
             Action::Fence(server, term) => (server, Command::Fence(term.get())),
             Action::Poll(server) => (server, Command::Status),
             Action::Demote(server, term) => (server, Command::Demote(term.get())),
-            Action::Release(server) => (server, Command::Release),
+            Action::Release(_) => unreachable!("a failover lifts no fences"),
             Action::ListServers => return self.list_servers(vm, failover),
             Action::Promote(server) => {
                 return self.order(vm, begun, failover, index(server.as_str()));
             }
         };
+        let number = index(server.as_str());
         if self.pace.call > 0 {
-            self.send_command(vm, begun, index(server.as_str()), command);
-        } else if let Some(status) = self.call(vm, index(server.as_str()), command) {
-            failover.record_status(&server, status, time(self.tick));
+            return self.send_command(vm, number, command, Sender::Failover(begun));
+        }
+        match (self.call(vm, number, command), command) {
+            (Some(status), _) => failover.record_status(&server, status, time(self.tick)),
+            (None, Command::Fence(_)) => self.record_unanswered_fence(vm),
+            (None, _) => {}
         }
     }
 
