--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -5,11 +5,13 @@
     PRIMARY_ALONE, assert_holds, bounds, durable,
     failover_model::{
         event::Event,
+        network::Direction,
         search::{Bounds, Recovery},
         ticks,
         told::AckRule,
         world::{Changes, Fleet, Pace, World},
     },
+    search,
 };
 
 /// Calls take a tick each way, and replicas some more until they follow a new primary.
@@ -64,8 +66,21 @@
         event_ticks: ticks(12_000),
         grid: 10,
         horizon: ticks(20_000),
+        recovery: Some(CONFIRMED),
         ..bounds(first, events, 2)
     };
+    search(&durable(PRIMARY_ALONE), &bounds);
+}
+
+#[test]
+fn daemons_that_know_no_commit_replace_a_primary_that_fails() {
+    let events = vec![Event::Crash(0), Event::Cut(Direction::Both), Event::Lag(1), Event::Lag(2)];
+    let bounds = Bounds {
+        event_ticks: ticks(5_000),
+        grid: 5,
+        horizon: ticks(16_000),
+        ..bounds(vec![Event::RestartAll], events, 2)
+    };
     assert_holds(&durable(PRIMARY_ALONE), &bounds);
 }
 
--- a/crates/core/tests/failover_model/contact.rs
+++ b/crates/core/tests/failover_model/contact.rs
@@ -40,6 +40,7 @@
     primary: Option<usize>,
     term: u64,
     acknowledged: Position,
+    start: Position,
 }
 
 impl World {
@@ -92,6 +93,7 @@
             primary: view.primary,
             term: view.term,
             acknowledged: view.acknowledged,
+            start: view.start,
         }
     }
 
@@ -130,6 +132,7 @@
             view.adopt(primary, known.term);
         }
         view.acknowledged = view.acknowledged.max(known.acknowledged);
+        view.start = view.start.max(known.start);
     }
 
     /// Asks VMs of the other data centre about a write, those that were heard last first. They
