--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -148,3 +148,17 @@
 fn no_commit_is_lost_whatever_happens_once_to_four_vms() {
     assert_seeds_hold(&fleet_of_four(), &unusual().with([Event::Split]), SLOW_SEEDS);
 }
+
+/// The only replica that stays in another data centre than the primary answers after 0.5 s, and no
+/// caller is told of a success any more.
+#[test]
+fn callers_are_told_of_successes_beside_a_slow_replica() {
+    let bounds = Bounds {
+        event_ticks: ticks(1_000),
+        grid: 5,
+        horizon: ticks(2_000),
+        recovery: Some(Recovery::ToldSlowly(ticks(20_000))),
+        ..bounds(vec![Event::Drain(2)], vec![Event::Slow(1, 3)], 1)
+    };
+    search(&fleet_of_four(), &bounds);
+}
--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -125,6 +125,7 @@
             self.receive_answer(vm, &mut write);
             if write.answered.is_some() {
                 self.ask_contact(vm, &write);
+                self.ask_replicas(vm, &write);
             }
             match write.answered {
                 Some(_) if self.may_tell(vm, &write) => {
@@ -187,27 +188,43 @@
             single: false,
             steady: is_steady,
             directory_age: span(tick - me.view.read),
+            directory_asked: Some(time(me.view.read)),
         };
-        match commit.evidence(&knowledge) {
-            Some(Evidence::Superseded) => false,
-            Some(_) => true,
-            None => self.has_copy(vm, write, &commit, &knowledge),
-        }
+        let evidence = commit.evidence(&knowledge, &self.known_replicas(vm, write));
+        evidence.is_some_and(Evidence::is_sufficient)
     }
 
-    fn has_copy(&self, vm: usize, write: &Write, commit: &Commit, known: &Knowledge) -> bool {
+    /// Returns the registered replicas and what they have answered.
+    fn known_replicas(&self, vm: usize, write: &Write) -> Vec<RegisteredReplica> {
         let (tick, view) = (self.tick, &self.vms[vm].view);
         let near = self.servers[write.server].centre;
-        let mut others = view.others(Some(write.server)).filter(|i| self.is_answering(vm, *i));
-        others.any(|i| {
-            let replica = RegisteredReplica {
+        let others = view.others(Some(write.server));
+        others
+            .map(|i| RegisteredReplica {
                 registered: span(tick - view.known_since[i]),
                 leaving: view.entries[i].as_ref().is_some_and(|entry| entry.leaving),
                 near: self.servers[i].centre == near,
-                status: self.servers[i].status(),
-            };
-            commit.is_held_by(&replica, known)
-        })
+                answers: view.replies[i],
+            })
+            .collect()
+    }
+
+    /// Asks the replicas that stay for their status, one question at a time.
+    fn ask_replicas(&mut self, vm: usize, write: &Write) {
+        if self.rule != AckRule::Durability {
+            return;
+        }
+        let view = &self.vms[vm].view;
+        let stays = |i: &usize| view.entries[*i].as_ref().is_some_and(|entry| !entry.leaving);
+        let others: Vec<usize> = view.others(Some(write.server)).filter(stays).collect();
+        for server in others {
+            if self.pace.call > 0 {
+                self.ask_once(vm, server);
+                continue;
+            }
+            let status = self.call(vm, server, Command::Status);
+            self.vms[vm].view.record_reply(server, self.tick, status);
+        }
     }
 
     fn may_send(&self, vm: usize, server: usize) -> bool {
