--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -4,7 +4,7 @@
 use super::{
     PRIMARY_ALONE, assert_holds, assert_seeds_hold, bounds, durable,
     failover_model::{
-        event::{Event, Scope},
+        event::{Call, Event, Fate, Scope},
         network::Direction,
         search::{Bounds, Recovery},
         ticks,
@@ -56,6 +56,29 @@
     assert_holds(&paced(), &departure_of_last_copy());
 }
 
+/// The same beside other events: fences and requests to lift them that arrive late or never, and a
+/// coordinator that restarts.
+#[test]
+fn no_group_is_stopped_by_calls_that_arrive_late() {
+    let disturb = |call| {
+        let late = [1_000, 4_000].map(|ms| Fate::Late(ticks(ms)));
+        late.into_iter().chain([Fate::Lost]).map(move |fate| Event::Disturb(call, fate))
+    };
+    let mut events = vec![Event::Part, Event::Detach, Event::Lag(1), Event::RestartDaemon(1)];
+    events.extend([Event::Slow(1, 3), Event::Slow(2, 3)]);
+    events.extend([Call::Fence, Call::Release].into_iter().flat_map(disturb));
+    for first in [Event::Drain(0), Event::Crash(0)] {
+        let bounds = Bounds {
+            event_ticks: ticks(2_500),
+            grid: 5,
+            horizon: ticks(9_000),
+            recovery: Some(CONFIRMED),
+            ..bounds(vec![first], events.clone(), 2)
+        };
+        assert_holds(&paced(), &bounds);
+    }
+}
+
 /// Issue 48: after the restart of all daemons nobody knew what had been acknowledged, and a server
 /// without it was promoted although the primary answered.
 #[test]
