--- a/crates/core/tests/failover_model/mod.rs
+++ b/crates/core/tests/failover_model/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod cleanup;
 pub(crate) mod directory;
 pub(crate) mod event;
+pub(crate) mod execution;
 pub(crate) mod group_view;
 pub(crate) mod network;
 pub(crate) mod platform;
