Do not replace a primary whose replica has just caught up with it

Cause: once somebody could be promoted, the failover went on as if that had been so from the start.

Fix: `Backlog` keeps whether nobody could be promoted. If that has ended within the failover and the primary answers as such, the failover is abandoned. A primary that has fallen silent is replaced. The steps of fencing moved to `failover/fencing.rs`.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -26,6 +26,7 @@
 mod announcement;
 mod cleanup;
 mod demotion;
+mod fencing;
 mod floor;
 mod listing;
 mod missing;
@@ -55,7 +56,10 @@
 
 pub(crate) use self::missing::RETURN_TIMEOUT;
 
-use self::{demotion::Demotion, listing::Listing, promotion::AttemptNumber, replica::Replica};
+use self::{
+    demotion::Demotion, floor::Backlog, listing::Listing, promotion::AttemptNumber,
+    replica::Replica,
+};
 
 /// Time after which another request to fence or poll a server is sent.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -117,8 +121,8 @@
     announced: Time,
     /// Whether a server joined after a promotion was requested.
     joined_late: bool,
-    /// Since when all replicas answer and none may be promoted, unless fencing has begun.
-    behind_since: Option<Time>,
+    /// Whether nobody may be promoted, until fencing begins.
+    backlog: Backlog,
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
@@ -164,7 +168,7 @@
             started: now,
             announced: now,
             joined_late: false,
-            behind_since: None,
+            backlog: Backlog::None,
             fencing_since: None,
             target: None,
             promotion_sent: None,
@@ -335,85 +339,4 @@
         }
         actions
     }
-
-    /// Polls every server until all have answered recently, then makes the old primary a
-    /// replica and fences the others, unless none of them may be promoted anyway. The target of a
-    /// planned failover is not fenced but polled further.
-    fn prepare(&mut self, now: Time) -> Vec<Action> {
-        let is_reachable =
-            |r: &Replica| r.answered.is_some_and(|time| now.since(time) < MAX_ANSWER_AGE);
-        let is_failure = self.cause == Cause::Failure;
-        let all_answer = self.replicas.values().all(is_reachable) && !self.awaits_primary(now);
-        let is_behind = self.fencing_since.is_none() && all_answer && self.lacks_candidate();
-        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
-        let mut actions = Vec::new();
-        if self.fencing_since.is_none() && all_answer && !is_behind {
-            if is_failure {
-                actions.extend(self.demote(now));
-            }
-            let may_fence = match self.cause {
-                Cause::Failure => !self.is_demotion_due(now),
-                Cause::Planned => self.target.is_some(),
-            };
-            if may_fence {
-                self.fencing_since = Some(now);
-                // The polls of the first phase must not delay the fencing.
-                self.replicas.values_mut().for_each(|replica| replica.last_action = None);
-            }
-        } else if self.fencing_since.is_some() && is_failure {
-            actions.extend(self.demote(now));
-        }
-        match self.fencing_since {
-            Some(_) => actions.extend(self.fence(now)),
-            None => actions.extend(self.poll(is_behind, now)),
-        }
-        actions
-    }
-
-    /// Returns whether the old primary still has to step down: it answers as a primary.
-    fn is_demotion_due(&self, now: Time) -> bool {
-        self.primary.as_ref().is_some_and(|primary| primary.is_due(now))
-    }
-
-    /// Makes the old primary a replica.
-    fn demote(&mut self, now: Time) -> Vec<Action> {
-        let term = self.term;
-        self.primary.as_mut().map(|primary| primary.next_actions(term, now)).unwrap_or_default()
-    }
-
-    /// Polls all servers, the old primary only if it may have to be promoted again.
-    fn poll(&mut self, is_behind: bool, now: Time) -> Vec<Action> {
-        let needs_primary = is_behind || !self.is_informed();
-        let due = self.replicas.iter_mut().filter(|(_, replica)| replica.is_due(now));
-        let mut actions: Vec<Action> = due
-            .map(|(server, replica)| {
-                replica.last_action = Some(now);
-                Action::Poll(server.clone())
-            })
-            .collect();
-        if needs_primary && self.cause == Cause::Failure {
-            actions.extend(self.primary.as_mut().and_then(|primary| primary.poll(now)));
-        }
-        actions
-    }
-
-    /// Fences the servers that are not fenced, and polls the others: a server that starts again
-    /// has lost its fence.
-    fn fence(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let is_ordered = self.promotion_sent.is_some();
-        for (server, replica) in &mut self.replicas {
-            let is_target = self.target.as_ref() == Some(server);
-            if (is_target && is_ordered) || !replica.is_due(now) {
-                continue;
-            }
-            let stays_open = is_target && self.cause == Cause::Planned;
-            actions.push(match stays_open || replica.is_fenced(self.term) {
-                true => Action::Poll(server.clone()),
-                false => Action::Fence(server.clone(), self.term),
-            });
-            replica.last_action = Some(now);
-        }
-        actions
-    }
 }
--- a/crates/core/src/failover/floor.rs
+++ b/crates/core/src/failover/floor.rs
@@ -17,6 +17,29 @@
 /// the old primary, longer than the entry of a server that ended stays in the directory.
 const PRIMARY_WAIT: Duration = Duration::from_secs(4);
 
+/// Whether nobody may be promoted, because all replicas lack what is acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Backlog {
+    /// That was never the case.
+    None,
+    /// Since this time.
+    Since(Time),
+    /// A replica has received it meanwhile.
+    Cleared,
+}
+
+impl Backlog {
+    /// Returns what is known after all replicas have answered.
+    pub(super) fn next(self, is_behind: bool, now: Time) -> Self {
+        match (self, is_behind) {
+            (Backlog::Since(since), true) => Backlog::Since(since),
+            (_, true) => Backlog::Since(now),
+            (Backlog::None, false) => Backlog::None,
+            (_, false) => Backlog::Cleared,
+        }
+    }
+}
+
 /// What a failover knows of the commits that were acknowledged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Floor {
--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Cause, Demotion, Failover};
+use super::{Cause, Demotion, Failover, floor::Backlog};
 use crate::{id::ServerId, position::Term, time::Time};
 
 /// Time after the start of fencing within which the promotion must be requested.
@@ -49,8 +49,14 @@
         if self.replicas.is_empty() {
             return Progress::Abandoned("no other backend server is left");
         }
-        if self.behind_since.is_some_and(|since| now.since(since) >= BEHIND_TIMEOUT) {
-            return Progress::Abandoned(BEHIND);
+        match self.backlog {
+            Backlog::Since(since) if now.since(since) >= BEHIND_TIMEOUT => {
+                return Progress::Abandoned(BEHIND);
+            }
+            Backlog::Cleared if self.fencing_since.is_none() && self.is_demotion_due(now) => {
+                return Progress::Abandoned("the primary works, and a replica has caught up");
+            }
+            _ => {}
         }
         let is_unordered = self.promotion_sent.is_none();
         let demoting_since = self.primary.as_ref().and_then(Demotion::since);
