--- a/crates/core/tests/failover_model/calls.rs
+++ b/crates/core/tests/failover_model/calls.rs
@@ -16,6 +16,9 @@
 /// Ticks after which a command counts as not answered.
 const CALL_TIMEOUT: u32 = ticks(500);
 
+/// The same for a question of a commit that waits.
+const REPLY_TIMEOUT: u32 = ticks(300);
+
 /// Who sends a command.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Sender {
@@ -23,6 +26,18 @@
     Failover(u32),
     /// The cleanup of fences.
     Cleanup,
+    /// A commit that waits for evidence.
+    Writer,
+}
+
+impl Sender {
+    /// Returns the ticks after which a command counts as not answered.
+    fn timeout(self) -> u32 {
+        match self {
+            Sender::Writer => REPLY_TIMEOUT,
+            Sender::Failover(_) | Sender::Cleanup => CALL_TIMEOUT,
+        }
+    }
 }
 
 /// A command to a server, or its answer, that is on its way.
@@ -100,7 +115,7 @@
     /// Lets a command reach its server, or an answer its VM.
     fn arrive(&mut self, flight: Flight) {
         let Flight { vm, server, .. } = flight;
-        let deadline = flight.sent + CALL_TIMEOUT;
+        let deadline = flight.sent + flight.sender.timeout();
         let timeout = Flight { at: deadline, leg: Leg::Timeout, ..flight.clone() };
         match flight.leg {
             Leg::Command => {
@@ -134,6 +149,7 @@
             (Sender::Cleanup, None) => {
                 cleanup.into_iter().for_each(|cleanup| cleanup.record_failure(&server));
             }
+            (Sender::Writer, status) => me.view.record_reply(flight.server, flight.sent, status),
             (Sender::Failover(begun), Some(status)) => {
                 if let Some(failover) = me.watch.failover(begun) {
                     failover.record_status(&server, status, now);
@@ -147,6 +163,16 @@
         }
     }
 
+    /// Asks a server for its status on behalf of commits that wait, unless it is being asked.
+    pub(crate) fn ask_once(&mut self, vm: usize, server: usize) {
+        let is_same = |flight: &Flight| {
+            flight.vm == vm && flight.server == server && flight.sender == Sender::Writer
+        };
+        if !self.flights.iter().any(is_same) {
+            self.send_command(vm, server, Command::Status, Sender::Writer);
+        }
+    }
+
     /// Sends a command that takes a while to arrive.
     pub(crate) fn send_command(
         &mut self,
@@ -158,7 +184,7 @@
         let Vm { incarnation, watch, .. } = &self.vms[vm];
         let (incarnation, since, sent) = (*incarnation, watch.since, self.tick);
         let (at, leg) = match self.is_disturbed(server, command) {
-            true => (sent + CALL_TIMEOUT, Leg::Timeout),
+            true => (sent + sender.timeout(), Leg::Timeout),
             false => (sent + self.pace.call, Leg::Command),
         };
         let flight = Flight { at, sent, vm, server, command, sender, incarnation, since, leg };
--- a/crates/core/tests/failover_model/search.rs
+++ b/crates/core/tests/failover_model/search.rs
@@ -18,23 +18,27 @@
 /// What must be seen after everything has healed, and within how many ticks.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Recovery {
-    /// A caller is told of a success.
+    /// A caller is told of a success, once servers are no longer slow either.
     Told(u32),
-    /// The primary acknowledges a commit.
+    /// A caller is told of a success, also beside slow servers.
+    ToldSlowly(u32),
+    /// The primary acknowledges a commit, also beside slow servers.
     Confirmed(u32),
 }
 
 impl Recovery {
     fn limit(self) -> u32 {
         match self {
-            Recovery::Told(limit) | Recovery::Confirmed(limit) => limit,
+            Recovery::Told(limit) | Recovery::ToldSlowly(limit) | Recovery::Confirmed(limit) => {
+                limit
+            }
         }
     }
 
     /// Returns the commits that show it.
     fn seen(self, world: &World) -> Commits {
         match self {
-            Recovery::Told(_) => world.told,
+            Recovery::Told(_) | Recovery::ToldSlowly(_) => world.told,
             Recovery::Confirmed(_) => world.confirmed,
         }
     }
@@ -46,7 +50,9 @@
         let kept = running.clone().filter(stays).any(|server| world.told & !server.log == 0);
         let enough = match self {
             Recovery::Told(_) => running.nth(1).is_some(),
-            Recovery::Confirmed(_) => running.filter(stays).nth(1).is_some(),
+            Recovery::ToldSlowly(_) | Recovery::Confirmed(_) => {
+                running.filter(stays).nth(1).is_some()
+            }
         };
         kept && enough
     }
@@ -220,6 +226,9 @@
     }
     world.directory.is_up = true;
     world.directory.delay = 0;
+    if matches!(recovery, Recovery::Told(_)) {
+        world.servers.iter_mut().for_each(|server| server.slow = 0);
+    }
     for server in 0..world.servers.len() {
         let restart = Event::Restart(server, true);
         if restart.is_possible(world) {
