--- a/crates/proxy/tests/abandoned.rs
+++ b/crates/proxy/tests/abandoned.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use chicoryhollow_testkit::backend::CONTROL_ROLE;
-use common::{Deployment, PRESS_KEY, callers::run, values};
+use common::{
+    Deployment, PRESS_KEY,
+    callers::{run, values},
+};
 use tokio::{task::JoinHandle, time::timeout};
 use tokio_postgres::{Client, NoTls};
 
--- a/crates/proxy/tests/common/callers.rs
+++ b/crates/proxy/tests/common/callers.rs
@@ -1,6 +1,6 @@
 //! Callers with a standard client.
 
-use tokio_postgres::Client;
+use tokio_postgres::{Client, SimpleQueryMessage};
 
 use super::{Deployment, MAX_WAIT};
 
@@ -28,3 +28,13 @@
     client.simple_query("CREATE TABLE t (id int, name text)").await.expect("the table is made");
     (deployment, client)
 }
+
+/// Runs one statement in the simple query protocol and returns the first column.
+pub async fn values(client: &Client, sql: &str) -> Vec<String> {
+    let messages = client.simple_query(sql).await.expect("the statement runs");
+    let rows = messages.into_iter().filter_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    });
+    rows.collect()
+}
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -28,7 +28,7 @@
 };
 use indexmap::IndexMap;
 use serde_json::json;
-use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+use tokio_postgres::{Client, NoTls};
 
 /// Maximum wait for anything that should happen soon.
 pub const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -396,13 +396,3 @@
     let [_, _, high, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, high | 128, low, NEXT_HOST.fetch_add(1, Ordering::Relaxed))
 }
-
-/// Runs one statement in the simple query protocol and returns the first column.
-pub async fn values(client: &Client, sql: &str) -> Vec<String> {
-    let messages = client.simple_query(sql).await.expect("the statement runs");
-    let rows = messages.into_iter().filter_map(|message| match message {
-        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
-        _ => None,
-    });
-    rows.collect()
-}
--- a/crates/proxy/tests/configuration.rs
+++ b/crates/proxy/tests/configuration.rs
@@ -6,7 +6,10 @@
 
 use chicoryhollow_config::{Verifier, configuration::Service};
 use chicoryhollow_testkit::platform::Fault;
-use common::{Deployment, PRESS_KEY, callers::run, values};
+use common::{
+    Deployment, PRESS_KEY,
+    callers::{run, values},
+};
 use tokio_postgres::Client;
 
 /// Maximum time until a daemon applies a changed configuration.
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -6,9 +6,8 @@
 
 use common::{
     Deployment, PRESS_KEY,
-    callers::{code, refusal_code, run, start_with_table},
+    callers::{code, refusal_code, run, start_with_table, values},
     raw::RawClient,
-    values,
 };
 use futures_util::TryStreamExt;
 use tokio_postgres::NoTls;
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -9,7 +9,7 @@
 
 use chicoryhollow_config::configuration::Service;
 use chicoryhollow_testkit::platform::Fault;
-use common::{Deployment, MAX_WAIT, values};
+use common::{Deployment, MAX_WAIT, callers::values};
 use tokio_postgres::{Client, NoTls};
 
 /// Data centres of the daemons: one daemon in each data centre with a server.
--- a/crates/proxy/tests/messages.rs
+++ b/crates/proxy/tests/messages.rs
@@ -6,9 +6,8 @@
 
 use bytes::{BufMut, BytesMut};
 use common::{
-    callers::{run, start_with_table},
+    callers::{run, start_with_table, values},
     raw::{Encoded, RawClient, bind, execute, parse},
-    values,
 };
 use pgwire::messages::{
     cancel::CancelRequest,
--- a/crates/proxy/tests/whole_path.rs
+++ b/crates/proxy/tests/whole_path.rs
@@ -3,7 +3,10 @@
 
 mod common;
 
-use common::{CLINIC_KEY, Deployment, callers::run, values};
+use common::{
+    CLINIC_KEY, Deployment,
+    callers::{run, values},
+};
 
 #[test]
 fn a_session_reads_its_own_write_through_another_vm() {
