--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -2,8 +2,10 @@
 //!
 //! The primary acknowledges a commit as soon as one replica has received it. After a
 //! failure, any single replica may therefore be the only one with an acknowledged commit. A
-//! failover *fences* every replica, which stops it from receiving, at a term above all
-//! others, and only then promotes the replica that has received most.
+//! failover *fences* every replica, which stops it from receiving, at the term that the
+//! promotion will lead, and only then promotes the replica that has received most. A server that
+//! has heard of the promotion refuses a fence that arrives late, because its term is no longer
+//! below that of the fence.
 //!
 //! A replica that starts in the course of the failover is not fenced yet, and the old primary
 //! could go on to acknowledge commits with it. So a failed primary that still answers is first
@@ -13,7 +15,8 @@
 //!
 //! A group with fenced replicas acknowledges no commits. So no replica is fenced before
 //! all of them have answered recently. If a replica stops answering after that, the failover
-//! is abandoned and does not wait for the replica.
+//! is abandoned and does not wait for the replica. What lifts the fences afterwards is a
+//! [`FenceCleanup`], not the failover.
 //!
 //! In a planned failover the old primary works until the promotion. The server to promote
 //! is not fenced, so that it receives every commit that is still acknowledged. When all
@@ -21,7 +24,9 @@
 //! one that started last is promoted, and the group is not left without a primary again.
 
 mod announcement;
+mod cleanup;
 mod demotion;
+mod floor;
 mod listing;
 mod missing;
 mod progress;
@@ -41,14 +46,16 @@
 
 pub use self::{
     announcement::{Announcement, FailoverNumber},
+    cleanup::{FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
     missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
+    promotion::OrderAttempt,
     replica::{Member, ReplicationStatus, Report},
 };
 
 pub(crate) use self::missing::RETURN_TIMEOUT;
 
-use self::{demotion::Demotion, listing::Listing, replica::Replica};
+use self::{demotion::Demotion, listing::Listing, promotion::AttemptNumber, replica::Replica};
 
 /// Time after which another request to fence or poll a server is sent.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -80,8 +87,9 @@
     Demote(ServerId, Term),
     /// Read from the directory which servers are registered now.
     ListServers,
-    /// Request the promotion of a server.
-    Promote(ServerId),
+    /// Request the promotion of a server. The attempt is to be claimed right before the order is
+    /// sent ([`Failover::claim`]).
+    Promote(OrderAttempt),
     /// Lift the fence of a server, so that it receives again.
     Release(ServerId),
 }
@@ -98,6 +106,8 @@
     primary: Option<Demotion>,
     /// What the directory was asked about the registered servers.
     listing: Listing,
+    /// Newest term of which an acknowledged commit, or the start of its log, is known.
+    informed: Term,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -107,6 +117,8 @@
     announced: Time,
     /// Whether a server joined after a promotion was requested.
     joined_late: bool,
+    /// Since when all replicas answer and none may be promoted, unless fencing has begun.
+    behind_since: Option<Time>,
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
@@ -116,14 +128,19 @@
     target_received: Option<Position>,
     /// Server that an earlier failover has ordered to promote, if that may still happen.
     open_order: Option<ServerId>,
-    /// Whether a promotion was requested before the last request.
-    is_repeated: bool,
+    /// Number of the newest attempt to order a promotion.
+    attempt: AttemptNumber,
+    /// The newest attempt whose order was sent.
+    sent: Option<AttemptNumber>,
+    /// Whether it has ended. It then does nothing any more.
+    has_ended: bool,
     /// Until when no promotion is requested, because the last request could not be sent.
     retry_after: Option<Time>,
 }
 
 impl Failover {
-    /// Starts to replace a primary by one of `members`, at a term above `highest`.
+    /// Starts to replace a primary by one of `members`. The promotion will lead the term after
+    /// `highest`, the highest in which a server is known to have led.
     ///
     /// `acknowledged` is the newest position known to be acknowledged. No server that has
     /// received less is promoted.
@@ -141,17 +158,21 @@
             replicas: members.into_iter().map(replica).collect(),
             primary: None,
             listing: Listing::default(),
+            informed: acknowledged.term(),
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
             announced: now,
             joined_late: false,
+            behind_since: None,
             fencing_since: None,
             target: None,
             promotion_sent: None,
             target_received: None,
             open_order: None,
-            is_repeated: false,
+            attempt: AttemptNumber::default(),
+            sent: None,
+            has_ended: false,
             retry_after: None,
         }
     }
@@ -177,20 +198,6 @@
         self.term
     }
 
-    /// Returns the highest term that any server reported, including the terms of fences.
-    ///
-    /// If a VM stops during a failover, the servers that it fenced stay fenced at its term.
-    /// The term of the next failover must be higher.
-    pub fn highest_term(&self) -> Term {
-        let replicas = self.replicas.values().filter_map(|replica| replica.status);
-        let primary = self.primary.as_ref().and_then(Demotion::status);
-        replicas
-            .chain(primary)
-            .map(|status| status.term.max(status.fenced_term))
-            .max()
-            .unwrap_or_default()
-    }
-
     /// Returns the highest term that any server follows or leads, as far as they have answered.
     pub fn reported_term(&self) -> Term {
         let replicas = self.replicas.values().filter_map(|replica| replica.status);
@@ -212,19 +219,41 @@
     /// higher term than they were told.
     pub fn record_announcement(&mut self, now: Time) {
         self.announced = now;
+        self.withdraw();
+    }
+
+    /// Ends the failover. It asks for nothing any more, and no attempt of it can be claimed.
+    pub fn end(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Returns whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
+    /// Returns the highest term that it replaces.
+    pub fn replaced_term(&self) -> Term {
+        let below = Term::new(self.term.get().saturating_sub(1));
+        below.max(self.reported_term())
     }
 
     /// Records a position with an acknowledged commit. Positions older than the newest have
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
         self.acknowledged = self.acknowledged.max(position);
+        self.informed = self.informed.max(position.term());
     }
 
-    /// Records the status that a server reported.
+    /// Records the status that a server reported. Until servers are fenced, a higher term than
+    /// was known raises that of the failover. Terms of fences do not, since no server has led them.
     pub fn record_status(&mut self, server: &ServerId, status: ReplicationStatus, now: Time) {
+        if self.fencing_since.is_none() {
+            self.term = self.term.max(status.term.next());
+        }
+        let term = self.term;
         if let Some(replica) = self.replicas.get_mut(server) {
-            replica.status = Some(status);
-            replica.answered = Some(now);
+            replica.record_status(status, term, now);
         } else if let Some(primary) = self.primary.as_mut().filter(|old| old.server() == server) {
             primary.record_status(status, now);
         }
@@ -272,6 +301,9 @@
 
     /// Returns the actions to carry out at `now`.
     pub fn next_actions(&mut self, now: Time) -> Vec<Action> {
+        if self.has_ended {
+            return Vec::new();
+        }
         if self.has_lost_target() {
             self.choose_again(now);
         }
@@ -288,6 +320,8 @@
             self.target = self.successor();
         }
         let mut actions = self.prepare(now);
+        self.readmit_primary();
+        self.listing.require(self.list_needed());
         let needs_list = self.lacks_list() || self.awaits_list(now);
         if self.fencing_since.is_some() && needs_list && self.listing.is_due(now) {
             self.listing.record_request(now);
@@ -295,24 +329,25 @@
         }
         let server = self.promotable(now).filter(|_| self.retry_after.is_none_or(|at| now >= at));
         if let Some(server) = server {
-            self.is_repeated = self.target_received.is_some();
             self.target_received = self.received(&server);
             self.target = Some(server.clone());
-            self.promotion_sent = Some(now);
-            actions.push(Action::Promote(server));
+            actions.push(self.next_attempt(server, now));
         }
         actions
     }
 
     /// Polls every server until all have answered recently, then makes the old primary a
-    /// replica and fences the others. The target of a planned failover is not fenced but
-    /// polled further.
+    /// replica and fences the others, unless none of them may be promoted anyway. The target of a
+    /// planned failover is not fenced but polled further.
     fn prepare(&mut self, now: Time) -> Vec<Action> {
         let is_reachable =
             |r: &Replica| r.answered.is_some_and(|time| now.since(time) < MAX_ANSWER_AGE);
         let is_failure = self.cause == Cause::Failure;
+        let all_answer = self.replicas.values().all(is_reachable) && !self.awaits_primary(now);
+        let is_behind = self.fencing_since.is_none() && all_answer && self.lacks_candidate();
+        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
         let mut actions = Vec::new();
-        if self.fencing_since.is_none() && self.replicas.values().all(is_reachable) {
+        if self.fencing_since.is_none() && all_answer && !is_behind {
             if is_failure {
                 actions.extend(self.demote(now));
             }
@@ -330,7 +365,7 @@
         }
         match self.fencing_since {
             Some(_) => actions.extend(self.fence(now)),
-            None => actions.extend(self.poll(now)),
+            None => actions.extend(self.poll(is_behind, now)),
         }
         actions
     }
@@ -346,14 +381,20 @@
         self.primary.as_mut().map(|primary| primary.next_actions(term, now)).unwrap_or_default()
     }
 
-    /// Polls all servers.
-    fn poll(&mut self, now: Time) -> Vec<Action> {
+    /// Polls all servers, the old primary only if it may have to be promoted again.
+    fn poll(&mut self, is_behind: bool, now: Time) -> Vec<Action> {
+        let needs_primary = is_behind || !self.is_informed();
         let due = self.replicas.iter_mut().filter(|(_, replica)| replica.is_due(now));
-        due.map(|(server, replica)| {
-            replica.last_action = Some(now);
-            Action::Poll(server.clone())
-        })
-        .collect()
+        let mut actions: Vec<Action> = due
+            .map(|(server, replica)| {
+                replica.last_action = Some(now);
+                Action::Poll(server.clone())
+            })
+            .collect();
+        if needs_primary && self.cause == Cause::Failure {
+            actions.extend(self.primary.as_mut().and_then(|primary| primary.poll(now)));
+        }
+        actions
     }
 
     /// Fences the servers that are not fenced, and polls the others: a server that starts again
--- a/crates/core/src/failover/replica.rs
+++ b/crates/core/src/failover/replica.rs
@@ -52,19 +52,30 @@
     pub(super) status: Option<ReplicationStatus>,
     pub(super) answered: Option<Time>,
     pub(super) last_action: Option<Time>,
+    /// Since when it has been known to be fenced.
+    pub(super) fenced_since: Option<Time>,
 }
 
 impl Replica {
     pub(super) fn new(member: Member) -> Self {
-        Replica { member, status: None, answered: None, last_action: None }
+        Replica { member, status: None, answered: None, last_action: None, fenced_since: None }
+    }
+
+    /// Records its answer while servers are fenced at `term`.
+    pub(super) fn record_status(&mut self, status: ReplicationStatus, term: Term, now: Time) {
+        (self.status, self.answered) = (Some(status), Some(now));
+        let since = self.fenced_since.unwrap_or(now);
+        self.fenced_since = self.is_fenced(term).then_some(since);
     }
 
     pub(super) fn received(&self) -> Option<Position> {
         Some(self.status?.received)
     }
 
+    /// Returns whether it does not receive from a primary of a lower term. A fence of an earlier
+    /// failover at this term or a higher one does the same.
     pub(super) fn is_fenced(&self, term: Term) -> bool {
-        self.status.is_some_and(|status| status.fenced_term == term)
+        self.status.is_some_and(|status| status.fenced_term >= term)
     }
 
     /// Returns whether another request may be sent.
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -22,15 +22,26 @@
         now.since(self.announced) >= ANNOUNCEMENT_SPAN
     }
 
-    /// Returns whether servers that were registered before all VMs knew of the failover may be
-    /// unknown, and the directory may still tell.
+    /// Returns when the list of servers must have been asked for at the earliest: when all VMs knew
+    /// of the failover, and the last server was fenced.
+    pub(super) fn list_needed(&self) -> Time {
+        let fenced = self.replicas.values().filter_map(|replica| replica.fenced_since).max();
+        (self.announced + ANNOUNCEMENT_SPAN).max(fenced.unwrap_or_default())
+    }
+
+    /// Returns whether servers may be unknown that were registered before a newer list could be
+    /// asked for, and the directory may still tell.
     pub(super) fn awaits_list(&self, now: Time) -> bool {
-        let announced = self.announced + ANNOUNCEMENT_SPAN;
         self.is_announced(now)
-            && !self.listing.is_newer_than(announced)
+            && !self.listing.is_newer_than(self.list_needed())
             && !self.listing.is_given_up(now)
     }
 
+    /// Returns whether all replicas are fenced.
+    pub(super) fn all_fenced(&self) -> bool {
+        self.replicas.values().all(|replica| replica.is_fenced(self.term))
+    }
+
     /// Returns the server to promote, once every commit that is or may still be
     /// acknowledged is in its log.
     pub(super) fn promotable(&self, now: Time) -> Option<ServerId> {
@@ -43,7 +54,7 @@
                 let is_closed = self.fencing_since.is_some()
                     && !self.is_demotion_due(now)
                     && !self.lacks_list();
-                if !is_closed || !self.replicas.values().all(is_fenced) {
+                if !is_closed || !self.all_fenced() {
                     return None;
                 }
                 self.most_advanced()?
@@ -59,7 +70,16 @@
         };
         let received = self.received(&target)?;
         let most = self.replicas.keys().filter_map(|server| self.received(server)).max()?;
-        (received >= most && received >= self.acknowledged).then_some(target)
+        (received >= most && received >= self.required()).then_some(target)
+    }
+
+    /// Returns what a server must have received to be promoted. A leaving primary works until then,
+    /// and all that it has written by the start is required of its successor.
+    fn required(&self) -> Position {
+        match self.cause {
+            Cause::Failure => self.floor().position(),
+            Cause::Planned => self.acknowledged,
+        }
     }
 
     pub(super) fn received(&self, server: &ServerId) -> Option<Position> {
--- a/crates/core/tests/failover_model/mod.rs
+++ b/crates/core/tests/failover_model/mod.rs
@@ -4,11 +4,16 @@
 //! receive each commit in the next tick, and callers write all the time. The searches choose
 //! which events happen, and when. A world and its events determine all that follows.
 
+pub(crate) mod calls;
+pub(crate) mod cleanup;
+pub(crate) mod contact;
 pub(crate) mod directory;
 pub(crate) mod event;
 pub(crate) mod group_view;
 pub(crate) mod network;
 pub(crate) mod platform;
+pub(crate) mod role;
+pub(crate) mod row;
 pub(crate) mod search;
 pub(crate) mod server;
 pub(crate) mod told;
@@ -27,7 +32,10 @@
 /// Number of servers that run at the start.
 pub(crate) const FIRST_SERVERS: usize = 3;
 
-/// Number of VMs, each in a data centre of its own.
+/// Number of data centres.
+pub(crate) const CENTRES: usize = 2;
+
+/// Number of VMs, unless a search needs more. VMs are in the data centres in turn.
 pub(crate) const VMS: usize = 2;
 
 const NAMES: [&str; SERVERS] = ["p", "r", "q", "n", "m"];
