Count no commit as acknowledged that a staying replica lacks

Cause: a VM that is asked about a commit counts it as acknowledged before it answers, since the answer may decide that a caller is told. A question that goes through a home of a replica raised the position even if the replica lacks the commit, in which case contact decides nothing.

Fix: the home counts the commit only if the replica does not report that it lacks it, and then its answer counts as contact; other VMs are asked only if contact may still decide (Commit::may_rest_on_contact). Test: a_commit_that_a_staying_replica_lacks_asks_for_no_contact (uses the new function, does not compile before).

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -170,10 +170,7 @@
     /// If it does, the primary may have been confirmed by a server that is about to be stopped,
     /// while those that stay receive nothing.
     fn reaches_deciders(&self, knowledge: &Knowledge, replicas: &[RegisteredReplica]) -> bool {
-        let lacks = |replica: &RegisteredReplica| {
-            replica.stays() && replica.copy_state(self) == CopyState::Lacks
-        };
-        if replicas.iter().any(lacks) {
+        if self.is_lacked(replicas) {
             return false;
         }
         if !replicas.iter().any(RegisteredReplica::takes_part) {
@@ -186,6 +183,26 @@
         })
     }
 
+    /// Returns whether a replica that stays has reported that it has not received the commit.
+    fn is_lacked(&self, replicas: &[RegisteredReplica]) -> bool {
+        let lacks = |replica: &RegisteredReplica| {
+            replica.stays() && replica.copy_state(self) == CopyState::Lacks
+        };
+        replicas.iter().any(lacks)
+    }
+
+    /// Returns whether contact with other VMs may still decide about the commit: no replica that
+    /// stays is known to lack it, or one near the primary has it.
+    ///
+    /// Otherwise the answers would only raise the position that a failover requires, by a commit
+    /// that nobody is told of.
+    pub fn may_rest_on_contact(&self, replicas: &[RegisteredReplica]) -> bool {
+        let is_near_copy = |replica: &RegisteredReplica| {
+            replica.near && replica.stays() && replica.copy_state(self) == CopyState::Holds
+        };
+        !self.is_lacked(replicas) || replicas.iter().any(is_near_copy)
+    }
+
     /// Returns whether a question that was sent after the primary's answer was answered.
     fn has_contact(&self, knowledge: &Knowledge) -> bool {
         knowledge.contact.is_some_and(|asked| asked >= self.answered)
--- a/crates/core/src/durability/replica.rs
+++ b/crates/core/src/durability/replica.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use super::Commit;
-use crate::{failover::ReplicationStatus, position::Term, time::Time};
+use crate::{
+    failover::ReplicationStatus,
+    position::{Position, Term},
+    time::Time,
+};
 
 /// Time after its registration from which on every failover knows a server.
 const REGISTRATION_SPAN: Duration = Duration::from_millis(3_000);
@@ -42,6 +46,32 @@
     Busy,
 }
 
+impl ReplicaAnswer {
+    /// Returns whether the replica has reported that it has not received the commit at `position`.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use chicoryhollow_core::{
+    ///     Lsn, Position, Term, durability::ReplicaAnswer, failover::ReplicationStatus,
+    /// };
+    ///
+    /// let at = |lsn| Position::new(Term::new(2), Lsn::new(lsn));
+    /// let status = ReplicationStatus { received: at(139), ..ReplicationStatus::default() };
+    /// assert!(ReplicaAnswer::Status(status).lacks(at(140)));
+    /// assert!(!ReplicaAnswer::Status(status).lacks(at(139)));
+    /// assert!(!ReplicaAnswer::Busy.lacks(at(140)), "it has reported nothing");
+    /// ```
+    pub fn lacks(&self, position: Position) -> bool {
+        matches!(self, ReplicaAnswer::Status(status) if !holds(status, position))
+    }
+}
+
+/// Returns whether a replica has received the commit at `position`, in its term.
+fn holds(status: &ReplicationStatus, position: Position) -> bool {
+    status.received.term() == position.term() && status.received >= position
+}
+
 /// A status, and when it was asked for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct DatedStatus {
@@ -96,12 +126,9 @@
     /// Returns what is known of a commit.
     pub fn copy_state(&self, commit: &Commit) -> CopyState {
         let ReplicaAnswers { newest, reached } = self.answers;
-        let holds = |status: &ReplicationStatus| {
-            status.received.term() == commit.position.term() && status.received >= commit.position
-        };
         match newest {
             // The commit is newer than its position, so the status is too.
-            Some(newest) if holds(&newest.status) => CopyState::Holds,
+            Some(newest) if holds(&newest.status, commit.position) => CopyState::Holds,
             Some(newest) if newest.asked >= commit.answered => CopyState::Lacks,
             _ if reached.is_some_and(|asked| asked >= commit.answered) => CopyState::Reached,
             _ => CopyState::Silent,
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -287,6 +287,26 @@
     assert_eq!(commit.evidence(&known, &replicas), Some(Evidence::Copy), "one that stays has it");
 }
 
+/// Commits that nobody was told of kept every replica from being promoted.
+#[test]
+fn a_commit_that_a_staying_replica_lacks_asks_for_no_contact() {
+    let commit = Commit { position: at(2, 140), answered: ms(11_160) };
+    let status = |lsn| {
+        let received = at(2, lsn);
+        ReplicaAnswer::Status(ReplicationStatus { received, term: TERM, ..Default::default() })
+    };
+    let behind = answering(ms(11_165), status(139));
+    let busy = answering(ms(11_165), ReplicaAnswer::Busy);
+    let near = RegisteredReplica { near: true, ..answering(ms(11_165), status(140)) };
+    let leaving = RegisteredReplica { leaving: true, ..behind };
+    assert!(commit.may_rest_on_contact(&[busy, busy]));
+    assert!(commit.may_rest_on_contact(&[leaving, busy]), "its log ends anyway");
+    assert!(!commit.may_rest_on_contact(&[behind, busy]));
+    assert!(commit.may_rest_on_contact(&[behind, near]), "a copy near the primary needs contact");
+    let earlier = answering(ms(11_150), status(139));
+    assert!(commit.may_rest_on_contact(&[earlier, busy]), "it may have received it since");
+}
+
 /// A replica that had started again, without its fence, confirmed what the successor lacked.
 #[test]
 fn a_replica_without_a_fence_does_not_count_while_a_failover_runs() {
--- a/crates/engine/src/confirmation/inquiry.rs
+++ b/crates/engine/src/confirmation/inquiry.rs
@@ -8,7 +8,7 @@
 use chicoryhollow_core::{ServerId, durability::rank_witnesses};
 use tokio::time::sleep;
 
-use super::Waiting;
+use super::{Waiting, registered};
 use crate::{
     catalog::ServerEntry,
     clock,
@@ -54,7 +54,9 @@
         replicas: &[KnownReplica],
         round: u32,
     ) {
-        self.ask_vms(waiting, MAX_ASKED_VMS);
+        if waiting.commit.may_rest_on_contact(&registered(replicas)) {
+            self.ask_vms(waiting, MAX_ASKED_VMS);
+        }
         self.list_if_needed(replicas);
         let staying = replicas.iter().filter(|known| !known.entry.leaving);
         staying.for_each(|known| self.ask_replica(waiting, &known.entry, round as usize));
--- a/crates/engine/src/confirmation/status.rs
+++ b/crates/engine/src/confirmation/status.rs
@@ -42,8 +42,8 @@
             }
             let answer = self.ask_status(group, server).await;
             for asker in askers {
-                if let Asker::Vm(link, number) = asker {
-                    self.send_report(group, server, &link, number, answer);
+                if let Asker::Vm(question) = asker {
+                    self.send_report(group, server, &question, answer);
                 }
             }
         }
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -25,7 +25,7 @@
         groups::{decode_failover, encode_failover},
         heartbeat::millis,
     },
-    group::{Asker, Group},
+    group::{Asker, Group, PeerQuestion},
     seam::{Directory, ServerProtocol},
     single_flight::SingleFlight,
 };
@@ -49,6 +49,8 @@
 struct Question {
     number: u64,
     group: GroupId,
+    /// Position of the commit that it is about.
+    commit: Position,
     /// Replica whose status is asked for.
     server: Option<ServerId>,
     asked: Time,
@@ -84,6 +86,7 @@
         open.push_back(Question {
             number,
             group: group.clone(),
+            commit,
             server: server.cloned(),
             asked: now,
         });
@@ -255,7 +258,8 @@
 
     /// Answers a question about a commit, unless this daemon has just started and may not have
     /// heard of a failover yet. The commit counts as acknowledged from then on, so that no
-    /// failover that hears of it promotes a server without it.
+    /// failover that hears of it promotes a server without it. If a replica is to be asked that
+    /// turns out to lack the commit, it does not count, and the answer shows no contact.
     pub(super) fn answer_contact(self: &Rc<Self>, link: &Rc<Link>, ask: &ContactAsk) {
         let Ok(name) = GroupId::new(&ask.group) else { return };
         if clock::now().since(self.started) < INFORMED_SPAN {
@@ -263,13 +267,16 @@
         }
         let group = self.group(&name);
         let commit = Position::new(Term::new(ask.term), Lsn::new(ask.lsn));
-        group.borrow_mut().record_acknowledged(commit);
         match ServerId::new(&ask.server) {
             Ok(server) if group.borrow().servers.contains_key(&server) => {
-                let asker = Asker::Vm(Rc::clone(link), ask.number);
-                self.request_status(&group, &server, asker);
+                let link = Rc::clone(link);
+                let question = PeerQuestion { link, number: ask.number, commit };
+                self.request_status(&group, &server, Asker::Vm(question));
+            }
+            _ => {
+                group.borrow_mut().record_acknowledged(commit);
+                self.send_contact(&group.borrow(), link, ask.number, None);
             }
-            _ => self.send_contact(&group.borrow(), link, ask.number, None),
         }
     }
 
@@ -279,13 +286,15 @@
         &self,
         group: &RefCell<Group>,
         server: &ServerId,
-        link: &Link,
-        number: u64,
+        question: &PeerQuestion,
         answer: Option<ReplicaAnswer>,
     ) {
+        if !answer.is_some_and(|answer| answer.lacks(question.commit)) {
+            group.borrow_mut().record_acknowledged(question.commit);
+        }
         let group = group.borrow();
         let report = answer.and_then(|answer| encode_report(&group, server, answer));
-        self.send_contact(&group, link, number, report);
+        self.send_contact(&group, &question.link, question.number, report);
     }
 
     fn send_contact(&self, group: &Group, link: &Link, number: u64, report: Option<ReplicaReport>) {
@@ -304,7 +313,10 @@
         if let Some(failover) = answer.failover {
             group.peers.record_failover(decode_failover(failover, clock::now()));
         }
-        group.peers.record_contact(data_centre, question.asked);
+        let reported = answer.report.as_ref().map(decode_report);
+        if !reported.is_some_and(|reported| reported.lacks(question.commit)) {
+            group.peers.record_contact(data_centre, question.asked);
+        }
         if let (Some(server), Some(report)) = (&question.server, &answer.report) {
             record_report(&mut group, server, question.asked, report, clock::now());
         }
@@ -330,6 +342,17 @@
     })
 }
 
+fn decode_report(report: &ReplicaReport) -> ReplicaAnswer {
+    let received = Position::new(Term::new(report.received_term), Lsn::new(report.received_lsn));
+    let status = ReplicationStatus {
+        primary: report.primary,
+        term: Term::new(report.term),
+        received,
+        fenced_term: Term::new(report.fenced_term),
+    };
+    if report.busy { ReplicaAnswer::Busy } else { ReplicaAnswer::Status(status) }
+}
+
 /// Records what a replica has answered to a home of it. The home may know another process of the
 /// same name.
 fn record_report(
@@ -342,14 +365,7 @@
     if group.servers.get(server).is_none_or(|entry| entry.born != report.born) {
         return;
     }
-    let received = Position::new(Term::new(report.received_term), Lsn::new(report.received_lsn));
-    let status = ReplicationStatus {
-        primary: report.primary,
-        term: Term::new(report.term),
-        received,
-        fenced_term: Term::new(report.fenced_term),
-    };
-    let answer = if report.busy { ReplicaAnswer::Busy } else { ReplicaAnswer::Status(status) };
+    let answer = decode_report(report);
     let since = now - Duration::from_millis(report.registered_ms.into());
     group.replicas.record_registration(server, since);
     group.replicas.record(server, asked, Some(answer));
--- a/crates/engine/src/group/replicas.rs
+++ b/crates/engine/src/group/replicas.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
-    DataCentreId, ServerId, Time,
+    DataCentreId, Position, ServerId, Time,
     durability::{RegisteredReplica, ReplicaAnswer, ReplicaAnswers, Witness},
 };
 use indexmap::IndexMap;
@@ -18,8 +18,16 @@
 pub(crate) enum Asker {
     /// A commit of this VM.
     Own,
-    /// Another VM, by the number of its question on a link.
-    Vm(Rc<Link>, u64),
+    /// Another VM.
+    Vm(PeerQuestion),
+}
+
+/// A question of another VM for the status of a replica.
+pub(crate) struct PeerQuestion {
+    pub(crate) link: Rc<Link>,
+    pub(crate) number: u64,
+    /// Position of the commit that it is about.
+    pub(crate) commit: Position,
 }
 
 /// The question to one replica that is in flight, if any, and who waits for the next.
