Count a write that could not be proven as unconfirmed by the primary

Cause: the acknowledgement alone counted as a confirmed write, before its evidence was known.

Fix: only a commit that callers may be told of ends the time for which writes are unconfirmed, and one that could not be proven begins it.

Open: the leaving server with the longest log leads for a second, and the planned failover after it chooses the server that is cut off, because it is the youngest.

--- a/crates/engine/src/attempt/record.rs
+++ b/crates/engine/src/attempt/record.rs
@@ -28,12 +28,16 @@
         let unconfirmed = Failure::Refused(Refusal::Unconfirmed);
         let Some(position) = position else { return Err(unconfirmed) };
         self.record_primary(server, position, asked);
-        self.group.borrow_mut().record_confirmation();
         let limit = self.remaining();
-        if !self.engine.is_commit_durable(&self.group, server, position, limit).await {
+        let is_durable = self.engine.is_commit_durable(&self.group, server, position, limit).await;
+        let mut group = self.group.borrow_mut();
+        if !is_durable {
+            // Whoever confirmed it to the primary does not help callers.
+            group.record_unconfirmed_write(server, asked);
             return Err(unconfirmed);
         }
-        self.group.borrow_mut().record_commit(position);
+        group.record_confirmation();
+        group.record_commit(position);
         Ok(())
     }
 
