Ask a replica once for a commit, and again once for all commits of a VM

Status questions to replicas are priced and take a slot.

A replica whose answer is awaited is left alone for 160 ms and is then asked by another home. One that has answered without the commit is asked again at most every 80 ms by a VM, for all its commits. A replica that did not decide is not asked first next time.

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -31,7 +31,7 @@
 use std::time::Duration;
 
 pub use self::{
-    inquiry::{Inquiry, Step, Witness, rank_witnesses},
+    inquiry::{Inquiry, Step, Witness, home_in_round, rank_witnesses},
     replica::{CopyState, RegisteredReplica, ReplicaAnswer, ReplicaAnswers},
     told::{MissingCommits, ToldCommits},
 };
--- a/crates/core/src/durability/inquiry.rs
+++ b/crates/core/src/durability/inquiry.rs
@@ -11,6 +11,10 @@
 /// Time after which all replicas are asked again.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Number of further times that questions are sent before a replica that has not answered is asked
+/// again, by another home.
+const PATIENT_ROUNDS: u32 = 4;
+
 /// A replica that may be asked about a commit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Witness {
@@ -37,12 +41,27 @@
     ranked
 }
 
+/// Returns by which of its homes a replica is asked for the time with the number `round`, or `None`
+/// if it is not. It was asked first in the round `begun`.
+///
+/// One that has answered without the commit is asked again after the next pause, one that is
+/// silent later.
+pub fn home_in_round(round: u32, begun: u32, state: CopyState) -> Option<u32> {
+    let rounds = round.checked_sub(begun)?;
+    let is_due = match state {
+        CopyState::Silent => rounds.is_multiple_of(PATIENT_ROUNDS),
+        _ => rounds != 1,
+    };
+    is_due.then_some(rounds / PATIENT_ROUNDS)
+}
+
 /// What to do next for a commit that waits for evidence.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
     /// Ask the first replica.
     AskFirst,
-    /// Ask all replicas and other VMs, for the time with this number, from 1 on.
+    /// Ask other VMs, and all replicas whose answers are not awaited, for the time with this
+    /// number, from 1 on.
     AskAll(u32),
     /// Wait for answers, for so long at most.
     Wait(Duration),
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -6,7 +6,7 @@
     Lsn, Position, Term, Time,
     durability::{
         Commit, CopyState, Evidence, Inquiry, Knowledge, MissingCommits, RegisteredReplica,
-        ReplicaAnswer, ReplicaAnswers, Step, ToldCommits, Witness, rank_witnesses,
+        ReplicaAnswer, ReplicaAnswers, Step, ToldCommits, Witness, home_in_round, rank_witnesses,
     },
     failover::{
         Action, Announcement, Cause, Failover, FailoverNumber, Member, Progress, ReplicationStatus,
@@ -286,6 +286,17 @@
     assert_eq!(commit.evidence(&known, &replicas), Some(Evidence::Copy), "one that stays has it");
 }
 
+/// Each question takes a slot of the replica.
+#[test]
+fn a_replica_whose_answer_is_awaited_is_not_asked_again() {
+    let asked = |begun, state| -> Vec<(u32, u32)> {
+        (1..10).filter_map(|round| Some((round, home_in_round(round, begun, state)?))).collect()
+    };
+    assert_eq!(asked(0, CopyState::Silent), [(4, 1), (8, 2)], "it was asked in round 0");
+    assert_eq!(asked(1, CopyState::Silent), [(1, 0), (5, 1), (9, 2)]);
+    assert_eq!(asked(1, CopyState::Lacks).len(), 8, "it has answered: after a pause");
+}
+
 /// A replica that had started again, without its fence, confirmed what the successor lacked.
 #[test]
 fn a_replica_without_a_fence_does_not_count_while_a_failover_runs() {
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -120,10 +120,11 @@
             let known = self.knowledge(&group.borrow(), &waiting.data_centre);
             let replicas = self.known_replicas(&group.borrow(), waiting.server);
             let state = copy_state(&replicas, first.as_ref(), commit);
+            let found = commit.evidence(&known, &registered(&replicas));
             if let Some(first) = &first {
-                self.record_first(group, first, state, commit);
+                self.record_first(group, first, state, found, commit);
             }
-            if let Some(found) = commit.evidence(&known, &registered(&replicas)) {
+            if let Some(found) = found {
                 return found;
             }
             if known.now >= deadline {
@@ -131,7 +132,7 @@
             }
             match inquiry.next_step(state, known.now) {
                 Step::AskFirst => first = self.ask_first(waiting, &replicas, known.single),
-                Step::AskAll(round) => self.ask_all(waiting, &replicas, round),
+                Step::AskAll(round) => self.ask_all(waiting, &replicas, first.as_ref(), round),
                 Step::Wait(span) => {
                     let wait = span.min(deadline.since(known.now));
                     // After a timeout, more is asked.
@@ -145,15 +146,17 @@
         group.known_replicas(server, &self.settings.data_centre, clock::now())
     }
 
-    /// Records how long the answer of the replica took that was asked first, once it has come.
+    /// Records how long the answer of the replica took that was asked first, once it has come or
+    /// something else has decided.
     fn record_first(
         &self,
         group: &RefCell<Group>,
         first: &ServerId,
         state: CopyState,
+        found: Option<Evidence>,
         commit: &Commit,
     ) {
-        if state != CopyState::Silent {
+        if state != CopyState::Silent || found.is_some() {
             let taken = clock::now().since(commit.answered);
             let has_helped = state == CopyState::Holds;
             group.borrow_mut().replicas.record_delay(first, taken, has_helped);
--- a/crates/engine/src/confirmation/inquiry.rs
+++ b/crates/engine/src/confirmation/inquiry.rs
@@ -5,7 +5,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use chicoryhollow_core::{ServerId, durability::rank_witnesses};
+use chicoryhollow_core::{
+    ServerId,
+    durability::{CopyState, home_in_round, rank_witnesses},
+};
 use tokio::time::sleep;
 
 use super::Waiting;
@@ -25,7 +28,7 @@
 const MAX_ASKED_VMS: usize = 4;
 
 /// Number of times that homes are asked before this VM asks the replicas itself.
-const HOME_ROUNDS: u32 = 1;
+const HOME_ROUNDS: u32 = 4;
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
     /// Asks the replica that is likely to show first that it holds the commit, and returns its
@@ -47,18 +50,32 @@
         Some(first.entry.server.clone())
     }
 
-    /// Asks all replicas that stay, and several VMs, for the time with the number `round`.
+    /// Asks several VMs, and all replicas that stay and whose answers are not awaited, for the time
+    /// with the number `round`. The replica `first` was asked before the others.
     pub(super) fn ask_all(
         self: &Rc<Self>,
         waiting: &Waiting<'_>,
         replicas: &[KnownReplica],
+        first: Option<&ServerId>,
         round: u32,
     ) {
         self.ask_vms(waiting, MAX_ASKED_VMS);
         self.list_if_needed(replicas);
-        let staying = replicas.iter().filter(|known| !known.entry.leaving);
-        staying.for_each(|known| self.ask_replica(waiting, &known.entry, round as usize));
-        if round > HOME_ROUNDS {
+        let mut is_any_silent = false;
+        for known in replicas.iter().filter(|known| !known.entry.leaving) {
+            let server = &known.entry.server;
+            let begun = if Some(server) == first { 0 } else { 1 };
+            let state = known.witness.replica.copy_state(&waiting.commit);
+            is_any_silent |= state == CopyState::Silent;
+            let Some(home) = home_in_round(round, begun, state) else { continue };
+            let mut group = waiting.group.borrow_mut();
+            let is_first = round == begun;
+            if is_first || group.replicas.should_repeat(server, clock::now()) {
+                drop(group);
+                self.ask_replica(waiting, &known.entry, home as usize);
+            }
+        }
+        if round > HOME_ROUNDS && is_any_silent {
             self.poll_replicas(waiting.group, waiting.server);
         }
     }
--- a/crates/engine/src/group/replicas.rs
+++ b/crates/engine/src/group/replicas.rs
@@ -14,6 +14,9 @@
 /// Shortest time that a replica counts as having taken if its answer did not help.
 const VAIN_DELAY: Duration = Duration::from_millis(100);
 
+/// Pause between two repeated questions of this VM to one replica.
+const REPEAT_PAUSE: Duration = Duration::from_millis(80);
+
 /// Who asks for the status of a replica.
 pub(crate) enum Asker {
     /// A commit of this VM.
@@ -43,6 +46,8 @@
     answers: IndexMap<ServerId, ReplicaAnswers>,
     /// Time that the last answer of each server took.
     delays: IndexMap<ServerId, Duration>,
+    /// When each server was last asked again.
+    repeated: IndexMap<ServerId, Time>,
     polls: IndexMap<ServerId, Poll>,
     /// Whether all servers are being asked by this VM itself.
     pub(crate) round: SingleFlight,
@@ -67,6 +72,7 @@
         }
         self.answers.retain(|server, _| after.get(server).is_some_and(is_same));
         self.delays.retain(|server, _| after.contains_key(server));
+        self.repeated.retain(|server, _| after.contains_key(server));
     }
 
     /// Records the answer of a server to a question that was sent at `asked`, or that none came
@@ -93,6 +99,16 @@
         self.delays.insert(server.clone(), delay);
     }
 
+    /// Returns whether to ask a server again, for all commits of this VM that wait.
+    pub(crate) fn should_repeat(&mut self, server: &ServerId, now: Time) -> bool {
+        let is_due = |at: &Time| now.since(*at) >= REPEAT_PAUSE;
+        let repeats = self.repeated.get(server).is_none_or(is_due);
+        if repeats {
+            self.repeated.insert(server.clone(), now);
+        }
+        repeats
+    }
+
     /// Adds a request for the status of a server; returns whether to start to ask.
     pub(crate) fn add_request(&mut self, server: &ServerId, asker: Asker) -> bool {
         let poll = self.polls.entry(server.clone()).or_default();
