--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -6,7 +6,7 @@
     failover_model::{
         event::{Call, Event, Fate, Scope},
         network::Direction,
-        search::{Bounds, Recovery},
+        search::{Bounds, RECOVERY, Recovery, replay},
         ticks,
         told::AckRule,
         world::{Changes, Fleet, Pace, World},
@@ -109,6 +109,20 @@
     search(&durable(PRIMARY_ALONE), &bounds);
 }
 
+/// A coordinator that knows nothing promotes the longest log, and does not take the start of its
+/// term for all that there is to know when it replaces that one.
+#[test]
+fn daemons_that_know_no_commit_do_not_replace_a_successor_by_a_server_that_lacks_some() {
+    let events = vec![Event::Crash(0), Event::Part, Event::RestartAll];
+    let bounds = Bounds {
+        event_ticks: ticks(600),
+        grid: 2,
+        horizon: ticks(22_000),
+        ..bounds(vec![Event::Lag(1)], events, 3)
+    };
+    assert_holds(&durable(PRIMARY_ALONE), &bounds);
+}
+
 #[test]
 fn daemons_that_know_no_commit_replace_a_primary_that_fails() {
     let events = vec![Event::Crash(0), Event::Cut(Direction::Both), Event::Lag(1), Event::Lag(2)];
@@ -185,3 +199,36 @@
     };
     search(&fleet_of_four(), &bounds);
 }
+
+/// A registered replica that is split off with the primary is no proof: the other side waits for it
+/// for 10 s only.
+#[test]
+fn no_commit_is_told_of_a_replica_that_is_split_off_with_the_primary() {
+    for centre in [0, 1] {
+        let bounds = Bounds {
+            event_ticks: ticks(6_000),
+            grid: 10,
+            horizon: ticks(22_000),
+            ..bounds(vec![Event::Start(3, centre)], vec![Event::Split, Event::Heal], 2)
+        };
+        assert_holds(&fleet_of_four(), &bounds);
+    }
+}
+
+/// An order of a failover that was given up is carried out after a copy on a fenced replica has
+/// shown that a commit is safe. Found by seed.
+#[test]
+fn no_commit_is_told_of_a_copy_while_an_order_for_another_server_is_open() {
+    let events = [
+        (93, Event::Sever(1, 3)),
+        (111, Event::Part),
+        (118, Event::Crash(0)),
+        (124, Event::Disturb(Call::Promote, Fate::Late(ticks(13_000)))),
+        (127, Event::Start(3, 0)),
+        (206, Event::Restart(0, true)),
+        (218, Event::StoreDown),
+        (228, Event::Heal),
+    ];
+    let found = replay(&durable(PRIMARY_ALONE), ticks(30_000), RECOVERY, &events);
+    assert!(found.is_none(), "{found:?}");
+}
