--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -149,6 +149,16 @@
     assert_holds(&durable(PRIMARY_ALONE), &bounds);
 }
 
+/// A primary that confirms nothing is replaced although the row is written slowly.
+#[test]
+fn a_primary_is_replaced_while_the_row_is_written_slowly() {
+    for delay in [500, 1_000, 2_000].map(ticks) {
+        let first = vec![Event::StoreSlow(delay), Event::Detach];
+        let bounds = Bounds { horizon: ticks(25_000), ..bounds(first, Vec::new(), 0) };
+        assert_holds(&durable(PRIMARY_ALONE), &bounds);
+    }
+}
+
 /// Two VMs in each data centre, of which the coordinator has no callers, and messages that take a
 /// while.
 fn fleet_of_four() -> World {
--- a/crates/core/tests/failover_model/search.rs
+++ b/crates/core/tests/failover_model/search.rs
@@ -153,7 +153,7 @@
             if let Err(violation) = run.world.step() {
                 return Err(Trace { events: run.events, violation });
             }
-            self.summary.promotions += usize::from(run.world.primary() != leader);
+            self.summary.promotions += usize::from(is_promoted(&run.world, leader));
         }
         let Some(recovery) = self.bounds.recovery else { return Ok(()) };
         let Run { mut world, events } = run;
@@ -178,6 +178,11 @@
     }
 }
 
+/// Returns whether another server leads than `leader`. A primary that steps down is none.
+fn is_promoted(world: &World, leader: Option<usize>) -> bool {
+    world.primary().is_some_and(|primary| Some(primary) != leader)
+}
+
 /// Hashes text as it is formatted.
 struct HashWriter(DefaultHasher);
 
@@ -211,7 +216,7 @@
         if let Err(violation) = world.step() {
             return Err(shrink(start, length, Trace { events, violation }));
         }
-        promotions += usize::from(world.primary() != leader);
+        promotions += usize::from(is_promoted(&world, leader));
     }
     match recovers(&mut world, RECOVERY) {
         Ok(()) => Ok(promotions),
