--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -6,7 +6,7 @@
     Lsn, Position, Term, Time,
     durability::{
         Commit, CopyState, Evidence, Inquiry, Knowledge, MissingCommits, RegisteredReplica,
-        ReplicaAnswer, ReplicaAnswers, Step, ToldCommits, Witness, rank_witnesses,
+        ReplicaAnswer, ReplicaAnswers, Step, ToldCommits, Witness, home_in_round, rank_witnesses,
     },
     failover::{
         Action, Announcement, Cause, Failover, FailoverNumber, FenceUse, Member, Progress,
@@ -253,6 +253,51 @@
     assert_eq!(inquiry.next_step(CopyState::Lacks, ms(65)), Step::AskAll(2));
 }
 
+/// The primary is cut off from the replicas that stay; only one that is leaving has the commit.
+#[test]
+fn a_commit_that_only_a_leaving_replica_confirmed_is_not_told_as_a_success() {
+    let commit = Commit { position: at(2, 140), answered: ms(11_160) };
+    let known = knowledge(Some(ms(11_165)));
+    let status = |lsn, fenced_term| {
+        let received = at(2, lsn);
+        ReplicaAnswer::Status(ReplicationStatus {
+            received,
+            term: TERM,
+            fenced_term,
+            ..Default::default()
+        })
+    };
+    let leaving =
+        RegisteredReplica { leaving: true, ..answering(ms(11_165), status(140, Term::default())) };
+    let busy = answering(ms(11_165), ReplicaAnswer::Busy);
+    let silent = answering(ms(11_159), ReplicaAnswer::Busy);
+    for fenced_term in [Term::default(), Term::new(3)] {
+        let behind = answering(ms(11_165), status(139, fenced_term));
+        let near = RegisteredReplica { near: true, ..behind };
+        for others in [[behind, behind], [behind, busy], [behind, silent], [near, busy]] {
+            let replicas = [leaving, others[0], others[1]];
+            assert_eq!(commit.evidence(&known, &replicas), None, "{others:?}");
+        }
+    }
+    let behind = answering(ms(11_165), status(139, Term::default()));
+    let new = RegisteredReplica { registered: Duration::ZERO, ..behind };
+    assert_eq!(commit.evidence(&known, &[leaving, new]), None, "one that has just started");
+    let held = answering(ms(11_165), status(140, Term::default()));
+    let replicas = [leaving, answering(ms(11_165), status(139, Term::default())), held];
+    assert_eq!(commit.evidence(&known, &replicas), Some(Evidence::Copy), "one that stays has it");
+}
+
+/// Each question takes a slot of the replica.
+#[test]
+fn a_replica_whose_answer_is_awaited_is_not_asked_again() {
+    let asked = |begun, state| -> Vec<(u32, u32)> {
+        (1..10).filter_map(|round| Some((round, home_in_round(round, begun, state)?))).collect()
+    };
+    assert_eq!(asked(0, CopyState::Silent), [(4, 1), (8, 2)], "it was asked in round 0");
+    assert_eq!(asked(1, CopyState::Silent), [(1, 0), (5, 1), (9, 2)]);
+    assert_eq!(asked(1, CopyState::Lacks).len(), 8, "it has answered: after a pause");
+}
+
 /// A replica that had started again, without its fence, confirmed what the successor lacked.
 #[test]
 fn a_replica_without_a_fence_does_not_count_while_a_failover_runs() {
