--- a/crates/core/tests/failover_model/group_view.rs
+++ b/crates/core/tests/failover_model/group_view.rs
@@ -3,8 +3,10 @@
 use chicoryhollow_core::{
     GroupId, Position, ServerId, Term,
     coordinator::Roster,
+    durability::{ReplicaAnswer, ReplicaAnswers},
     failover::{
-        Announcement, Member, MissingServer, MissingServers, RegisteredServer, ServerTimes,
+        Announcement, Member, MissingServer, MissingServers, RegisteredServer, ReplicationStatus,
+        ServerTimes,
     },
 };
 use std::time::Duration;
@@ -54,6 +56,8 @@
     pub(crate) heard_term: u64,
     /// When the newest question about a commit was sent that another VM has answered.
     pub(crate) contact: Option<u32>,
+    /// What each server has answered about its status.
+    pub(crate) replies: [ReplicaAnswers; SERVERS],
 }
 
 impl GroupView {
@@ -75,6 +79,7 @@
             failover: None,
             heard_term: 0,
             contact: None,
+            replies: [ReplicaAnswers::default(); SERVERS],
         }
     }
 
@@ -102,12 +107,27 @@
             let born = |entry: &Option<Entry>| entry.as_ref().map(|entry| entry.born);
             if born(entry) != born(&self.entries[i]) {
                 self.known_since[i] = tick;
+                self.replies[i] = ReplicaAnswers::default();
             }
         }
         self.entries = entries.clone();
         self.read = tick;
     }
 
+    /// Records the answer of a server to a question for its status that was sent at `asked`, or
+    /// that none came in time.
+    pub(crate) fn record_reply(
+        &mut self,
+        server: usize,
+        asked: u32,
+        status: Option<ReplicationStatus>,
+    ) {
+        match status {
+            Some(status) => self.replies[server].record(time(asked), ReplicaAnswer::Status(status)),
+            None => self.replies[server].record_silence(),
+        }
+    }
+
     /// Returns the registered servers, if any are known.
     pub(crate) fn roster(&self) -> Option<Roster> {
         let ids: Vec<ServerId> = self.others(None).map(id).collect();
--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -1,7 +1,7 @@
 //! Callers, and what they are told of their writes.
 
 use chicoryhollow_core::{
-    durability::{Commit, Evidence, Knowledge, RegisteredReplica, ReplicaAnswer, ReplicaAnswers},
+    durability::{Commit, Evidence, Knowledge, RegisteredReplica},
     isolation::needs_replica_answer,
 };
 
@@ -125,6 +125,7 @@
             self.receive_answer(vm, &mut write);
             if write.answered.is_some() {
                 self.ask_contact(vm, &write);
+                self.ask_replicas(vm, &write);
             }
             match write.answered {
                 Some(_) if self.may_tell(vm, &write) => {
@@ -193,26 +194,39 @@
         evidence.is_some_and(Evidence::is_sufficient)
     }
 
-    /// Returns the registered replicas and what they answer now.
+    /// Returns the registered replicas and what they have answered.
     fn known_replicas(&self, vm: usize, write: &Write) -> Vec<RegisteredReplica> {
         let (tick, view) = (self.tick, &self.vms[vm].view);
         let near = self.servers[write.server].centre;
-        let answers = |i: usize| match self.is_answering(vm, i) {
-            true => ReplicaAnswers::default()
-                .with(time(tick), ReplicaAnswer::Status(self.servers[i].status())),
-            false => ReplicaAnswers::default(),
-        };
         let others = view.others(Some(write.server));
         others
             .map(|i| RegisteredReplica {
                 registered: span(tick - view.known_since[i]),
                 leaving: view.entries[i].as_ref().is_some_and(|entry| entry.leaving),
                 near: self.servers[i].centre == near,
-                answers: answers(i),
+                answers: view.replies[i],
             })
             .collect()
     }
 
+    /// Asks the replicas that stay for their status, one question at a time.
+    fn ask_replicas(&mut self, vm: usize, write: &Write) {
+        if self.rule != AckRule::Durability {
+            return;
+        }
+        let view = &self.vms[vm].view;
+        let stays = |i: &usize| view.entries[*i].as_ref().is_some_and(|entry| !entry.leaving);
+        let others: Vec<usize> = view.others(Some(write.server)).filter(stays).collect();
+        for server in others {
+            if self.pace.call > 0 {
+                self.ask_once(vm, server);
+                continue;
+            }
+            let status = self.call(vm, server, Command::Status);
+            self.vms[vm].view.record_reply(server, self.tick, status);
+        }
+    }
+
     fn may_send(&self, vm: usize, server: usize) -> bool {
         let me = &self.vms[vm];
         let centre = |server: usize| self.servers[server].centre;
