Let the cleanup of fences see what other VMs report, and send no release late

A coordinator without callers of its own never began a cleanup, as only its own unconfirmed writes began one: votes of other VMs do now. A process that stood still between the decision and the connection could send a release that a newer failover's fence does not expect: it is not sent once its time limit has passed.

--- a/crates/engine/src/watch/cleanup.rs
+++ b/crates/engine/src/watch/cleanup.rs
@@ -11,8 +11,9 @@
 use slog::o;
 use tokio::time::timeout;
 
-use super::{GroupWatch, send_command};
+use super::{GroupWatch, execution::send_if};
 use crate::{
+    clock,
     coordinator::Coordinator,
     engine::Engine,
     group::Group,
@@ -51,7 +52,8 @@
 ) {
     let group = group.borrow();
     let name = &group.view.group;
-    if group.unconfirmed(now) >= UNCONFIRMED_CLEANUP {
+    let votes = engine.fleet.failure_votes(name, UNCONFIRMED_CLEANUP, now);
+    if group.unconfirmed(now) >= UNCONFIRMED_CLEANUP || votes.failed > 0 {
         cleanup.borrow_mut().start_unconfirmed(now);
     }
     let needed = FenceUse {
@@ -110,13 +112,18 @@
 }
 
 /// Sends a command to a replica and records its status, which is returned if it answered in time.
+///
+/// It is not sent if this process has stood still for longer than the time limit meanwhile: another
+/// VM may replace the primary by then, and rely on the fence.
 async fn send<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     cleanup: &RefCell<FenceCleanup>,
     server: &ServerId,
     command: Command,
 ) -> Option<ReplicationStatus> {
-    let answer = timeout(RELEASE_TIMEOUT, send_command(engine, server, command)).await;
+    let begun = clock::now();
+    let is_wanted = || clock::now().since(begun) < RELEASE_TIMEOUT;
+    let answer = timeout(RELEASE_TIMEOUT, send_if(engine, server, command, is_wanted)).await;
     let status = answer.ok().flatten().map(ReplicationStatus::from);
     match status {
         Some(status) => cleanup.borrow_mut().record_status(server, status),
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -33,7 +33,8 @@
         match action {
             Action::Fence(server, term) => {
                 let status = send(&engine, &failover, &server, Command::Hold(term)).await;
-                if status.is_none() {
+                // A fence that is confirmed after the end has the cleanup as its owner, too.
+                if status.is_none() || failover.borrow().has_ended() {
                     cleanup.borrow_mut().record_unanswered_fence(clock::now());
                 }
             }
@@ -156,7 +157,7 @@
 
 /// Sends a command to a server, if `is_wanted` once there is a connection, and returns its status,
 /// if it answered. A connection and an answer each have a time limit.
-async fn send_if<S: ServerProtocol, D: Directory>(
+pub(super) async fn send_if<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     server: &ServerId,
     command: Command,
