Take the start of a term for knowledge only beside an acknowledged commit

Found by the search of the model: all daemons restart, one of them promotes q, knows where q's term began and no commit at all, and later replaces q by a server that lacks what was acknowledged before. The acknowledged position was still 0/0, and the start of the term counted as being informed.

--- a/crates/core/src/failover/floor.rs
+++ b/crates/core/src/failover/floor.rs
@@ -60,9 +60,12 @@
 
 impl Failover {
     /// Records where the log of the newest promoted primary began. A coordinator that knows it
-    /// hears of each commit that callers are told of afterwards.
+    /// hears of each commit that callers are told of afterwards. Of those before it says nothing,
+    /// so it counts only beside an acknowledged commit.
     pub fn record_log_start(&mut self, start: Position) {
-        self.informed = self.informed.max(start.term());
+        if self.acknowledged > Position::default() {
+            self.informed = self.informed.max(start.term());
+        }
     }
 
     /// Returns what must be in the log of the next primary.
--- a/crates/core/tests/failover_floor.rs
+++ b/crates/core/tests/failover_floor.rs
@@ -107,6 +107,16 @@
     assert_eq!(world.run().as_deref(), Ok("r"), "nothing was acknowledged since its start");
 }
 
+/// Daemons that had restarted promoted a server, knew where its term began, and replaced it by one
+/// that lacked what had been acknowledged before.
+#[test]
+fn the_start_of_a_term_alone_does_not_tell_what_was_acknowledged() {
+    let p = status(false, 6, at(6, 355));
+    let mut world = World::new(Position::default(), Some(p), status(false, 6, at(2, 139)));
+    world.failover.record_log_start(at(6, 355));
+    assert_eq!(world.run().as_deref(), Ok("p"));
+}
+
 #[test]
 fn a_primary_that_is_cut_from_its_replicas_is_replaced_if_they_have_what_is_acknowledged() {
     let p = status(true, 2, at(2, 150));
