Renew the coordinator's lease by when the last write began

What callers saw in the model: with writes of the row that take 1 s, the primary steps down and nobody is promoted for 25 s. The next renewal was counted from the end of a write, so that a lease of 2.1 s lapsed during each one, and with it the failover and its order ended.

Fix: counted from the beginning of the write. a_primary_is_replaced_while_the_row_is_written_slowly holds now for writes of 0.5 and 1 s; with 2 s the lease still lapses, and the test stays listed.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -379,6 +379,7 @@
         self.confirmed = Some((version, asked));
         self.unconfirmed = None;
         self.held = Some(HeldLease { until: asked + (LEASE_DURATION - HOLDER_MARGIN), version });
-        self.due = now + RENEWAL_INTERVAL;
+        // Counted from before the write, so that a lease does not lapse while writes are slow.
+        self.due = (asked + RENEWAL_INTERVAL).max(now);
     }
 }
