--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -134,7 +134,9 @@
                     self.told |= 1 << write.commit;
                     self.note(|| format!("VM {vm} tells that write {} succeeded", write.commit));
                 }
-                Some(answered) if tick - answered >= HOLD_TIMEOUT => {}
+                Some(answered) if tick - answered >= HOLD_TIMEOUT => {
+                    self.record_unproven(vm, &write);
+                }
                 None if tick - write.sent >= WRITE_TIMEOUT => {}
                 _ => self.vms[vm].writes.push(write),
             }
@@ -155,14 +157,22 @@
             write.answered = Some(tick);
             view.record_primary(write.server, write.position, tick);
             // The product counts a commit as acknowledged once a caller is told of it.
-            let told =
-                if rule == AckRule::Durability { Default::default() } else { write.position };
-            view.record_commit(told);
+            if rule != AckRule::Durability {
+                view.record_commit(write.position);
+            }
         } else if tick - write.sent >= CONFIRM_TIME && view.primary == Some(write.server) {
             view.unconfirmed_since.get_or_insert(write.sent);
         }
     }
 
+    /// Records a write that the primary acknowledged and of which no caller is told.
+    fn record_unproven(&mut self, vm: usize, write: &Write) {
+        let view = &mut self.vms[vm].view;
+        if view.primary == Some(write.server) {
+            view.unconfirmed_since.get_or_insert(write.sent);
+        }
+    }
+
     /// Lets the VMs that answer note a position, if that is part of the proof.
     fn tell_position(&mut self, vm: usize, write: &Write) {
         let AckRule::Proof(Proof { contact: Contact::Noted, .. }) = self.rule else { return };
