Claim a planned order by what was acknowledged when it was decided on

Under steady writes and a slow row no order could be claimed, until the primary had ended.

Only the successor can confirm anything once the others are fenced, so the claim compares with what was acknowledged when the attempt was made. Test: a_planned_order_is_sent_although_the_primary_goes_on_acknowledging, which failed before (the attempt was not claimed).

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -134,6 +134,8 @@
     open_order: Option<ServerId>,
     /// Number of the newest attempt to order a promotion.
     attempt: AttemptNumber,
+    /// What the server of a planned promotion had to have received when the attempt was made.
+    attempt_floor: Position,
     /// The newest attempt whose order was sent.
     sent: Option<AttemptNumber>,
     /// Whether it has ended. It then does nothing any more.
@@ -175,6 +177,7 @@
             target_received: None,
             open_order: None,
             attempt: AttemptNumber::default(),
+            attempt_floor: Position::default(),
             sent: None,
             has_ended: false,
             retry_after: None,
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -67,6 +67,7 @@
 
     /// Makes another attempt to order the promotion of the target.
     pub(super) fn next_attempt(&mut self, server: ServerId, now: Time) -> Action {
+        self.attempt_floor = self.required();
         self.attempt = AttemptNumber(self.attempt.0 + 1);
         self.promotion_sent = Some(now);
         Action::Promote(OrderAttempt { server, number: self.attempt })
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -74,10 +74,12 @@
     }
 
     /// Returns what a server must have received to be promoted. A leaving primary works until then,
-    /// and all that it has written by the start is required of its successor.
-    fn required(&self) -> Position {
+    /// and all that it has written by the start is required of its successor. Once an attempt is
+    /// made, only the successor can confirm more.
+    pub(super) fn required(&self) -> Position {
         match self.cause {
             Cause::Failure => self.floor().position(),
+            Cause::Planned if self.promotion_sent.is_some() => self.attempt_floor,
             Cause::Planned => self.acknowledged,
         }
     }
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -64,6 +64,26 @@
     }
 }
 
+/// The planned order could not be claimed as long as the leaving primary acknowledged writes.
+#[test]
+fn a_planned_order_is_sent_although_the_primary_goes_on_acknowledging() {
+    let members = ["a", "b"].map(member);
+    let (term, now) = (Term::new(1), Time::default());
+    let mut failover = Failover::new(Cause::Planned, members, term, position(8), now)
+        .with_primary(server("p"), now);
+    let open = |lsn| ReplicationStatus { fenced_term: Term::default(), ..fenced(lsn) };
+    failover.record_status(&server("a"), fenced(8), now);
+    failover.record_status(&server("b"), open(9), now);
+    failover.next_actions(now);
+    failover.record_status(&server("a"), fenced(8), at(250));
+    failover.record_status(&server("b"), open(9), at(250));
+    failover.record_list(at(250));
+    let attempt = attempt(failover.next_actions(at(250))).expect("an order");
+    assert_eq!(*attempt.server(), server("b"));
+    failover.record_acknowledged(position(10));
+    assert!(failover.claim(&attempt, at(300)), "only its server can have confirmed the commit");
+}
+
 /// Case 8 of the second review: the order of an abandoned failover waited for the coordinator's row,
 /// was sent after another server had become the primary, and cost what that one had acknowledged.
 #[test]
