Choose again at once if the server that was ordered to lead disappears

Found by the search, once writes that cannot be proven count as unconfirmed: n is promoted and ends in the same moment. Its failover waited for it for 12 s, fenced the others at the term that n had led, which they would refuse, and the group confirmed nothing until 10 s after all had healed.

Fix: a server that is no member any more is like one that does not answer, and choosing again begins with the reports of the servers, so that the term is above the one that was led. Tests: another_server_is_chosen_if_the_ordered_one_disappears, and the search daemons_that_know_no_commit_do_not_replace_a_primary_by_a_server_that_lacks_some, which was stuck before.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -312,7 +312,7 @@
             return Vec::new();
         }
         if self.has_lost_target() {
-            self.choose_again(now);
+            self.choose_again();
         }
         if let (Some(target), Some(sent)) = (&self.target, self.promotion_sent) {
             let target = target.clone();
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -111,7 +111,7 @@
         }
         self.retry_after = Some(now + REPEAT_INTERVAL);
         match self.has_sent() {
-            true => self.choose_again(now),
+            true => self.choose_again(),
             false => self.withdraw(),
         }
     }
@@ -142,10 +142,10 @@
 
     /// Gives up the requested promotion. The next request has a higher token, so that the
     /// directory refuses the earlier one from then on.
-    pub(super) fn choose_again(&mut self, now: Time) {
+    pub(super) fn choose_again(&mut self) {
         self.target = None;
         self.promotion_sent = None;
-        self.fencing_since = self.fencing_since.map(|_| now);
+        self.fencing_since = None;
     }
 
     /// Returns the actions that follow up the promotion that was requested at `sent`.
@@ -155,7 +155,10 @@
         sent: Time,
         now: Time,
     ) -> Vec<Action> {
-        let Some(replica) = self.replicas.get_mut(&target) else { return Vec::new() };
+        let Some(replica) = self.replicas.get_mut(&target) else {
+            self.choose_again();
+            return Vec::new();
+        };
         let is_polled =
             replica.last_action.is_some_and(|last| now.since(last) < PROMOTION_CHECK_INTERVAL);
         if !is_polled {
@@ -176,7 +179,7 @@
     fn repeat_promotion(&mut self, target: ServerId, now: Time) -> Option<Action> {
         if !self.has_answered_lately(&target, now) {
             self.forget_target();
-            self.choose_again(now);
+            self.choose_again();
             return None;
         }
         self.is_sent().then(|| self.next_attempt(target, now))
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -106,6 +106,25 @@
     assert!(!failover.claim(&attempt, at(4_000)), "it was sent");
 }
 
+/// A promoted server that ended at once left the group without a primary for 12 s.
+#[test]
+fn another_server_is_chosen_if_the_ordered_one_disappears() {
+    let (mut failover, attempt) = waiting();
+    assert!(failover.claim(&attempt, at(250)));
+    failover.retain(|name| *name != server("a"));
+    // It had led the term of the failover, which the other one follows.
+    let follower = ReplicationStatus { term: Term::new(2), ..fenced(8) };
+    failover.record_status(
+        &server("b"),
+        ReplicationStatus { fenced_term: Term::default(), ..follower },
+        at(300),
+    );
+    failover.next_actions(at(300));
+    failover.record_status(&server("b"), follower, at(350));
+    let actions = failover.next_actions(at(350));
+    assert_eq!(failover.term(), Term::new(3), "a fence at term 2 would be refused: {actions:?}");
+}
+
 #[test]
 fn an_order_for_a_server_that_would_not_be_chosen_any_more_is_not_sent() {
     let changes: [fn(&mut Failover); 4] = [
