Give the cleanup of fences actions of its own, and clearer names

A cleanup and a failover shared one type of action, of which each had to ignore some: a failover cannot ask for a release now, nor a cleanup for a promotion. Nothing else changes.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -47,7 +47,7 @@
 
 pub use self::{
     announcement::{Announcement, FailoverNumber},
-    cleanup::{FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
+    cleanup::{CleanupAction, FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
     missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
     promotion::OrderAttempt,
@@ -57,7 +57,7 @@
 pub(crate) use self::missing::RETURN_TIMEOUT;
 
 use self::{
-    demotion::Demotion, floor::Backlog, listing::Listing, promotion::AttemptNumber,
+    demotion::Demotion, floor::Shortage, listing::Listing, promotion::AttemptNumber,
     replica::Replica,
 };
 
@@ -94,8 +94,6 @@
     /// Request the promotion of a server. The attempt is to be claimed right before the order is
     /// sent ([`Failover::claim`]).
     Promote(OrderAttempt),
-    /// Lift the fence of a server, so that it receives again.
-    Release(ServerId),
 }
 
 /// One replacement of a primary, as a state machine.
@@ -122,7 +120,7 @@
     /// Whether a server joined after a promotion was requested.
     joined_late: bool,
     /// Whether nobody may be promoted, until fencing begins.
-    backlog: Backlog,
+    shortage: Shortage,
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
@@ -170,7 +168,7 @@
             started: now,
             announced: now,
             joined_late: false,
-            backlog: Backlog::None,
+            shortage: Shortage::None,
             fencing_since: None,
             target: None,
             promotion_sent: None,
--- a/crates/core/src/failover/cleanup.rs
+++ b/crates/core/src/failover/cleanup.rs
@@ -14,7 +14,7 @@
 
 use indexmap::IndexMap;
 
-use super::{Action, ReplicationStatus, announcement::FAILOVER_SPAN};
+use super::{ReplicationStatus, announcement::FAILOVER_SPAN};
 use crate::{id::ServerId, position::Term, time::Time};
 
 /// Time within which a request to lift a fence is answered or given up. No failover begins
@@ -45,16 +45,25 @@
     pub ordered: bool,
     /// Whether another VM may become the coordinator within [`RELEASE_TIMEOUT`], and begin a
     /// failover.
-    pub passing: bool,
+    pub handover: bool,
 }
 
 impl FenceUse {
     /// Returns whether nothing needs the fences.
     pub fn is_over(&self) -> bool {
-        !self.running && !self.ordered && !self.passing
+        !self.running && !self.ordered && !self.handover
     }
 }
 
+/// A request that the coordinator sends to a replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CleanupAction {
+    /// Ask a replica for its replication status.
+    Poll(ServerId),
+    /// Lift the fence of a replica, so that it receives again.
+    Release(ServerId),
+}
+
 /// A request to a replica whose answer is not known yet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Request {
@@ -109,7 +118,7 @@
 /// ```
 /// use chicoryhollow_core::{
 ///     ServerId, Term, Time,
-///     failover::{Action, FenceCleanup, FenceUse, ReplicationStatus},
+///     failover::{CleanupAction, FenceCleanup, FenceUse, ReplicationStatus},
 /// };
 ///
 /// let server: ServerId = "i-7f3a91c2".parse().unwrap();
@@ -117,10 +126,10 @@
 /// let (mut cleanup, none) = (FenceCleanup::new(), FenceUse::default());
 /// assert_eq!(cleanup.next_actions([&server], none, now), []);
 /// cleanup.start(now);
-/// assert_eq!(cleanup.next_actions([&server], none, now), [Action::Poll(server.clone())]);
+/// assert_eq!(cleanup.next_actions([&server], none, now), [CleanupAction::Poll(server.clone())]);
 /// let fenced = ReplicationStatus { fenced_term: Term::new(4), ..ReplicationStatus::default() };
 /// cleanup.record_status(&server, fenced);
-/// assert_eq!(cleanup.next_actions([&server], none, now), [Action::Release(server)]);
+/// assert_eq!(cleanup.next_actions([&server], none, now), [CleanupAction::Release(server)]);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct FenceCleanup {
@@ -198,7 +207,7 @@
         replicas: impl IntoIterator<Item = &'a ServerId>,
         needed: FenceUse,
         now: Time,
-    ) -> Vec<Action> {
+    ) -> Vec<CleanupAction> {
         if self.started.is_none() || !needed.is_over() {
             return Vec::new();
         }
@@ -210,8 +219,8 @@
             all_clean &= replica.is_clean();
             if (!replica.is_clean() || may_arrive) && replica.is_due(now) {
                 actions.push(match replica.next_request(now) {
-                    Request::Poll => Action::Poll(server.clone()),
-                    Request::Release => Action::Release(server.clone()),
+                    Request::Poll => CleanupAction::Poll(server.clone()),
+                    Request::Release => CleanupAction::Release(server.clone()),
                 });
             }
         }
--- a/crates/core/src/failover/fencing.rs
+++ b/crates/core/src/failover/fencing.rs
@@ -1,6 +1,6 @@
 //! How a failover stops all servers from receiving before one is promoted.
 
-use super::{Action, Cause, Failover, MAX_ANSWER_AGE, Replica, floor::Backlog};
+use super::{Action, Cause, Failover, MAX_ANSWER_AGE, Replica, floor::Shortage};
 use crate::time::Time;
 
 impl Failover {
@@ -14,7 +14,7 @@
         let all_answer = self.replicas.values().all(is_reachable) && !self.awaits_primary(now);
         let is_behind = self.fencing_since.is_none() && all_answer && self.lacks_candidate();
         if all_answer {
-            self.backlog = self.backlog.next(is_behind, now);
+            self.shortage = self.shortage.next(is_behind, now);
         }
         let mut actions = Vec::new();
         if self.may_begin(all_answer, now) {
@@ -43,10 +43,10 @@
     /// Returns whether fencing may begin: somebody may be promoted, and the primary does not
     /// answer, or its replicas have not just caught up with it.
     fn may_begin(&self, all_answer: bool, now: Time) -> bool {
-        let is_useful = match self.backlog {
-            Backlog::None => true,
-            Backlog::Since(_) => false,
-            Backlog::Cleared => !self.is_demotion_due(now),
+        let is_useful = match self.shortage {
+            Shortage::None => true,
+            Shortage::Since(_) => false,
+            Shortage::Cleared => !self.is_demotion_due(now),
         };
         self.fencing_since.is_none() && all_answer && is_useful
     }
--- a/crates/core/src/failover/floor.rs
+++ b/crates/core/src/failover/floor.rs
@@ -19,7 +19,7 @@
 
 /// Whether nobody may be promoted, because all replicas lack what is acknowledged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Backlog {
+pub(super) enum Shortage {
     /// That was never the case.
     None,
     /// Since this time.
@@ -28,14 +28,14 @@
     Cleared,
 }
 
-impl Backlog {
+impl Shortage {
     /// Returns what is known after all replicas have answered.
     pub(super) fn next(self, is_behind: bool, now: Time) -> Self {
         match (self, is_behind) {
-            (Backlog::Since(since), true) => Backlog::Since(since),
-            (_, true) => Backlog::Since(now),
-            (Backlog::None, false) => Backlog::None,
-            (_, false) => Backlog::Cleared,
+            (Shortage::Since(since), true) => Shortage::Since(since),
+            (_, true) => Shortage::Since(now),
+            (Shortage::None, false) => Shortage::None,
+            (_, false) => Shortage::Cleared,
         }
     }
 }
--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Cause, Demotion, Failover, floor::Backlog};
+use super::{Cause, Demotion, Failover, floor::Shortage};
 use crate::{id::ServerId, position::Term, time::Time};
 
 /// Time after the start of fencing within which the promotion must be requested.
@@ -49,11 +49,11 @@
         if self.replicas.is_empty() {
             return Progress::Abandoned("no other backend server is left");
         }
-        match self.backlog {
-            Backlog::Since(since) if now.since(since) >= BEHIND_TIMEOUT => {
+        match self.shortage {
+            Shortage::Since(since) if now.since(since) >= BEHIND_TIMEOUT => {
                 return Progress::Abandoned(BEHIND);
             }
-            Backlog::Cleared if self.fencing_since.is_none() && self.is_demotion_due(now) => {
+            Shortage::Cleared if self.fencing_since.is_none() && self.is_demotion_due(now) => {
                 return Progress::Abandoned("the primary works, and a replica has caught up");
             }
             _ => {}
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -9,8 +9,8 @@
 use chicoryhollow_core::{
     Lsn, Position, ServerId, Term, Time,
     failover::{
-        Action, Cause, Failover, FenceCleanup, FenceUse, Member, MissingServers, Progress,
-        RegisteredServer, ReplicationStatus, ServerTimes,
+        Action, Cause, CleanupAction, Failover, FenceCleanup, FenceUse, Member, MissingServers,
+        Progress, RegisteredServer, ReplicationStatus, ServerTimes,
     },
 };
 
@@ -55,7 +55,7 @@
         cleanup.record_status(server, replica_status(at(1, 9), 2));
     }
     let actions = cleanup.next_actions(&servers, needed, now);
-    actions.iter().filter(|action| matches!(action, Action::Release(_))).count()
+    actions.iter().filter(|action| matches!(action, CleanupAction::Release(_))).count()
 }
 
 /// Time at which all VMs know of a failover that started at time zero.
--- a/crates/core/tests/failover_floor.rs
+++ b/crates/core/tests/failover_floor.rs
@@ -77,7 +77,7 @@
                 }
                 server
             }
-            Action::Poll(server) | Action::Release(server) => server,
+            Action::Poll(server) => server,
         };
         if let Some(status) = self.servers.get(asked.as_str()) {
             self.failover.record_status(&asked, *status, self.now);
--- a/crates/core/tests/failover_model/cleanup.rs
+++ b/crates/core/tests/failover_model/cleanup.rs
@@ -4,7 +4,7 @@
 
 use chicoryhollow_core::{
     ServerId,
-    failover::{Action, FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
+    failover::{CleanupAction, FenceCleanup, FenceUse, RELEASE_TIMEOUT, UNCONFIRMED_CLEANUP},
 };
 
 use super::{
@@ -50,18 +50,17 @@
             cleanup.start_unconfirmed(now);
         }
         let ordered = me.memory.open_order(&group()).is_some();
-        let needed = FenceUse { running: false, ordered, passing: !keeps_role };
+        let needed = FenceUse { running: false, ordered, handover: !keeps_role };
         let replicas: Vec<ServerId> = me.view.others(me.view.primary).map(id).collect();
         for action in cleanup.next_actions(&replicas, needed, now) {
             self.clean_up_server(vm, action);
         }
     }
 
-    fn clean_up_server(&mut self, vm: usize, action: Action) {
+    fn clean_up_server(&mut self, vm: usize, action: CleanupAction) {
         let (server, command) = match action {
-            Action::Poll(server) => (server, Command::Status),
-            Action::Release(server) => (server, Command::Release),
-            other => unreachable!("a cleanup asks for no {other:?}"),
+            CleanupAction::Poll(server) => (server, Command::Status),
+            CleanupAction::Release(server) => (server, Command::Release),
         };
         let number = index(server.as_str());
         if self.pace.call > 0 {
--- a/crates/core/tests/failover_model/execution.rs
+++ b/crates/core/tests/failover_model/execution.rs
@@ -16,7 +16,6 @@
             Action::Fence(server, term) => (server, Command::Fence(term.get())),
             Action::Poll(server) => (server, Command::Status),
             Action::Demote(server, term) => (server, Command::Demote(term.get())),
-            Action::Release(_) => unreachable!("a failover lifts no fences"),
             Action::ListServers => return self.list_servers(vm, failover),
             Action::Promote(attempt) => return self.order(vm, begun, failover, attempt),
         };
--- a/crates/core/tests/fence_cleanup.rs
+++ b/crates/core/tests/fence_cleanup.rs
@@ -2,10 +2,10 @@
 
 use chicoryhollow_core::{
     ServerId, Term, Time,
-    failover::{Action, FenceCleanup, FenceUse, ReplicationStatus},
+    failover::{CleanupAction, FenceCleanup, FenceUse, ReplicationStatus},
 };
 
-const NONE: FenceUse = FenceUse { running: false, ordered: false, passing: false };
+const NONE: FenceUse = FenceUse { running: false, ordered: false, handover: false };
 
 fn server(name: &str) -> ServerId {
     name.parse().expect("a valid name")
@@ -40,13 +40,12 @@
             let servers = ["a", "b"].map(server);
             for action in self.cleanup.next_actions(&servers, NONE, at(ms)) {
                 let released = match action {
-                    Action::Poll(server) => {
+                    CleanupAction::Poll(server) => {
                         self.polls.push(ms);
                         self.answer(&server);
                         continue;
                     }
-                    Action::Release(server) => server,
-                    other => panic!("{other:?}"),
+                    CleanupAction::Release(server) => server,
                 };
                 self.releases.push(ms);
                 self.fences[usize::from(released.as_str() == "b")] = 0;
@@ -98,18 +97,18 @@
     let needed = [
         FenceUse { running: true, ..NONE },
         FenceUse { ordered: true, ..NONE },
-        FenceUse { passing: true, ..NONE },
+        FenceUse { handover: true, ..NONE },
     ];
     for needed in needed {
         let a = server("a");
         let mut cleanup = FenceCleanup::new();
         cleanup.start(at(0));
-        assert_eq!(cleanup.next_actions([&a], NONE, at(0)), [Action::Poll(a.clone())]);
+        assert_eq!(cleanup.next_actions([&a], NONE, at(0)), [CleanupAction::Poll(a.clone())]);
         cleanup.record_status(&a, status(4));
         for ms in (0..5_000).step_by(50) {
             assert_eq!(cleanup.next_actions([&a], needed, at(ms)), [], "{needed:?}");
         }
-        let lifted = [Action::Release(a.clone())];
+        let lifted = [CleanupAction::Release(a.clone())];
         assert_eq!(cleanup.next_actions([&a], NONE, at(5_000)), lifted, "afterwards");
     }
 }
@@ -129,7 +128,7 @@
     assert!(cleanup.is_releasing(), "another failover has ended");
     cleanup.record_failure(&a);
     assert!(!cleanup.is_releasing());
-    let polls = [Action::Poll(a.clone())];
+    let polls = [CleanupAction::Poll(a.clone())];
     assert_eq!(cleanup.next_actions([&a], NONE, at(300)), polls, "whether it is fenced is open");
 }
 
--- a/crates/core/tests/joining.rs
+++ b/crates/core/tests/joining.rs
@@ -102,7 +102,7 @@
                 self.leads = false;
                 server
             }
-            Action::Poll(server) | Action::Release(server) => server,
+            Action::Poll(server) => server,
         };
         let fence = |is_fenced: bool| if is_fenced { Term::new(2) } else { Term::default() };
         let (primary, received, fenced_term) = match target.as_str() {
--- a/crates/engine/src/watch/cleanup.rs
+++ b/crates/engine/src/watch/cleanup.rs
@@ -5,7 +5,8 @@
 use chicoryhollow_core::{
     GroupId, ServerId, Time,
     failover::{
-        Action, FenceCleanup, FenceUse, RELEASE_TIMEOUT, ReplicationStatus, UNCONFIRMED_CLEANUP,
+        CleanupAction, FenceCleanup, FenceUse, RELEASE_TIMEOUT, ReplicationStatus,
+        UNCONFIRMED_CLEANUP,
     },
 };
 use slog::o;
@@ -59,7 +60,7 @@
     let needed = FenceUse {
         running: false,
         ordered: coordinator.newest_order(name).is_some(),
-        passing: !coordinator.keeps_role_for(RELEASE_TIMEOUT),
+        handover: !coordinator.keeps_role_for(RELEASE_TIMEOUT),
     };
     let primary = group.view.primary.as_ref();
     let replicas = group.servers.keys().filter(|server| Some(*server) != primary);
@@ -73,17 +74,15 @@
     engine: &Rc<Engine<S, D>>,
     group: &GroupId,
     cleanup: &Rc<RefCell<FenceCleanup>>,
-    action: Action,
+    action: CleanupAction,
 ) {
     let (engine, group, cleanup) = (Rc::clone(engine), group.clone(), Rc::clone(cleanup));
     actix::spawn(async move {
         match action {
-            Action::Poll(server) => {
+            CleanupAction::Poll(server) => {
                 send(&engine, &cleanup, &server, Command::Status).await;
             }
-            Action::Release(server) => release(&engine, &group, &cleanup, &server).await,
-            // A cleanup asks for nothing else.
-            _ => {}
+            CleanupAction::Release(server) => release(&engine, &group, &cleanup, &server).await,
         }
         engine.watch_wakeup.notify_one();
     });
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -41,8 +41,6 @@
             Action::Poll(server) => {
                 send(&engine, &failover, &server, Command::Status).await;
             }
-            // A failover lifts no fences.
-            Action::Release(_) => {}
             Action::Demote(server, term) => {
                 demote(&engine, &failover, &group, &server, term).await;
             }
