Check contact beside a reached replica too, in each check that the new rule of evidence changed

The checks of durability.rs that ask what contact shows were moved to a group without replicas, whose list the directory has answered. That was weaker than before for worlds with a replica: each of them now asks the same beside a replica that was reached and has reported nothing, and wants the same answer.

--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -39,9 +39,13 @@
     }
 }
 
-/// What the VM knows of a commit in a group of which no replica has been registered for long.
-fn alone(commit: Commit, known: &Knowledge) -> Option<Evidence> {
-    commit.evidence(known, &[])
+/// Returns what contact shows of a commit, as far as replicas do not decide: the same in a group of
+/// which no replica has been registered for long, and beside one that is too busy to report.
+fn by_contact(commit: Commit, known: &Knowledge) -> Option<Evidence> {
+    let alone = commit.evidence(known, &[]);
+    let busy = answering(ms(60_000), ReplicaAnswer::Busy);
+    assert_eq!(commit.evidence(known, &[busy]), alone, "a replica that has reported nothing");
+    alone
 }
 
 /// A replica that has been registered for long and has received `received`, as it reported long
@@ -72,9 +76,9 @@
     for sent in [7_950, 8_022, 8_080] {
         let commit = Commit { position: at(2, 195), answered: ms(8_205) };
         for asked in [sent, 8_001, 8_204] {
-            assert_eq!(alone(commit, &knowledge(Some(ms(asked)))), None);
+            assert_eq!(by_contact(commit, &knowledge(Some(ms(asked)))), None);
         }
-        assert_eq!(alone(commit, &knowledge(None)), None);
+        assert_eq!(by_contact(commit, &knowledge(None)), None);
     }
 }
 
@@ -87,7 +91,7 @@
         for (answered, asked) in times().flat_map(|at| times().map(move |asked| (at, asked))) {
             let is_possible = answered >= started && asked < cut;
             let commit = Commit { position: at(2, 9), answered: ms(answered) };
-            let evidence = alone(commit, &knowledge(Some(ms(asked))));
+            let evidence = by_contact(commit, &knowledge(Some(ms(asked))));
             if is_possible && evidence == Some(Evidence::Contact) {
                 assert!(started < cut, "start {started}, cut {cut}, answer {answered}");
                 passed += 1;
@@ -102,13 +106,13 @@
 fn contact_counts_for_nothing_while_a_failover_runs() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let contact = knowledge(Some(ms(200)));
-    assert_eq!(alone(commit, &contact), Some(Evidence::Contact));
+    assert_eq!(by_contact(commit, &contact), Some(Evidence::Contact));
     let begun = ms(50);
     let failover = Announcement { number: FailoverNumber::new(1), replaced: TERM, begun };
     let running = Knowledge { failover: Some(failover), ..contact };
-    assert_eq!(alone(commit, &running), None);
+    assert_eq!(by_contact(commit, &running), None);
     let completed = Knowledge { term: Term::new(3), ..running };
-    assert_eq!(alone(commit, &completed), Some(Evidence::Superseded));
+    assert_eq!(by_contact(commit, &completed), Some(Evidence::Superseded));
 }
 
 #[test]
@@ -116,8 +120,8 @@
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let contact = knowledge(Some(ms(100)));
     let age = |ms| Knowledge { directory_age: Duration::from_millis(ms), ..contact };
-    assert_eq!(alone(commit, &age(3_999)), Some(Evidence::Contact));
-    assert_eq!(alone(commit, &age(4_000)), None);
+    assert_eq!(by_contact(commit, &age(3_999)), Some(Evidence::Contact));
+    assert_eq!(by_contact(commit, &age(4_000)), None);
 }
 
 /// In a single data centre a VM took itself for enough, and no other one knew of the commit.
@@ -125,8 +129,8 @@
 fn vms_of_a_single_data_centre_ask_one_another() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let known = |contact| Knowledge { single: true, ..knowledge(contact) };
-    assert_eq!(alone(commit, &known(None)), None);
-    assert_eq!(alone(commit, &known(Some(ms(100)))), Some(Evidence::Contact));
+    assert_eq!(by_contact(commit, &known(None)), None);
+    assert_eq!(by_contact(commit, &known(Some(ms(100)))), Some(Evidence::Contact));
     let near = RegisteredReplica { near: true, ..replica(at(2, 9)) };
     assert!(commit.is_held_by(&near, &known(None)), "nothing can be cut off from the others");
 }
@@ -136,7 +140,7 @@
 fn contact_counts_for_nothing_right_after_a_cut() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let contact = knowledge(Some(ms(100)));
-    assert_eq!(alone(commit, &Knowledge { steady: false, ..contact }), None);
+    assert_eq!(by_contact(commit, &Knowledge { steady: false, ..contact }), None);
 }
 
 /// Positions of a newer term are greater, but the log may lack the commit.
@@ -177,7 +181,7 @@
     assert_eq!(commit.evidence(&directory, &[earlier]), None, "from before the answer");
     let leaving = RegisteredReplica { leaving: true, ..answering(ms(8_210), ReplicaAnswer::Busy) };
     assert_eq!(commit.evidence(&directory, &[leaving]), None, "failovers do not wait for it");
-    assert_eq!(alone(commit, &directory), None, "no list since the answer");
+    assert_eq!(commit.evidence(&directory, &[]), None, "no list since the answer");
 }
 
 #[test]
@@ -423,7 +427,7 @@
 fn is_lost_without_directory(known: Knowledge) -> bool {
     let commit = Commit { position: at(2, 9), answered: ms(2_000) };
     let known = Knowledge { directory_age: Duration::from_millis(2_010), ..known };
-    let is_told = alone(commit, &known).is_some_and(Evidence::is_sufficient);
+    let is_told = by_contact(commit, &known).is_some_and(Evidence::is_sufficient);
     let acknowledged = if is_told { commit.position } else { at(2, 0) };
     is_told && promoted(ms(3_000), acknowledged, Listing::Failing).as_deref() == Some("q")
 }
@@ -446,7 +450,7 @@
 fn a_commit_told_right_after_a_cut_is_not_lost() {
     let commit = Commit { position: at(2, 9), answered: ms(12_040) };
     let known = Knowledge { steady: false, ..knowledge(Some(ms(12_045))) };
-    let is_told = alone(commit, &known).is_some_and(Evidence::is_sufficient);
+    let is_told = by_contact(commit, &known).is_some_and(Evidence::is_sufficient);
     let promoted = promoted(ms(12_060), at(2, 0), Listing::From(ms(13_246)));
     assert!(!is_told || promoted.as_deref() != Some("q"), "told, and lost");
 }
