--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -38,7 +38,10 @@
         for (server, replica) in &self.replicas {
             match replica.status {
                 Some(status) if status.primary && self.promotion_target() == Some(server) => {
-                    return Progress::Done(server.clone(), status.term);
+                    // A target that led before may answer late as what it was.
+                    if status.term >= self.term {
+                        return Progress::Done(server.clone(), status.term);
+                    }
                 }
                 Some(status) if status.primary => {
                     return Progress::Abandoned("another server is already primary");
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -106,6 +106,42 @@
     assert!(!failover.claim(&attempt, at(4_000)), "it was sent");
 }
 
+/// The old primary may be the target; an answer of it from before its order ended the failover.
+#[test]
+fn an_answer_of_a_lower_term_does_not_complete_a_failover() {
+    let (mut failover, attempt) = waiting();
+    assert!(failover.claim(&attempt, at(250)));
+    let led = |term| ReplicationStatus { primary: true, term: Term::new(term), ..fenced(9) };
+    failover.record_status(&server("a"), led(1), at(300));
+    assert_eq!(failover.progress(at(300)), Progress::Running);
+    failover.record_status(&server("a"), led(2), at(350));
+    assert_eq!(failover.progress(at(350)), Progress::Done(server("a"), Term::new(2)));
+}
+
+/// Fences of another VM, at the same term or a higher one, count like own ones; they are no reason
+/// to order a server before all are fenced, or one that lacks a commit.
+#[test]
+fn fences_of_another_vm_let_only_the_longest_log_lead() {
+    for term in [2, 3, 9] {
+        let members = ["a", "b"].map(member);
+        let mut failover =
+            Failover::new(Cause::Failure, members, Term::new(1), position(8), Time::default());
+        let by_other = |lsn| ReplicationStatus { fenced_term: Term::new(term), ..fenced(lsn) };
+        let open = ReplicationStatus { fenced_term: Term::default(), ..fenced(9) };
+        failover.record_status(&server("a"), open, at(200));
+        failover.record_status(&server("b"), by_other(8), at(200));
+        failover.record_list(at(200));
+        let actions = failover.next_actions(at(200));
+        assert!(actions.contains(&Action::Fence(server("a"), Term::new(2))), "{actions:?}");
+        assert_eq!(attempt(actions), None, "one is not fenced yet");
+        failover.record_status(&server("a"), by_other(9), at(250));
+        failover.next_actions(at(250));
+        failover.record_list(at(300));
+        let ordered = attempt(failover.next_actions(at(300))).expect("an order");
+        assert_eq!(*ordered.server(), server("a"), "fenced at {term}");
+    }
+}
+
 /// A promoted server that ended at once left the group without a primary for 12 s.
 #[test]
 fn another_server_is_chosen_if_the_ordered_one_disappears() {
