Let no copy count while an order of an earlier failover may be carried out

Fix: an announcement says whether an order of an earlier failover is open, and then a fenced copy shows nothing.

--- a/crates/core/src/coordinator/memory/effect.rs
+++ b/crates/core/src/coordinator/memory/effect.rs
@@ -26,7 +26,7 @@
         let older = self.highest_effect(group, Some(&newest.server));
         let replaced = older.map_or(replaced, |effect| effect.max(replaced));
         let number = FailoverNumber::new(newest.token?.get());
-        Some(Announcement { number, replaced, begun: newest.known + EFFECT_SPAN })
+        Some(Announcement { number, replaced, begun: newest.known + EFFECT_SPAN, ordered: true })
     }
 
     /// Returns the term that open orders of earlier holders replace, once for each of them: the
--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -215,15 +215,23 @@
         knowledge.failover.is_some_and(|failover| failover.may_replace(term, knowledge.now))
     }
 
+    /// Returns whether the failover that runs counts what `replica` has received, and no earlier
+    /// order may do without.
+    fn outlasts_failover(&self, replica: &RegisteredReplica, knowledge: &Knowledge) -> bool {
+        let is_ordered = knowledge.failover.is_some_and(|failover| failover.ordered);
+        !is_ordered && replica.is_fenced_above(self.position.term())
+    }
+
     /// Returns whether `replica` holds the commit, and takes part in every failover.
     ///
     /// A replica in the primary's data centre counts only if that is not cut off: a failover
     /// elsewhere does not wait for it for ever. While a failover runs, a replica counts only if it
-    /// is fenced: one that has started again has lost its fence, and receives.
+    /// is fenced: one that has started again has lost its fence, and receives. It does not count
+    /// at all while an earlier order may replace the primary by a server that lacks the commit.
     pub fn is_held_by(&self, replica: &RegisteredReplica, knowledge: &Knowledge) -> bool {
         replica.takes_part()
             && (!replica.near || knowledge.single || self.has_contact(knowledge))
-            && (!self.may_be_replaced(knowledge) || replica.is_fenced_above(self.position.term()))
+            && (!self.may_be_replaced(knowledge) || self.outlasts_failover(replica, knowledge))
             && replica.copy_state(self) == CopyState::Holds
     }
 }
--- a/crates/core/src/failover/announcement.rs
+++ b/crates/core/src/failover/announcement.rs
@@ -33,6 +33,9 @@
     pub replaced: Term,
     /// When it was begun, by the clock of this VM.
     pub begun: Time,
+    /// Whether an order of an earlier failover may still be carried out. It chose its server before
+    /// this failover fenced any, so that copies on fenced servers show nothing.
+    pub ordered: bool,
 }
 
 impl Announcement {
@@ -50,7 +53,7 @@
     /// use chicoryhollow_core::{Term, Time, failover::{Announcement, FailoverNumber}};
     ///
     /// let (number, replaced) = (FailoverNumber::new(7), Term::new(2));
-    /// let failover = Announcement { number, replaced, begun: Time::from_millis(100) };
+    /// let failover = Announcement { number, replaced, begun: Time::from_millis(100), ordered: false };
     /// assert!(failover.may_replace(Term::new(2), Time::from_millis(13_099)));
     /// assert!(!failover.may_replace(Term::new(2), Time::from_millis(13_100)));
     /// assert!(!failover.may_replace(Term::new(3), Time::from_millis(200)), "its successor");
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -108,7 +108,8 @@
     let contact = knowledge(Some(ms(200)));
     assert_eq!(by_contact(commit, &contact), Some(Evidence::Contact));
     let begun = ms(50);
-    let failover = Announcement { number: FailoverNumber::new(1), replaced: TERM, begun };
+    let failover =
+        Announcement { number: FailoverNumber::new(1), replaced: TERM, begun, ordered: false };
     let running = Knowledge { failover: Some(failover), ..contact };
     assert_eq!(by_contact(commit, &running), None);
     let completed = Knowledge { term: Term::new(3), ..running };
@@ -322,12 +323,35 @@
     assert_eq!(asked(1, CopyState::Lacks).len(), 8, "it has answered: after a pause");
 }
 
+/// An order of a failover that had been given up was carried out late, and its server lacked what
+/// a server had received that was fenced only afterwards.
+#[test]
+fn a_copy_does_not_count_while_an_order_for_another_server_is_open() {
+    let commit = Commit { position: at(2, 9), answered: ms(100) };
+    let (number, begun) = (FailoverNumber::new(2), ms(50));
+    let running = |ordered, now| {
+        let failover = Some(Announcement { number, replaced: TERM, begun, ordered });
+        Knowledge { failover, now, ..knowledge(Some(ms(200))) }
+    };
+    let fenced = ReplicationStatus {
+        received: at(2, 9),
+        term: TERM,
+        fenced_term: Term::new(3),
+        ..Default::default()
+    };
+    let copy = reporting(fenced);
+    assert_eq!(commit.evidence(&running(false, ms(300)), &[copy]), Some(Evidence::Copy));
+    assert_eq!(commit.evidence(&running(true, ms(300)), &[copy]), None);
+    let over = running(true, ms(13_050));
+    assert_eq!(commit.evidence(&over, &[copy]), Some(Evidence::Copy), "it is refused by then");
+}
+
 /// A replica that had started again, without its fence, confirmed what the successor lacked.
 #[test]
 fn a_replica_without_a_fence_does_not_count_while_a_failover_runs() {
     let commit = Commit { position: at(2, 9), answered: ms(100) };
     let (number, begun) = (FailoverNumber::new(1), ms(50));
-    let failover = Some(Announcement { number, replaced: TERM, begun });
+    let failover = Some(Announcement { number, replaced: TERM, begun, ordered: false });
     let running = Knowledge { failover, ..knowledge(None) };
     assert!(!commit.is_held_by(&replica(at(2, 9)), &running));
     let status = ReplicationStatus {
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -113,8 +113,8 @@
         let replaced = replaced.max(view.newest_term());
         self.note(|| format!("VM {vm} recalls an order that replaces term {}", replaced.get()));
         let Some(token) = self.next_token(vm) else { return };
-        let (number, begun) = (FailoverNumber::new(token.get()), time(tick));
-        self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
+        let number = FailoverNumber::new(token.get());
+        self.announce(vm, number, replaced);
     }
 
     /// Writes to the row which servers are missing, if there are more.
@@ -218,12 +218,8 @@
         failover = failover.with_open_order(open_order.map(|open| open.server.clone()));
         let Some(token) = self.next_token(vm) else { return };
         let effect = self.vms[vm].memory.highest_effect(&group(), None).unwrap_or_default();
-        let announcement = Announcement {
-            number: FailoverNumber::new(token.get()),
-            replaced: effect.max(self.vms[vm].view.newest_term()),
-            begun: time(tick),
-        };
-        self.vms[vm].view.record_failover(Some(announcement));
+        let replaced = effect.max(self.vms[vm].view.newest_term());
+        self.announce(vm, FailoverNumber::new(token.get()), replaced);
         self.note(|| format!("VM {vm} starts a failover ({})", suspicion.label()));
         self.vms[vm].watch.running = Some(Running { failover, suspicion, started: tick });
     }
@@ -272,6 +268,14 @@
         watch.not_before = tick + FAILOVER_PAUSE;
     }
 
+    /// Tells of a failover, and whether an order of an earlier one is open.
+    fn announce(&mut self, vm: usize, number: FailoverNumber, replaced: Term) {
+        let begun = time(self.tick);
+        let Vm { memory, view, .. } = &mut self.vms[vm];
+        let ordered = memory.open_order(&group()).is_some();
+        view.record_failover(Some(Announcement { number, replaced, begun, ordered }));
+    }
+
     /// Tells of a failover again if the servers report a higher term than was known at the start.
     fn correct_announcement(&mut self, vm: usize, failover: &mut Failover) {
         let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
@@ -280,9 +284,9 @@
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
-        let (number, begun) = (FailoverNumber::new(token.get()), time(self.tick));
-        self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
-        failover.record_announcement(begun);
+        let number = FailoverNumber::new(token.get());
+        self.announce(vm, number, replaced);
+        failover.record_announcement(time(self.tick));
     }
 
     /// Tells that a failover which also covered the term of its successor has ended, unless an
@@ -296,9 +300,8 @@
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
-        let (number, begun) = (FailoverNumber::new(token.get()), time(self.tick));
-        let replaced = Term::default();
-        self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
+        let (number, replaced) = (FailoverNumber::new(token.get()), Term::default());
+        self.announce(vm, number, replaced);
     }
 
     /// Tells that an abandoned failover replaces no primary, unless its order may be open.
@@ -306,7 +309,7 @@
         let Some(token) = self.next_token(vm) else { return };
         let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
         let replaced = if has_ordered { known } else { Term::default() };
-        let (number, begun) = (FailoverNumber::new(token.get()), time(self.tick));
-        self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
+        let number = FailoverNumber::new(token.get());
+        self.announce(vm, number, replaced);
     }
 }
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -250,6 +250,7 @@
         number: FailoverNumber::new(number),
         replaced: Term::new(2),
         begun: Time::from_millis(begun),
+        ordered: false,
     };
     let known = |failover| GroupSummary {
         term: Term::new(2),
@@ -281,7 +282,7 @@
         fleet.learn(witness, group, note, 3_000);
         let begun = Time::from_millis(3_000);
         let number = FailoverNumber::new(1);
-        let failover = Some(Announcement { number, replaced: Term::new(1), begun });
+        let failover = Some(Announcement { number, replaced: Term::new(1), begun, ordered: false });
         let news = GroupSummary { failover, ..GroupSummary::default() };
         fleet.learn(coordinator, group, news, 3_000);
         fleet.run(3_000, ANNOUNCEMENT_MS);
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -152,6 +152,7 @@
         number: failover.number.get(),
         replaced: failover.replaced.get(),
         age_ms: millis(now.since(failover.begun)),
+        ordered: failover.ordered,
     }
 }
 
@@ -160,6 +161,7 @@
         number: FailoverNumber::new(failover.number),
         replaced: Term::new(failover.replaced),
         begun: now - Duration::from_millis(failover.age_ms.into()),
+        ordered: failover.ordered,
     }
 }
 
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -335,7 +335,9 @@
 ) -> bool {
     let Some(token) = coordinator.order_token() else { return false };
     let number = FailoverNumber::new(token.get());
-    group.borrow_mut().peers.record_failover(Announcement { number, replaced, begun: now });
+    let ordered = coordinator.newest_order(&group.borrow().view.group).is_some();
+    let announcement = Announcement { number, replaced, begun: now, ordered };
+    group.borrow_mut().peers.record_failover(announcement);
     engine.fleet.announce_primary();
     true
 }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -130,6 +130,9 @@
     /// Milliseconds since it was begun.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Whether an order of an earlier failover may still be carried out.
+    #[prost(bool, tag = "4")]
+    pub ordered: bool,
 }
 
 /// Asks for tokens of an account's rate.
