Keep a second order for a server that leads by the first one

Once the server led by the first one, the second was forgotten. If that server was replaced within 13 s, the second one promoted it again, in a term that no announcement covered, and the newer order rolled back what it had acknowledged there.

Fix: the newest such order is kept, also in the row, as one that changes nothing as long as its server leads: no failover begins because of it and no fence is kept, but a failover of that server announces the term that it may bring about. Rows of the version before parse; a daemon of that version takes it for an open order.

--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -186,6 +186,7 @@
             group,
             server,
             replaced,
+            repeated: false,
             token: None,
             written: now,
             known: now,
@@ -220,7 +221,8 @@
     /// Records that `server` leads its group at `term`.
     ///
     /// One of the orders to promote it has been carried out, so those before the first of them
-    /// are refused. Orders to promote it again have no effect.
+    /// are refused. Orders to promote it again have no effect as long as it leads. The newest of
+    /// them is kept, because it may promote the server once more after that has been replaced.
     pub fn record_leader(&mut self, group: &GroupId, server: &ServerId, term: Term) {
         let is_done = |open: &&OpenOrder| open.server == *server && open.replaced < term;
         let Some(first) = self.orders_of(group).filter(is_done).filter_map(|open| open.token).min()
@@ -231,7 +233,17 @@
         let is_only =
             self.orders_of(group).all(|open| open.server == *server && open.token.is_some());
         if is_only {
-            self.orders.retain(|open| open.group != *group);
+            self.keep_repeated(group, first, term);
+        }
+    }
+
+    /// Keeps the newest order of a group as one whose server leads at `term` by the order `first`.
+    fn keep_repeated(&mut self, group: &GroupId, first: FencingToken, term: Term) {
+        let newest = self.orders_of(group).filter_map(|open| open.token).max();
+        let newest = newest.filter(|newest| *newest > first);
+        self.orders.retain(|open| open.group != *group || open.token == newest && newest.is_some());
+        for open in self.orders.iter_mut().filter(|open| open.group == *group) {
+            (open.repeated, open.replaced) = (true, term);
         }
     }
 
@@ -244,9 +256,9 @@
         self.orders.iter().filter(move |open| open.group == *group)
     }
 
-    /// Returns the newest order of a group that may still be carried out.
+    /// Returns the newest order of a group that may still be carried out, and change something.
     pub fn open_order(&self, group: &GroupId) -> Option<&OpenOrder> {
-        let orders = self.orders.iter().filter(|open| open.group == *group);
+        let orders = self.orders.iter().filter(|open| open.group == *group && !open.repeated);
         orders.filter(|open| open.token.is_some()).max_by_key(|open| open.token)
     }
 
--- a/crates/core/src/coordinator/memory/effect.rs
+++ b/crates/core/src/coordinator/memory/effect.rs
@@ -22,7 +22,8 @@
     /// directory may go away before anybody gets it.
     pub fn announcement(&self, group: &GroupId) -> Option<Announcement> {
         let newest = self.open_order(group)?;
-        let replaced = self.orders_of(group).map(|open| open.replaced).max()?;
+        let open = self.orders_of(group).filter(|open| !open.repeated);
+        let replaced = open.map(|open| open.replaced).max()?;
         let older = self.highest_effect(group, Some(&newest.server));
         let replaced = older.map_or(replaced, |effect| effect.max(replaced));
         let number = FailoverNumber::new(newest.token?.get());
@@ -32,7 +33,8 @@
     /// Returns the term that open orders of earlier holders replace, once for each of them: the
     /// group is to be announced as having a failover.
     pub fn take_unannounced(&mut self, group: &GroupId) -> Option<Term> {
-        let is_new = |open: &&mut OpenOrder| open.group == *group && !open.is_announced;
+        let is_new =
+            |open: &&mut OpenOrder| open.group == *group && !open.is_announced && !open.repeated;
         let orders = self.orders.iter_mut().filter(is_new);
         let replaced = orders
             .map(|open| {
--- a/crates/core/src/coordinator/order.rs
+++ b/crates/core/src/coordinator/order.rs
@@ -29,6 +29,9 @@
     pub server: ServerId,
     /// Term of the primary that is replaced.
     pub replaced: Term,
+    /// Whether its server leads already, by an earlier order. It changes nothing as long as that
+    /// server leads, and may promote it again afterwards.
+    pub repeated: bool,
     /// Fencing token, or `None` if the order has not been sent.
     pub token: Option<FencingToken>,
     /// When the order was written first, at the earliest.
@@ -50,6 +53,7 @@
             group: order.group.clone(),
             server: order.server.clone(),
             replaced: order.replaced,
+            repeated: order.repeated,
             token: Some(token.unwrap_or_else(|| FencingToken::new(version))),
             written: before(now, order.age_ms),
             known: now,
@@ -69,6 +73,7 @@
             group: self.group.clone(),
             server: self.server.clone(),
             replaced: self.replaced,
+            repeated: self.repeated,
             token: self.token.map(FencingToken::get),
             age_ms: millis(now.since(self.written)),
         }
--- a/crates/core/src/coordinator/record.rs
+++ b/crates/core/src/coordinator/record.rs
@@ -89,6 +89,9 @@
     pub server: ServerId,
     /// Term of the primary that is replaced.
     pub replaced: Term,
+    /// Whether its server leads already, by an earlier order.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub repeated: bool,
     /// Fencing token of the order. An order is written before it has one, because its token is
     /// made of the version that this write gives to the row.
     pub token: Option<u64>,
