End an earlier coordinator's announcement with the role that is taken over

Fix: a VM that takes the role and knows from the row that no order of the group is open announces that no failover runs. That is safe because an order is in the row before it is sent; for 30 s after a restore of the directory, or after the start of a daemon that finds a restored one, the row may lack orders, and the announcement stays.

Test: a_later_holder_knows_that_no_order_is_open_unless_the_directory_was_restored (uses the new function).

--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -85,6 +85,9 @@
     /// Servers that were registered when the row that was read was written, until they are
     /// compared with those that are registered now.
     roster: Option<Option<Roster>>,
+    /// When this VM first saw that the directory was restored from a copy.
+    restored: Option<Time>,
+    era: Era,
     newest: Revision,
     written: Revision,
 }
@@ -99,6 +102,8 @@
             recalled: IndexSet::new(),
             unlisted: None,
             roster: None,
+            restored: None,
+            era: Era::default(),
             newest: Revision::default(),
             written: Revision::default(),
         }
@@ -111,11 +116,19 @@
         self.missing.clear();
         self.recalled.clear();
         self.unlisted = None;
+        self.record_era(version.era(), now);
         self.merge(record, version, now);
         self.roster = Some(record.roster);
         self.written = self.newest;
     }
 
+    /// A daemon does not know how long before its start the directory was restored.
+    fn record_era(&mut self, era: Era, now: Time) {
+        if era != self.era {
+            (self.era, self.restored) = (era, Some(now));
+        }
+    }
+
     /// Records that the directory has no coordinator's row in this era.
     ///
     /// In the first era no coordinator has existed. A later era begins when the directory is
@@ -128,6 +141,7 @@
         earlier: Option<(&FailoverRecord, DirectoryVersion)>,
         now: Time,
     ) {
+        self.record_era(era, now);
         if era == Era::default() {
             return;
         }
--- a/crates/core/src/coordinator/memory/effect.rs
+++ b/crates/core/src/coordinator/memory/effect.rs
@@ -1,10 +1,11 @@
 //! What open orders may still bring about, as other VMs have to be told.
 
-use super::{EFFECT_SPAN, FailoverMemory, OpenOrder};
+use super::{EFFECT_SPAN, FailoverMemory, ORDER_SPAN, OpenOrder};
 use crate::{
     failover::{Announcement, FailoverNumber},
     id::{GroupId, ServerId},
     position::Term,
+    time::Time,
 };
 
 impl FailoverMemory {
@@ -30,6 +31,13 @@
         Some(Announcement { number, replaced, begun: newest.known + EFFECT_SPAN, ordered: true })
     }
 
+    /// Returns whether no order of a group may be carried out and change something. Each order is in
+    /// the row before it is sent, but one may be missing for a while after a restore.
+    pub fn has_no_order(&self, group: &GroupId, now: Time) -> bool {
+        let is_complete = self.restored.is_none_or(|since| now.since(since) >= ORDER_SPAN);
+        is_complete && self.open_order(group).is_none()
+    }
+
     /// Returns the term that open orders of earlier holders replace, once for each of them: the
     /// group is to be announced as having a failover.
     pub fn take_unannounced(&mut self, group: &GroupId) -> Option<Term> {
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -259,6 +259,25 @@
     assert_eq!(last.take_unannounced(&group()), Some(Term::new(4)));
 }
 
+/// A coordinator that had lost its role left its failover announced for 13 s, and callers were told of
+/// no success although the primary worked.
+#[test]
+fn a_later_holder_knows_that_no_order_is_open_unless_the_directory_was_restored() {
+    let mut memory = with_orders(&[]);
+    assert!(memory.has_no_order(&group(), at(1_000)));
+    assert!(!with_orders(&["a"]).has_no_order(&group(), at(1_000)));
+    memory.record_absence(Era::new(1), None, at(1_000));
+    assert!(!memory.has_no_order(&group(), at(30_999)), "the row may have lost one");
+    assert!(memory.has_no_order(&group(), at(31_000)));
+    let record = FailoverRecord::default();
+    let mut later = FailoverMemory::new(at(2_000));
+    later.record_row(&record, DirectoryVersion::new(Era::new(1), 7), at(2_000));
+    assert!(
+        !later.has_no_order(&group(), at(3_000)),
+        "nor does a daemon know that has just started"
+    );
+}
+
 /// An order that is carried out late made an old primary of the group's present one.
 #[test]
 fn an_order_is_open_until_a_newer_one_is_accepted_or_its_outcome_is_known() {
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -109,7 +109,10 @@
         if let Some(primary) = view.primary {
             memory.record_leader(&group(), &id(primary), Term::new(view.term));
         }
-        let Some(replaced) = memory.take_unannounced(&group()) else { return };
+        let Some(replaced) = memory.take_unannounced(&group()) else {
+            self.end_earlier_failover(vm);
+            return;
+        };
         let replaced = replaced.max(view.newest_term());
         self.note(|| format!("VM {vm} recalls an order that replaces term {}", replaced.get()));
         let Some(token) = self.next_token(vm) else { return };
@@ -117,6 +120,19 @@
         self.announce(vm, number, replaced);
     }
 
+    /// Tells that no failover of an earlier coordinator runs any more, if this one is new and knows
+    /// of no order.
+    fn end_earlier_failover(&mut self, vm: usize) {
+        let now = time(self.tick);
+        let Vm { memory, view, watch, .. } = &self.vms[vm];
+        let is_running = view.failover.is_some_and(|known| known.may_replace(known.replaced, now));
+        if watch.since != self.tick || !is_running || !memory.has_no_order(&group(), now) {
+            return;
+        }
+        let Some(token) = self.next_token(vm) else { return };
+        self.announce(vm, FailoverNumber::new(token.get()), Term::default());
+    }
+
     /// Writes to the row which servers are missing, if there are more.
     fn remember(&mut self, vm: usize) {
         let Vm { memory, view, .. } = &mut self.vms[vm];
--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -164,6 +164,11 @@
         self.memory.borrow().highest_effect(group, None)
     }
 
+    /// Returns whether no order of a group may be carried out and change something.
+    pub(crate) fn has_no_order(&self, group: &GroupId, now: Time) -> bool {
+        self.memory.borrow().has_no_order(group, now)
+    }
+
     /// Returns whether any group may have a missing server of which this VM does not know.
     pub(crate) fn awaits_unlisted(&self) -> bool {
         self.memory.borrow().awaits_unlisted(clock::now())
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -109,7 +109,7 @@
                 engine.fleet.announce_primary();
             }
             if is_coordinator {
-                recall(&engine, &coordinator, &group);
+                recall(&engine, &coordinator, &group, watched.cleanup.is_none());
                 watch(&engine, &coordinator, &group, watched);
             } else {
                 watched.stop();
@@ -125,16 +125,24 @@
 }
 
 /// Takes over what earlier coordinators knew of a group. Orders of them that may still be carried
-/// out are announced as a failover that runs.
+/// out are announced as a failover that runs. If there is none, a VM that has just taken the role
+/// announces that no failover runs any more.
 fn recall<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     coordinator: &Coordinator,
     group: &RefCell<Group>,
+    is_new: bool,
 ) {
+    let now = clock::now();
     let recalled = coordinator.recall(&mut group.borrow_mut());
     if let Some(replaced) = recalled {
         let replaced = replaced.max(group.borrow().newest_term());
-        announce(engine, coordinator, group, replaced, clock::now());
+        announce(engine, coordinator, group, replaced, now);
+    } else if is_new && coordinator.has_no_order(&group.borrow().view.group, now) {
+        let known = group.borrow().peers.failover();
+        if known.is_some_and(|known| known.may_replace(known.replaced, now)) {
+            announce(engine, coordinator, group, Term::default(), now);
+        }
     }
 }
 
