--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -32,6 +32,7 @@
 mod missing;
 mod progress;
 mod promotion;
+mod replaced;
 mod replica;
 mod selection;
 
@@ -51,6 +52,7 @@
     missing::{MissingServer, MissingServers, RegisteredServer, ServerTimes},
     progress::Progress,
     promotion::OrderAttempt,
+    replaced::ReplacedPrimaries,
     replica::{Member, ReplicationStatus, Report},
 };
 
@@ -104,7 +106,9 @@
     cause: Cause,
     term: Term,
     replicas: IndexMap<ServerId, Replica>,
-    /// The primary to replace, if it is known.
+    /// Name of the primary to replace, if it is known.
+    replaced: Option<ServerId>,
+    /// What is known of that primary, unless it has become a member.
     primary: Option<Demotion>,
     /// What the directory was asked about the registered servers.
     listing: Listing,
@@ -160,6 +164,7 @@
             cause,
             term: highest.next(),
             replicas: members.into_iter().map(replica).collect(),
+            replaced: None,
             primary: None,
             listing: Listing::default(),
             informed: acknowledged.term(),
@@ -189,10 +194,16 @@
 
     /// Sets the primary to replace and when it last answered as such.
     pub fn with_primary(mut self, primary: ServerId, answered: Time) -> Self {
+        self.replaced = Some(primary.clone());
         self.primary = Some(Demotion::new(primary, answered));
         self
     }
 
+    /// Returns the primary that is replaced, if it is known.
+    pub fn replaced_primary(&self) -> Option<&ServerId> {
+        self.replaced.as_ref()
+    }
+
     /// Returns why the primary is replaced.
     pub fn cause(&self) -> Cause {
         self.cause
--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -36,12 +36,12 @@
     /// Returns the progress at `now`.
     pub fn progress(&self, now: Time) -> Progress {
         for (server, replica) in &self.replicas {
+            let is_target = self.promotion_target() == Some(server);
             match replica.status {
-                Some(status) if status.primary && self.promotion_target() == Some(server) => {
-                    // A target that led before may answer late as what it was.
-                    if status.term >= self.term {
-                        return Progress::Done(server.clone(), status.term);
-                    }
+                // It led before, and answers late as what it was.
+                Some(status) if status.primary && is_target && status.term < self.term => {}
+                Some(status) if status.primary && is_target => {
+                    return Progress::Done(server.clone(), status.term);
                 }
                 Some(status) if status.primary => {
                     return Progress::Abandoned("another server is already primary");
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -101,7 +101,6 @@
 
     /// Takes over what an earlier coordinator has written to the row.
     fn recall(&mut self, vm: usize) {
-        let tick = self.tick;
         let Vm { memory, view, .. } = &mut self.vms[vm];
         if view.entries.iter().any(Option::is_some) {
             view.recall(memory.take_missing(&group()));
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -15,7 +15,9 @@
 
 use chicoryhollow_core::{
     GroupId, Position, ServerId, Term, Time,
-    failover::{Announcement, Cause, Failover, FailoverNumber, FenceCleanup, Progress},
+    failover::{
+        Announcement, Cause, Failover, FailoverNumber, FenceCleanup, Progress, ReplacedPrimaries,
+    },
     suspicion::{Evidence, MAJORITY_FAILURE_TIMEOUT, Suspicion, UNCONFIRMED_TIMEOUT},
 };
 use slog::o;
@@ -59,6 +61,8 @@
     running: Option<RunningFailover>,
     /// Cleanup of fences, or `None` while this VM is not the coordinator.
     cleanup: Option<Rc<RefCell<FenceCleanup>>>,
+    /// Primaries that failed lately.
+    replaced: ReplacedPrimaries,
     /// Earliest start of the next failover.
     not_before: Time,
     no_primary_since: Option<Time>,
@@ -68,6 +72,16 @@
 }
 
 impl GroupWatch {
+    /// Records the end of a failover.
+    fn record_end(&mut self, failover: &Failover, now: Time) {
+        if failover.cause() == Cause::Failure
+            && failover.has_sent()
+            && let Some(primary) = failover.replaced_primary()
+        {
+            self.replaced.record(primary.clone(), now);
+        }
+    }
+
     /// Ends what only the coordinator does.
     fn stop(&mut self) {
         if let Some(running) = self.running.take() {
@@ -157,8 +171,10 @@
     departure::start(engine, group, watched, now);
     let cleanup = cleanup::of_group(watched, &group.borrow(), now);
     if let Some(running) = watched.running.take() {
+        let failover = Rc::clone(&running.failover);
         watched.running = advance(engine, coordinator, group, running, now);
         if watched.running.is_none() {
+            watched.record_end(&failover.borrow(), now);
             cleanup.borrow_mut().start(now);
             watched.not_before = now + FAILOVER_PAUSE;
         }
@@ -182,7 +198,7 @@
             return;
         }
         let server = order.map(|order| order.server);
-        let running = begin(engine, &group.borrow(), suspicion, server, cleanup, now);
+        let running = begin(engine, &group.borrow(), watched, suspicion, server, now);
         watched.running = Some(running);
     }
 }
@@ -204,7 +220,11 @@
         no_primary: watched.no_primary_since.map(|since| now.since(since)),
         open_order,
         leaving: entry.is_some_and(|entry| !group.accepts_work(entry)),
-        has_successor: group.members(now).iter().any(|member| member.preferred),
+        has_successor: watched
+            .replaced
+            .rank(group.members(now), now)
+            .iter()
+            .any(|member| member.preferred),
         failing: group.failing(now),
         silence: now.since(group.last_response()),
         unconfirmed: group.unconfirmed(now),
@@ -217,13 +237,13 @@
 fn begin<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     group: &Group,
+    watched: &GroupWatch,
     suspicion: Suspicion,
     ordered: Option<ServerId>,
-    cleanup: Rc<RefCell<FenceCleanup>>,
     now: Time,
 ) -> RunningFailover {
     let highest_term = group.newest_term().max(group.acknowledged.term());
-    let members = group.members(now);
+    let members = watched.replaced.rank(group.members(now), now);
     let names: Vec<String> = members.iter().map(|member| member.server.to_string()).collect();
     // A leaving primary still reports its log. The next primary must hold all of it.
     let min_position = match suspicion.cause() {
@@ -252,7 +272,7 @@
     RunningFailover {
         group: group.view.group.clone(),
         failover: Rc::new(RefCell::new(failover)),
-        cleanup,
+        cleanup: watched.cleanup.clone().unwrap_or_default(),
         suspicion,
         started: now,
     }
