Announce a failover again before it orders another server

Cause, the same class: the announcement did not know what the failover's own first order had brought about. And VMs that read the coordinator's row took the broader announcement back, because the order there named the old term only.

Fix: a failover that chooses again after it has sent an order needs to be announced once more, with the term that the first order may bring about, and orders nothing for 0.2 s after that.

--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -200,6 +200,7 @@
             group,
             server,
             replaced,
+            announced: replaced,
             repeated: false,
             token: None,
             written: now,
@@ -210,6 +211,14 @@
         Ok(revision)
     }
 
+    /// Records which terms the failover of the order with this revision was announced to replace, up
+    /// to `announced`. To be called before the row is written.
+    pub fn record_announced(&mut self, order: Revision, announced: Term) {
+        if let Some(open) = self.orders.iter_mut().find(|open| open.is_new(order)) {
+            open.announced = open.announced.max(announced);
+        }
+    }
+
     /// Records that the order of this revision is about to be sent. Returns false if it must not
     /// be, because another holder has written the row meanwhile.
     pub fn record_sent(&mut self, order: Revision, token: FencingToken) -> bool {
@@ -257,7 +266,7 @@
         let newest = newest.filter(|newest| *newest > first);
         self.orders.retain(|open| open.group != *group || open.token == newest && newest.is_some());
         for open in self.orders.iter_mut().filter(|open| open.group == *group) {
-            (open.repeated, open.replaced) = (true, term);
+            (open.repeated, open.replaced, open.announced) = (true, term, term);
         }
     }
 
--- a/crates/core/src/coordinator/memory/effect.rs
+++ b/crates/core/src/coordinator/memory/effect.rs
@@ -13,7 +13,7 @@
     /// order, or `None` if there is no such order.
     pub fn highest_effect(&self, group: &GroupId, server: Option<&ServerId>) -> Option<Term> {
         let others = self.orders_of(group).filter(|open| Some(&open.server) != server);
-        others.filter(|open| open.token.is_some()).map(|open| open.replaced.next()).max()
+        others.filter(|open| open.token.is_some()).map(|open| open.announced.next()).max()
     }
 
     /// Returns the failover of a group that its open orders stand for. What an older order for
@@ -24,7 +24,7 @@
     pub fn announcement(&self, group: &GroupId) -> Option<Announcement> {
         let newest = self.open_order(group)?;
         let open = self.orders_of(group).filter(|open| !open.repeated);
-        let replaced = open.map(|open| open.replaced).max()?;
+        let replaced = open.map(|open| open.announced).max()?;
         let older = self.highest_effect(group, Some(&newest.server));
         let replaced = older.map_or(replaced, |effect| effect.max(replaced));
         let number = FailoverNumber::new(newest.token?.get());
@@ -47,7 +47,7 @@
         let replaced = orders
             .map(|open| {
                 open.is_announced = true;
-                open.replaced
+                open.announced
             })
             .max()?;
         Some(self.announcement(group).map_or(replaced, |failover| failover.replaced.max(replaced)))
--- a/crates/core/src/coordinator/order.rs
+++ b/crates/core/src/coordinator/order.rs
@@ -29,6 +29,9 @@
     pub server: ServerId,
     /// Term of the primary that is replaced.
     pub replaced: Term,
+    /// Highest term that its failover was announced to replace. It is above that of the primary if
+    /// another order may be, or was, carried out before this one.
+    pub announced: Term,
     /// Whether its server leads already, by an earlier order. It changes nothing as long as that
     /// server leads, and may promote it again afterwards.
     pub repeated: bool,
@@ -53,6 +56,7 @@
             group: order.group.clone(),
             server: order.server.clone(),
             replaced: order.replaced,
+            announced: order.replaced.max(order.announced),
             repeated: order.repeated,
             token: Some(token.unwrap_or_else(|| FencingToken::new(version))),
             written: before(now, order.age_ms),
@@ -73,6 +77,7 @@
             group: self.group.clone(),
             server: self.server.clone(),
             replaced: self.replaced,
+            announced: self.announced,
             repeated: self.repeated,
             token: self.token.map(FencingToken::get),
             age_ms: millis(now.since(self.written)),
--- a/crates/core/src/coordinator/record.rs
+++ b/crates/core/src/coordinator/record.rs
@@ -25,7 +25,7 @@
 pub(super) const MAX_MISSING_BYTES: usize = 24_000;
 
 /// Greatest size of an order without its names: field names and numbers.
-const ORDER_BYTES: usize = 140;
+const ORDER_BYTES: usize = 180;
 
 /// Greatest size of a missing server without its names: field names, numbers and an address.
 const SERVER_BYTES: usize = 160;
@@ -89,6 +89,9 @@
     pub server: ServerId,
     /// Term of the primary that is replaced.
     pub replaced: Term,
+    /// Highest term that its failover was announced to replace.
+    #[serde(default)]
+    pub announced: Term,
     /// Whether its server leads already, by an earlier order.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub repeated: bool,
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -121,6 +121,9 @@
     started: Time,
     /// When all VMs were told of the failover.
     announced: Time,
+    /// Whether it has to be announced once more, because its own order for another server may be
+    /// carried out before the next one.
+    unannounced: bool,
     /// Whether a server joined after a promotion was requested.
     joined_late: bool,
     /// Whether nobody may be promoted, until fencing begins.
@@ -172,6 +175,7 @@
             first_acknowledged: acknowledged,
             started: now,
             announced: now,
+            unannounced: false,
             joined_late: false,
             shortage: Shortage::None,
             fencing_since: None,
@@ -231,10 +235,17 @@
         replicas.chain(self.primary.as_ref().map(Demotion::report))
     }
 
+    /// Returns whether it has to be announced once more, with the term that its own order for
+    /// another server may bring about. Nothing is ordered before.
+    pub fn needs_announcement(&self) -> bool {
+        self.unannounced
+    }
+
     /// Records that all VMs are told of the failover again, because it replaces the primary of a
     /// higher term than they were told.
     pub fn record_announcement(&mut self, now: Time) {
         self.announced = now;
+        self.unannounced = false;
         self.withdraw();
     }
 
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -125,6 +125,7 @@
     }
 
     fn forget_target(&mut self) {
+        self.unannounced |= self.has_sent();
         if let Some(target) = self.target.take()
             && let Some(replica) = self.replicas.get_mut(&target)
         {
@@ -141,8 +142,9 @@
     }
 
     /// Gives up the requested promotion. The next request has a higher token, so that the
-    /// directory refuses the earlier one from then on.
+    /// directory refuses the earlier one from then on. Until then that one may be carried out.
     pub(super) fn choose_again(&mut self) {
+        self.unannounced |= self.has_sent();
         self.target = None;
         self.promotion_sent = None;
         self.fencing_since = None;
--- a/crates/core/src/failover/selection.rs
+++ b/crates/core/src/failover/selection.rs
@@ -19,7 +19,7 @@
 
     /// Returns whether all VMs in contact know of the failover.
     fn is_announced(&self, now: Time) -> bool {
-        now.since(self.announced) >= ANNOUNCEMENT_SPAN
+        !self.unannounced && now.since(self.announced) >= ANNOUNCEMENT_SPAN
     }
 
     /// Returns when the list of servers must have been asked for at the earliest: when all VMs knew
--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -242,3 +242,18 @@
     let found = replay(&durable(PRIMARY_ALONE), ticks(30_000), RECOVERY, &events);
     assert!(found.is_none(), "{found:?}");
 }
+
+/// The server that was ordered first led, ended, and came back, while its failover ordered another
+/// one; what it acknowledged meanwhile was told. Found by seed.
+#[test]
+fn no_commit_is_told_of_a_server_that_its_own_failover_replaces() {
+    let events = [
+        (67, Event::Part),
+        (81, Event::StoreSlow(5)),
+        (107, Event::Crash(2)),
+        (138, Event::Heal),
+        (140, Event::Restart(2, true)),
+    ];
+    let found = replay(&fleet_of_four(), ticks(30_000), RECOVERY, &events);
+    assert!(found.is_none(), "{found:?}");
+}
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -259,6 +259,23 @@
     assert_eq!(last.take_unannounced(&group()), Some(Term::new(4)));
 }
 
+/// VMs that read the row took the announced terms back, and told successes that the order rolled back.
+#[test]
+fn an_order_in_the_row_covers_all_that_its_failover_was_announced_to_replace() {
+    let mut memory = with_orders(&[]);
+    let order = memory.prepare(group(), server("a"), Term::new(4), at(0)).expect("there is room");
+    memory.record_announced(order, Term::new(5));
+    assert!(memory.record_sent(order, FencingToken::from_number(1)));
+    let later = restart(&mut memory, &["a"], at(1_000));
+    for memory in [&memory, &later] {
+        let announcement = memory.announcement(&group()).expect("an open order");
+        assert_eq!(announcement.replaced, Term::new(5));
+        assert_eq!(memory.highest_effect(&group(), None), Some(Term::new(6)));
+    }
+    memory.record_leader(&group(), &server("a"), Term::new(5));
+    assert_eq!(memory.counts().0, 0, "it may lead the term after that of the primary");
+}
+
 /// A coordinator that had lost its role left its failover announced for 13 s, and callers were told of
 /// no success although the primary worked.
 #[test]
--- a/crates/core/tests/failover_model/row.rs
+++ b/crates/core/tests/failover_model/row.rs
@@ -130,8 +130,11 @@
         attempt: OrderAttempt,
     ) {
         let (now, replaced) = (time(self.tick), failover.replaced_term());
+        let known = self.vms[vm].view.failover;
+        let announced = known.map_or(replaced, |known| known.replaced);
         let (memory, server) = (&mut self.vms[vm].memory, attempt.server().clone());
         let Ok(revision) = memory.prepare(group(), server, replaced, now) else { return };
+        memory.record_announced(revision, announced);
         let ordering = Ordering { attempt, failover: begun, revision, is_tried: false };
         if let Some(ordering) = self.advance_order(vm, ordering, Some(failover)) {
             self.vms[vm].orderings.push(ordering);
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -294,8 +294,12 @@
     /// Tells of a failover again if the servers report a higher term than was known at the start.
     fn correct_announcement(&mut self, vm: usize, failover: &mut Failover) {
         let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
-        let replaced = failover.reported_term();
-        if failover.has_sent() || replaced <= known {
+        let mut replaced = failover.reported_term();
+        if failover.needs_announcement() {
+            let effect = self.vms[vm].memory.highest_effect(&group(), None);
+            let led = self.vms[vm].view.newest_term();
+            replaced = replaced.max(known).max(led).max(effect.unwrap_or_default());
+        } else if failover.has_sent() || replaced <= known {
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -106,6 +106,27 @@
     assert!(!failover.claim(&attempt, at(4_000)), "it was sent");
 }
 
+/// The server that was ordered first may have led meanwhile, and what it acknowledged was told.
+#[test]
+fn a_failover_that_chooses_again_after_an_order_is_announced_before_the_next_one() {
+    let (mut failover, attempt_a) = waiting();
+    assert!(!failover.needs_announcement());
+    assert!(failover.claim(&attempt_a, at(250)));
+    failover.record_promotion_refusal(&attempt_a);
+    assert!(failover.needs_announcement());
+    let ordered = |failover: &mut Failover, ms| {
+        answer(failover, ms);
+        failover.record_list(at(ms));
+        attempt(failover.next_actions(at(ms)))
+    };
+    for ms in (300..1_000).step_by(50) {
+        assert_eq!(ordered(&mut failover, ms), None, "{ms} ms: nobody was told");
+    }
+    failover.record_announcement(at(1_000));
+    assert_eq!(ordered(&mut failover, 1_150), None, "not all VMs know");
+    assert!(ordered(&mut failover, 1_200).is_some());
+}
+
 /// The old primary may be the target; an answer of it from before its order ended the failover.
 #[test]
 fn an_answer_of_a_lower_term_does_not_complete_a_failover() {
--- a/crates/engine/src/coordinator.rs
+++ b/crates/engine/src/coordinator.rs
@@ -22,7 +22,7 @@
 use slog::o;
 use tokio::{sync::Mutex, time::sleep};
 
-pub(crate) use self::row::reads_settled_era;
+pub(crate) use self::{orders::ReplacedTerms, row::reads_settled_era};
 
 use self::row::{COORDINATOR_TABLE, StoredRow, row_write};
 
--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -35,6 +35,15 @@
     RoleLost,
 }
 
+/// What an order replaces.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplacedTerms {
+    /// Term of the primary.
+    pub(crate) led: Term,
+    /// Highest term that its failover was announced to replace.
+    pub(crate) announced: Term,
+}
+
 impl Coordinator {
     /// Writes an order to the row, so that a later holder knows of it, and returns its token.
     /// The order is to be sent at once then. `claim` is asked last whether it may be.
@@ -47,11 +56,13 @@
         engine: &Engine<S, D>,
         group: &GroupId,
         server: &ServerId,
-        replaced: Term,
+        replaced: ReplacedTerms,
         claim: impl FnOnce() -> bool,
     ) -> Result<FencingToken, OrderError> {
         let (group, server) = (group.clone(), server.clone());
-        let order = self.memory.borrow_mut().prepare(group, server, replaced, clock::now())?;
+        let ReplacedTerms { led, announced } = replaced;
+        let order = self.memory.borrow_mut().prepare(group, server, led, clock::now())?;
+        self.memory.borrow_mut().record_announced(order, announced);
         self.write_revision(engine, order).await;
         let sent = self.mark_sent(order, claim);
         if sent.is_err() {
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -370,8 +370,8 @@
     true
 }
 
-/// Tells all VMs again if the servers report a higher term than was known at the start. The
-/// failover then waits until they know.
+/// Tells all VMs again if the servers report a higher term than was known at the start, or the
+/// failover chooses another server after it has sent an order. It then waits until they know.
 fn correct_announcement<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     coordinator: &Coordinator,
@@ -380,11 +380,15 @@
     now: Time,
 ) {
     let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
-    let reported = failover.reported_term();
-    if !failover.has_sent()
-        && reported > known
-        && announce(engine, coordinator, group, reported, now)
-    {
+    let mut replaced = failover.reported_term();
+    if failover.needs_announcement() {
+        let effect = coordinator.highest_effect(&group.borrow().view.group);
+        let led = group.borrow().newest_term();
+        replaced = replaced.max(known).max(led).max(effect.unwrap_or_default());
+    } else if failover.has_sent() || replaced <= known {
+        return;
+    }
+    if announce(engine, coordinator, group, replaced, now) {
         failover.record_announcement(now);
     }
 }
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -12,7 +12,7 @@
 use super::RunningFailover;
 use crate::{
     clock,
-    coordinator::Coordinator,
+    coordinator::{Coordinator, ReplacedTerms},
     engine::Engine,
     log::Event,
     seam::{Directory, PromoteOrder, PromotionOutcome, ServerLink, ServerProtocol, ServerStatus},
@@ -179,7 +179,10 @@
     group: &GroupId,
     attempt: &OrderAttempt,
 ) {
-    let (server, replaced) = (attempt.server(), failover.borrow().replaced_term());
+    let known = engine.group(group).borrow().peers.failover();
+    let led = failover.borrow().replaced_term();
+    let announced = known.map_or(led, |known| known.replaced);
+    let (server, replaced) = (attempt.server(), ReplacedTerms { led, announced });
     let claim = || failover.borrow_mut().claim(attempt, clock::now());
     let token = match coordinator.open_order(engine, group, server, replaced, claim).await {
         Ok(token) => token,
