--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -85,6 +85,9 @@
     /// Servers that were registered when the row that was read was written, until they are
     /// compared with those that are registered now.
     roster: Option<Option<Roster>>,
+    /// When this VM first saw that the directory was restored from a copy.
+    restored: Option<Time>,
+    era: Era,
     newest: Revision,
     written: Revision,
 }
@@ -99,6 +102,8 @@
             recalled: IndexSet::new(),
             unlisted: None,
             roster: None,
+            restored: None,
+            era: Era::default(),
             newest: Revision::default(),
             written: Revision::default(),
         }
@@ -111,11 +116,19 @@
         self.missing.clear();
         self.recalled.clear();
         self.unlisted = None;
+        self.record_era(version.era(), now);
         self.merge(record, version, now);
         self.roster = Some(record.roster);
         self.written = self.newest;
     }
 
+    /// A daemon does not know how long before its start the directory was restored.
+    fn record_era(&mut self, era: Era, now: Time) {
+        if era != self.era {
+            (self.era, self.restored) = (era, Some(now));
+        }
+    }
+
     /// Records that the directory has no coordinator's row in this era.
     ///
     /// In the first era no coordinator has existed. A later era begins when the directory is
@@ -128,6 +141,7 @@
         earlier: Option<(&FailoverRecord, DirectoryVersion)>,
         now: Time,
     ) {
+        self.record_era(era, now);
         if era == Era::default() {
             return;
         }
@@ -186,6 +200,7 @@
             group,
             server,
             replaced,
+            repeated: false,
             token: None,
             written: now,
             known: now,
@@ -220,7 +235,8 @@
     /// Records that `server` leads its group at `term`.
     ///
     /// One of the orders to promote it has been carried out, so those before the first of them
-    /// are refused. Orders to promote it again have no effect.
+    /// are refused. Orders to promote it again have no effect as long as it leads. The newest of
+    /// them is kept, because it may promote the server once more after that has been replaced.
     pub fn record_leader(&mut self, group: &GroupId, server: &ServerId, term: Term) {
         let is_done = |open: &&OpenOrder| open.server == *server && open.replaced < term;
         let Some(first) = self.orders_of(group).filter(is_done).filter_map(|open| open.token).min()
@@ -231,7 +247,17 @@
         let is_only =
             self.orders_of(group).all(|open| open.server == *server && open.token.is_some());
         if is_only {
-            self.orders.retain(|open| open.group != *group);
+            self.keep_repeated(group, first, term);
+        }
+    }
+
+    /// Keeps the newest order of a group as one whose server leads at `term` by the order `first`.
+    fn keep_repeated(&mut self, group: &GroupId, first: FencingToken, term: Term) {
+        let newest = self.orders_of(group).filter_map(|open| open.token).max();
+        let newest = newest.filter(|newest| *newest > first);
+        self.orders.retain(|open| open.group != *group || open.token == newest && newest.is_some());
+        for open in self.orders.iter_mut().filter(|open| open.group == *group) {
+            (open.repeated, open.replaced) = (true, term);
         }
     }
 
@@ -244,9 +270,9 @@
         self.orders.iter().filter(move |open| open.group == *group)
     }
 
-    /// Returns the newest order of a group that may still be carried out.
+    /// Returns the newest order of a group that may still be carried out, and change something.
     pub fn open_order(&self, group: &GroupId) -> Option<&OpenOrder> {
-        let orders = self.orders.iter().filter(|open| open.group == *group);
+        let orders = self.orders.iter().filter(|open| open.group == *group && !open.repeated);
         orders.filter(|open| open.token.is_some()).max_by_key(|open| open.token)
     }
 
--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -36,8 +36,11 @@
     /// Returns the progress at `now`.
     pub fn progress(&self, now: Time) -> Progress {
         for (server, replica) in &self.replicas {
+            let is_target = self.promotion_target() == Some(server);
             match replica.status {
-                Some(status) if status.primary && self.promotion_target() == Some(server) => {
+                // It led before, and answers late as what it was.
+                Some(status) if status.primary && is_target && status.term < self.term => {}
+                Some(status) if status.primary && is_target => {
                     return Progress::Done(server.clone(), status.term);
                 }
                 Some(status) if status.primary => {
