Name the two questions about a failover's orders by what they ask

has_sent and has_ordered sounded alike, but the second one also counts the order of an earlier failover. They are has_sent_order and has_open_order now, and the attempt whose order was sent is sent_attempt.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -130,12 +130,12 @@
     target_received: Option<Position>,
     /// Server that an earlier failover has ordered to promote, if that may still happen.
     open_order: Option<ServerId>,
-    /// Number of the newest attempt to order a promotion.
+    /// The newest attempt to order a promotion.
     attempt: AttemptNumber,
     /// What the server of a planned promotion had to have received when the attempt was made.
     attempt_floor: Position,
     /// The newest attempt whose order was sent.
-    sent: Option<AttemptNumber>,
+    sent_attempt: Option<AttemptNumber>,
     /// Whether it has ended. It then does nothing any more.
     has_ended: bool,
     /// Until when no promotion is requested, because the last request could not be sent.
@@ -176,7 +176,7 @@
             open_order: None,
             attempt: AttemptNumber::default(),
             attempt_floor: Position::default(),
-            sent: None,
+            sent_attempt: None,
             has_ended: false,
             retry_after: None,
         }
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -37,20 +37,20 @@
     /// if the failover has ended or made another attempt, or the server would not be chosen now.
     pub fn claim(&mut self, attempt: &OrderAttempt, now: Time) -> bool {
         let is_wanted = self.is_current(attempt)
-            && !self.is_sent()
+            && !self.is_attempt_sent()
             && self.has_answered_lately(&attempt.server, now)
             && !self.has_lost_target()
             && self.promotable(now).as_ref() == Some(&attempt.server);
         if is_wanted {
-            self.sent = Some(self.attempt);
+            self.sent_attempt = Some(self.attempt);
             self.promotion_sent = Some(now);
         }
         is_wanted
     }
 
     /// Returns whether an order of this failover was sent.
-    pub fn has_sent(&self) -> bool {
-        self.sent.is_some()
+    pub fn has_sent_order(&self) -> bool {
+        self.sent_attempt.is_some()
     }
 
     /// Returns whether this is the newest attempt, and it was not given up.
@@ -61,8 +61,8 @@
     }
 
     /// Returns whether the order of the newest attempt was sent.
-    fn is_sent(&self) -> bool {
-        self.sent == Some(self.attempt)
+    fn is_attempt_sent(&self) -> bool {
+        self.sent_attempt == Some(self.attempt)
     }
 
     /// Makes another attempt to order the promotion of the target.
@@ -75,14 +75,14 @@
 
     /// Gives the newest attempt up if its order was not sent.
     pub(super) fn withdraw(&mut self) {
-        if self.promotion_sent.is_none() || self.is_sent() {
+        if self.promotion_sent.is_none() || self.is_attempt_sent() {
             return;
         }
         self.promotion_sent = None;
         if self.cause == Cause::Failure {
             self.target = None;
         }
-        if self.sent.is_none() {
+        if self.sent_attempt.is_none() {
             self.target_received = None;
         }
     }
@@ -99,8 +99,8 @@
 
     /// Returns whether an order was sent, by this failover or an earlier one, that may still be
     /// carried out.
-    pub fn has_ordered(&self) -> bool {
-        self.has_sent() || self.open_order.is_some()
+    pub fn has_open_order(&self) -> bool {
+        self.has_sent_order() || self.open_order.is_some()
     }
 
     /// Records that the order of an attempt was not sent, because the coordinator's row could not
@@ -110,7 +110,7 @@
             return;
         }
         self.retry_after = Some(now + REPEAT_INTERVAL);
-        match self.has_sent() {
+        match self.has_sent_order() {
             true => self.choose_again(),
             false => self.withdraw(),
         }
@@ -182,7 +182,7 @@
             self.choose_again();
             return None;
         }
-        self.is_sent().then(|| self.next_attempt(target, now))
+        self.is_attempt_sent().then(|| self.next_attempt(target, now))
     }
 
     fn has_answered_lately(&self, server: &ServerId, now: Time) -> bool {
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -191,7 +191,7 @@
     failover.record_status(&server("a"), replica_status(at(1, 9), 2), Time::from_millis(5));
     let late = Time::from_millis(1_600);
     assert!(matches!(failover.progress(late), Progress::Abandoned(_)));
-    let needed = FenceUse { ordered: failover.has_ordered(), ..FenceUse::default() };
+    let needed = FenceUse { ordered: failover.has_open_order(), ..FenceUse::default() };
     assert_eq!(lifted(["a", "b"], needed), 2, "both receive again");
 }
 
@@ -206,7 +206,7 @@
     assert!(send_order(&mut failover, &actions, ANNOUNCED));
     let late = Time::from_millis(12_100);
     assert!(matches!(failover.progress(late), Progress::Abandoned(_)));
-    let needed = FenceUse { ordered: failover.has_ordered(), ..FenceUse::default() };
+    let needed = FenceUse { ordered: failover.has_open_order(), ..FenceUse::default() };
     assert_eq!(lifted(["a", "b"], needed), 0);
 }
 
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -200,20 +200,20 @@
     let actions = failover.next_actions(at(510));
     assert_eq!(orders(&actions).len(), 1);
     failover.record_promotion_unsent(attempt(&actions), at(520));
-    assert!(!failover.has_ordered());
+    assert!(!failover.has_open_order());
     assert_eq!(orders(&failover.next_actions(at(600))).len(), 0, "not at once");
-    assert_eq!(lifted(failover.has_ordered()), 2);
+    assert_eq!(lifted(failover.has_open_order()), 2);
     let actions = failover.next_actions(at(800));
     assert!(failover.claim(attempt(&actions), at(800)));
-    assert!(failover.has_ordered());
+    assert!(failover.has_open_order());
 }
 
 /// A new coordinator lifted the fences while an order of the last one was open.
 #[test]
 fn fences_stay_while_an_earlier_order_is_open() {
     let failover = fenced_failover(Some("a"));
-    assert!(failover.has_ordered());
-    assert_eq!(lifted(failover.has_ordered()), 0);
+    assert!(failover.has_open_order());
+    assert_eq!(lifted(failover.has_open_order()), 0);
 }
 
 /// A primary that worked kept its group, although an order to replace it was open.
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -236,7 +236,7 @@
         failover.record_log_start(view.start);
         failover.retain(|server| view.entries[index(server.as_str())].is_some());
         failover.join(view.members());
-        let is_unordered = !failover.has_sent();
+        let is_unordered = !failover.has_sent_order();
         let has_recovered = running.suspicion == Suspicion::Silent
             && is_unordered
             && view.last_response > running.started;
@@ -263,8 +263,8 @@
             }
             Progress::Abandoned(reason) => {
                 self.note(|| format!("VM {vm} gives the failover up: {reason}"));
-                let has_ordered = failover.has_ordered();
-                self.end_announcement(vm, has_ordered);
+                let has_open_order = failover.has_open_order();
+                self.end_announcement(vm, has_open_order);
             }
         }
         let watch = &mut self.vms[vm].watch;
@@ -276,7 +276,7 @@
     fn correct_announcement(&mut self, vm: usize, failover: &mut Failover) {
         let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
         let replaced = failover.reported_term();
-        if failover.has_sent() || replaced <= known {
+        if failover.has_sent_order() || replaced <= known {
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
@@ -302,10 +302,10 @@
     }
 
     /// Tells that an abandoned failover replaces no primary, unless its order may be open.
-    fn end_announcement(&mut self, vm: usize, has_ordered: bool) {
+    fn end_announcement(&mut self, vm: usize, has_open_order: bool) {
         let Some(token) = self.next_token(vm) else { return };
         let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
-        let replaced = if has_ordered { known } else { Term::default() };
+        let replaced = if has_open_order { known } else { Term::default() };
         let (number, begun) = (FailoverNumber::new(token.get()), time(self.tick));
         self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
     }
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -93,7 +93,7 @@
     assert!(failover.clone().claim(&attempt, at(600)), "until then it is wanted");
     failover.end();
     assert!(!failover.claim(&attempt, at(600)));
-    assert!(!failover.has_ordered());
+    assert!(!failover.has_open_order());
     assert_eq!(failover.next_actions(at(900)), [], "nothing else is sent either");
 }
 
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -268,10 +268,10 @@
         failover.retain(|server| group.servers.contains_key(server));
         failover.join(group.members(now));
         let has_recovered = running.suspicion == Suspicion::Silent
-            && !failover.has_sent()
+            && !failover.has_sent_order()
             && group.last_response() > running.started;
         let awaits_server = awaits_unlisted || group.awaits_server(now);
-        match (has_recovered, !failover.has_sent() && awaits_server) {
+        match (has_recovered, !failover.has_sent_order() && awaits_server) {
             (true, _) => Progress::Abandoned("the primary answers again"),
             (_, true) => Progress::Abandoned("a server that may hold a commit is missing"),
             _ => failover.progress(now),
@@ -351,7 +351,7 @@
 ) {
     let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
     let reported = failover.reported_term();
-    if !failover.has_sent()
+    if !failover.has_sent_order()
         && reported > known
         && announce(engine, coordinator, group, reported, now)
     {
@@ -385,7 +385,7 @@
     now: Time,
 ) {
     let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
-    let replaced = if failover.has_ordered() { known } else { Term::default() };
+    let replaced = if failover.has_open_order() { known } else { Term::default() };
     // If the role is lost, the failover counts as running until its time is over.
     announce(engine, coordinator, group, replaced, now);
 }
