floor: define the floor once, and name what decides whether it is known

"informed" did not say of what, and first_floor did not say that it belongs to the start of the failover. They are known_term, knows_floor and initial_floor; the module's comment defines the floor, and the others refer to it.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -108,8 +108,8 @@
     primary: Option<Demotion>,
     /// What the directory was asked about the registered servers.
     listing: Listing,
-    /// Newest term of which an acknowledged commit, or the start of its log, is known.
-    informed: Term,
+    /// Newest term of which an acknowledged commit, or where its log began, is known.
+    known_term: Term,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -162,7 +162,7 @@
             replicas: members.into_iter().map(replica).collect(),
             primary: None,
             listing: Listing::default(),
-            informed: acknowledged.term(),
+            known_term: acknowledged.term(),
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
@@ -247,7 +247,7 @@
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
         self.acknowledged = self.acknowledged.max(position);
-        self.informed = self.informed.max(position.term());
+        self.known_term = self.known_term.max(position.term());
     }
 
     /// Records the status that a server reported. Until servers are fenced, a higher term than
--- a/crates/core/src/failover/fencing.rs
+++ b/crates/core/src/failover/fencing.rs
@@ -64,7 +64,7 @@
 
     /// Polls all servers, the old primary only if it may have to be promoted again.
     fn poll(&mut self, is_behind: bool, now: Time) -> Vec<Action> {
-        let needs_primary = is_behind || !self.is_informed();
+        let needs_primary = is_behind || !self.knows_floor();
         let due = self.replicas.iter_mut().filter(|(_, replica)| replica.is_due(now));
         let mut actions: Vec<Action> = due
             .map(|(server, replica)| {
--- a/crates/core/src/failover/floor.rs
+++ b/crates/core/src/failover/floor.rs
@@ -1,9 +1,9 @@
-//! What a server must have received to be promoted.
+//! The floor of a failover: the position that a server must have received to be promoted.
 //!
-//! A coordinator that knows of an acknowledged commit in the present term, or where that term
-//! began, knows what must not be lost. One that knows neither, because all daemons were restarted,
-//! takes every position that a server reports for acknowledged: the longest log wins, also that of
-//! the old primary.
+//! The floor is known if the coordinator knows an acknowledged commit of the present term, or an
+//! older commit and where the log of that term began. It is not known after all daemons were
+//! restarted. Then every position that a server reports counts as acknowledged, so that the
+//! longest log wins, also that of the old primary.
 
 use std::time::Duration;
 
@@ -17,14 +17,14 @@
 /// the old primary, longer than the entry of a server that ended stays in the directory.
 const PRIMARY_WAIT: Duration = Duration::from_secs(4);
 
-/// Whether nobody may be promoted, because all replicas lack what is acknowledged.
+/// Whether no server may be promoted, because no replica has received the floor.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Shortage {
-    /// That was never the case.
+    /// This was never the case.
     None,
-    /// Since this time.
+    /// This has been the case since then.
     Since(Time),
-    /// A replica has received it meanwhile.
+    /// This was the case, and a replica has received the floor meanwhile.
     Cleared,
 }
 
@@ -59,35 +59,35 @@
 }
 
 impl Failover {
-    /// Records where the log of the newest promoted primary began. A coordinator that knows it
-    /// hears of each commit that callers are told of afterwards. Of those before it says nothing,
-    /// so it counts only beside an acknowledged commit.
+    /// Records where the log of the newest promoted primary began. A coordinator that knows this
+    /// hears of each commit that callers are told of afterwards. It may not have heard of earlier
+    /// ones, so the start counts only if an acknowledged commit is known too.
     pub fn record_log_start(&mut self, start: Position) {
         if self.acknowledged > Position::default() {
-            self.informed = self.informed.max(start.term());
+            self.known_term = self.known_term.max(start.term());
         }
     }
 
-    /// Returns what must be in the log of the next primary.
+    /// Returns the floor by what is known to be acknowledged now.
     pub(super) fn floor(&self) -> Floor {
         self.floor_from(self.acknowledged)
     }
 
-    /// Returns the same as of the start of the failover.
-    fn first_floor(&self) -> Floor {
+    /// Returns the floor by what was known to be acknowledged when the failover began.
+    fn initial_floor(&self) -> Floor {
         self.floor_from(self.first_acknowledged)
     }
 
     fn floor_from(&self, acknowledged: Position) -> Floor {
-        match self.is_informed() {
+        match self.knows_floor() {
             true => Floor::Known(acknowledged),
             false => Floor::Unknown(self.longest_log().max(acknowledged)),
         }
     }
 
-    /// Returns whether a commit in the present term, or its start, is known.
-    pub(super) fn is_informed(&self) -> bool {
-        self.informed >= self.reported_term().max(Term::new(1))
+    /// Returns whether the floor is known. The present term is the highest that any server reports.
+    pub(super) fn knows_floor(&self) -> bool {
+        self.known_term >= self.reported_term().max(Term::new(1))
     }
 
     /// Returns the greatest position that any server has reported.
@@ -101,20 +101,20 @@
     pub(super) fn awaits_primary(&self, now: Time) -> bool {
         let is_unheard = self.primary.as_ref().is_some_and(|old| old.status().is_none());
         let may_answer = now.since(self.started) < PRIMARY_WAIT;
-        self.cause == Cause::Failure && !self.is_informed() && is_unheard && may_answer
+        self.cause == Cause::Failure && !self.knows_floor() && is_unheard && may_answer
     }
 
-    /// Returns whether nobody who may be promoted has received what was acknowledged at the start
-    /// of the failover of a failed primary. The primary may still work, and replicas that are not
-    /// fenced may receive what they lack.
+    /// Returns whether no server that may be promoted has received the initial floor, in the
+    /// failover of a failed primary. The primary may still work, and replicas that are not fenced
+    /// may receive what they lack.
     pub(super) fn lacks_candidate(&self) -> bool {
         let primary = self.primary.as_ref().and_then(|old| old.stepped_down());
         let received = self.most_received().max(primary.map(|(received, _)| received));
-        self.cause == Cause::Failure && received < Some(self.first_floor().position())
+        self.cause == Cause::Failure && received < Some(self.initial_floor().position())
     }
 
-    /// Makes the old primary a member, if it has stepped down and no replica has received what
-    /// was acknowledged.
+    /// Makes the old primary a member, if it has stepped down with the floor in its log and no
+    /// replica has received it.
     pub(super) fn readmit_primary(&mut self) {
         let floor = self.floor().position();
         let is_behind = self.all_fenced() && self.most_received() < Some(floor);
