watch: compute the announced term in one place, and name the pending term

The term that a failover was announced to replace was computed in three functions, in the engine and again in its model; announced_term does it now. highest_effect said neither effect of what nor highest what; it is pending_term, the highest term that an open order may still begin.

--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -13,7 +13,7 @@
 //! write, and before the new holder's daemon started, show as another [`Roster`]; no server is
 //! promoted then until they count as lost.
 
-mod effect;
+mod pending;
 
 use std::time::Duration;
 
--- a/crates/core/src/coordinator/memory/effect.rs
+++ b/crates/core/src/coordinator/memory/pending.rs
@@ -1,4 +1,4 @@
-//! What open orders may still bring about, as other VMs have to be told.
+//! The terms that open orders may still begin, of which other VMs have to be told.
 
 use super::{EFFECT_SPAN, FailoverMemory, OpenOrder};
 use crate::{
@@ -8,29 +8,29 @@
 };
 
 impl FailoverMemory {
-    /// Returns the highest term that a server of a group other than `server` may lead by an open
-    /// order, or `None` if there is no such order.
-    pub fn highest_effect(&self, group: &GroupId, server: Option<&ServerId>) -> Option<Term> {
-        let others = self.orders_of(group).filter(|open| Some(&open.server) != server);
+    /// Returns the highest term that a server of a group may still lead by an open order, or `None`
+    /// if there is no such order. Orders for the server `except` are left out.
+    pub fn pending_term(&self, group: &GroupId, except: Option<&ServerId>) -> Option<Term> {
+        let others = self.orders_of(group).filter(|open| Some(&open.server) != except);
         others.filter(|open| open.token.is_some()).map(|open| open.replaced.next()).max()
     }
 
-    /// Returns the failover of a group that its open orders stand for. What an older order for
-    /// another server brings about is replaced too, by the newest one.
+    /// Returns the failover of a group that its open orders stand for. If an older one is for
+    /// another server, the failover also replaces the term that this server may lead.
     ///
-    /// A VM that reads the row counts it as running although it has not got the role, because the
-    /// directory may go away before anybody gets it.
+    /// A VM that reads the row counts this failover as running although it is not the coordinator,
+    /// because the directory may go away before a VM becomes the coordinator.
     pub fn announcement(&self, group: &GroupId) -> Option<Announcement> {
         let newest = self.open_order(group)?;
         let replaced = self.orders_of(group).map(|open| open.replaced).max()?;
-        let older = self.highest_effect(group, Some(&newest.server));
-        let replaced = older.map_or(replaced, |effect| effect.max(replaced));
+        let older = self.pending_term(group, Some(&newest.server));
+        let replaced = older.map_or(replaced, |pending| pending.max(replaced));
         let number = FailoverNumber::new(newest.token?.get());
         Some(Announcement { number, replaced, begun: newest.known + EFFECT_SPAN })
     }
 
-    /// Returns the term that open orders of earlier holders replace, once for each of them: the
-    /// group is to be announced as having a failover.
+    /// Returns the highest term that open orders of earlier coordinators replace, if one of them
+    /// was not returned before. A failover that replaces this term is to be announced.
     pub fn take_unannounced(&mut self, group: &GroupId) -> Option<Term> {
         let is_new = |open: &&mut OpenOrder| open.group == *group && !open.is_announced;
         let orders = self.orders.iter_mut().filter(is_new);
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -91,13 +91,13 @@
     assert_eq!(replaced(&["a", "a"]), Term::new(4), "the later one changes nothing");
     assert_eq!(replaced(&["a", "b"]), Term::new(5));
     let memory = with_orders(&["a", "b"]);
-    assert_eq!(memory.highest_effect(&group(), None), Some(Term::new(5)));
-    assert_eq!(memory.highest_effect(&group(), Some(&server("b"))), Some(Term::new(5)));
+    assert_eq!(memory.pending_term(&group(), None), Some(Term::new(5)));
+    assert_eq!(memory.pending_term(&group(), Some(&server("b"))), Some(Term::new(5)));
     let memory = with_orders(&["b"]);
-    assert_eq!(memory.highest_effect(&group(), Some(&server("b"))), None);
+    assert_eq!(memory.pending_term(&group(), Some(&server("b"))), None);
     let mut unsent = FailoverMemory::new(at(0));
     unsent.prepare(group(), server("a"), Term::new(4), at(0)).expect("there is room");
-    assert_eq!(unsent.highest_effect(&group(), None), None, "it was not sent");
+    assert_eq!(unsent.pending_term(&group(), None), None, "it was not sent");
 }
 
 /// An order went out although the row was not written, and nobody knew of it after a restart.
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -67,6 +67,13 @@
     }
 }
 
+impl Vm {
+    /// Returns the term that the newest known failover replaces, or zero.
+    fn announced_term(&self) -> Term {
+        self.view.failover.map(|known| known.replaced).unwrap_or_default()
+    }
+}
+
 impl World {
     /// Takes a step of the watch of one VM.
     pub(crate) fn watch(&mut self, vm: usize) {
@@ -217,10 +224,10 @@
         let open_order = self.vms[vm].memory.open_order(&group());
         failover = failover.with_open_order(open_order.map(|open| open.server.clone()));
         let Some(token) = self.next_token(vm) else { return };
-        let effect = self.vms[vm].memory.highest_effect(&group(), None).unwrap_or_default();
+        let pending = self.vms[vm].memory.pending_term(&group(), None).unwrap_or_default();
         let announcement = Announcement {
             number: FailoverNumber::new(token.get()),
-            replaced: effect.max(self.vms[vm].view.newest_term()),
+            replaced: pending.max(self.vms[vm].view.newest_term()),
             begun: time(tick),
         };
         self.vms[vm].view.record_failover(Some(announcement));
@@ -274,9 +281,8 @@
 
     /// Tells of a failover again if the servers report a higher term than was known at the start.
     fn correct_announcement(&mut self, vm: usize, failover: &mut Failover) {
-        let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
         let replaced = failover.reported_term();
-        if failover.has_sent_order() || replaced <= known {
+        if failover.has_sent_order() || replaced <= self.vms[vm].announced_term() {
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
@@ -288,11 +294,10 @@
     /// Tells that a failover which also covered the term of its successor has ended, unless an
     /// open order may still promote another server.
     fn narrow_announcement(&mut self, vm: usize, server: &ServerId, term: Term) {
-        let Vm { memory, view, .. } = &mut self.vms[vm];
-        memory.record_leader(&group(), server, term);
-        let is_open = memory.highest_effect(&group(), Some(server)).is_some_and(|at| at >= term);
-        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
-        if known < term || is_open {
+        let me = &mut self.vms[vm];
+        me.memory.record_leader(&group(), server, term);
+        let is_open = me.memory.pending_term(&group(), Some(server)).is_some_and(|at| at >= term);
+        if me.announced_term() < term || is_open {
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
@@ -304,8 +309,8 @@
     /// Tells that an abandoned failover replaces no primary, unless its order may be open.
     fn end_announcement(&mut self, vm: usize, has_open_order: bool) {
         let Some(token) = self.next_token(vm) else { return };
-        let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
-        let replaced = if has_open_order { known } else { Term::default() };
+        let announced = self.vms[vm].announced_term();
+        let replaced = if has_open_order { announced } else { Term::default() };
         let (number, begun) = (FailoverNumber::new(token.get()), time(self.tick));
         self.vms[vm].view.record_failover(Some(Announcement { number, replaced, begun }));
     }
--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -156,12 +156,12 @@
     ) -> Option<Term> {
         let mut memory = self.memory.borrow_mut();
         memory.record_leader(group, server, term);
-        memory.highest_effect(group, Some(server))
+        memory.pending_term(group, Some(server))
     }
 
     /// Returns the highest term that a server of a group may lead by an open order.
-    pub(crate) fn highest_effect(&self, group: &GroupId) -> Option<Term> {
-        self.memory.borrow().highest_effect(group, None)
+    pub(crate) fn pending_term(&self, group: &GroupId) -> Option<Term> {
+        self.memory.borrow().pending_term(group, None)
     }
 
     /// Returns whether any group may have a missing server of which this VM does not know.
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -167,9 +167,9 @@
     let suspicion = assess(engine, &group.borrow(), watched, known, now);
     let suspicion = suspicion.filter(|_| !awaits_server);
     if let Some(suspicion) = suspicion {
-        // A server that an open order promotes meanwhile is replaced too.
-        let effect = coordinator.highest_effect(&group.borrow().view.group);
-        let replaced = group.borrow().newest_term().max(effect.unwrap_or_default());
+        // An open order may promote a server meanwhile, which is replaced then.
+        let pending = coordinator.pending_term(&group.borrow().view.group);
+        let replaced = group.borrow().newest_term().max(pending.unwrap_or_default());
         if !announce(engine, coordinator, group, replaced, now) {
             return;
         }
@@ -298,8 +298,8 @@
                 engine.record_primary_change(&group.borrow(), Source::Answer);
             }
             engine.check_commits(group);
-            let effect = coordinator.record_leader(name, &server, term);
-            narrow_announcement(engine, coordinator, group, effect, now);
+            let pending = coordinator.record_leader(name, &server, term);
+            narrow_announcement(engine, coordinator, group, pending, now);
             engine.event_log.record(
                 Event::FailoverCompleted,
                 o!(
@@ -340,8 +340,13 @@
     true
 }
 
-/// Tells all VMs again if the servers report a higher term than was known at the start. The
-/// failover then waits until they know.
+/// Returns the term that the newest known failover of a group replaces, or zero.
+fn announced_term(group: &Group) -> Term {
+    group.peers.failover().map(|known| known.replaced).unwrap_or_default()
+}
+
+/// Announces a failover again if the servers report a higher term than the one that it was
+/// announced to replace. The failover then waits until all VMs know.
 fn correct_announcement<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     coordinator: &Coordinator,
@@ -349,28 +354,29 @@
     failover: &mut Failover,
     now: Time,
 ) {
-    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
+    let announced = announced_term(&group.borrow());
     let reported = failover.reported_term();
     if !failover.has_sent_order()
-        && reported > known
+        && reported > announced
         && announce(engine, coordinator, group, reported, now)
     {
         failover.record_announcement(now);
     }
 }
 
-/// Tells all VMs that a failover which also covered the term of its successor has ended, unless an
-/// open order may still promote another server, in the term `effect`.
+/// Tells all VMs that a failover has ended that was announced to replace the term of its successor,
+/// too. It does not if an open order may still promote another server in that term or a later one;
+/// `pending` is the highest such term.
 fn narrow_announcement<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     coordinator: &Coordinator,
     group: &RefCell<Group>,
-    effect: Option<Term>,
+    pending: Option<Term>,
     now: Time,
 ) {
     let term = group.borrow().view.term;
-    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
-    if known >= term && effect.is_none_or(|effect| effect < term) {
+    let covers_term = announced_term(&group.borrow()) >= term;
+    if covers_term && pending.is_none_or(|pending| pending < term) {
         announce(engine, coordinator, group, Term::default(), now);
     }
 }
@@ -384,8 +390,8 @@
     failover: &Failover,
     now: Time,
 ) {
-    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
-    let replaced = if failover.has_open_order() { known } else { Term::default() };
+    let announced = announced_term(&group.borrow());
+    let replaced = if failover.has_open_order() { announced } else { Term::default() };
     // If the role is lost, the failover counts as running until its time is over.
     announce(engine, coordinator, group, replaced, now);
 }
