cleanup: say what FenceUse means in plain words

A handover sounds like an intended change of the coordinator; what matters is that the role may expire, so the field is role_expiring. is_over said nothing of fences; it is is_unused. The comments of the cleanup and of the end of an announcement needed a second reading.

--- a/crates/core/src/failover/cleanup.rs
+++ b/crates/core/src/failover/cleanup.rs
@@ -1,14 +1,13 @@
 //! Cleanup of fences that have outlived their failover.
 //!
-//! A fence may be in force after its failover: the failover was abandoned, its coordinator was
-//! killed, or the request arrived after the promotion at a replica that had not heard of it. A
-//! replica that stays fenced confirms no commits, and if all of them are, the group accepts no
-//! writes. So the coordinator asks the replicas after each failover, when it takes the role, and
-//! while writes are not confirmed, and tells those that report a fence to receive again.
+//! A fence outlives its failover if the failover is abandoned, if its coordinator is killed, or if
+//! the request arrives after the promotion at a replica that has not heard of it. A fenced replica
+//! confirms no commits; if all replicas are fenced, the group acknowledges none. So the coordinator
+//! asks the replicas for fences after each failover, when it takes the role, and while writes are
+//! not confirmed. It tells replicas that report a fence to receive again.
 //!
-//! A running failover needs its fences, and so does an order that may still be carried out
-//! ([`FenceUse`]). A cleanup ends when every replica has twice reported no
-//! fence, and no request to fence one may still arrive.
+//! No fence is lifted while something may need it ([`FenceUse`]). A cleanup ends when every replica
+//! has reported twice that it is not fenced, and no request to fence one may still arrive.
 
 use std::time::Duration;
 
@@ -44,14 +43,14 @@
     /// Whether an order to promote a server may still be carried out.
     pub ordered: bool,
     /// Whether another VM may become the coordinator within [`RELEASE_TIMEOUT`], and begin a
-    /// failover.
-    pub handover: bool,
+    /// failover that a late release would harm.
+    pub role_expiring: bool,
 }
 
 impl FenceUse {
     /// Returns whether nothing needs the fences.
-    pub fn is_over(&self) -> bool {
-        !self.running && !self.ordered && !self.handover
+    pub fn is_unused(&self) -> bool {
+        !self.running && !self.ordered && !self.role_expiring
     }
 }
 
@@ -74,12 +73,13 @@
 /// What is known of the fence of one replica.
 #[derive(Clone, Debug, Default)]
 struct Inspection {
+    /// The request whose answer is awaited.
     open: Option<Request>,
     /// The last request, and when it was sent.
     last: Option<(Request, Time)>,
     /// Number of requests.
     requests: u32,
-    /// Reports without a fence since the last one with a fence.
+    /// Number of reports without a fence since the last one with a fence or failed request.
     clean: u32,
     /// Term of its fence, if its last report had one.
     fence: Option<Term>,
@@ -148,7 +148,7 @@
         FenceCleanup::default()
     }
 
-    /// Asks all replicas, also those that have reported no fence before.
+    /// Begins to ask all replicas, also those that have reported no fence before.
     pub fn start(&mut self, now: Time) {
         self.started = Some(now);
         for replica in self.replicas.values_mut() {
@@ -156,7 +156,8 @@
         }
     }
 
-    /// Asks all replicas because writes are not confirmed, unless they were asked just before.
+    /// Begins to ask all replicas because writes are not confirmed, unless a cleanup runs or has
+    /// just ended.
     pub fn start_unconfirmed(&mut self, now: Time) {
         let is_recent = self.ended.is_some_and(|ended| now.since(ended) < LATER_INTERVAL);
         if self.started.is_none() && !is_recent {
@@ -208,7 +209,7 @@
         needed: FenceUse,
         now: Time,
     ) -> Vec<CleanupAction> {
-        if self.started.is_none() || !needed.is_over() {
+        if self.started.is_none() || !needed.is_unused() {
             return Vec::new();
         }
         let may_arrive = self.unanswered.is_some_and(|at| now.since(at) < FAILOVER_SPAN);
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -489,7 +489,7 @@
     }
     let target = target.expect("an order");
     let needed = FenceUse { ordered: failover.has_open_order(), ..FenceUse::default() };
-    let is_released = needed.is_over();
+    let is_released = needed.is_unused();
     let commit = Commit { position: at(2, 9), answered: now };
     let is_told = is_released && commit.is_held_by(&replica(at(2, 9)), &knowledge(None));
     assert!(!is_told, "told, while the order to promote {target} is open");
--- a/crates/core/tests/failover_model/cleanup.rs
+++ b/crates/core/tests/failover_model/cleanup.rs
@@ -50,7 +50,7 @@
             cleanup.start_unconfirmed(now);
         }
         let ordered = me.memory.open_order(&group()).is_some();
-        let needed = FenceUse { running: false, ordered, handover: !keeps_role };
+        let needed = FenceUse { running: false, ordered, role_expiring: !keeps_role };
         let replicas: Vec<ServerId> = me.view.others(me.view.primary).map(id).collect();
         for action in cleanup.next_actions(&replicas, needed, now) {
             self.clean_up_server(vm, action);
--- a/crates/core/tests/fence_cleanup.rs
+++ b/crates/core/tests/fence_cleanup.rs
@@ -5,7 +5,7 @@
     failover::{CleanupAction, FenceCleanup, FenceUse, ReplicationStatus},
 };
 
-const NONE: FenceUse = FenceUse { running: false, ordered: false, handover: false };
+const NONE: FenceUse = FenceUse { running: false, ordered: false, role_expiring: false };
 
 fn server(name: &str) -> ServerId {
     name.parse().expect("a valid name")
@@ -97,7 +97,7 @@
     let needed = [
         FenceUse { running: true, ..NONE },
         FenceUse { ordered: true, ..NONE },
-        FenceUse { handover: true, ..NONE },
+        FenceUse { role_expiring: true, ..NONE },
     ];
     for needed in needed {
         let a = server("a");
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -364,9 +364,9 @@
     }
 }
 
-/// Tells all VMs that a failover has ended that was announced to replace the term of its successor,
-/// too. It does not if an open order may still promote another server in that term or a later one;
-/// `pending` is the highest such term.
+/// Ends an announcement that also covers the term of the new primary, so that callers are told of
+/// its commits. The announcement stays while an open order may promote another server in that term
+/// or a later one; `pending` is the highest term of such orders.
 fn narrow_announcement<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     coordinator: &Coordinator,
--- a/crates/engine/src/watch/cleanup.rs
+++ b/crates/engine/src/watch/cleanup.rs
@@ -60,7 +60,7 @@
     let needed = FenceUse {
         running: false,
         ordered: coordinator.newest_order(name).is_some(),
-        handover: !coordinator.keeps_role_for(RELEASE_TIMEOUT),
+        role_expiring: !coordinator.keeps_role_for(RELEASE_TIMEOUT),
     };
     let primary = group.view.primary.as_ref();
     let replicas = group.servers.keys().filter(|server| Some(*server) != primary);
