Name the questions about a commit by what they are

Inquiry is a message of the peer protocol about an outcome; the times of the questions are a QuestionSchedule.

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -24,14 +24,14 @@
 //! What is neither is told as unknown. VMs tell each other of a failover before it may order
 //! a promotion, so that a VM with contact knows of it in time.
 
-mod inquiry;
+mod questions;
 mod replica;
 mod told;
 
 use std::time::Duration;
 
 pub use self::{
-    inquiry::{Inquiry, Step, Witness, home_in_round, rank_witnesses},
+    questions::{QuestionSchedule, QuestionTarget, Step, home_in_round, rank_targets},
     replica::{CopyState, RegisteredReplica, ReplicaAnswer, ReplicaAnswers},
     told::{MissingCommits, ToldCommits},
 };
--- a/crates/core/tests/durability.rs
+++ b/crates/core/tests/durability.rs
@@ -5,8 +5,9 @@
 use chicoryhollow_core::{
     Lsn, Position, Term, Time,
     durability::{
-        Commit, CopyState, Evidence, Inquiry, Knowledge, MissingCommits, RegisteredReplica,
-        ReplicaAnswer, ReplicaAnswers, Step, ToldCommits, Witness, home_in_round, rank_witnesses,
+        Commit, CopyState, Evidence, Knowledge, MissingCommits, QuestionSchedule, QuestionTarget,
+        RegisteredReplica, ReplicaAnswer, ReplicaAnswers, Step, ToldCommits, home_in_round,
+        rank_targets,
     },
     failover::{
         Action, Announcement, Cause, Failover, FailoverNumber, FenceUse, Member, Progress,
@@ -239,22 +240,22 @@
 
 #[test]
 fn a_replica_elsewhere_is_asked_first_and_the_others_if_it_does_not_help() {
-    let witness = |near, delay| Witness {
+    let target = |near, delay| QuestionTarget {
         replica: RegisteredReplica { near, ..replica(at(2, 0)) },
         here: false,
         delay: Duration::from_millis(delay),
     };
-    let mut leaving = witness(false, 0);
+    let mut leaving = target(false, 0);
     leaving.replica.leaving = true;
-    let witnesses = [witness(true, 1), witness(false, 100), leaving, witness(false, 5)];
-    assert_eq!(rank_witnesses(&witnesses, false), [3, 1, 0]);
-    assert_eq!(rank_witnesses(&witnesses, true), [0, 3, 1]);
-    let mut inquiry = Inquiry::new();
-    assert_eq!(inquiry.next_step(CopyState::Silent, ms(0)), Step::AskFirst);
-    assert_eq!(inquiry.next_step(CopyState::Silent, ms(25)), Step::AskAll(1));
+    let targets = [target(true, 1), target(false, 100), leaving, target(false, 5)];
+    assert_eq!(rank_targets(&targets, false), [3, 1, 0]);
+    assert_eq!(rank_targets(&targets, true), [0, 3, 1]);
+    let mut schedule = QuestionSchedule::new();
+    assert_eq!(schedule.next_step(CopyState::Silent, ms(0)), Step::AskFirst);
+    assert_eq!(schedule.next_step(CopyState::Silent, ms(25)), Step::AskAll(1));
     let rest = Duration::from_millis(40);
-    assert_eq!(inquiry.next_step(CopyState::Lacks, ms(25)), Step::Wait(rest));
-    assert_eq!(inquiry.next_step(CopyState::Lacks, ms(65)), Step::AskAll(2));
+    assert_eq!(schedule.next_step(CopyState::Lacks, ms(25)), Step::Wait(rest));
+    assert_eq!(schedule.next_step(CopyState::Lacks, ms(65)), Step::AskAll(2));
 }
 
 /// The primary is cut off from the replicas that stay; only one that is leaving has the commit.
--- a/crates/engine/src/confirmation.rs
+++ b/crates/engine/src/confirmation.rs
@@ -6,14 +6,16 @@
 //! The success of a commit is passed on once it is known to survive a failover (see
 //! [`chicoryhollow_core::durability`]).
 
-mod inquiry;
+mod questions;
 mod status;
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use chicoryhollow_core::{
     DataCentreId, Position, ServerId,
-    durability::{Commit, CopyState, Evidence, Inquiry, Knowledge, RegisteredReplica, Step},
+    durability::{
+        Commit, CopyState, Evidence, Knowledge, QuestionSchedule, RegisteredReplica, Step,
+    },
     isolation::needs_replica_answer,
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -114,7 +116,7 @@
     async fn find_evidence(self: &Rc<Self>, waiting: &Waiting<'_>, limit: Duration) -> Evidence {
         let Waiting { group, commit, .. } = waiting;
         let deadline = commit.answered + limit.max(MIN_EVIDENCE_WAIT);
-        let (mut inquiry, mut first) = (Inquiry::new(), None);
+        let (mut schedule, mut first) = (QuestionSchedule::new(), None);
         loop {
             let answered = self.fleet.questions.answered.notified();
             let known = self.knowledge(&group.borrow(), &waiting.data_centre);
@@ -130,7 +132,7 @@
             if known.now >= deadline {
                 return Evidence::Missing;
             }
-            match inquiry.next_step(state, known.now) {
+            match schedule.next_step(state, known.now) {
                 Step::AskFirst => first = self.ask_first(waiting, &replicas, known.single),
                 Step::AskAll(round) => self.ask_all(waiting, &replicas, first.as_ref(), round),
                 Step::Wait(span) => {
@@ -216,17 +218,17 @@
 }
 
 fn registered(replicas: &[KnownReplica]) -> Vec<RegisteredReplica> {
-    replicas.iter().map(|known| known.witness.replica).collect()
+    replicas.iter().map(|known| known.target.replica).collect()
 }
 
 /// Returns what is known of a commit on the replica `server`.
 fn copy_state(replicas: &[KnownReplica], server: Option<&ServerId>, commit: &Commit) -> CopyState {
     let found = replicas.iter().find(|known| Some(&known.entry.server) == server);
-    found.map_or(CopyState::Silent, |known| known.witness.replica.copy_state(commit))
+    found.map_or(CopyState::Silent, |known| known.target.replica.copy_state(commit))
 }
 
 fn describe(known: &KnownReplica, commit: &Commit) -> String {
     let leaving = if known.entry.leaving { "/leaving" } else { "" };
-    let state = known.witness.replica.copy_state(commit).label();
+    let state = known.target.replica.copy_state(commit).label();
     format!("{}/{state}{leaving}", known.entry.server)
 }
--- a/crates/engine/src/confirmation/inquiry.rs
+++ b/crates/engine/src/confirmation/questions.rs
@@ -7,7 +7,7 @@
 
 use chicoryhollow_core::{
     ServerId,
-    durability::{CopyState, home_in_round, rank_witnesses},
+    durability::{CopyState, home_in_round, rank_targets},
 };
 use tokio::time::sleep;
 
@@ -17,7 +17,7 @@
     clock,
     engine::Engine,
     fleet::Link,
-    group::{Asker, KnownReplica},
+    group::{KnownReplica, Requester},
     seam::{Directory, ServerProtocol},
 };
 
@@ -39,10 +39,10 @@
         replicas: &[KnownReplica],
         single: bool,
     ) -> Option<ServerId> {
-        let witnesses: Vec<_> = replicas.iter().map(|known| known.witness).collect();
-        let first = rank_witnesses(&witnesses, single).first().map(|i| &replicas[*i]);
+        let targets: Vec<_> = replicas.iter().map(|known| known.target).collect();
+        let first = rank_targets(&targets, single).first().map(|i| &replicas[*i]);
         let needs_list = self.list_if_needed(replicas);
-        if needs_list || first.is_none_or(|known| known.witness.replica.near) {
+        if needs_list || first.is_none_or(|known| known.target.replica.near) {
             self.ask_vms(waiting, 1);
         }
         let first = first?;
@@ -50,8 +50,8 @@
         Some(first.entry.server.clone())
     }
 
-    /// Asks several VMs, and all replicas that stay and whose answers are not awaited, for the time
-    /// with the number `round`. The replica `first` was asked before the others.
+    /// Asks several VMs, and all replicas that stay and are due in this `round`. The replica `first`
+    /// was asked before the others.
     pub(super) fn ask_all(
         self: &Rc<Self>,
         waiting: &Waiting<'_>,
@@ -67,7 +67,7 @@
         for known in replicas.iter().filter(|known| !known.entry.leaving) {
             let server = &known.entry.server;
             let begun = if Some(server) == first { 0 } else { 1 };
-            let state = known.witness.replica.copy_state(&waiting.commit);
+            let state = known.target.replica.copy_state(&waiting.commit);
             is_any_silent |= state == CopyState::Silent;
             let Some(home) = home_in_round(round, begun, state) else { continue };
             let mut group = waiting.group.borrow_mut();
@@ -91,14 +91,14 @@
     /// linked.
     fn ask_replica(self: &Rc<Self>, waiting: &Waiting<'_>, entry: &ServerEntry, index: usize) {
         let Waiting { group, commit, .. } = waiting;
-        match self.witness_link(entry, index) {
+        match self.question_link(entry, index) {
             Some(link) => self.ask_home(&link, &entry.group, commit.position, &entry.server),
-            None => self.request_status(group, &entry.server, Asker::Own),
+            None => self.request_status(group, &entry.server, Requester::Own),
         }
     }
 
     /// Returns the link to a home of a server, or `None` if this VM should ask it itself.
-    fn witness_link(&self, entry: &ServerEntry, index: usize) -> Option<Rc<Link>> {
+    fn question_link(&self, entry: &ServerEntry, index: usize) -> Option<Rc<Link>> {
         let limit = self.catalog().groups.get(&entry.group)?.connections;
         let homes = self.fleet.homes(entry, limit);
         if homes.contains(&self.settings.vm) {
@@ -117,7 +117,7 @@
     /// Lists the servers if no replica has been registered for so long that failovers wait for it;
     /// returns whether that is so.
     fn list_if_needed(self: &Rc<Self>, replicas: &[KnownReplica]) -> bool {
-        let is_needed = !replicas.iter().any(|known| known.witness.replica.takes_part());
+        let is_needed = !replicas.iter().any(|known| known.target.replica.takes_part());
         if is_needed {
             self.list_directory();
         }
--- a/crates/engine/src/confirmation/status.rs
+++ b/crates/engine/src/confirmation/status.rs
@@ -11,7 +11,7 @@
     catalog::ServerEntry,
     clock,
     engine::Engine,
-    group::{Asker, Group},
+    group::{Group, Requester},
     seam::{Directory, ServerLink, ServerProtocol},
     statement::Command,
 };
@@ -20,14 +20,15 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(40);
 
 impl<S: ServerProtocol, D: Directory> Engine<S, D> {
-    /// Asks a replica for its status, or lets `asker` wait for the next question if one is in flight.
+    /// Asks a replica for its status. If a question to it is in flight, `requester` waits for the
+    /// next one.
     pub(crate) fn request_status(
         self: &Rc<Self>,
         group: &Rc<RefCell<Group>>,
         server: &ServerId,
-        asker: Asker,
+        requester: Requester,
     ) {
-        if group.borrow_mut().replicas.add_request(server, asker) {
+        if group.borrow_mut().replicas.add_request(server, requester) {
             let (engine, group, server) = (Rc::clone(self), Rc::clone(group), server.clone());
             actix::spawn(async move { engine.answer_requests(&group, &server).await });
         }
@@ -36,13 +37,13 @@
     /// Asks a replica for its status until no request waits.
     async fn answer_requests(self: &Rc<Self>, group: &RefCell<Group>, server: &ServerId) {
         loop {
-            let askers = group.borrow_mut().replicas.take_requests(server);
-            if askers.is_empty() {
+            let requesters = group.borrow_mut().replicas.take_requests(server);
+            if requesters.is_empty() {
                 return;
             }
             let answer = self.ask_status(group, server).await;
-            for asker in askers {
-                if let Asker::Vm(question) = asker {
+            for requester in requesters {
+                if let Requester::Vm(question) = requester {
                     self.send_report(group, server, &question, answer);
                 }
             }
--- a/crates/engine/src/fleet/contact.rs
+++ b/crates/engine/src/fleet/contact.rs
@@ -25,7 +25,7 @@
         groups::{decode_failover, encode_failover},
         heartbeat::millis,
     },
-    group::{Asker, Group, PeerQuestion},
+    group::{Group, PeerQuestion, Requester},
     seam::{Directory, ServerProtocol},
     single_flight::SingleFlight,
 };
@@ -42,8 +42,8 @@
 /// Number of questions without an answer that are remembered.
 const MAX_OPEN_QUESTIONS: usize = 256;
 
-/// Time after the start of a daemon from which on it has heard of the failovers that run.
-const INFORMED_SPAN: Duration = Duration::from_millis(1_000);
+/// Time after its start within which a daemon may not have heard of a failover that runs.
+const STARTUP_SPAN: Duration = Duration::from_millis(1_000);
 
 /// A question to another VM that has no answer yet.
 struct Question {
@@ -262,7 +262,7 @@
     /// turns out to lack the commit, it does not count, and the answer shows no contact.
     pub(super) fn answer_contact(self: &Rc<Self>, link: &Rc<Link>, ask: &ContactAsk) {
         let Ok(name) = GroupId::new(&ask.group) else { return };
-        if clock::now().since(self.started) < INFORMED_SPAN {
+        if clock::now().since(self.started) < STARTUP_SPAN {
             return;
         }
         let group = self.group(&name);
@@ -271,7 +271,7 @@
             Ok(server) if group.borrow().servers.contains_key(&server) => {
                 let link = Rc::clone(link);
                 let question = PeerQuestion { link, number: ask.number, commit };
-                self.request_status(&group, &server, Asker::Vm(question));
+                self.request_status(&group, &server, Requester::Vm(question));
             }
             _ => {
                 group.borrow_mut().record_acknowledged(commit);
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -28,7 +28,7 @@
 
 pub(crate) use self::{
     placing::{Placed, Read},
-    replicas::{Asker, KnownReplica, PeerQuestion},
+    replicas::{KnownReplica, PeerQuestion, Requester},
 };
 use self::{replicas::Replicas, reports::PeerReports};
 use crate::{catalog::ServerEntry, single_flight::SingleFlight};
--- a/crates/engine/src/group/replicas.rs
+++ b/crates/engine/src/group/replicas.rs
@@ -4,21 +4,21 @@
 
 use chicoryhollow_core::{
     DataCentreId, Position, ServerId, Time,
-    durability::{RegisteredReplica, ReplicaAnswer, ReplicaAnswers, Witness},
+    durability::{QuestionTarget, RegisteredReplica, ReplicaAnswer, ReplicaAnswers},
 };
 use indexmap::IndexMap;
 
 use super::Group;
 use crate::{catalog::ServerEntry, fleet::Link, single_flight::SingleFlight};
 
-/// Shortest time that a replica counts as having taken if its answer did not help.
-const VAIN_DELAY: Duration = Duration::from_millis(100);
+/// Shortest delay that is recorded for a replica whose answer did not show the commit.
+const UNHELPFUL_DELAY: Duration = Duration::from_millis(100);
 
 /// Pause between two repeated questions of this VM to one replica.
 const REPEAT_PAUSE: Duration = Duration::from_millis(80);
 
-/// Who asks for the status of a replica.
-pub(crate) enum Asker {
+/// Who has requested the status of a replica.
+pub(crate) enum Requester {
     /// A commit of this VM.
     Own,
     /// Another VM.
@@ -37,13 +37,13 @@
 #[derive(Default)]
 struct Poll {
     flight: SingleFlight,
-    waiting: Vec<Asker>,
+    waiting: Vec<Requester>,
 }
 
 /// A registered replica of a group.
 pub(crate) struct KnownReplica {
     pub(crate) entry: ServerEntry,
-    pub(crate) witness: Witness,
+    pub(crate) target: QuestionTarget,
 }
 
 /// Since when the servers of a group are registered, and what they last answered.
@@ -103,7 +103,7 @@
     /// Records how long the first question about a commit to a server took, or that the answer
     /// did not help.
     pub(crate) fn record_delay(&mut self, server: &ServerId, taken: Duration, has_helped: bool) {
-        let delay = if has_helped { taken } else { taken.max(VAIN_DELAY) };
+        let delay = if has_helped { taken } else { taken.max(UNHELPFUL_DELAY) };
         self.delays.insert(server.clone(), delay);
     }
 
@@ -118,14 +118,14 @@
     }
 
     /// Adds a request for the status of a server; returns whether to start to ask.
-    pub(crate) fn add_request(&mut self, server: &ServerId, asker: Asker) -> bool {
+    pub(crate) fn add_request(&mut self, server: &ServerId, requester: Requester) -> bool {
         let poll = self.polls.entry(server.clone()).or_default();
-        poll.waiting.push(asker);
+        poll.waiting.push(requester);
         poll.flight.try_start()
     }
 
     /// Returns who waits for the next question to a server. If nobody does, it is not sent.
-    pub(crate) fn take_requests(&mut self, server: &ServerId) -> Vec<Asker> {
+    pub(crate) fn take_requests(&mut self, server: &ServerId) -> Vec<Requester> {
         let Some(poll) = self.polls.get_mut(server) else { return Vec::new() };
         if poll.waiting.is_empty() {
             self.polls.swap_remove(server);
@@ -159,8 +159,8 @@
                 answers: self.replicas.answers.get(&entry.server).copied().unwrap_or_default(),
             };
             let delay = self.replicas.delays.get(&entry.server).copied().unwrap_or_default();
-            let witness = Witness { replica, here: entry.data_centre == *here, delay };
-            Some(KnownReplica { entry: entry.clone(), witness })
+            let target = QuestionTarget { replica, here: entry.data_centre == *here, delay };
+            Some(KnownReplica { entry: entry.clone(), target })
         };
         others.filter_map(known).collect()
     }
