watch: run commands on servers in one place

The connection of a command was taken, used and given back in execution::send_if and again in confirmation::status, which needs an answer without a status too. Both use run_command now. The senders of failovers and cleanups stay apart: they differ in what makes a command unwanted, in the time limit and in who records the answer.

--- a/crates/engine/src/confirmation/status.rs
+++ b/crates/engine/src/confirmation/status.rs
@@ -14,6 +14,7 @@
     group::{Group, Requester},
     seam::{Directory, ServerLink, ServerProtocol},
     statement::Command,
+    watch::run_command,
 };
 
 /// Pause before this VM itself asks all replicas again.
@@ -63,11 +64,10 @@
         answer
     }
 
-    async fn send_status(self: &Rc<Self>, server: &ServerId) -> Option<ReplicaAnswer> {
-        let account = self.any_account()?;
-        let mut connection = self.pool(server)?.take_control(&account).await.ok()?;
-        let answer = connection.run_control(Command::Status).await.ok()?;
-        connection.give_back();
+    /// Returns what a replica answers to a question for its status. An answer without a status
+    /// shows that it is busy.
+    async fn send_status(&self, server: &ServerId) -> Option<ReplicaAnswer> {
+        let answer = run_command(self, server, Command::Status, || true).await?;
         let status = S::Link::parse_status(&answer);
         Some(status.map_or(ReplicaAnswer::Busy, |status| ReplicaAnswer::Status(status.into())))
     }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -21,8 +21,8 @@
 use slog::o;
 use tokio::time::timeout;
 
-pub(crate) use self::execution::send_command;
 use self::execution::{execute, log_reports};
+pub(crate) use self::execution::{run_command, send_command};
 use crate::{
     catalog::ServerEntry,
     clock,
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -16,7 +16,7 @@
     engine::Engine,
     log::Event,
     seam::{Directory, PromoteOrder, PromotionOutcome, ServerLink, ServerProtocol, ServerStatus},
-    statement::Command,
+    statement::{Answer, Command},
 };
 
 /// Executes an action of a failover in a separate task.
@@ -153,14 +153,24 @@
     send_if(engine, server, command, || true).await
 }
 
-/// Sends a command to a server, if `is_wanted` once there is a connection, and returns its status,
-/// if it answered. A connection and an answer each have a time limit.
+/// Sends a command to a server as [`run_command`] does, and returns its status, if it reported one.
 pub(super) async fn send_if<S: ServerProtocol, D: Directory>(
     engine: &Rc<Engine<S, D>>,
     server: &ServerId,
     command: Command,
     is_wanted: impl FnOnce() -> bool,
 ) -> Option<ServerStatus> {
+    S::Link::parse_status(&run_command(engine, server, command, is_wanted).await?)
+}
+
+/// Runs a command on a server, if `is_wanted` once there is a connection, and returns the answer.
+/// A connection and an answer each have a time limit.
+pub(crate) async fn run_command<S: ServerProtocol, D: Directory>(
+    engine: &Engine<S, D>,
+    server: &ServerId,
+    command: Command,
+    is_wanted: impl FnOnce() -> bool,
+) -> Option<Answer> {
     let account = engine.any_account()?;
     let mut connection = engine.pool(server)?.take_control(&account).await.ok()?;
     if !is_wanted() {
@@ -169,7 +179,7 @@
     }
     let answer = connection.run_control(command).await.ok()?;
     connection.give_back();
-    S::Link::parse_status(&answer)
+    Some(answer)
 }
 
 async fn promote<S: ServerProtocol, D: Directory>(
