model: call the times that calls take delays

Pace is a type of the product that limits how often work is done, and in failover.md the interval of questions. The model's times are Delays. The comments of its searches say what they check instead of how a fault was found; docs/incidents has that.

--- a/crates/core/tests/failover_effects/mod.rs
+++ b/crates/core/tests/failover_effects/mod.rs
@@ -1,5 +1,5 @@
-//! What a failover leaves behind: fences and orders that arrive late, and daemons that remember
-//! nothing; and what is not known of it where it must be.
+//! Searches about the effects of a failover: fences and orders that arrive late, coordinators that
+//! do not know what was acknowledged, and evidence from one side of a cut.
 
 use super::{
     PRIMARY_ALONE, assert_holds, assert_seeds_hold, bounds, durable,
@@ -9,20 +9,20 @@
         search::{Bounds, RECOVERY, Recovery, replay},
         ticks,
         told::AckRule,
-        world::{Changes, Fleet, Pace, World},
+        world::{Changes, Delays, Fleet, World},
     },
     search, usual,
 };
 
 /// Calls take a tick each way, and replicas some more until they follow a new primary.
-const PACE: Pace = Pace { call: 1, message: 0, follow: 5 };
+const DELAYS: Delays = Delays { call: 1, message: 0, follow: 5 };
 
 /// Time within which a group confirms commits again once all has healed.
 const CONFIRMED: Recovery = Recovery::Confirmed(ticks(10_000));
 
 /// The rule of the product, in a world in which calls take a while.
-fn paced() -> World {
-    durable(PRIMARY_ALONE).with_pace(PACE)
+fn delayed() -> World {
+    durable(PRIMARY_ALONE).with_delays(DELAYS)
 }
 
 /// Only a server that leaves receives from the primary, until the cut of the others heals.
@@ -48,12 +48,12 @@
     }
 }
 
-/// Review 7: fences that were sent after the promotion were never lifted, and the group took no
-/// writes.
+/// A fence that arrives after the promotion stays until it is lifted, and its replica confirms
+/// nothing meanwhile.
 #[test]
 fn no_fence_that_outlasts_its_failover_stops_a_group() {
-    assert_holds(&paced(), &departure());
-    assert_holds(&paced(), &departure_of_last_copy());
+    assert_holds(&delayed(), &departure());
+    assert_holds(&delayed(), &departure_of_last_copy());
 }
 
 /// The same beside other events: fences and requests to lift them that arrive late or never, and a
@@ -75,12 +75,12 @@
             recovery: Some(CONFIRMED),
             ..bounds(vec![first], events.clone(), 2)
         };
-        assert_holds(&paced(), &bounds);
+        assert_holds(&delayed(), &bounds);
     }
 }
 
-/// Issue 48: after the restart of all daemons nobody knew what had been acknowledged, and a server
-/// without it was promoted although the primary answered.
+/// After all daemons have restarted, none knows what was acknowledged, and the primary may still
+/// answer.
 #[test]
 fn daemons_that_know_no_commit_do_not_replace_a_primary_by_a_server_that_lacks_some() {
     let first = vec![Event::Part, Event::Start(3, 1)];
@@ -109,8 +109,8 @@
     search(&durable(PRIMARY_ALONE), &bounds);
 }
 
-/// A coordinator that knows nothing promotes the longest log, and does not take the start of its
-/// term for all that there is to know when it replaces that one.
+/// A coordinator that knows no commit promotes the longest log. It then knows where the new term
+/// began, but not which commits were acknowledged before.
 #[test]
 fn daemons_that_know_no_commit_do_not_replace_a_successor_by_a_server_that_lacks_some() {
     let events = vec![Event::Crash(0), Event::Part, Event::RestartAll];
@@ -135,8 +135,7 @@
     assert_holds(&durable(PRIMARY_ALONE), &bounds);
 }
 
-/// Review 8: an order that waited for the coordinator's row was sent after its failover had ended,
-/// and rolled back what its successor had acknowledged.
+/// An order that is sent after its failover has ended rolls back what the next primary acknowledges.
 #[test]
 fn no_order_that_waits_for_the_row_outlasts_its_failover() {
     let slow = [500, 1_000, 2_000, 4_000].map(|ms| Event::StoreSlow(ticks(ms)));
@@ -163,12 +162,12 @@
 /// while.
 fn fleet_of_four() -> World {
     let fleet = Fleet { vms: 4, coordinator: 3, callers: vec![0, 1, 2] };
-    let pace = Pace { message: 1, ..PACE };
-    World::new(AckRule::Durability, Changes::default(), PRIMARY_ALONE, fleet).with_pace(pace)
+    let delays = Delays { message: 1, ..DELAYS };
+    World::new(AckRule::Durability, Changes::default(), PRIMARY_ALONE, fleet).with_delays(delays)
 }
 
-/// Review 6: VMs on the primary's side of a cut confirmed each other's commits, which only a server
-/// had received that started there, while a failover ran on the other side.
+/// VMs on the primary's side of a cut are in contact with each other, although only a server that
+/// started on this side has received the commit, and a failover runs on the other side.
 #[test]
 fn no_commit_is_told_by_evidence_of_one_side_of_a_cut() {
     let events = vec![Event::Start(3, 0), Event::Start(3, 1), Event::Heal, Event::Lag(1)];
@@ -188,7 +187,7 @@
 
 #[test]
 fn no_commit_is_lost_whatever_happens_once_while_calls_take_long() {
-    assert_seeds_hold(&paced(), &unusual(), SLOW_SEEDS);
+    assert_seeds_hold(&delayed(), &unusual(), SLOW_SEEDS);
 }
 
 #[test]
--- a/crates/core/tests/failover_model/calls.rs
+++ b/crates/core/tests/failover_model/calls.rs
@@ -102,7 +102,7 @@
                 continue;
             }
             self.check_promotion(order.server)?;
-            let resumes = tick + self.pace.follow;
+            let resumes = tick + self.delays.follow;
             let is_replaced = self.platform.promote(&order, &mut self.servers, resumes);
             self.note(|| format!("{} becomes the primary", name(order.server)));
             if is_replaced {
@@ -120,7 +120,7 @@
         match flight.leg {
             Leg::Command => {
                 let answer = self.carry_out(vm, server, flight.command).map(|status| {
-                    let at = self.tick + self.pace.call + self.servers[server].slow;
+                    let at = self.tick + self.delays.call + self.servers[server].slow;
                     Flight { at, leg: Leg::Answer(status), ..flight }
                 });
                 let answer = answer.filter(|answer| answer.at <= deadline);
@@ -185,7 +185,7 @@
         let (incarnation, since, sent) = (*incarnation, watch.since, self.tick);
         let (at, leg) = match self.is_disturbed(server, command) {
             true => (sent + sender.timeout(), Leg::Timeout),
-            false => (sent + self.pace.call, Leg::Command),
+            false => (sent + self.delays.call, Leg::Command),
         };
         let flight = Flight { at, sent, vm, server, command, sender, incarnation, since, leg };
         self.flights.push(flight);
--- a/crates/core/tests/failover_model/cleanup.rs
+++ b/crates/core/tests/failover_model/cleanup.rs
@@ -63,7 +63,7 @@
             CleanupAction::Release(server) => (server, Command::Release),
         };
         let number = index(server.as_str());
-        if self.pace.call > 0 {
+        if self.delays.call > 0 {
             return self.send_command(vm, number, command, Sender::Cleanup);
         }
         let status = self.call(vm, number, command);
--- a/crates/core/tests/failover_model/contact.rs
+++ b/crates/core/tests/failover_model/contact.rs
@@ -46,8 +46,8 @@
 impl World {
     /// Sends a message, which arrives at once or after the time that messages take.
     fn send(&mut self, from: usize, to: usize, body: Body) {
-        let message = Message { at: self.tick + self.pace.message, from, to, body };
-        match self.pace.message {
+        let message = Message { at: self.tick + self.delays.message, from, to, body };
+        match self.delays.message {
             0 => self.receive(message),
             _ => self.messages.push(message),
         }
--- a/crates/core/tests/failover_model/execution.rs
+++ b/crates/core/tests/failover_model/execution.rs
@@ -20,7 +20,7 @@
             Action::Promote(attempt) => return self.order(vm, begun, failover, attempt),
         };
         let number = index(server.as_str());
-        if self.pace.call > 0 {
+        if self.delays.call > 0 {
             return self.send_command(vm, number, command, Sender::Failover(begun));
         }
         match (self.call(vm, number, command), command) {
--- a/crates/core/tests/failover_model/told.rs
+++ b/crates/core/tests/failover_model/told.rs
@@ -228,7 +228,7 @@
         let stays = |i: &usize| view.entries[*i].as_ref().is_some_and(|entry| !entry.leaving);
         let others: Vec<usize> = view.others(Some(write.server)).filter(stays).collect();
         for server in others {
-            if self.pace.call > 0 {
+            if self.delays.call > 0 {
                 self.ask_once(vm, server);
                 continue;
             }
--- a/crates/core/tests/failover_model/world.rs
+++ b/crates/core/tests/failover_model/world.rs
@@ -60,7 +60,7 @@
 
 /// Ticks that calls take. Without any, they are answered at once.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Pace {
+pub(crate) struct Delays {
     /// From a VM to a server, and back.
     pub(crate) call: u32,
     /// From a VM to another one.
@@ -75,7 +75,7 @@
     pub(crate) tick: u32,
     pub(crate) rule: AckRule,
     pub(crate) changes: Changes,
-    pub(crate) pace: Pace,
+    pub(crate) delays: Delays,
     pub(crate) servers: [Server; SERVERS],
     pub(crate) network: Network,
     pub(crate) directory: Directory,
@@ -123,7 +123,7 @@
             tick: 1,
             rule,
             changes,
-            pace: Pace::default(),
+            delays: Delays::default(),
             servers,
             network: Network::default(),
             directory: Directory::new(),
@@ -161,8 +161,8 @@
     }
 
     /// Sets how long calls take from now on.
-    pub(crate) fn with_pace(self, pace: Pace) -> Self {
-        World { pace, ..self }
+    pub(crate) fn with_delays(self, delays: Delays) -> Self {
+        World { delays, ..self }
     }
 
     /// Takes one step of everything.
@@ -263,7 +263,7 @@
             Event::Split => self.network.is_split = true,
             Event::Heal => {
                 self.network = Network::default();
-                let resumes = tick + self.pace.follow;
+                let resumes = tick + self.delays.follow;
                 self.servers.iter_mut().for_each(|server| server.resumes = resumes);
             }
             Event::Start(server, centre) => {
