--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -460,8 +460,8 @@
     assert_eq!(promoted(&failover.next_actions(ANNOUNCED)), Some(&a));
 }
 
-/// Case 7 of the second review: the replicas accepted fences that were sent before the promotion
-/// and arrived after it, because earlier fences had raised the term.
+/// Replicas would accept a fence of the next failover that arrives after its promotion, if earlier
+/// fences had raised the term of the fence.
 #[test]
 fn a_fence_does_not_raise_the_term_of_the_next_failover() {
     let mut failover = start_failover([member("a", true)], Position::default());
--- a/crates/core/tests/failover_floor.rs
+++ b/crates/core/tests/failover_floor.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// Issue 48: after a loss of power a server with 2/139 was ordered to lead beside one with 6/355.
+/// Otherwise a server with 2/139 is promoted beside one with 6/355.
 #[test]
 fn a_coordinator_that_knows_nothing_promotes_the_longest_log() {
     let p = status(false, 6, at(6, 355));
@@ -107,8 +107,8 @@
     assert_eq!(world.run().as_deref(), Ok("r"), "nothing was acknowledged since its start");
 }
 
-/// Daemons that had restarted promoted a server, knew where its term began, and replaced it by one
-/// that lacked what had been acknowledged before.
+/// Daemons that have restarted promote a server and know where its term began. What was acknowledged
+/// before, they do not know.
 #[test]
 fn the_start_of_a_term_alone_does_not_tell_what_was_acknowledged() {
     let p = status(false, 6, at(6, 355));
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// The planned order could not be claimed as long as the leaving primary acknowledged writes.
+/// A leaving primary acknowledges writes while its successor's order waits for the row.
 #[test]
 fn a_planned_order_is_sent_although_the_primary_goes_on_acknowledging() {
     let members = ["a", "b"].map(member);
@@ -84,8 +84,7 @@
     assert!(failover.claim(&attempt, at(300)), "only its server can have confirmed the commit");
 }
 
-/// Case 8 of the second review: the order of an abandoned failover waited for the coordinator's row,
-/// was sent after another server had become the primary, and cost what that one had acknowledged.
+/// Another server may lead by then, and what it has acknowledged would be lost.
 #[test]
 fn an_order_whose_failover_has_ended_is_not_sent() {
     let (mut failover, attempt) = waiting();
@@ -106,7 +105,7 @@
     assert!(!failover.claim(&attempt, at(4_000)), "it was sent");
 }
 
-/// A promoted server that ended at once left the group without a primary for 12 s.
+/// The group has no primary until another one is chosen.
 #[test]
 fn another_server_is_chosen_if_the_ordered_one_disappears() {
     let (mut failover, attempt) = waiting();
@@ -151,7 +150,7 @@
     assert!(!failover.claim(&attempt, at(1_500)), "it has not answered since");
 }
 
-/// The answer to an order arrived after its failover had ordered another server.
+/// The answer to an order may arrive after its failover has ordered another server.
 #[test]
 fn the_refusal_of_an_earlier_attempt_does_not_touch_the_present_one() {
     let (mut failover, first) = waiting();
--- a/crates/core/tests/fence_cleanup.rs
+++ b/crates/core/tests/fence_cleanup.rs
@@ -60,8 +60,7 @@
     }
 }
 
-/// Case 7 of the second review: replicas stayed fenced after the promotion, and the group accepted
-/// no writes any more.
+/// Replicas that stay fenced after the promotion keep the group from acknowledging writes.
 #[test]
 fn a_fence_that_arrives_after_its_failover_is_lifted() {
     for late in (0..12_500).step_by(100) {
