durability: say what evidence is once, and link the page

The comment of the module and the design page both explained every rule. The module defines copy and contact; what they rest on is on the page.

--- a/crates/core/src/durability.rs
+++ b/crates/core/src/durability.rs
@@ -3,26 +3,21 @@
 //! A primary acknowledges a commit once any replica has received it. A failover chooses among
 //! the servers that it knows, so the commit is lost if the only replica with it has never been
 //! registered: it was started behind a partition, together with the primary, or while the
-//! directory is away. A VM therefore tells a caller of a success only if one of two things is
-//! shown.
+//! directory is away. A VM therefore tells a caller of a success only if there is evidence:
 //!
-//! * A replica that has been registered for so long that every failover knows it, and that
-//!   stays, has received the commit. This is asked first, because it needs neither clocks nor
+//! * A copy: a replica that stays, and that has been registered for so long that every failover
+//!   knows it, has received the commit. This is asked first, because it needs neither clocks nor
 //!   knowledge of other VMs.
-//! * Messages pass in both directions between the primary's data centre and another one, and
-//!   what a failover needs is on the same side of the network: a replica that each failover
-//!   must hear has answered, at a time after the primary's answer, and no failover runs. A server
-//!   that had received the commit by then can register, and a failover that begins later lists
-//!   it. Other VMs alone show nothing, since a partition may leave some of each data centre on
-//!   the primary's side. A group without such a replica needs an answer of the directory. If such a
-//!   replica reports that it lacks the commit, contact shows nothing: the log of the server that
-//!   has received it may end with it.
+//! * Contact: messages pass in both directions between the primary's data centre and another one,
+//!   no failover runs, and a replica that every failover waits for has answered since the primary
+//!   did. A server that had received the commit by then can register, and a failover that begins
+//!   later lists it. Messages between VMs alone show nothing, since a partition may leave some VMs
+//!   of each data centre on the primary's side. If no failover waits for a replica of the group, the
+//!   directory must have answered instead. Contact shows nothing while a replica that stays lacks
+//!   the commit, because the server that has received it may be about to leave.
 //!
-//! The VM that answers the question counts the commit as acknowledged from then on, so that a
-//! failover that hears of it waits for a server that has it.
-//!
-//! What is neither is told as unknown. VMs tell each other of a failover before it may order
-//! a promotion, so that a VM with contact knows of it in time.
+//! A commit without evidence is told as unknown. `docs/design/durability.md` lists what the two
+//! rules rest on.
 
 mod questions;
 mod replica;
@@ -80,7 +75,7 @@
 /// What decides whether a caller is told of a success.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Evidence {
-    /// There is contact with another data centre, and with what a failover needs.
+    /// There is contact with another data centre, and a replica elsewhere was reached.
     Contact,
     /// A registered replica holds the commit.
     Copy,
@@ -164,11 +159,9 @@
         (self.has_contact(knowledge) && may_register && reaches()).then_some(Evidence::Contact)
     }
 
-    /// Returns whether what every failover needs was reached after the primary's answer, and
-    /// nothing that was reached lacks the commit.
-    ///
-    /// If it does, the primary may have been confirmed by a server that is about to be stopped,
-    /// while those that stay receive nothing.
+    /// Returns whether a replica that every failover waits for was reached after the primary's
+    /// answer, or the directory if there is none. No replica that stays may have reported that it
+    /// lacks the commit.
     fn reaches_deciders(&self, knowledge: &Knowledge, replicas: &[RegisteredReplica]) -> bool {
         if self.is_lacked(replicas) {
             return false;
@@ -191,11 +184,11 @@
         replicas.iter().any(lacks)
     }
 
-    /// Returns whether contact with other VMs may still decide about the commit: no replica that
-    /// stays is known to lack it, or one near the primary has it.
+    /// Returns whether other VMs are to be asked about the commit: no replica that stays is known to
+    /// lack it, or one near the primary has it.
     ///
-    /// Otherwise the answers would only raise the position that a failover requires, by a commit
-    /// that nobody is told of.
+    /// Otherwise their answers cannot be evidence. They would only raise the floor of a failover, by
+    /// a commit of whose success no caller is told.
     pub fn may_rest_on_contact(&self, replicas: &[RegisteredReplica]) -> bool {
         let is_near_copy = |replica: &RegisteredReplica| {
             replica.near && replica.stays() && replica.copy_state(self) == CopyState::Holds
--- a/crates/core/src/durability/replica.rs
+++ b/crates/core/src/durability/replica.rs
@@ -135,13 +135,13 @@
         }
     }
 
-    /// Returns whether its log lasts: it is a replica that is not about to be stopped.
+    /// Returns whether it stays: it is a replica, and not about to be stopped.
     pub(super) fn stays(&self) -> bool {
         let is_primary = self.answers.newest.is_some_and(|newest| newest.status.primary);
         !self.leaving && !is_primary
     }
 
-    /// Returns whether every failover waits for the replica, and its log lasts.
+    /// Returns whether every failover waits for the replica, and it stays.
     pub fn takes_part(&self) -> bool {
         self.stays() && self.registered >= REGISTRATION_SPAN
     }
