--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -128,7 +128,7 @@
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
-    /// When the promotion of the target was last requested.
+    /// When the newest attempt was made, or its order was sent.
     promotion_sent: Option<Time>,
     /// End of the target's log when its promotion was first requested.
     target_received: Option<Position>,
--- a/crates/core/tests/joining.rs
+++ b/crates/core/tests/joining.rs
@@ -220,7 +220,7 @@
     }
 }
 
-/// A primary that confirmed nothing stepped down four times in a row, and nobody else could lead.
+/// If it stepped down, no server could lead: its replicas lack what it has acknowledged.
 #[test]
 fn a_primary_goes_on_if_no_replica_has_received_what_is_acknowledged() {
     let begun = Time::from_millis(1_000);
@@ -239,7 +239,7 @@
     assert_eq!(failover.progress(now), Progress::Abandoned(reason));
 }
 
-/// A primary was replaced that had just begun to confirm commits again.
+/// A primary that has begun to confirm commits again need not be replaced.
 #[test]
 fn a_primary_whose_replica_has_caught_up_with_it_goes_on() {
     for answers in [true, false] {
