--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -112,8 +112,8 @@
     primary: Option<Demotion>,
     /// What the directory was asked about the registered servers.
     listing: Listing,
-    /// Newest term of which an acknowledged commit, or the start of its log, is known.
-    informed: Term,
+    /// Newest term of which an acknowledged commit, or where its log began, is known.
+    known_term: Term,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -131,18 +131,18 @@
     /// When fencing began.
     fencing_since: Option<Time>,
     target: Option<ServerId>,
-    /// When the promotion of the target was last requested.
+    /// When the newest attempt was made, or its order was sent.
     promotion_sent: Option<Time>,
     /// End of the target's log when its promotion was first requested.
     target_received: Option<Position>,
     /// Server that an earlier failover has ordered to promote, if that may still happen.
     open_order: Option<ServerId>,
-    /// Number of the newest attempt to order a promotion.
+    /// The newest attempt to order a promotion.
     attempt: AttemptNumber,
     /// What the server of a planned promotion had to have received when the attempt was made.
     attempt_floor: Position,
     /// The newest attempt whose order was sent.
-    sent: Option<AttemptNumber>,
+    sent_attempt: Option<AttemptNumber>,
     /// Whether it has ended. It then does nothing any more.
     has_ended: bool,
     /// Until when no promotion is requested, because the last request could not be sent.
@@ -170,7 +170,7 @@
             replaced: None,
             primary: None,
             listing: Listing::default(),
-            informed: acknowledged.term(),
+            known_term: acknowledged.term(),
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
@@ -185,7 +185,7 @@
             open_order: None,
             attempt: AttemptNumber::default(),
             attempt_floor: Position::default(),
-            sent: None,
+            sent_attempt: None,
             has_ended: false,
             retry_after: None,
         }
@@ -269,7 +269,7 @@
     /// no effect.
     pub fn record_acknowledged(&mut self, position: Position) {
         self.acknowledged = self.acknowledged.max(position);
-        self.informed = self.informed.max(position.term());
+        self.known_term = self.known_term.max(position.term());
     }
 
     /// Records the status that a server reported. Until servers are fenced, a higher term than
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -91,13 +91,13 @@
     assert_eq!(replaced(&["a", "a"]), Term::new(4), "the later one changes nothing");
     assert_eq!(replaced(&["a", "b"]), Term::new(5));
     let memory = with_orders(&["a", "b"]);
-    assert_eq!(memory.highest_effect(&group(), None), Some(Term::new(5)));
-    assert_eq!(memory.highest_effect(&group(), Some(&server("b"))), Some(Term::new(5)));
+    assert_eq!(memory.pending_term(&group(), None), Some(Term::new(5)));
+    assert_eq!(memory.pending_term(&group(), Some(&server("b"))), Some(Term::new(5)));
     let memory = with_orders(&["b"]);
-    assert_eq!(memory.highest_effect(&group(), Some(&server("b"))), None);
+    assert_eq!(memory.pending_term(&group(), Some(&server("b"))), None);
     let mut unsent = FailoverMemory::new(at(0));
     unsent.prepare(group(), server("a"), Term::new(4), at(0)).expect("there is room");
-    assert_eq!(unsent.highest_effect(&group(), None), None, "it was not sent");
+    assert_eq!(unsent.pending_term(&group(), None), None, "it was not sent");
 }
 
 /// An order went out although the row was not written, and nobody knew of it after a restart.
@@ -200,20 +200,20 @@
     let actions = failover.next_actions(at(510));
     assert_eq!(orders(&actions).len(), 1);
     failover.record_promotion_unsent(attempt(&actions), at(520));
-    assert!(!failover.has_ordered());
+    assert!(!failover.has_open_order());
     assert_eq!(orders(&failover.next_actions(at(600))).len(), 0, "not at once");
-    assert_eq!(lifted(failover.has_ordered()), 2);
+    assert_eq!(lifted(failover.has_open_order()), 2);
     let actions = failover.next_actions(at(800));
     assert!(failover.claim(attempt(&actions), at(800)));
-    assert!(failover.has_ordered());
+    assert!(failover.has_open_order());
 }
 
 /// A new coordinator lifted the fences while an order of the last one was open.
 #[test]
 fn fences_stay_while_an_earlier_order_is_open() {
     let failover = fenced_failover(Some("a"));
-    assert!(failover.has_ordered());
-    assert_eq!(lifted(failover.has_ordered()), 0);
+    assert!(failover.has_open_order());
+    assert_eq!(lifted(failover.has_open_order()), 0);
 }
 
 /// A primary that worked kept its group, although an order to replace it was open.
@@ -270,7 +270,7 @@
     for memory in [&memory, &later] {
         let announcement = memory.announcement(&group()).expect("an open order");
         assert_eq!(announcement.replaced, Term::new(5));
-        assert_eq!(memory.highest_effect(&group(), None), Some(Term::new(6)));
+        assert_eq!(memory.pending_term(&group(), None), Some(Term::new(6)));
     }
     memory.record_leader(&group(), &server("a"), Term::new(5));
     assert_eq!(memory.counts().0, 0, "it may lead the term after that of the primary");
@@ -330,9 +330,9 @@
         assert_eq!(open_server(&memory), None, "no failover is due to it, and no fence is kept");
         assert_eq!(memory.announcement(&group()), None);
         assert_eq!(memory.take_unannounced(&group()), None);
-        let effect = memory.highest_effect(&group(), None);
+        let effect = memory.pending_term(&group(), None);
         assert_eq!(effect, Some(Term::new(6)), "a failover of the leader announces this");
-        assert_eq!(memory.highest_effect(&group(), Some(&server("a"))), None);
+        assert_eq!(memory.pending_term(&group(), Some(&server("a"))), None);
         memory.record_leader(&group(), &server("a"), Term::new(5));
         memory = restart(&mut memory, &["a"], at(1_000));
     }
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -67,6 +67,13 @@
     }
 }
 
+impl Vm {
+    /// Returns the term that the newest known failover replaces, or zero.
+    fn announced_term(&self) -> Term {
+        self.view.failover.map(|known| known.replaced).unwrap_or_default()
+    }
+}
+
 impl World {
     /// Takes a step of the watch of one VM.
     pub(crate) fn watch(&mut self, vm: usize) {
@@ -232,8 +239,8 @@
         let open_order = self.vms[vm].memory.open_order(&group());
         failover = failover.with_open_order(open_order.map(|open| open.server.clone()));
         let Some(token) = self.next_token(vm) else { return };
-        let effect = self.vms[vm].memory.highest_effect(&group(), None).unwrap_or_default();
-        let replaced = effect.max(self.vms[vm].view.newest_term());
+        let pending = self.vms[vm].memory.pending_term(&group(), None).unwrap_or_default();
+        let replaced = pending.max(self.vms[vm].view.newest_term());
         self.announce(vm, FailoverNumber::new(token.get()), replaced);
         self.note(|| format!("VM {vm} starts a failover ({})", suspicion.label()));
         self.vms[vm].watch.running = Some(Running { failover, suspicion, started: tick });
@@ -247,7 +254,7 @@
         failover.record_log_start(view.start);
         failover.retain(|server| view.entries[index(server.as_str())].is_some());
         failover.join(view.members());
-        let is_unordered = !failover.has_sent();
+        let is_unordered = !failover.has_sent_order();
         let has_recovered = running.suspicion == Suspicion::Silent
             && is_unordered
             && view.last_response > running.started;
@@ -274,8 +281,8 @@
             }
             Progress::Abandoned(reason) => {
                 self.note(|| format!("VM {vm} gives the failover up: {reason}"));
-                let has_ordered = failover.has_ordered();
-                self.end_announcement(vm, has_ordered);
+                let has_open_order = failover.has_open_order();
+                self.end_announcement(vm, has_open_order);
             }
         }
         let watch = &mut self.vms[vm].watch;
@@ -293,13 +300,13 @@
 
     /// Tells of a failover again if the servers report a higher term than was known at the start.
     fn correct_announcement(&mut self, vm: usize, failover: &mut Failover) {
-        let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
+        let announced = self.vms[vm].announced_term();
         let mut replaced = failover.reported_term();
         if failover.needs_announcement() {
-            let effect = self.vms[vm].memory.highest_effect(&group(), None);
+            let pending = self.vms[vm].memory.pending_term(&group(), None);
             let led = self.vms[vm].view.newest_term();
-            replaced = replaced.max(known).max(led).max(effect.unwrap_or_default());
-        } else if failover.has_sent() || replaced <= known {
+            replaced = replaced.max(announced).max(led).max(pending.unwrap_or_default());
+        } else if failover.has_sent_order() || replaced <= announced {
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
@@ -311,11 +318,10 @@
     /// Tells that a failover which also covered the term of its successor has ended, unless an
     /// open order may still promote another server.
     fn narrow_announcement(&mut self, vm: usize, server: &ServerId, term: Term) {
-        let Vm { memory, view, .. } = &mut self.vms[vm];
-        memory.record_leader(&group(), server, term);
-        let is_open = memory.highest_effect(&group(), Some(server)).is_some_and(|at| at >= term);
-        let known = view.failover.map(|known| known.replaced).unwrap_or_default();
-        if known < term || is_open {
+        let me = &mut self.vms[vm];
+        me.memory.record_leader(&group(), server, term);
+        let is_open = me.memory.pending_term(&group(), Some(server)).is_some_and(|at| at >= term);
+        if me.announced_term() < term || is_open {
             return;
         }
         let Some(token) = self.next_token(vm) else { return };
@@ -324,10 +330,10 @@
     }
 
     /// Tells that an abandoned failover replaces no primary, unless its order may be open.
-    fn end_announcement(&mut self, vm: usize, has_ordered: bool) {
+    fn end_announcement(&mut self, vm: usize, has_open_order: bool) {
         let Some(token) = self.next_token(vm) else { return };
-        let known = self.vms[vm].view.failover.map(|known| known.replaced).unwrap_or_default();
-        let replaced = if has_ordered { known } else { Term::default() };
+        let announced = self.vms[vm].announced_term();
+        let replaced = if has_open_order { announced } else { Term::default() };
         let number = FailoverNumber::new(token.get());
         self.announce(vm, number, replaced);
     }
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// The planned order could not be claimed as long as the leaving primary acknowledged writes.
+/// A leaving primary acknowledges writes while its successor's order waits for the row.
 #[test]
 fn a_planned_order_is_sent_although_the_primary_goes_on_acknowledging() {
     let members = ["a", "b"].map(member);
@@ -84,8 +84,7 @@
     assert!(failover.claim(&attempt, at(300)), "only its server can have confirmed the commit");
 }
 
-/// Case 8 of the second review: the order of an abandoned failover waited for the coordinator's row,
-/// was sent after another server had become the primary, and cost what that one had acknowledged.
+/// Another server may lead by then, and what it has acknowledged would be lost.
 #[test]
 fn an_order_whose_failover_has_ended_is_not_sent() {
     let (mut failover, attempt) = waiting();
@@ -93,7 +92,7 @@
     assert!(failover.clone().claim(&attempt, at(600)), "until then it is wanted");
     failover.end();
     assert!(!failover.claim(&attempt, at(600)));
-    assert!(!failover.has_ordered());
+    assert!(!failover.has_open_order());
     assert_eq!(failover.next_actions(at(900)), [], "nothing else is sent either");
 }
 
@@ -163,7 +162,7 @@
     }
 }
 
-/// A promoted server that ended at once left the group without a primary for 12 s.
+/// The group has no primary until another one is chosen.
 #[test]
 fn another_server_is_chosen_if_the_ordered_one_disappears() {
     let (mut failover, attempt) = waiting();
@@ -208,7 +207,7 @@
     assert!(!failover.claim(&attempt, at(1_500)), "it has not answered since");
 }
 
-/// The answer to an order arrived after its failover had ordered another server.
+/// The answer to an order may arrive after its failover has ordered another server.
 #[test]
 fn the_refusal_of_an_earlier_attempt_does_not_touch_the_present_one() {
     let (mut failover, first) = waiting();
--- a/crates/core/tests/fence_cleanup.rs
+++ b/crates/core/tests/fence_cleanup.rs
@@ -5,7 +5,7 @@
     failover::{CleanupAction, FenceCleanup, FenceUse, ReplicationStatus},
 };
 
-const NONE: FenceUse = FenceUse { running: false, ordered: false, handover: false };
+const NONE: FenceUse = FenceUse { running: false, ordered: false, role_expiring: false };
 
 fn server(name: &str) -> ServerId {
     name.parse().expect("a valid name")
@@ -60,8 +60,7 @@
     }
 }
 
-/// Case 7 of the second review: replicas stayed fenced after the promotion, and the group accepted
-/// no writes any more.
+/// Replicas that stay fenced after the promotion keep the group from acknowledging writes.
 #[test]
 fn a_fence_that_arrives_after_its_failover_is_lifted() {
     for late in (0..12_500).step_by(100) {
@@ -97,7 +96,7 @@
     let needed = [
         FenceUse { running: true, ..NONE },
         FenceUse { ordered: true, ..NONE },
-        FenceUse { handover: true, ..NONE },
+        FenceUse { role_expiring: true, ..NONE },
     ];
     for needed in needed {
         let a = server("a");
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -23,8 +23,8 @@
 use slog::o;
 use tokio::time::timeout;
 
-pub(crate) use self::execution::send_command;
 use self::execution::{execute, log_reports};
+pub(crate) use self::execution::{run_command, send_command};
 use crate::{
     catalog::ServerEntry,
     clock,
@@ -75,7 +75,7 @@
     /// Records the end of a failover.
     fn record_end(&mut self, failover: &Failover, now: Time) {
         if failover.cause() == Cause::Failure
-            && failover.has_sent()
+            && failover.has_sent_order()
             && let Some(primary) = failover.replaced_primary()
         {
             self.replaced.record(primary.clone(), now);
@@ -191,9 +191,9 @@
     let suspicion = assess(engine, &group.borrow(), watched, known, now);
     let suspicion = suspicion.filter(|_| !awaits_server);
     if let Some(suspicion) = suspicion {
-        // A server that an open order promotes meanwhile is replaced too.
-        let effect = coordinator.highest_effect(&group.borrow().view.group);
-        let replaced = group.borrow().newest_term().max(effect.unwrap_or_default());
+        // An open order may promote a server meanwhile, which is replaced then.
+        let pending = coordinator.pending_term(&group.borrow().view.group);
+        let replaced = group.borrow().newest_term().max(pending.unwrap_or_default());
         if !announce(engine, coordinator, group, replaced, now) {
             return;
         }
@@ -296,10 +296,10 @@
         failover.retain(|server| group.servers.contains_key(server));
         failover.join(group.members(now));
         let has_recovered = running.suspicion == Suspicion::Silent
-            && !failover.has_sent()
+            && !failover.has_sent_order()
             && group.last_response() > running.started;
         let awaits_server = awaits_unlisted || group.awaits_server(now);
-        match (has_recovered, !failover.has_sent() && awaits_server) {
+        match (has_recovered, !failover.has_sent_order() && awaits_server) {
             (true, _) => Progress::Abandoned("the primary answers again"),
             (_, true) => Progress::Abandoned("a server that may hold a commit is missing"),
             _ => failover.progress(now),
@@ -326,8 +326,8 @@
                 engine.record_primary_change(&group.borrow(), Source::Answer);
             }
             engine.check_commits(group);
-            let effect = coordinator.record_leader(name, &server, term);
-            narrow_announcement(engine, coordinator, group, effect, now);
+            let pending = coordinator.record_leader(name, &server, term);
+            narrow_announcement(engine, coordinator, group, pending, now);
             engine.event_log.record(
                 Event::FailoverCompleted,
                 o!(
@@ -370,8 +370,14 @@
     true
 }
 
-/// Tells all VMs again if the servers report a higher term than was known at the start, or the
-/// failover chooses another server after it has sent an order. It then waits until they know.
+/// Returns the term that the newest known failover of a group replaces, or zero.
+fn announced_term(group: &Group) -> Term {
+    group.peers.failover().map(|known| known.replaced).unwrap_or_default()
+}
+
+/// Announces a failover again if the servers report a higher term than the one that it was
+/// announced to replace, or if it chooses another server after it has sent an order. The failover
+/// then waits until all VMs know.
 fn correct_announcement<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     coordinator: &Coordinator,
@@ -379,13 +385,13 @@
     failover: &mut Failover,
     now: Time,
 ) {
-    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
+    let announced = announced_term(&group.borrow());
     let mut replaced = failover.reported_term();
     if failover.needs_announcement() {
-        let effect = coordinator.highest_effect(&group.borrow().view.group);
+        let pending = coordinator.pending_term(&group.borrow().view.group);
         let led = group.borrow().newest_term();
-        replaced = replaced.max(known).max(led).max(effect.unwrap_or_default());
-    } else if failover.has_sent() || replaced <= known {
+        replaced = replaced.max(announced).max(led).max(pending.unwrap_or_default());
+    } else if failover.has_sent_order() || replaced <= announced {
         return;
     }
     if announce(engine, coordinator, group, replaced, now) {
@@ -393,18 +399,19 @@
     }
 }
 
-/// Tells all VMs that a failover which also covered the term of its successor has ended, unless an
-/// open order may still promote another server, in the term `effect`.
+/// Ends an announcement that also covers the term of the new primary, so that callers are told of
+/// its commits. The announcement stays while an open order may promote another server in that term
+/// or a later one; `pending` is the highest term of such orders.
 fn narrow_announcement<S: ServerProtocol, D: Directory>(
     engine: &Engine<S, D>,
     coordinator: &Coordinator,
     group: &RefCell<Group>,
-    effect: Option<Term>,
+    pending: Option<Term>,
     now: Time,
 ) {
     let term = group.borrow().view.term;
-    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
-    if known >= term && effect.is_none_or(|effect| effect < term) {
+    let covers_term = announced_term(&group.borrow()) >= term;
+    if covers_term && pending.is_none_or(|pending| pending < term) {
         announce(engine, coordinator, group, Term::default(), now);
     }
 }
@@ -418,8 +425,8 @@
     failover: &Failover,
     now: Time,
 ) {
-    let known = group.borrow().peers.failover().map(|known| known.replaced).unwrap_or_default();
-    let replaced = if failover.has_ordered() { known } else { Term::default() };
+    let announced = announced_term(&group.borrow());
+    let replaced = if failover.has_open_order() { announced } else { Term::default() };
     // If the role is lost, the failover counts as running until its time is over.
     announce(engine, coordinator, group, replaced, now);
 }
