--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -260,16 +260,6 @@
         }
     }
 
-    /// Keeps the newest order of a group as one whose server leads at `term` by the order `first`.
-    fn keep_repeated(&mut self, group: &GroupId, first: FencingToken, term: Term) {
-        let newest = self.orders_of(group).filter_map(|open| open.token).max();
-        let newest = newest.filter(|newest| *newest > first);
-        self.orders.retain(|open| open.group != *group || open.token == newest && newest.is_some());
-        for open in self.orders.iter_mut().filter(|open| open.group == *group) {
-            (open.repeated, open.replaced, open.announced) = (true, term, term);
-        }
-    }
-
     fn close_before(&mut self, group: &GroupId, token: FencingToken) {
         let is_older = |open: &OpenOrder| open.token.is_some_and(|other| other < token);
         self.orders.retain(|open| open.group != *group || !is_older(open));
--- a/crates/core/src/coordinator/memory/pending.rs
+++ b/crates/core/src/coordinator/memory/pending.rs
@@ -1,6 +1,6 @@
 //! The terms that open orders may still begin, of which other VMs have to be told.
 
-use super::{EFFECT_SPAN, FailoverMemory, ORDER_SPAN, OpenOrder};
+use super::{EFFECT_SPAN, FailoverMemory, FencingToken, ORDER_SPAN, OpenOrder};
 use crate::{
     failover::{Announcement, FailoverNumber},
     id::{GroupId, ServerId},
@@ -52,4 +52,14 @@
             .max()?;
         Some(self.announcement(group).map_or(replaced, |failover| failover.replaced.max(replaced)))
     }
+
+    /// Keeps the newest order of a group as one whose server leads at `term` by the order `first`.
+    pub(super) fn keep_repeated(&mut self, group: &GroupId, first: FencingToken, term: Term) {
+        let newest = self.orders_of(group).filter_map(|open| open.token).max();
+        let newest = newest.filter(|newest| *newest > first);
+        self.orders.retain(|open| open.group != *group || open.token == newest && newest.is_some());
+        for open in self.orders.iter_mut().filter(|open| open.group == *group) {
+            (open.repeated, open.replaced, open.announced) = (true, term, term);
+        }
+    }
 }
