Count an order as open from when it is sent, not from when its row is written

Callers could be told of successes that an order undid. A promotion order may be carried out up to 13 s after it is sent. VMs count it as a failover that runs from when it was prepared, which is before the write of the coordinator's row. With a slow store the write takes over a second, and longer if it waits for a renewal, so the last part of the 13 s was not covered.

`record_sent` takes the time. an_order_counts_as_open_from_when_it_is_sent_however_long_its_row_takes fails without this: the announcement ends 3 s too early.

--- a/crates/core/src/coordinator/memory.rs
+++ b/crates/core/src/coordinator/memory.rs
@@ -221,9 +221,14 @@
 
     /// Records that the order of this revision is about to be sent. Returns false if it must not
     /// be, because another holder has written the row meanwhile.
-    pub fn record_sent(&mut self, order: Revision, token: FencingToken) -> bool {
-        let open = self.orders.iter_mut().find(|open| open.is_new(order));
-        open.map(|open| open.token = Some(token)).is_some()
+    ///
+    /// It counts from now on as one that may be carried out, however long the row took.
+    pub fn record_sent(&mut self, order: Revision, token: FencingToken, now: Time) -> bool {
+        let Some(open) = self.orders.iter_mut().find(|open| open.is_new(order)) else {
+            return false;
+        };
+        (open.token, open.known) = (Some(token), now);
+        true
     }
 
     /// Records that the order of this revision is not sent.
--- a/crates/core/tests/failover_memory.rs
+++ b/crates/core/tests/failover_memory.rs
@@ -72,7 +72,7 @@
     for (i, name) in servers.iter().enumerate() {
         let order = memory.prepare(group(), server(name), Term::new(4), at(1_000));
         let token = FencingToken::from_number(i as u64 + 1);
-        assert!(memory.record_sent(order.expect("there is room"), token));
+        assert!(memory.record_sent(order.expect("there is room"), token, at(1_000)));
     }
     memory
 }
@@ -259,13 +259,26 @@
     assert_eq!(last.take_unannounced(&group()), Some(Term::new(4)));
 }
 
+/// An order was counted from before its row was written. If that took long, successes were told
+/// while it could still be carried out.
+#[test]
+fn an_order_counts_as_open_from_when_it_is_sent_however_long_its_row_takes() {
+    let mut memory = with_orders(&[]);
+    let order = memory.prepare(group(), server("a"), Term::new(4), at(0)).expect("there is room");
+    assert!(memory.record_sent(order, FencingToken::from_number(1), at(3_000)));
+    let announcement = memory.announcement(&group()).expect("an open order");
+    // It is carried out up to 13 s after it was sent, and takes effect within a second.
+    assert!(announcement.may_replace(Term::new(4), at(16_999)));
+    assert!(!announcement.may_replace(Term::new(4), at(17_000)));
+}
+
 /// VMs that read the row took the announced terms back, and told successes that the order rolled back.
 #[test]
 fn an_order_in_the_row_covers_all_that_its_failover_was_announced_to_replace() {
     let mut memory = with_orders(&[]);
     let order = memory.prepare(group(), server("a"), Term::new(4), at(0)).expect("there is room");
     memory.record_announced(order, Term::new(5));
-    assert!(memory.record_sent(order, FencingToken::from_number(1)));
+    assert!(memory.record_sent(order, FencingToken::from_number(1), at(0)));
     let later = restart(&mut memory, &["a"], at(1_000));
     for memory in [&memory, &later] {
         let announcement = memory.announcement(&group()).expect("an open order");
--- a/crates/core/tests/failover_model/row.rs
+++ b/crates/core/tests/failover_model/row.rs
@@ -180,7 +180,7 @@
         let is_written = self.vms[vm].memory.is_written(*revision);
         let token = if is_written { self.next_token(vm) } else { None };
         let memory = &mut self.vms[vm].memory;
-        let sent = token.filter(|token| memory.record_sent(*revision, *token));
+        let sent = token.filter(|token| memory.record_sent(*revision, *token, now));
         let mut claim = || failover.as_mut().is_some_and(|failover| failover.claim(attempt, now));
         let Some(token) = sent.filter(|_| claim()) else {
             memory.record_unsent(*revision);
--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -81,7 +81,7 @@
             return Err(OrderError::Unwritten);
         }
         let token = self.order_token().ok_or(OrderError::RoleLost)?;
-        if !self.memory.borrow_mut().record_sent(order, token) {
+        if !self.memory.borrow_mut().record_sent(order, token, clock::now()) {
             return Err(OrderError::RoleLost);
         }
         if claim() { Ok(token) } else { Err(OrderError::Superseded) }
