Give a failover up once another server is known to lead

A failover checks its order once more before it is sent, but only against what the servers have answered to itself. A server that an earlier order has just promoted is busy: it rejects status questions while statements wait. It is then seen as the fenced replica that it was, and another server may be promoted over it. VMs whose statements it runs know better, and tell the coordinator of the new term with the next heartbeat.

`Failover::record_led` takes that term. While no order of the failover was sent, it is given up, and its attempt is not claimed.

a_failover_ends_once_another_server_is_known_to_lead and one case of an_order_for_a_server_that_would_not_be_chosen_any_more_is_not_sent fail without the check.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -114,6 +114,8 @@
     listing: Listing,
     /// Newest term of which an acknowledged commit, or where its log began, is known.
     known_term: Term,
+    /// Newest term in which a server is known to lead, not only by its answers to the failover.
+    led: Term,
     /// Newest position with an acknowledged commit.
     acknowledged: Position,
     /// Newest position with an acknowledged commit at the start.
@@ -171,6 +173,7 @@
             primary: None,
             listing: Listing::default(),
             known_term: acknowledged.term(),
+            led: Term::default(),
             acknowledged,
             first_acknowledged: acknowledged,
             started: now,
@@ -272,6 +275,18 @@
         self.known_term = self.known_term.max(position.term());
     }
 
+    /// Records a term in which a server is known to lead, by whatever this VM has heard. A server
+    /// that has just been promoted may be too busy to answer the failover.
+    pub fn record_led(&mut self, term: Term) {
+        self.led = self.led.max(term);
+    }
+
+    /// Returns whether a server leads by an order of another failover, in a term that this one does
+    /// not replace.
+    pub(super) fn is_superseded(&self) -> bool {
+        !self.has_sent_order() && self.led > self.replaced_term()
+    }
+
     /// Records the status that a server reported. Until servers are fenced, a higher term than
     /// was known raises that of the failover. Terms of fences do not, since no server has led them.
     pub fn record_status(&mut self, server: &ServerId, status: ReplicationStatus, now: Time) {
--- a/crates/core/src/failover/progress.rs
+++ b/crates/core/src/failover/progress.rs
@@ -14,6 +14,9 @@
 /// Why a failover is abandoned in which no server may be promoted.
 const BEHIND: &str = "no server that answers has received what is acknowledged";
 
+/// Why a failover is abandoned while an order of another one has been carried out.
+const SUPERSEDED: &str = "another server is already primary";
+
 /// Time after which a planned failover without a requested promotion is abandoned.
 const PLANNED_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -43,12 +46,13 @@
                 Some(status) if status.primary && is_target => {
                     return Progress::Done(server.clone(), status.term);
                 }
-                Some(status) if status.primary => {
-                    return Progress::Abandoned("another server is already primary");
-                }
+                Some(status) if status.primary => return Progress::Abandoned(SUPERSEDED),
                 _ => {}
             }
         }
+        if self.is_superseded() {
+            return Progress::Abandoned(SUPERSEDED);
+        }
         if self.replicas.is_empty() {
             return Progress::Abandoned("no other backend server is left");
         }
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -34,10 +34,12 @@
 
 impl Failover {
     /// Returns whether the order of an attempt may be sent now, and counts it as sent. It may not
-    /// if the failover has ended or made another attempt, or the server would not be chosen now.
+    /// if the failover has ended or made another attempt, another server is known to lead, or the
+    /// server would not be chosen now.
     pub fn claim(&mut self, attempt: &OrderAttempt, now: Time) -> bool {
         let is_wanted = self.is_current(attempt)
             && !self.is_attempt_sent()
+            && !self.is_superseded()
             && self.has_answered_lately(&attempt.server, now)
             && !self.has_lost_target()
             && self.promotable(now).as_ref() == Some(&attempt.server);
--- a/crates/core/tests/failover_model/row.rs
+++ b/crates/core/tests/failover_model/row.rs
@@ -179,9 +179,15 @@
         let (now, server) = (time(self.tick), index(attempt.server().as_str()));
         let is_written = self.vms[vm].memory.is_written(*revision);
         let token = if is_written { self.next_token(vm) } else { None };
+        let led = self.vms[vm].view.newest_term();
         let memory = &mut self.vms[vm].memory;
         let sent = token.filter(|token| memory.record_sent(*revision, *token, now));
-        let mut claim = || failover.as_mut().is_some_and(|failover| failover.claim(attempt, now));
+        let mut claim = || {
+            failover.as_mut().is_some_and(|failover| {
+                failover.record_led(led);
+                failover.claim(attempt, now)
+            })
+        };
         let Some(token) = sent.filter(|_| claim()) else {
             memory.record_unsent(*revision);
             self.note(|| format!("VM {vm} does not send the order to promote {}", name(server)));
--- a/crates/core/tests/failover_model/watch.rs
+++ b/crates/core/tests/failover_model/watch.rs
@@ -251,6 +251,7 @@
         let view = &self.vms[vm].view;
         let failover = &mut running.failover;
         failover.record_acknowledged(view.acknowledged);
+        failover.record_led(view.newest_term());
         failover.record_log_start(view.start);
         failover.retain(|server| view.entries[index(server.as_str())].is_some());
         failover.join(view.members());
--- a/crates/core/tests/failover_orders.rs
+++ b/crates/core/tests/failover_orders.rs
@@ -183,7 +183,7 @@
 
 #[test]
 fn an_order_for_a_server_that_would_not_be_chosen_any_more_is_not_sent() {
-    let changes: [fn(&mut Failover); 4] = [
+    let changes: [fn(&mut Failover); 5] = [
         // It has started again without its log.
         |failover| failover.record_status(&server("a"), fenced(0), at(600)),
         // The other one has lost its fence, and may receive more.
@@ -193,6 +193,8 @@
         },
         // A third one has registered.
         |failover| failover.join([member("n")]),
+        // A server leads by another order, and was too busy to say so.
+        |failover| failover.record_led(Term::new(2)),
         // Not all VMs know of the term that is replaced.
         |failover| failover.record_announcement(at(600)),
     ];
@@ -207,6 +209,21 @@
     assert!(!failover.claim(&attempt, at(1_500)), "it has not answered since");
 }
 
+/// A server that an earlier order had just promoted was too busy to answer the failover, which then
+/// had another one promoted over it.
+#[test]
+fn a_failover_ends_once_another_server_is_known_to_lead() {
+    let (mut failover, attempt) = waiting();
+    failover.record_led(Term::new(1));
+    assert_eq!(failover.progress(at(250)), Progress::Running, "that is the term it replaces");
+    let mut sent = failover.clone();
+    assert!(sent.claim(&attempt, at(250)));
+    sent.record_led(Term::new(2));
+    assert_eq!(sent.progress(at(300)), Progress::Running, "its own order may be carried out");
+    failover.record_led(Term::new(2));
+    assert!(matches!(failover.progress(at(300)), Progress::Abandoned(_)));
+}
+
 /// The answer to an order may arrive after its failover has ordered another server.
 #[test]
 fn the_refusal_of_an_earlier_attempt_does_not_touch_the_present_one() {
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -292,6 +292,7 @@
         let group = group.borrow();
         let mut failover = running.failover.borrow_mut();
         failover.record_acknowledged(group.acknowledged);
+        failover.record_led(group.newest_term());
         failover.record_log_start(group.told.start());
         failover.retain(|server| group.servers.contains_key(server));
         failover.join(group.members(now));
--- a/crates/engine/src/watch/execution.rs
+++ b/crates/engine/src/watch/execution.rs
@@ -193,7 +193,12 @@
     let led = failover.borrow().replaced_term();
     let announced = known.map_or(led, |known| known.replaced);
     let (server, replaced) = (attempt.server(), ReplacedTerms { led, announced });
-    let claim = || failover.borrow_mut().claim(attempt, clock::now());
+    let claim = || {
+        let led = engine.group(group).borrow().newest_term();
+        let mut failover = failover.borrow_mut();
+        failover.record_led(led);
+        failover.claim(attempt, clock::now())
+    };
     let token = match coordinator.open_order(engine, group, server, replaced, claim).await {
         Ok(token) => token,
         Err(error) => {
