Do not take an entry's claim for leadership of the newest term

The coordinator closes an order once its server leads in a newer term. It took the known primary and the newest term for that, but the primary may be known by its entry in the directory alone. An entry lags behind, for seconds while the store is slow: after P led term 3 and R leads term 4, the late entry of P made it "the primary of term 4", which closed an open order for P that could still be carried out. Then nobody replaced it by a newer one, and a VM that took the role announced that no failover ran.

`Group::leader` is the primary only if an answer showed that it leads the newest term. Heartbeats tell a term only with its leader. What decides on the primary has moved to group/primary.rs.

--- a/crates/engine/src/coordinator/orders.rs
+++ b/crates/engine/src/coordinator/orders.rs
@@ -136,8 +136,8 @@
             group.missing_servers.recall(memory.take_missing(name), present);
         }
         memory.update_missing(name, &group.missing_servers);
-        if let Some(primary) = &group.view.primary {
-            memory.record_leader(name, primary, group.view.term);
+        if let Some(leader) = group.leader() {
+            memory.record_leader(name, leader, group.view.term);
         }
         memory.take_unannounced(name)
     }
--- a/crates/engine/src/fleet/groups.rs
+++ b/crates/engine/src/fleet/groups.rs
@@ -130,7 +130,7 @@
 /// that is `None`.
 fn group_state(group: &Group, update: Update, received: Option<Time>, now: Time) -> GroupState {
     let term = group.view.term;
-    let primary = group.view.primary.as_ref().filter(|_| update == Update::Primary);
+    let primary = group.leader().filter(|_| update == Update::Primary);
     let latest = group.observed.latest().zip(received);
     let observed = latest.map(|(latest, _)| latest.position).unwrap_or_default();
     GroupState {
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -4,6 +4,7 @@
 //! servers, and what other VMs report. The newest term decides who is primary.
 
 mod placing;
+mod primary;
 mod record;
 mod replicas;
 mod reports;
@@ -33,10 +34,6 @@
 use self::{replicas::Replicas, reports::PeerReports};
 use crate::{catalog::ServerEntry, single_flight::SingleFlight};
 
-/// Time after a server denied being the primary for which its directory entry alone
-/// does not make it the primary.
-const DENIAL_PERIOD: Duration = Duration::from_millis(1_000);
-
 /// Source of a change of the known primary.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Source {
@@ -61,8 +58,10 @@
 
 /// Known state of one group.
 pub(crate) struct Group {
-    /// Newest known primary and term.
+    /// Newest known primary and term. The primary may be known by its entry only.
     pub(crate) view: GroupView,
+    /// Server that led the newest known term by an answer, of it or to another VM.
+    leader: Option<ServerId>,
     /// Registered servers.
     pub(crate) servers: IndexMap<ServerId, ServerEntry>,
     /// Positions of the primary's log, with the times of the requests.
@@ -112,6 +111,7 @@
     pub(crate) fn new(name: GroupId, times: Option<ServerTimes>, now: Time) -> Self {
         Group {
             view: GroupView::new(name),
+            leader: None,
             servers: IndexMap::new(),
             observed: ObservedPositions::new(),
             estimates: Estimates::new(),
@@ -167,43 +167,6 @@
         self.evacuated = evacuated;
     }
 
-    /// Makes a server whose entry claims the role the primary, unless the server
-    /// denied it recently; returns whether the primary changed.
-    pub(crate) fn follow_entries(&mut self, now: Time) -> bool {
-        let denied = |server: &ServerId| {
-            self.denials.get(server).is_some_and(|time| now.since(*time) < DENIAL_PERIOD)
-        };
-        let claims = |entry: &&ServerEntry| entry.primary && !denied(&entry.server);
-        let found = self.servers.values().find(claims).map(|entry| entry.server.clone());
-        if found.is_none() || found == self.view.primary {
-            return false;
-        }
-        self.view.primary = found;
-        self.failing_since = None;
-        self.unconfirmed_since = None;
-        true
-    }
-
-    /// Records that `server` answered as the primary with `position`, to a request
-    /// sent at `asked`; returns whether the primary or its term changed.
-    pub(crate) fn record_primary(
-        &mut self,
-        server: &ServerId,
-        position: Position,
-        asked: Time,
-        now: Time,
-    ) -> bool {
-        if position.term() < self.view.term {
-            return false;
-        }
-        let changed = self.adopt(server, position.term());
-        self.observed.add(asked, position);
-        self.estimates.record_position(position, now);
-        self.last_response = now;
-        self.failing_since = None;
-        changed
-    }
-
     /// Records a position of the primary that another VM observed.
     pub(crate) fn record_position(&mut self, position: Position, asked: Time, now: Time) {
         if position.term() >= self.view.term {
@@ -222,31 +185,6 @@
         self.acknowledged = self.acknowledged.max(position);
     }
 
-    /// Records that `server` is the primary at `term`; returns whether the primary
-    /// or its term changed.
-    pub(crate) fn adopt(&mut self, server: &ServerId, term: Term) -> bool {
-        let same = self.view.primary.as_ref() == Some(server);
-        if term < self.view.term || (term == self.view.term && same) {
-            return false;
-        }
-        self.view.term = term;
-        self.view.primary = Some(server.clone());
-        self.denials.shift_remove(server);
-        self.failing_since = None;
-        self.unconfirmed_since = None;
-        self.estimates.apply_view(&self.view);
-        true
-    }
-
-    /// Records that `server` denied being the primary.
-    pub(crate) fn record_denial(&mut self, server: &ServerId, now: Time) {
-        self.denials.insert(server.clone(), now);
-        if self.view.primary.as_ref() == Some(server) {
-            self.view.primary = None;
-            self.follow_entries(now);
-        }
-    }
-
     /// Records that a request to `server` failed, if it is the known primary.
     pub(crate) fn record_primary_failure(&mut self, server: &ServerId, now: Time) {
         if self.view.primary.as_ref() == Some(server) {
@@ -288,8 +226,8 @@
 
     /// Returns what neighbours need to know about the group, by its name.
     pub(crate) fn summary(&self) -> (GroupId, GroupSummary) {
-        // Without a known primary, a term means nothing to others.
-        let known = self.view.primary.is_some();
+        // Without its leader, a term means nothing to others.
+        let known = self.leader().is_some();
         let knowledge = GroupSummary {
             term: if known { self.view.term } else { Term::default() },
             failing: self.failing_since(),
