Review: sessions on a public route keep keys that nothing counts

Cause: a session keeps the key of its START while it lasts; on a public route any key is accepted, and the memory budget counts it only while it is read.

--- a/review/standin_3.rs
+++ b/review/standin_3.rs
@@ -821,6 +821,9 @@
     pub folder: PathBuf,
 }
 
+/// Name of the database whose route is public.
+pub const PUBLIC: &str = "open";
+
 /// Returns the name of the database whose route reads on the primary of a group.
 pub fn newest(group: usize) -> String {
     if group == 0 { "newest".to_owned() } else { format!("newest-{group}") }
@@ -830,8 +833,9 @@
 fn configuration(groups: &[Group]) -> String {
     let route = |host: &str, kind: &str, timeout: u32, target: u32, group: &Group| {
         format!(
-            "{{\"name\":\"r-{host}\",\"host\":\"{host}\",\"prefix\":\"/\",\"type\":\"{kind}\",\"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":1,\"service\":\"{}\",\"attempts\":2,\"max_staleness_ms\":1500,\"public\":false}}",
-            group.name
+            "{{\"name\":\"r-{host}\",\"host\":\"{host}\",\"prefix\":\"/\",\"type\":\"{kind}\",\"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":1,\"service\":\"{}\",\"attempts\":2,\"max_staleness_ms\":1500,\"public\":{}}}",
+            group.name,
+            host == PUBLIC
         )
     };
     let service = |group: &Group| {
@@ -848,6 +852,7 @@
     let mut routes = vec![
         route("bounded", "bounded_staleness", 2000, 500, &groups[0]),
         route("own", "read_your_writes", 800, 250, &groups[0]),
+        route(PUBLIC, "bounded_staleness", 2000, 500, &groups[0]),
     ];
     let primary = groups.iter().enumerate();
     routes.extend(primary.map(|(i, group)| route(&newest(i), "primary", 800, 150, group)));
